--- /dev/null
+++ b/scripts/test.ts
@@ -0,0 +1,74 @@
+/**
+ * Runs every test file in a process of its own and closes with one line of counts.
+ * Arguments are substrings of file names; without any, all files run.
+ */
+import { spawn } from 'node:child_process'
+import { readdir } from 'node:fs/promises'
+import { availableParallelism } from 'node:os'
+import { join } from 'node:path'
+
+const FILE_TIMEOUT_MILLISECONDS = 300_000
+const PARALLEL_FILES = Math.max(1, Math.min(5, Math.floor(availableParallelism() / 2)))
+
+interface FileOutcome {
+  readonly passed: number
+  readonly failed: number
+  readonly skipped: number
+}
+
+async function findTestFiles (wanted: readonly string[]): Promise<string[]> {
+  const names = await readdir('packages', { recursive: true })
+  return names
+    .filter((name) => /src\/tests\/.*\.test\.ts$/.test(name) && !name.includes('node_modules'))
+    .filter((name) => wanted.length === 0 || wanted.some((part) => name.includes(part)))
+    .sort()
+    .map((name) => join('packages', name))
+}
+
+function countOf (output: string, label: string): number {
+  return [...output.matchAll(new RegExp(`^  ${label}:\\s+(\\d+)`, 'gm'))].reduce((sum, match) => sum + Number(match[1]), 0)
+}
+
+function judge (file: string, output: string, exitCode: number | null): FileOutcome {
+  const total = countOf(output, 'Total')
+  const passed = countOf(output, 'Passed')
+  const skipped = countOf(output, 'Skipped')
+  const failed = total - passed - skipped
+  const unaccounted = failed === 0 && (exitCode !== 0 || total === 0) ? 1 : 0
+  if (failed + unaccounted > 0) console.log(`FAILED ${file}\n${output}`)
+  else console.log(`ok ${file} (${passed})`)
+  return { passed, failed: failed + unaccounted, skipped }
+}
+
+function runFile (file: string): Promise<FileOutcome> {
+  return new Promise((resolve) => {
+    const child = spawn(process.execPath, ['--import', 'tsx', file], { env: { ...process.env, FORCE_COLOR: '0' } })
+    const chunks: string[] = []
+    const timer = setTimeout(() => {
+      chunks.push(`\nno end within ${FILE_TIMEOUT_MILLISECONDS} ms\n`)
+      child.kill('SIGKILL')
+    }, FILE_TIMEOUT_MILLISECONDS)
+    child.stdout.on('data', (chunk) => chunks.push(String(chunk)))
+    child.stderr.on('data', (chunk) => chunks.push(String(chunk)))
+    child.on('close', (exitCode) => {
+      clearTimeout(timer)
+      resolve(judge(file, chunks.join(''), exitCode))
+    })
+  })
+}
+
+async function runAll (files: readonly string[]): Promise<FileOutcome[]> {
+  const waiting = [...files]
+  const outcomes: FileOutcome[] = []
+  const workers = Array.from({ length: PARALLEL_FILES }, async () => {
+    for (let file = waiting.shift(); file !== undefined; file = waiting.shift()) outcomes.push(await runFile(file))
+  })
+  await Promise.all(workers)
+  return outcomes
+}
+
+const outcomes = await runAll(await findTestFiles(process.argv.slice(2)))
+const sum = (pick: (outcome: FileOutcome) => number): number => outcomes.reduce((total, outcome) => total + pick(outcome), 0)
+const failed = sum((outcome) => outcome.failed)
+console.log(`${sum((outcome) => outcome.passed)} passed, ${failed} failed, ${sum((outcome) => outcome.skipped)} skipped`)
+process.exitCode = failed > 0 || outcomes.length === 0 ? 1 : 0
