--- a/eslint.config.js
+++ b/eslint.config.js
@@ -51,7 +51,8 @@
       '@typescript-eslint/consistent-type-imports': 'error',
       'max-lines': ['error', { max: 300, skipBlankLines: true, skipComments: true }],
       'max-len': ['error', { code: 160, ignoreUrls: true, ignoreTemplateLiterals: true, ignoreStrings: true }],
-      'no-redeclare': 'off'
+      'no-redeclare': 'off',
+      '@typescript-eslint/no-redeclare': 'off'
     }
   },
   ...boundaries
