Messages between entry VMs over long-lived streams, mutual TLS

Cause: limits, claims, gossip and freshness each send one-way messages between entries. Tested: order, self-delivery, refusal of a false name and of plain text off loopback.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -52,6 +52,7 @@
       'max-lines': ['error', { max: 300, skipBlankLines: true, skipComments: true }],
       'max-len': ['error', { code: 160, ignoreUrls: true, ignoreTemplateLiterals: true, ignoreStrings: true }],
       'no-redeclare': 'off',
+      'no-void': ['error', { allowAsStatement: true }],
       '@typescript-eslint/no-redeclare': 'off'
     }
   },
--- /dev/null
+++ b/packages/protocol/src/inner-credentials.ts
@@ -0,0 +1,96 @@
+import { ChannelCredentials, type Server, ServerCredentials, experimental } from '@grpc/grpc-js'
+import { Failure } from '@hickoryspoke/runtime/failure'
+import { Err, Ok, type Result } from 'ts-results-es'
+
+const REFRESH_INTERVAL_MILLISECONDS = 5_000
+
+/** Files of the certificate, private key and certificate authority, all PEM. */
+export interface CertificateFiles {
+  readonly certificateFile: string
+  readonly keyFile: string
+  readonly authorityFile: string
+}
+
+/** How the system's own processes talk: mutual TLS, or plain text on loopback only. */
+export type InnerSecurity =
+  | { readonly kind: 'mutual_tls', readonly files: CertificateFiles }
+  | { readonly kind: 'plain_text' }
+
+/** Plain text was asked for on an address that other machines can reach. */
+export class PlainTextOutsideLoopback extends Failure {
+  readonly code = 'plain_text_outside_loopback'
+
+  private constructor (readonly address: string) {
+    super(`plain text between processes is only for loopback, not for ${address}`)
+  }
+
+  static create (address: string): PlainTextOutsideLoopback {
+    return new PlainTextOutsideLoopback(address)
+  }
+}
+
+/** Credentials for both ends of the streams between processes; certificate files are read again when they change. */
+export class InnerCredentials {
+  private readonly provider: InstanceType<typeof experimental.FileWatcherCertificateProvider> | undefined
+
+  private constructor (readonly security: InnerSecurity) {
+    if (security.kind === 'mutual_tls') {
+      this.provider = new experimental.FileWatcherCertificateProvider({
+        certificateFile: security.files.certificateFile,
+        privateKeyFile: security.files.keyFile,
+        caCertificateFile: security.files.authorityFile,
+        refreshIntervalMs: REFRESH_INTERVAL_MILLISECONDS
+      })
+    }
+  }
+
+  static create (security: InnerSecurity): InnerCredentials {
+    return new InnerCredentials(security)
+  }
+
+  /** Credentials of the calling side. */
+  forChannel (): ChannelCredentials {
+    if (this.provider === undefined) return ChannelCredentials.createInsecure()
+    return experimental.createCertificateProviderChannelCredentials(this.provider, this.provider)
+  }
+
+  /** Credentials of the serving side; callers must present a certificate of the same authority. */
+  forServer (): ServerCredentials {
+    if (this.provider === undefined) return ServerCredentials.createInsecure()
+    return experimental.createCertificateProviderServerCredentials(this.provider, this.provider, true)
+  }
+
+  /** Channel options that check the certificate against the name of the process called, not its IP number. */
+  channelOptions (peerName: string): Record<string, string> {
+    return this.provider === undefined ? {} : { 'grpc.ssl_target_name_override': peerName }
+  }
+
+  /** Starts a server on an IP:PORT; resolves with the port that was bound. */
+  async bind (server: Server, address: string): Promise<Result<number, PlainTextOutsideLoopback | AddressNotBound>> {
+    if (this.provider === undefined && !isLoopback(address)) return Err(PlainTextOutsideLoopback.create(address))
+    return await new Promise((resolve) => {
+      server.bindAsync(address, this.forServer(), (error, port) => {
+        resolve(error === null ? Ok(port) : Err(AddressNotBound.create(address, error.message)))
+      })
+    })
+  }
+}
+
+/** The address could not be bound. */
+export class AddressNotBound extends Failure {
+  readonly code = 'address_not_bound'
+
+  private constructor (readonly address: string, reason: string) {
+    super(`cannot listen on ${address}: ${reason}`)
+  }
+
+  static create (address: string, reason: string): AddressNotBound {
+    return new AddressNotBound(address, reason)
+  }
+}
+
+/** Whether an IP:PORT is on this machine only. */
+export function isLoopback (address: string): boolean {
+  const host = address.slice(0, address.lastIndexOf(':'))
+  return host === '[::1]' || /^127\.\d+\.\d+\.\d+$/.test(host)
+}
--- /dev/null
+++ b/packages/protocol/src/tests/grpc-peer-network.test.ts
@@ -0,0 +1,110 @@
+import { Server } from '@grpc/grpc-js'
+import { SystemClock } from '@hickoryspoke/runtime/clock'
+import { SeededRandom } from '@hickoryspoke/runtime/random'
+import { LogLevel, Logger, silentLogger } from '@hickoryspoke/telemetry/logger'
+import { generate } from 'selfsigned'
+import { mkdtemp, writeFile } from 'node:fs/promises'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { GrpcPeerNetwork } from '../grpc-peer-network.ts'
+import { InnerCredentials } from '../inner-credentials.ts'
+
+interface Node {
+  readonly network: GrpcPeerNetwork
+  readonly server: Server
+  readonly port: number
+}
+
+const addresses = new Map<string, string>()
+
+async function startNode (name: string, credentials: InnerCredentials, logger = silentLogger()): Promise<Node> {
+  const network = GrpcPeerNetwork.create({
+    self: name,
+    credentials,
+    clock: SystemClock.create(),
+    random: SeededRandom.create(1),
+    logger,
+    addressOf: (peer) => addresses.get(peer)
+  })
+  const server = new Server()
+  network.addTo(server)
+  const port = (await credentials.bind(server, '127.0.0.1:0')).unwrap()
+  addresses.set(name, `127.0.0.1:${port}`)
+  return { network, server, port }
+}
+
+function deferred (): { promise: Promise<string>, resolve: (value: string) => void } {
+  let settle: (value: string) => void = () => {}
+  const promise = new Promise<string>((resolve) => { settle = resolve })
+  return { promise, resolve: (value) => settle(value) }
+}
+
+function stop (...nodes: Node[]): void {
+  for (const node of nodes) {
+    node.network.close()
+    node.server.forceShutdown()
+  }
+}
+
+async function certificateFolder (name: string, authority: { key: string, cert: string }): Promise<InnerCredentials> {
+  const folder = await mkdtemp(join(tmpdir(), 'hickoryspoke-'))
+  const issued = await generate([{ name: 'commonName', value: name }], { ca: authority, keySize: 2048 })
+  await writeFile(join(folder, 'certificate.pem'), issued.cert)
+  await writeFile(join(folder, 'key.pem'), issued.private)
+  await writeFile(join(folder, 'authority.pem'), authority.cert)
+  const files = {
+    certificateFile: join(folder, 'certificate.pem'),
+    keyFile: join(folder, 'key.pem'),
+    authorityFile: join(folder, 'authority.pem')
+  }
+  return InnerCredentials.create({ kind: 'mutual_tls', files })
+}
+
+test('messages of a concern reach its handler in order, also to the sender itself', async () => {
+  const plain = InnerCredentials.create({ kind: 'plain_text' })
+  const left = await startNode('left', plain)
+  const right = await startNode('right', plain)
+  const heard: string[] = []
+  await new Promise<void>((resolve) => {
+    const hear = (self: string) => (from: string): void => {
+      heard.push(`${from}>${self}`)
+      if (heard.length === 4) resolve()
+    }
+    const fromLeft = left.network.join('gossip', hear('left'))
+    right.network.join('gossip', hear('right'))
+    for (const to of ['left', 'right', 'right', 'right']) fromLeft.send(to, {} as never)
+  })
+  assert.equal(heard.sort(), ['left>left', 'left>right', 'left>right', 'left>right'])
+  stop(left, right)
+})
+
+test('plain text is refused outside loopback', async () => {
+  const outcome = await InnerCredentials.create({ kind: 'plain_text' }).bind(new Server(), '0.0.0.0:0')
+  assert.is(outcome.unwrapErr().code, 'plain_text_outside_loopback')
+})
+
+test('with mutual TLS a peer speaks only under the name in its certificate', async () => {
+  const authority = await generate([{ name: 'commonName', value: 'authority' }], { keySize: 2048, extensions: [{ name: 'basicConstraints', cA: true, critical: true }] })
+  const pair = { key: authority.private, cert: authority.cert }
+  const refused = deferred()
+  const accepted = deferred()
+  const logger = Logger.create('test', LogLevel.Warn, (line) => refused.resolve(JSON.parse(line).peer))
+  const left = await startNode('left', await certificateFolder('left', pair))
+  const right = await startNode('right', await certificateFolder('right', pair), logger)
+  const liar = await startNode('pretender', await certificateFolder('other', pair))
+  const heard: string[] = []
+  right.network.join('gossip', (from) => {
+    heard.push(from)
+    accepted.resolve(from)
+  })
+  liar.network.join('gossip', () => {}).send('right', {} as never)
+  left.network.join('gossip', () => {}).send('right', {} as never)
+  assert.is(await refused.promise, 'pretender')
+  assert.is(await accepted.promise, 'left')
+  assert.equal(heard, ['left'])
+  stop(left, right, liar)
+})
+
+test.run()
