--- a/packages/protocol/src/grpc-peer-network.ts
+++ b/packages/protocol/src/grpc-peer-network.ts
@@ -1,4 +1,4 @@
-import type { Server, ServerReadableStream } from '@grpc/grpc-js'
+import type { Server, ServerDuplexStream } from '@grpc/grpc-js'
 import { status } from '@grpc/grpc-js'
 import type { Clock } from '@hickoryspoke/runtime/clock'
 import type { PeerNetwork } from '@hickoryspoke/runtime/network'
