Membership: announcements by lease and incarnation, gossip among entries, liveness

Cause: upstreams announce themselves to any entry; every entry must know them, and their departure, within two seconds, also when the entry that heard it dies next. Entries watch each other by heartbeats, direct and indirect probes and refutation. Conclusion: the fault table of the registry passes at 44 entries in simulated time.

--- /dev/null
+++ b/packages/membership/src/tests/entry-liveness.test.ts
@@ -0,0 +1,65 @@
+import { EntryState } from '@hickoryspoke/protocol/generated/gossip'
+import { sha256Digest } from '@hickoryspoke/runtime/hashing'
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { checkAnnouncementToken } from '../announcement.ts'
+import { Overlay } from '../overlay.ts'
+import { RegistryFleet } from './registry-fleet.ts'
+
+function statesOf (fleet: RegistryFleet, subject: string): Set<EntryState> {
+  const observers = fleet.names.filter((name) => name !== subject && fleet.of(name) !== undefined)
+  return new Set(observers.map((name) => fleet.of(name).liveness.stateOf(subject)))
+}
+
+const ROWS = [
+  { name: 'crash: dead everywhere', act: (fleet: RegistryFleet) => fleet.crash('entry-3'), expected: EntryState.ENTRY_STATE_DEAD },
+  { name: 'close: left everywhere', act: (fleet: RegistryFleet) => fleet.of('entry-3').close(), expected: EntryState.ENTRY_STATE_LEFT },
+  {
+    name: 'some links cut one way: alive, by way of others',
+    act: (fleet: RegistryFleet) => fleet.of('entry-3').liveness.neighbours().slice(0, 4).forEach((name) => fleet.network.cut('entry-3', name)),
+    expected: EntryState.ENTRY_STATE_ALIVE
+  },
+  { name: 'an entry that hears nothing harms no other', act: (fleet: RegistryFleet) => fleet.cutOff('entry-5', 'hears nothing'), expected: EntryState.ENTRY_STATE_ALIVE }
+]
+
+for (const row of ROWS) {
+  test(row.name, async () => {
+    const fleet = RegistryFleet.create(44)
+    await fleet.run(2_000)
+    row.act(fleet)
+    await fleet.run(12_000)
+    assert.equal(statesOf(fleet, 'entry-3'), new Set([row.expected]))
+    fleet.stopAll()
+  })
+}
+
+test('an entry that restarts after a crash refutes its death', async () => {
+  const fleet = RegistryFleet.create(44)
+  fleet.crash('entry-3')
+  await fleet.run(12_000)
+  fleet.boot('entry-3')
+  await fleet.run(4_000)
+  assert.equal(statesOf(fleet, 'entry-3'), new Set([EntryState.ENTRY_STATE_ALIVE]))
+  fleet.stopAll()
+})
+
+test('the overlay joins 800 entries closely through few neighbours', () => {
+  const members = Array.from({ length: 800 }, (_, index) => ({ name: `entry-${index}`, zone: `zone-${index % 6}` }))
+  const overlay = Overlay.create(members)
+  let reached = new Set(['entry-0'])
+  let hops = 0
+  for (; reached.size < 800 && hops < 10; hops += 1) reached = new Set([...reached].flatMap((name) => [name, ...overlay.neighbours(name)]))
+  assert.ok(hops <= 4, `hops ${hops}`)
+  const zones = overlay.homesOf(5).map((name) => members.find((member) => member.name === name)?.zone)
+  assert.is(new Set(zones).size, 3)
+})
+
+test('only the right token is taken, and a pool without a digest takes none', () => {
+  const digest = sha256Digest('secret')
+  assert.ok(checkAnnouncementToken('secret', digest).isOk())
+  for (const [token, expected] of [['wrong', digest], [undefined, digest], ['', digest], ['secret', undefined]] as const) {
+    assert.is(checkAnnouncementToken(token, expected).unwrapErr().code, 'wrong_token')
+  }
+})
+
+test.run()
