--- /dev/null
+++ b/packages/replication/src/replica-status.ts
@@ -0,0 +1,59 @@
+import type { ReplicaContext } from './replica-context.ts'
+import { memberKey } from './replica-set.ts'
+import type { ReplicaRole } from './replicated-log.ts'
+
+/** One member as the leader sees it. Ages in milliseconds. */
+export interface MemberStatus {
+  readonly name: string
+  readonly incarnation: string
+  readonly voter: boolean
+  readonly matchIndex: number | undefined
+  readonly heardMillisecondsAgo: number | undefined
+}
+
+/** What a replica knows. Details of members are known to the leader only. */
+export interface ReplicaStatus {
+  readonly name: string
+  readonly incarnation: string
+  readonly role: ReplicaRole
+  readonly leader: string | undefined
+  readonly term: number
+  readonly lastIndex: number
+  readonly commitIndex: number
+  readonly appliedIndex: number
+  readonly durableIndex: number
+  readonly snapshotIndex: number
+  readonly members: readonly MemberStatus[]
+  /** Replicas that have announced themselves and wait to be added. */
+  readonly joiners: readonly string[]
+}
+
+/** The status of a replica at this moment. */
+export function describeReplica (context: ReplicaContext): ReplicaStatus {
+  return {
+    ...context.self(),
+    role: context.lifecycle.role(),
+    leader: context.leaderName,
+    term: context.term(),
+    lastIndex: context.lastPosition().index,
+    commitIndex: context.commitIndex,
+    appliedIndex: context.appliedIndex,
+    durableIndex: context.durableIndex,
+    snapshotIndex: context.snapshot?.header.index ?? 0,
+    members: describeMembers(context),
+    joiners: [...context.joiners.keys()]
+  }
+}
+
+function describeMembers (context: ReplicaContext): MemberStatus[] {
+  const now = context.now()
+  return context.latestSet().members.map((member) => {
+    const peer = context.leadership?.peers.get(memberKey(member))
+    const isSelf = context.leadership !== undefined && memberKey(member) === context.selfKey()
+    return {
+      ...member,
+      matchIndex: isSelf ? context.durableIndex : peer?.matchIndex,
+      heardMillisecondsAgo: isSelf ? 0 : peer === undefined ? undefined : now - peer.lastHeard
+    }
+  })
+}
--- /dev/null
+++ b/packages/replication/src/snapshot-file.ts
@@ -0,0 +1,64 @@
+import { crc32 } from 'node:zlib'
+import { SnapshotHeader } from '@hickoryspoke/protocol/generated/replica'
+import { isTemporary, replaceFile, type DataFolder } from './data-folder.ts'
+import { encodeFrame, FRAME_END, scanFrames } from './frame.ts'
+import { STORAGE_FAULT, StorageFailure } from './storage-failure.ts'
+
+const PREFIX = 'snapshot-'
+const INDEX_DIGITS = 16
+const FRAME_BYTES = 1_048_576
+
+/** The state after the entry `header.index`. */
+export interface Snapshot {
+  readonly header: SnapshotHeader
+  readonly state: Buffer
+}
+
+/** A snapshot whose header describes the given state. */
+export function describeSnapshot (position: Omit<SnapshotHeader, 'size' | 'checksum'>, state: Uint8Array): Snapshot {
+  return { header: { ...position, size: state.length, checksum: crc32(state) }, state: Buffer.from(state) }
+}
+
+/** Whether a state has the size and checksum that its header gives. */
+export function isIntact (snapshot: Snapshot): boolean {
+  return snapshot.state.length === snapshot.header.size && crc32(snapshot.state) === snapshot.header.checksum
+}
+
+/** Writes a snapshot, then removes older ones. Resolves once the new one will outlast a crash. */
+export async function saveSnapshot (folder: DataFolder, snapshot: Snapshot): Promise<void> {
+  const name = PREFIX + String(snapshot.header.index).padStart(INDEX_DIGITS, '0')
+  try {
+    await replaceFile(folder, name, [encodeFrame(SnapshotHeader.encode(snapshot.header).finish()), ...stateFrames(snapshot.state)])
+    for (const older of await snapshotNames(folder)) {
+      if (older < name) await folder.remove(older)
+    }
+  } catch (thrown) {
+    throw StorageFailure.from(thrown, name)
+  }
+}
+
+/** The newest snapshot, or `undefined` when there is none. Throws when the newest does not verify. */
+export async function loadSnapshot (folder: DataFolder): Promise<Snapshot | undefined> {
+  const name = (await snapshotNames(folder)).at(-1)
+  if (name === undefined) return undefined
+  const scan = scanFrames(await folder.read(name))
+  const head = scan.payloads[0]
+  if (scan.end !== FRAME_END.Clean || head === undefined) throw damaged(name)
+  const snapshot = { header: SnapshotHeader.decode(head), state: Buffer.concat(scan.payloads.slice(1)) }
+  if (!isIntact(snapshot)) throw damaged(name)
+  return snapshot
+}
+
+async function snapshotNames (folder: DataFolder): Promise<string[]> {
+  return (await folder.list()).filter((name) => name.startsWith(PREFIX) && !isTemporary(name)).sort()
+}
+
+function damaged (name: string): StorageFailure {
+  return StorageFailure.create(STORAGE_FAULT.ChecksumMismatch, name, 'the snapshot does not verify')
+}
+
+function stateFrames (state: Buffer): Buffer[] {
+  const frames: Buffer[] = []
+  for (let start = 0; start < state.length; start += FRAME_BYTES) frames.push(encodeFrame(state.subarray(start, start + FRAME_BYTES)))
+  return frames
+}
--- /dev/null
+++ b/packages/replication/src/tests/cluster.ts
@@ -0,0 +1,186 @@
+import { mkdtemp, rm } from 'node:fs/promises'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import type { ReplicaMessage } from '@hickoryspoke/protocol/generated/replica'
+import { SeededRandom } from '@hickoryspoke/runtime/random'
+import { FakeClock, settle } from '@hickoryspoke/testing/fake-clock'
+import { FakeNetwork } from '@hickoryspoke/testing/fake-network'
+import type { Result } from 'ts-results-es'
+import { Replica } from '../replica.ts'
+import type { ReplicaEvent } from '../replica-event.ts'
+import type { ReplicaTuning } from '../replica-settings.ts'
+import type { OnEmptyFolder } from '../replica-storage.ts'
+import type { StateMachine } from '../replicated-log.ts'
+import type { ReplicationFailure } from '../replication-failure.ts'
+import { FaultFolder } from './fault-folder.ts'
+
+const STEP_MILLISECONDS = 5
+
+/** Keeps all commands in order; answers with their number. */
+export class ListMachine implements StateMachine {
+  commands: string[] = []
+
+  apply (_index: number, command: Uint8Array): Uint8Array {
+    this.commands.push(Buffer.from(command).toString())
+    return Buffer.from(String(this.commands.length))
+  }
+
+  snapshot (): Uint8Array {
+    return Buffer.from(JSON.stringify(this.commands))
+  }
+
+  restore (snapshot: Uint8Array): void {
+    this.commands = JSON.parse(Buffer.from(snapshot).toString())
+  }
+}
+
+interface Node {
+  readonly replica: Replica
+  readonly machine: ListMachine
+  readonly folder: FaultFolder
+}
+
+/** Replicas on real folders, a fake clock and a network in memory. */
+export class TestCluster {
+  readonly nodes = new Map<string, Node>()
+  readonly events: { name: string, event: ReplicaEvent }[] = []
+  readonly clock = FakeClock.create()
+  readonly network: FakeNetwork<ReplicaMessage>
+  tuning: Partial<ReplicaTuning> = {}
+  private lives = 0
+
+  private constructor (readonly names: readonly string[], readonly root: string, private readonly seed: number) {
+    this.network = FakeNetwork.create<ReplicaMessage>(this.clock, SeededRandom.create(seed))
+  }
+
+  static async create (names: readonly string[], seed = 1, tuning: Partial<ReplicaTuning> = {}): Promise<TestCluster> {
+    const cluster = new TestCluster(names, await mkdtemp(join(tmpdir(), 'replication-')), seed)
+    cluster.tuning = tuning
+    return cluster
+  }
+
+  /** A cluster whose replicas have formed and elected a leader. */
+  static async formed (names: readonly string[], seed = 1, tuning: Partial<ReplicaTuning> = {}): Promise<TestCluster> {
+    const cluster = await TestCluster.create(names, seed, tuning)
+    for (const name of names) await cluster.boot(name, 'form')
+    await cluster.until(() => cluster.leaderName() !== undefined)
+    return cluster
+  }
+
+  folderPath (name: string): string {
+    return join(this.root, name)
+  }
+
+  async open (name: string, onEmptyFolder: OnEmptyFolder = 'refuse', folder?: FaultFolder): Promise<{ opened: Result<Replica, Error>, node: Omit<Node, 'replica'> }> {
+    const machine = new ListMachine()
+    const used = folder ?? await FaultFolder.create(this.folderPath(name))
+    this.lives += 1
+    const opened = await Replica.create({
+      cluster: 'test',
+      name,
+      folder: used,
+      peers: this.names,
+      onEmptyFolder,
+      stateMachine: machine,
+      join: (handler) => ({ ...this.network.join(name, handler), close: async () => this.network.leave(name) }),
+      clock: this.clock,
+      random: SeededRandom.create(this.seed * 1000 + this.lives),
+      report: (event) => this.events.push({ name, event }),
+      tuning: this.tuning
+    })
+    return { opened, node: { machine, folder: used } }
+  }
+
+  async boot (name: string, onEmptyFolder: OnEmptyFolder = 'refuse', folder?: FaultFolder): Promise<Replica> {
+    const { opened, node } = await this.open(name, onEmptyFolder, folder)
+    const replica = opened.unwrap()
+    this.nodes.set(name, { replica, ...node })
+    replica.start()
+    return replica
+  }
+
+  /** Power loss: what was not synced is gone. */
+  async crash (name: string): Promise<void> {
+    const node = this.node(name)
+    node.folder.losePower()
+    this.network.leave(name)
+    this.nodes.delete(name)
+    await node.replica.abort()
+    await node.folder.dropUnsynced()
+  }
+
+  async loseDisk (name: string): Promise<void> {
+    await this.crash(name)
+    await rm(this.folderPath(name), { recursive: true })
+  }
+
+  node (name: string): Node {
+    return this.nodes.get(name) as Node
+  }
+
+  leaders (): string[] {
+    return [...this.nodes].filter(([, node]) => node.replica.role() === 'leader').map(([name]) => name)
+  }
+
+  leaderName (): string | undefined {
+    return this.leaders()[0]
+  }
+
+  leader (): Replica {
+    return this.node(this.leaderName() as string).replica
+  }
+
+  followers (): string[] {
+    return [...this.nodes.keys()].filter((name) => name !== this.leaderName())
+  }
+
+  /** Proposes at the leader and lets time pass until there is an answer. */
+  async propose (command: string, at = this.leader()): Promise<Result<Uint8Array, ReplicationFailure>> {
+    let result: Result<Uint8Array, ReplicationFailure> | undefined
+    at.propose(Buffer.from(command)).then((answer) => { result = answer })
+    await this.until(() => result !== undefined)
+    return result as unknown as Result<Uint8Array, ReplicationFailure>
+  }
+
+  commands (name: string): string[] {
+    return this.node(name).machine.commands
+  }
+
+  cutOff (name: string): void {
+    for (const other of this.names) {
+      this.network.cut(name, other)
+      this.network.cut(other, name)
+    }
+  }
+
+  /** Lets time pass in small steps; disk work ends between them. */
+  async advance (milliseconds: number): Promise<void> {
+    for (let passed = 0; passed < milliseconds; passed += STEP_MILLISECONDS) {
+      await this.quiet()
+      await this.clock.advanceAsync(STEP_MILLISECONDS)
+    }
+    await this.quiet()
+  }
+
+  async until (isDone: () => boolean, limitMilliseconds = 30_000): Promise<void> {
+    for (let passed = 0; passed < limitMilliseconds; passed += STEP_MILLISECONDS) {
+      if (isDone()) return
+      await this.advance(STEP_MILLISECONDS)
+    }
+    throw new Error(`not reached within ${limitMilliseconds} ms: ${isDone}`)
+  }
+
+  async destroy (): Promise<void> {
+    for (const name of [...this.nodes.keys()]) await this.crash(name)
+    await rm(this.root, { recursive: true, force: true })
+  }
+
+  private async quiet (): Promise<void> {
+    await settle()
+    while (this.busy()) await settle()
+  }
+
+  private busy (): boolean {
+    return [...this.nodes.values()].some((node) => node.folder.pending > 0 && !node.folder.isHeld())
+  }
+}
--- /dev/null
+++ b/packages/replication/src/tests/fault-folder.ts
@@ -0,0 +1,180 @@
+import { appendFile, readFile, rename, rm, stat, truncate, writeFile } from 'node:fs/promises'
+import { join } from 'node:path'
+import { NodeDataFolder, type AppendFile, type DataFolder } from '../data-folder.ts'
+
+type Operation = 'openAppend' | 'append' | 'sync' | 'truncate' | 'rename' | 'remove' | 'syncFolder'
+
+/** Thrown by everything after the moment at which the machine lost power. */
+export class PowerLost extends Error {}
+
+interface Fault {
+  readonly operation: Operation
+  readonly code: string
+}
+
+/** A folder on real files that loses power at a chosen step, fails a chosen operation, or is slow. */
+export class FaultFolder implements DataFolder {
+  /** Number of operations so far that change something. */
+  steps = 0
+  crashAtStep = Infinity
+  /** Share from 0 to 1 of an append under way that reaches the disk when power is lost. */
+  tornShare = 0
+  fault: Fault | undefined
+  pending = 0
+  private held: Promise<void> | undefined
+  private releaseHeld: (() => void) | undefined
+  private lost = false
+  private readonly syncedLengths = new Map<string, number>()
+  private undo: (() => Promise<void>)[] = []
+
+  private constructor (private readonly inner: NodeDataFolder) {}
+
+  static async create (path: string): Promise<FaultFolder> {
+    const folder = new FaultFolder(await NodeDataFolder.create(path))
+    for (const name of await folder.inner.list()) folder.syncedLengths.set(name, (await stat(join(path, name))).size)
+    return folder
+  }
+
+  get path (): string {
+    return this.inner.path
+  }
+
+  /** Syncs wait until `release`. */
+  hold (): void {
+    this.held = new Promise((resolve) => { this.releaseHeld = resolve })
+  }
+
+  release (): void {
+    this.releaseHeld?.()
+    this.held = undefined
+  }
+
+  isHeld (): boolean {
+    return this.held !== undefined
+  }
+
+  /** From now on nothing reaches the disk. */
+  losePower (): void {
+    this.lost = true
+    this.release()
+  }
+
+  /** Brings the real files into the state that a disk has which kept only what was synced. */
+  async dropUnsynced (): Promise<void> {
+    this.lost = true
+    for (const undo of this.undo.reverse()) await undo()
+    for (const name of await this.inner.list()) {
+      const length = this.syncedLengths.get(name)
+      if (length !== undefined) await truncate(join(this.path, name), length)
+    }
+  }
+
+  list (): Promise<string[]> {
+    return this.inner.list()
+  }
+
+  read (name: string): Promise<Buffer> {
+    return this.inner.read(name)
+  }
+
+  async openAppend (name: string): Promise<AppendFile> {
+    return this.step('openAppend', async () => {
+      const isNew = !(await this.inner.list()).includes(name)
+      const file = await this.inner.openAppend(name)
+      if (isNew) {
+        this.syncedLengths.set(name, 0)
+        this.undo.push(() => rm(join(this.path, name), { force: true }))
+      }
+      return this.wrap(name, file)
+    })
+  }
+
+  truncate (name: string, length: number): Promise<void> {
+    return this.step('truncate', async () => {
+      await this.inner.truncate(name, length)
+      this.syncedLengths.set(name, length)
+    })
+  }
+
+  rename (from: string, to: string): Promise<void> {
+    return this.step('rename', async () => {
+      const replaced = (await this.inner.list()).includes(to) ? await readFile(join(this.path, to)) : undefined
+      await this.inner.rename(from, to)
+      const length = this.syncedLengths.get(from) ?? 0
+      this.syncedLengths.set(to, length)
+      this.syncedLengths.delete(from)
+      this.undo.push(async () => {
+        await rename(join(this.path, to), join(this.path, from))
+        this.syncedLengths.set(from, length)
+        this.syncedLengths.delete(to)
+        if (replaced !== undefined) await this.restore(to, replaced)
+      })
+    })
+  }
+
+  remove (name: string): Promise<void> {
+    return this.step('remove', async () => {
+      const content = await readFile(join(this.path, name))
+      await this.inner.remove(name)
+      this.syncedLengths.delete(name)
+      this.undo.push(() => this.restore(name, content))
+    })
+  }
+
+  sync (): Promise<void> {
+    return this.step('syncFolder', async () => {
+      await this.held
+      await this.inner.sync()
+      this.undo = []
+    })
+  }
+
+  private async restore (name: string, content: Buffer): Promise<void> {
+    await writeFile(join(this.path, name), content)
+    this.syncedLengths.set(name, content.length)
+  }
+
+  private wrap (name: string, file: AppendFile): AppendFile {
+    return {
+      append: (bytes) => this.step('append', () => file.append(bytes), () => this.tear(name, bytes)),
+      sync: () => this.step('sync', async () => {
+        await this.held
+        if (this.lost) throw new PowerLost()
+        await file.sync()
+        this.syncedLengths.set(name, (await stat(join(this.path, name))).size)
+      }),
+      close: () => file.close()
+    }
+  }
+
+  /** Part of a write that power loss cut off. */
+  private async tear (name: string, bytes: Uint8Array): Promise<void> {
+    const part = bytes.subarray(0, Math.floor(bytes.length * this.tornShare))
+    await appendFile(join(this.path, name), part)
+    this.syncedLengths.set(name, (this.syncedLengths.get(name) ?? 0) + part.length)
+  }
+
+  private async step<Value> (operation: Operation, run: () => Promise<Value>, tear?: () => Promise<void>): Promise<Value> {
+    this.steps += 1
+    this.pending += 1
+    try {
+      if (this.lost) throw new PowerLost()
+      if (this.steps >= this.crashAtStep) {
+        this.lost = true
+        await tear?.()
+        throw new PowerLost()
+      }
+      if (this.fault?.operation === operation) throw Object.assign(new Error(this.fault.code), { code: this.fault.code })
+      return await run()
+    } finally {
+      this.pending -= 1
+    }
+  }
+}
+
+/** Flips one bit of a file. */
+export async function flipBit (path: string, offset: number): Promise<void> {
+  const bytes = await readFile(path)
+  bytes[offset] = (bytes[offset] as number) ^ 1
+  await writeFile(path, bytes)
+}
