--- a/packages/replication/src/election.ts
+++ b/packages/replication/src/election.ts
@@ -25,7 +25,7 @@
   context.verifiedIndex = 0
   context.resetElectionDeadline()
   context.lifecycle.send(LIFECYCLE_EVENT.ElectionStarted)
-  await context.storage.saveBallot({ term: askedTerm, votedFor: context.selfKey() })
+  await context.saveBallot(askedTerm, context.selfKey())
   context.election = { preVote: false, askedTerm, granted: new Set([context.selfKey()]) }
   askForVotes(context, transfer)
   await countVotes(context)
@@ -69,7 +69,7 @@
   const votedFor = context.storage.ballot.votedFor
   if (votedFor !== '') return votedFor === memberKey(candidate)
   if (!isFresh(context, request)) return false
-  await context.storage.saveBallot({ term: request.askedTerm, votedFor: memberKey(candidate) })
+  await context.saveBallot(request.askedTerm, memberKey(candidate))
   context.resetElectionDeadline()
   return true
 }
--- a/packages/replication/src/replica-context.ts
+++ b/packages/replication/src/replica-context.ts
@@ -149,7 +149,12 @@
   async adoptTerm (term: number): Promise<void> {
     this.stepDown(undefined)
     this.verifiedIndex = 0
-    await this.storage.saveBallot({ term, votedFor: '' })
+    await this.saveBallot(term, '')
+  }
+
+  /** Throws `StorageFailure`. Resolves once the term and vote will outlast a crash. */
+  async saveBallot (term: number, votedFor: string): Promise<void> {
+    await this.storage.saveBallot({ term, votedFor, settledIndex: Math.min(this.commitIndex, this.durableIndex) })
   }
 
   /** Makes the role follow the replica set in force. */
--- a/packages/replication/src/replica-storage.ts
+++ b/packages/replication/src/replica-storage.ts
@@ -82,6 +82,10 @@
     const snapshot = await loadSnapshot(folder)
     const recovered = await Journal.open(folder, snapshot?.header.index ?? 0, settings)
     const log = buildLog(identity, snapshot, recovered.entries)
+    const lastIndex = log.lastPosition().index
+    if (lastIndex < ballot.settledIndex) {
+      throw StorageFailure.create(STORAGE_FAULT.JournalGap, '', `the log ends at ${lastIndex}, but ${ballot.settledIndex} was committed here`)
+    }
     return new ReplicaStorage(folder, recovered.journal, log, snapshot, recovered.truncatedBytes, identity, ballot, identityFile, ballotFile)
   }
 }
@@ -110,7 +114,7 @@
     formedSet: undefined,
     forming: owner.onEmptyFolder === ON_EMPTY_FOLDER.Form
   }
-  await RecordFile.create(folder, BALLOT_FILE, BallotRecord).save({ term: 0, votedFor: '' })
+  await RecordFile.create(folder, BALLOT_FILE, BallotRecord).save({ term: 0, votedFor: '', settledIndex: 0 })
   await file.save(identity)
   return identity
 }
--- a/packages/replication/src/replica.ts
+++ b/packages/replication/src/replica.ts
@@ -159,10 +159,21 @@
     await handOver(this.context)
     this.context.end()
     await this.context.tasks.close()
+    await this.recordEnd()
     await this.context.storage.journal.close()
     await this.context.closeNetwork()
   }
 
+  /** Lets the next start notice if files are missing. Best effort: the replica has stopped already. */
+  private async recordEnd (): Promise<void> {
+    const { votedFor } = this.context.storage.ballot
+    try {
+      if (this.context.failure === undefined) await this.context.saveBallot(this.context.term(), votedFor)
+    } catch (thrown) {
+      this.context.report({ kind: 'failed', failure: StorageFailure.from(thrown) })
+    }
+  }
+
   private async tick (): Promise<void> {
     const { context } = this
     if (context.isStopped()) return
