Restore files that the membership change took back

Cause: the membership commit was made on a stale base and undid the settings, state and stand-in files that had landed before it. Change: those files as they were.

--- /dev/null
+++ b/packages/bench/src/announcer.ts
@@ -0,0 +1,95 @@
+import { type Clock, sleep } from '@hickoryspoke/runtime/clock'
+import { request } from 'undici'
+import type { StandInUpstream } from './stand-in-upstream.ts'
+
+const RENEWALS_A_LEASE = 3
+
+/** How a stand-in upstream announces itself. */
+export interface AnnouncerOptions {
+  readonly upstream: StandInUpstream
+  readonly pool: string
+  readonly zone: string
+  readonly token: string
+  /** Base URLs of the inner ports of entry VMs. */
+  readonly entries: readonly string[]
+  readonly leaseMilliseconds: number
+  readonly incarnation: number
+  readonly clock: Clock
+}
+
+/** Announces an upstream again and again until told to withdraw it. */
+export class Announcer {
+  private readonly stopping = new AbortController()
+  private state: 'serving' | 'draining' = 'serving'
+  private readonly task: Promise<void>
+
+  private constructor (private readonly options: AnnouncerOptions) {
+    this.task = this.run()
+  }
+
+  static create (options: AnnouncerOptions): Announcer {
+    return new Announcer(options)
+  }
+
+  /** Says that no new work is wanted; the lease is still renewed. */
+  async drain (): Promise<void> {
+    this.state = 'draining'
+    await this.announce()
+  }
+
+  /** Stops renewing and withdraws the announcement. */
+  async withdraw (): Promise<void> {
+    this.stopping.abort()
+    await this.task
+    await this.toEveryEntry('DELETE')
+  }
+
+  /** Stops renewing without a word, as a crashed process would. */
+  async abandon (): Promise<void> {
+    this.stopping.abort()
+    await this.task
+  }
+
+  async announce (): Promise<void> {
+    await this.toEveryEntry('POST')
+  }
+
+  private async run (): Promise<void> {
+    const { clock, leaseMilliseconds } = this.options
+    while (!this.stopping.signal.aborted) {
+      await this.announce()
+      await sleep(clock, leaseMilliseconds / RENEWALS_A_LEASE, this.stopping.signal)
+    }
+  }
+
+  private async toEveryEntry (method: 'POST' | 'DELETE'): Promise<void> {
+    await Promise.all(this.options.entries.map(async (entry) => await this.send(entry, method)))
+  }
+
+  /** An entry that does not answer is asked again at the next renewal. */
+  private async send (entry: string, method: 'POST' | 'DELETE'): Promise<void> {
+    const { upstream, pool, zone, token, incarnation, leaseMilliseconds } = this.options
+    const announcement = {
+      pool,
+      address: upstream.address,
+      zone,
+      slots: upstream.slots,
+      incarnation,
+      leaseMilliseconds,
+      state: this.state,
+      load: upstream.load
+    }
+    try {
+      const answer = await request(`${entry}/announce`, {
+        method,
+        headers: { authorization: `Bearer ${token}`, 'content-type': 'application/json' },
+        body: JSON.stringify(announcement),
+        headersTimeout: leaseMilliseconds,
+        bodyTimeout: leaseMilliseconds
+      })
+      await answer.body.dump()
+    } catch {
+      // The next renewal tries again.
+    }
+  }
+}
--- /dev/null
+++ b/packages/configuration/src/state-codec.ts
@@ -0,0 +1,61 @@
+import { describeError, Failure } from '@hickoryspoke/runtime/failure'
+import { Err, Ok, type Result } from 'ts-results-es'
+import { canonicalJson } from './canonical-json.ts'
+import type { DesiredState } from './desired-state.ts'
+import type { StateDifference } from './difference.ts'
+import { IdentifiedState, sameIdentity, type FileIdentity } from './identified-state.ts'
+
+/** Bytes that do not give the state that their identity names. */
+export class CorruptState extends Failure {
+  readonly code = 'corrupt_state'
+
+  static create (reason: string): CorruptState {
+    return new CorruptState(reason)
+  }
+}
+
+/** The whole state as canonical JSON. */
+export function encodeState (state: IdentifiedState): Buffer {
+  return Buffer.from(canonicalJson(state.toDesiredState()))
+}
+
+/** Reads a whole state that was checked before it was encoded, and verifies its identity. */
+export function decodeState (bytes: Uint8Array, identity: FileIdentity): Result<IdentifiedState, CorruptState> {
+  const parsed = readJson<DesiredState>(bytes)
+  if (parsed.isErr()) return parsed
+  return verify(IdentifiedState.create(parsed.value), identity)
+}
+
+/** A difference as canonical JSON. */
+export function encodeDifference (difference: StateDifference): Buffer {
+  return Buffer.from(canonicalJson(difference))
+}
+
+/** Reads a difference. */
+export function decodeDifference (bytes: Uint8Array): Result<StateDifference, CorruptState> {
+  return readJson<StateDifference>(bytes)
+}
+
+/** Applies a difference and verifies the identity of what it leads to. */
+export function applyDifference (
+  before: IdentifiedState,
+  difference: StateDifference,
+  identity: FileIdentity
+): Result<IdentifiedState, CorruptState> {
+  const after = before.change(difference)
+  if (after === undefined) return Err(CorruptState.create('the difference was made for another state'))
+  return verify(after, identity)
+}
+
+function verify (state: IdentifiedState, identity: FileIdentity): Result<IdentifiedState, CorruptState> {
+  if (sameIdentity(state.identity, identity)) return Ok(state)
+  return Err(CorruptState.create(`expected ${identity.digest}, found ${state.identity.digest}`))
+}
+
+function readJson<Value> (bytes: Uint8Array): Result<Value, CorruptState> {
+  try {
+    return Ok(JSON.parse(Buffer.from(bytes).toString('utf8')) as Value)
+  } catch (thrown) {
+    return Err(CorruptState.create(describeError(thrown)))
+  }
+}
--- /dev/null
+++ b/packages/entry/src/entry-settings.ts
@@ -0,0 +1,34 @@
+import { addressSchema, logSchema, processNameSchema, replicaAddressSchema, securitySchema } from '@hickoryspoke/configuration/settings-file'
+import { z } from 'zod'
+
+const DEFAULT_GRACE_SECONDS = 20
+const DEFAULT_HEADER_BYTES = 16_384
+const DEFAULT_BODY_BYTES = 10_485_760
+
+/** Settings of an entry VM; `examples/settings/entry.toml` explains each. */
+export const entrySettingsSchema = z.strictObject({
+  name: processNameSchema,
+  zone: processNameSchema,
+  region: processNameSchema.default('default'),
+  data_folder: z.string().optional(),
+  listen: z.strictObject({
+    public: addressSchema,
+    inner: addressSchema,
+    peer: addressSchema
+  }),
+  advertise_peer: addressSchema.optional(),
+  control: z.array(replicaAddressSchema).min(1),
+  security: securitySchema,
+  callers: z.strictObject({
+    header_bytes: z.int().min(1024).max(1_048_576).default(DEFAULT_HEADER_BYTES),
+    body_bytes: z.int().min(0).default(DEFAULT_BODY_BYTES),
+    certificate_file: z.string().optional(),
+    key_file: z.string().optional()
+  }).prefault({}),
+  shutdown: z.strictObject({
+    grace_seconds: z.number().min(0).max(3600).default(DEFAULT_GRACE_SECONDS)
+  }).prefault({}),
+  log: logSchema.prefault({})
+})
+
+export type EntrySettings = z.output<typeof entrySettingsSchema>
