--- a/packages/bench/src/bench-main.ts
+++ b/packages/bench/src/bench-main.ts
@@ -1,1 +1,136 @@
-export {}
+import { writeFile } from 'node:fs/promises'
+import { ExitCode, PROGRAM_VERSION, fail, stopOnSignal } from '@hickoryspoke/configuration/program'
+import { readSettingsFile } from '@hickoryspoke/configuration/settings-file'
+import { SystemClock } from '@hickoryspoke/runtime/clock'
+import { SeededRandom, SystemRandom } from '@hickoryspoke/runtime/random'
+import yargs from 'yargs'
+import { hideBin } from 'yargs/helpers'
+import { Announcer } from './announcer.ts'
+import { type BenchSettings, type LoadSettings, type UpstreamSettings, benchSettingsSchema } from './bench-settings.ts'
+import { plotLoadResults } from './load-plot.ts'
+import { formatLoadResults } from './load-report.ts'
+import { runOpenLoopLoad } from './open-loop-load.ts'
+import { StandInUpstream } from './stand-in-upstream.ts'
+
+const PROGRAM = 'hickoryspoke-bench'
+
+interface LoadArguments {
+  readonly settings: string
+  readonly check: boolean
+  readonly json: boolean
+  readonly plot?: string
+}
+
+async function loadCommand (options: LoadArguments): Promise<void> {
+  const settings = await readBenchSettings(options)
+  if (settings?.load === undefined) return reportMissing(settings, 'load')
+  const results = await runLoad(settings.load)
+  process.stdout.write(options.json ? JSON.stringify({ seed: settings.load.seed, results }) + '\n' : formatLoadResults(results))
+  if (options.plot !== undefined) await writeFile(options.plot, plotLoadResults(results))
+}
+
+async function runLoad (settings: LoadSettings): Promise<ReturnType<Awaited<ReturnType<typeof runOpenLoopLoad>>['results']>> {
+  const recorder = await runOpenLoopLoad({
+    targets: settings.targets,
+    customers: settings.customers.map(({ rate, ...customer }) => ({ ...customer, ratePerSecond: rate })),
+    durationMilliseconds: settings.duration_seconds * 1000,
+    clock: SystemClock.create(),
+    random: SeededRandom.create(settings.seed)
+  })
+  return recorder.results()
+}
+
+async function upstreamCommand (options: LoadArguments): Promise<void> {
+  const settings = await readBenchSettings(options)
+  if (settings?.upstream === undefined) return reportMissing(settings, 'upstream')
+  await runUpstream(settings.upstream)
+}
+
+async function runUpstream (settings: UpstreamSettings): Promise<void> {
+  const clock = SystemClock.create()
+  const separator = settings.listen.lastIndexOf(':')
+  const upstream = await StandInUpstream.start({
+    name: settings.name,
+    clock,
+    random: SystemRandom.create(),
+    host: settings.listen.slice(0, separator),
+    port: Number(settings.listen.slice(separator + 1)),
+    slots: settings.slots,
+    workMilliseconds: settings.work_milliseconds,
+    onCrash: () => process.exit(ExitCode.Failed)
+  })
+  const announcer = Announcer.create({
+    upstream,
+    pool: settings.pool,
+    zone: settings.zone,
+    token: settings.announce_token,
+    entries: settings.announce_to,
+    leaseMilliseconds: settings.lease_milliseconds,
+    incarnation: clock.wallMilliseconds(),
+    clock
+  })
+  process.stdout.write(JSON.stringify({ ready: true, address: upstream.address }) + '\n')
+  stopOnSignal(PROGRAM, {
+    stop: async () => {
+      await announcer.withdraw()
+      await upstream.stop()
+    },
+    unfinished: () => `${upstream.running} requests`
+  })
+}
+
+async function readBenchSettings (options: LoadArguments): Promise<BenchSettings | undefined> {
+  const settings = await readSettingsFile(options.settings, benchSettingsSchema)
+  if (settings.isErr()) {
+    fail(PROGRAM, settings.error, ExitCode.BadInput)
+    return undefined
+  }
+  if (!options.check) return settings.value
+  process.stdout.write(`${options.settings}: settings are valid\n`)
+  return undefined
+}
+
+function reportMissing (settings: BenchSettings | undefined, section: string): void {
+  if (settings === undefined) return
+  process.stderr.write(`${PROGRAM}: the settings have no [${section}] section\n`)
+  process.exitCode = ExitCode.BadInput
+}
+
+function readArguments (options: Readonly<Record<string, unknown>>): LoadArguments {
+  return {
+    settings: String(options['settings']),
+    check: options['check'] === true,
+    json: options['json'] === true,
+    plot: typeof options['plot'] === 'string' ? options['plot'] : undefined
+  }
+}
+
+void yargs(hideBin(process.argv))
+  .scriptName(PROGRAM)
+  .usage('$0 COMMAND --settings FILE\n\nStand-in upstreams and open-loop load for hickoryspoke.')
+  .option('settings', { type: 'string', demandOption: true, requiresArg: true, describe: 'settings file in TOML' })
+  .option('check', { type: 'boolean', default: false, describe: 'check the settings and exit: 0 valid, 2 not' })
+  .option('json', { type: 'boolean', default: false, describe: 'load: one JSON document' })
+  .option('plot', { type: 'string', describe: 'load: write an SVG plot to this file' })
+  .command({
+    command: 'load',
+    describe: 'send open-loop load and report by customer',
+    handler: async (options) => await loadCommand(readArguments(options))
+  })
+  .command({
+    command: 'upstream',
+    describe: 'run a stand-in upstream until a signal',
+    handler: async (options) => await upstreamCommand(readArguments(options))
+  })
+  .demandCommand(1, 'name a command')
+  .example(`${PROGRAM} load --settings examples/settings/bench.toml --json`, 'run a load')
+  .example(`${PROGRAM} upstream --settings examples/settings/bench.toml`, 'run an upstream')
+  .completion('completion', 'print a shell completion script')
+  .version(PROGRAM_VERSION)
+  .strict()
+  .fail((message, error, parser) => {
+    process.stderr.write(`${PROGRAM}: ${message ?? error.message}\n\n`)
+    parser.showHelp('error')
+    process.exit(ExitCode.BadInput)
+  })
+  .parseAsync()
--- a/packages/configuration/src/program.ts
+++ b/packages/configuration/src/program.ts
@@ -72,7 +72,7 @@
 }
 
 /** The first signal stops gracefully; the second ends at once. */
-function stopOnSignal (name: string, program: RunningProgram): void {
+export function stopOnSignal (name: string, program: RunningProgram): void {
   let stopping = false
   const onSignal = (): void => {
     if (stopping) {
--- a/packages/membership/src/tests/registry-fleet.ts
+++ b/packages/membership/src/tests/registry-fleet.ts
@@ -30,7 +30,7 @@
     const peer = this.network.join(name, (from, message) => registry.receive(from, message))
     const registry = AnnouncementRegistry.create({ clock: this.clock, random: this.random, network: peer, zone: this.zoneOf(name) })
     const stop = new AbortController()
-    registry.applyMembership({ epoch: 1, entries: this.names.map((entry) => ({ name: entry, zone: this.zoneOf(entry), region: 'r', peerAddress: '' })) })
+    registry.applyMembership({ epoch: 1, establishedEpoch: 1, entries: this.names.map((entry) => ({ name: entry, zone: this.zoneOf(entry), region: 'r', peerAddress: '', witness: false })) })
     void registry.start(stop.signal)
     this.registries.set(name, registry)
     this.stops.set(name, stop)
