--- /dev/null
+++ b/packages/control/src/delivery.ts
@@ -0,0 +1,39 @@
+import type { AcceptedState } from '@hickoryspoke/replication/accepted-state'
+import type { Clock } from '@hickoryspoke/runtime/clock'
+import type { EntryRegister } from './entry-register.ts'
+import { regionsWithoutQuorum } from './witness-quorum.ts'
+
+/** Regions in which a quorum of the witnesses is not known to hold a number; empty when it is held everywhere. */
+export function regionsBehind (state: AcceptedState, register: EntryRegister, number: number): string[] {
+  const { entries, epoch, establishedEpoch } = state.entries.membership()
+  const behind = regionsWithoutQuorum(entries, (name) => register.holds(name, number, 0))
+  if (epoch === establishedEpoch) return behind
+  const unestablished = regionsWithoutQuorum(state.entries.previousWitnesses, (name) => register.holds(name, 0, epoch))
+  return [...new Set([...behind, ...unestablished])]
+}
+
+/** Resolves with no region once a quorum holds a number, or with the regions still behind after a time. */
+export function waitUntilHeld (
+  state: AcceptedState,
+  register: EntryRegister,
+  clock: Clock,
+  number: number,
+  timeoutMilliseconds: number
+): Promise<string[]> {
+  return new Promise((resolve) => {
+    const finish = (behind: string[]): void => {
+      timer.cancel()
+      stopReports()
+      stopChanges()
+      resolve(behind)
+    }
+    const look = (): void => {
+      const behind = regionsBehind(state, register, number)
+      if (behind.length === 0) finish(behind)
+    }
+    const timer = clock.schedule(timeoutMilliseconds, () => finish(regionsBehind(state, register, number)))
+    const stopReports = register.onReport(look)
+    const stopChanges = state.onChange(look)
+    look()
+  })
+}
--- /dev/null
+++ b/packages/control/src/distribution-service.ts
@@ -0,0 +1,156 @@
+import type { ServerDuplexStream } from '@grpc/grpc-js'
+import { RecentStates } from '@hickoryspoke/configuration/recent-states'
+import type { ControlUpdate, DistributionServer, EntryReport } from '@hickoryspoke/protocol/generated/distribution'
+import { mayActAs } from '@hickoryspoke/protocol/peer-identity'
+import type { AcceptedState } from '@hickoryspoke/replication/accepted-state'
+import type { ReplicatedLog } from '@hickoryspoke/replication/replicated-log'
+import { repeatEvery, type Clock } from '@hickoryspoke/runtime/clock'
+import { describeError } from '@hickoryspoke/runtime/failure'
+import type { Logger } from '@hickoryspoke/telemetry/logger'
+import { EntryRegister } from './entry-register.ts'
+import { EntryStream } from './entry-stream.ts'
+import { VersionQuestions } from './version-questions.ts'
+import { WholePushes } from './whole-pushes.ts'
+
+/** Interval of probes to witnesses, in milliseconds. */
+export const PROBE_INTERVAL_MILLISECONDS = 1_000
+
+/** Other entries are probed once in so many intervals. */
+const INTERVALS_BETWEEN_OTHER_PROBES = 5
+
+/** Silence after which a stream is ended, in milliseconds. */
+const SILENCE_MILLISECONDS = 15_000
+
+type Call = ServerDuplexStream<EntryReport, ControlUpdate>
+
+/** What the service needs. `leaderAddress` gives HOST:PORT of the leader or empty. */
+export interface DistributionParts {
+  readonly log: ReplicatedLog
+  readonly state: AcceptedState
+  readonly clock: Clock
+  readonly logger: Logger
+  readonly leaderAddress: () => string
+}
+
+/** Serves `Distribution.Follow` on the leader: one task for each entry VM. */
+export class DistributionService {
+  readonly register: EntryRegister
+  private readonly recent = RecentStates.create()
+  private readonly wholePushes = WholePushes.create()
+  private readonly questions: VersionQuestions
+  private readonly streams = new Map<Call, { readonly stream: EntryStream, name: string }>()
+
+  private constructor (private readonly parts: DistributionParts) {
+    this.register = EntryRegister.create(parts.clock)
+    this.questions = VersionQuestions.create(parts.log, parts.state)
+  }
+
+  static create (parts: DistributionParts): DistributionService {
+    return new DistributionService(parts)
+  }
+
+  /** The handlers to add to a server of gRPC. */
+  handlers (): DistributionServer {
+    return { follow: (call) => { void this.serve(call) } }
+  }
+
+  /** Pushes changes and probes entries until the signal aborts; then ends all streams. */
+  async run (signal: AbortSignal): Promise<void> {
+    const unsubscribe = [this.parts.state.onChange(() => this.pushAll()), this.parts.log.onRoleChange(() => this.onRoleChange())]
+    this.pushAll()
+    let interval = 0
+    await repeatEvery(this.parts.clock, PROBE_INTERVAL_MILLISECONDS, signal, () => {
+      interval += 1
+      this.probeEntries(interval % INTERVALS_BETWEEN_OTHER_PROBES === 0)
+    })
+    for (const stop of unsubscribe) stop()
+    for (const call of [...this.streams.keys()]) call.end()
+  }
+
+  private async serve (call: Call): Promise<void> {
+    call.on('error', () => call.end())
+    if (this.parts.log.role() !== 'leader') return this.redirect(call)
+    const stream = this.createStream(call)
+    this.streams.set(call, { stream, name: '' })
+    try {
+      for await (const report of call) if (!this.takeReport(call, stream, report as EntryReport)) break
+    } catch (thrown) {
+      this.parts.logger.debug('stream of an entry broke', { reason: describeError(thrown) })
+    }
+    this.forget(call)
+    call.end()
+  }
+
+  private createStream (call: Call): EntryStream {
+    return EntryStream.create({
+      clock: this.parts.clock,
+      recent: this.recent,
+      wholePushes: this.wholePushes,
+      membership: () => this.parts.state.entries.membership(),
+      write: (update) => writeUpdate(call, update)
+    })
+  }
+
+  private takeReport (call: Call, stream: EntryStream, report: EntryReport): boolean {
+    const known = this.streams.get(call)
+    if (known === undefined || !mayActAs(call, report.name)) return false
+    if (known.name === '') {
+      known.name = report.name
+      stream.resume(report.held)
+    }
+    if (known.name !== report.name) return false
+    this.register.update({ report, heldAsOf: stream.probeTime(report), send: (update) => stream.send(update) })
+    if (report.question > 0) this.questions.ask(report.question, (update) => stream.send(update))
+    void stream.push()
+    return true
+  }
+
+  private redirect (call: Call): void {
+    call.write({ body: { $case: 'leader', value: this.parts.leaderAddress() } })
+    call.end()
+  }
+
+  private forget (call: Call): void {
+    const known = this.streams.get(call)
+    this.streams.delete(call)
+    const isReplaced = [...this.streams.values()].some((other) => other.name === known?.name)
+    if (known !== undefined && !isReplaced) this.register.remove(known.name)
+  }
+
+  private onRoleChange (): void {
+    if (this.parts.log.role() === 'leader') return
+    for (const call of [...this.streams.keys()]) this.redirect(call)
+    this.register.clear()
+  }
+
+  private pushAll (): void {
+    const { accepted } = this.parts.state
+    if (accepted !== undefined) this.recent.add(accepted)
+    for (const { stream } of this.streams.values()) void stream.push()
+  }
+
+  private probeEntries (includeOthers: boolean): void {
+    const witnesses = new Set(this.parts.state.entries.membership().entries.filter((entry) => entry.witness).map((entry) => entry.name))
+    for (const entry of this.parts.state.entries.previousWitnesses) witnesses.add(entry.name)
+    for (const [call, { stream, name }] of this.streams) {
+      if (this.isSilent(name)) call.end()
+      else if (includeOthers || witnesses.has(name) || !this.isEnrolled(name)) stream.probe()
+    }
+  }
+
+  private isEnrolled (name: string): boolean {
+    return this.parts.state.entries.has(name)
+  }
+
+  private isSilent (name: string): boolean {
+    const heardAt = this.register.heardAt(name)
+    return heardAt !== undefined && this.parts.clock.monotonicMilliseconds() - heardAt > SILENCE_MILLISECONDS
+  }
+}
+
+function writeUpdate (call: Call, update: ControlUpdate): Promise<void> {
+  return new Promise((resolve) => {
+    if (call.writableEnded || call.destroyed) resolve()
+    else call.write(update, () => resolve())
+  })
+}
--- /dev/null
+++ b/packages/control/src/enrolment.ts
@@ -0,0 +1,102 @@
+import type { MembershipCommand } from '@hickoryspoke/protocol/generated/command'
+import type { EnrolledEntry } from '@hickoryspoke/protocol/generated/distribution'
+import type { AcceptedState } from '@hickoryspoke/replication/accepted-state'
+import { nextEntries } from '@hickoryspoke/replication/accepted-state-membership'
+import type { ReplicatedLog } from '@hickoryspoke/replication/replicated-log'
+import { repeatEvery, type Clock } from '@hickoryspoke/runtime/clock'
+import type { ControlProposer } from './control-proposer.ts'
+import { toEnrolled, type EntryRegister } from './entry-register.ts'
+import { regionsWithoutQuorum } from './witness-quorum.ts'
+
+/** Interval at which entries that came or went are gathered into one epoch, in milliseconds. */
+export const ENROLMENT_INTERVAL_MILLISECONDS = 1_000
+
+/** Silence after which an entry is removed from the membership, in milliseconds. */
+export const REMOVAL_SILENCE_MILLISECONDS = 60_000
+
+/** What the task of enrolment needs. */
+export interface EnrolmentParts {
+  readonly log: ReplicatedLog
+  readonly state: AcceptedState
+  readonly register: EntryRegister
+  readonly proposer: ControlProposer
+  readonly clock: Clock
+}
+
+/**
+ * Takes the membership of entries from epoch to epoch, on the leader. A step is taken only while a quorum of the
+ * witnesses before it and a quorum of those after it hold the file in force, and the next only after the step is
+ * established: so control cannot drop entries that it does not hear and that still serve.
+ */
+export class Enrolment {
+  private leadingSince: number | undefined
+
+  private constructor (private readonly parts: EnrolmentParts) {}
+
+  static create (parts: EnrolmentParts): Enrolment {
+    return new Enrolment(parts)
+  }
+
+  /** Runs until the signal aborts. */
+  async run (signal: AbortSignal): Promise<void> {
+    await repeatEvery(this.parts.clock, ENROLMENT_INTERVAL_MILLISECONDS, signal, () => this.step())
+  }
+
+  /** Takes the one step that is due, if any. */
+  async step (): Promise<void> {
+    if (this.parts.log.role() !== 'leader') {
+      this.leadingSince = undefined
+      return
+    }
+    this.leadingSince ??= this.parts.clock.monotonicMilliseconds()
+    const { entries } = this.parts.state
+    if (entries.epoch !== entries.establishedEpoch) return await this.establish()
+    const change = this.findChange()
+    if (change !== undefined) await this.parts.proposer.changeMembership(change)
+  }
+
+  /** Whether an entry has been silent for long enough to be taken as gone. */
+  isSilent (name: string): boolean {
+    const since = Math.max(this.parts.register.heardAt(name) ?? -Infinity, this.leadingSince ?? Infinity)
+    return this.parts.clock.monotonicMilliseconds() - since > REMOVAL_SILENCE_MILLISECONDS
+  }
+
+  private async establish (): Promise<void> {
+    const { entries } = this.parts.state
+    const { epoch } = entries
+    const missing = regionsWithoutQuorum(entries.previousWitnesses, (name) => this.parts.register.holds(name, 0, epoch))
+    if (missing.length === 0) await this.parts.proposer.establish(epoch)
+  }
+
+  private findChange (): MembershipCommand | undefined {
+    const { state } = this.parts
+    const { epoch, entries } = state.entries.membership()
+    const put = this.findArrivals()
+    const remove = entries.map((entry) => entry.name).filter((name) => this.isGone(name))
+    if (put.length + remove.length === 0 || !this.isSettled(entries, put, remove, epoch)) return undefined
+    return { expectedEpoch: epoch, expectedConfiguration: state.accepted?.identity, put, remove, forced: false }
+  }
+
+  private isSettled (entries: readonly EnrolledEntry[], put: readonly EnrolledEntry[], remove: readonly string[], epoch: number): boolean {
+    const { register, state } = this.parts
+    const number = state.accepted?.identity.number ?? 0
+    const after = [...nextEntries(new Map(entries.map((entry) => [entry.name, entry])), put, remove).values()]
+    const missingBefore = regionsWithoutQuorum(entries, (name) => register.holds(name, number, epoch))
+    const missingAfter = regionsWithoutQuorum(after, (name) => register.holds(name, number, 0))
+    return missingBefore.length + missingAfter.length === 0
+  }
+
+  private findArrivals (): EnrolledEntry[] {
+    const { register, state } = this.parts
+    const number = state.accepted?.identity.number ?? 0
+    return register.entries()
+      .map(({ report }) => report)
+      .filter((report) => !report.leaving && register.holds(report.name, number, 0))
+      .map(toEnrolled)
+      .filter((entry) => state.entries.isChange([entry], []))
+  }
+
+  private isGone (name: string): boolean {
+    return this.parts.register.get(name)?.report.leaving === true || this.isSilent(name)
+  }
+}
--- /dev/null
+++ b/packages/control/src/entry-stream.ts
@@ -0,0 +1,94 @@
+import type { FileIdentity } from '@hickoryspoke/configuration/identified-state'
+import { sameIdentity } from '@hickoryspoke/configuration/identified-state'
+import type { RecentStates } from '@hickoryspoke/configuration/recent-states'
+import type { ControlUpdate, EntryMembership, EntryReport } from '@hickoryspoke/protocol/generated/distribution'
+import type { Clock } from '@hickoryspoke/runtime/clock'
+import type { WholePushes } from './whole-pushes.ts'
+
+/** Probes whose departure is remembered; an older echo shows nothing. */
+const PROBES_REMEMBERED = 32
+
+/** What a stream towards an entry needs. `write` resolves when the message left the process. */
+export interface EntryStreamParts {
+  readonly clock: Clock
+  readonly recent: RecentStates
+  readonly wholePushes: WholePushes
+  readonly membership: () => EntryMembership
+  readonly write: (update: ControlUpdate) => Promise<void>
+}
+
+/** The sending side of the stream towards one entry VM: what it was sent, and which probes are out. */
+export class EntryStream {
+  private sentConfiguration: FileIdentity | undefined
+  private sentMembership = ''
+  private readonly probes = new Map<number, number>()
+  private lastProbe = 0
+  private isPushing = false
+
+  private constructor (private readonly parts: EntryStreamParts) {}
+
+  static create (parts: EntryStreamParts): EntryStream {
+    return new EntryStream(parts)
+  }
+
+  /** Monotonic milliseconds at which the probe left that a report answers; -Infinity when it answers none. */
+  probeTime (report: EntryReport): number {
+    return this.probes.get(report.probe) ?? -Infinity
+  }
+
+  /** Takes what the entry says it holds as what it was sent. */
+  resume (held: FileIdentity | undefined): void {
+    this.sentConfiguration = held
+  }
+
+  send (update: ControlUpdate): void {
+    void this.parts.write(update)
+  }
+
+  /** Asks the entry to report at once. */
+  probe (): void {
+    this.lastProbe += 1
+    this.probes.set(this.lastProbe, this.parts.clock.monotonicMilliseconds())
+    this.probes.delete(this.lastProbe - PROBES_REMEMBERED)
+    this.send({ body: { $case: 'probe', value: this.lastProbe } })
+  }
+
+  /** Sends what the entry lacks, the membership first, and asks for a report after it. */
+  async push (): Promise<void> {
+    if (this.isPushing) return
+    this.isPushing = true
+    const pushed = [this.pushMembership(), await this.pushConfiguration()]
+    this.isPushing = false
+    if (pushed.includes(true)) this.probe()
+  }
+
+  private pushMembership (): boolean {
+    const membership = this.parts.membership()
+    const version = `${membership.epoch}/${membership.establishedEpoch}`
+    if (version === this.sentMembership) return false
+    this.sentMembership = version
+    this.send({ body: { $case: 'membership', value: membership } })
+    return true
+  }
+
+  private async pushConfiguration (): Promise<boolean> {
+    let isPushed = false
+    for (let next = this.nextUpdate(); next !== undefined; next = this.nextUpdate()) {
+      const { identity, differenceFrom, content } = next
+      this.sentConfiguration = identity
+      const isWhole = differenceFrom === undefined
+      const empty = Buffer.alloc(0)
+      const value = { identity, differenceFrom, whole: isWhole ? content : empty, difference: isWhole ? empty : content }
+      const write = (): Promise<void> => this.parts.write({ body: { $case: 'configuration', value } })
+      await (isWhole ? this.parts.wholePushes.run(write) : write())
+      isPushed = true
+    }
+    return isPushed
+  }
+
+  private nextUpdate (): ReturnType<RecentStates['updateFrom']> {
+    const latest = this.parts.recent.latest?.identity
+    if (latest === undefined || sameIdentity(latest, this.sentConfiguration)) return undefined
+    return this.parts.recent.updateFrom(this.sentConfiguration)
+  }
+}
--- /dev/null
+++ b/packages/control/src/version-questions.ts
@@ -0,0 +1,45 @@
+import type { ControlUpdate } from '@hickoryspoke/protocol/generated/distribution'
+import type { AcceptedState } from '@hickoryspoke/replication/accepted-state'
+import type { ReplicatedLog } from '@hickoryspoke/replication/replicated-log'
+
+type Send = (update: ControlUpdate) => void
+
+interface Question {
+  readonly question: number
+  readonly send: Send
+}
+
+/** Answers questions for the committed versions; all that wait share one read barrier. */
+export class VersionQuestions {
+  private waiting: Question[] = []
+  private isAnswering = false
+
+  private constructor (private readonly log: ReplicatedLog, private readonly state: AcceptedState) {}
+
+  static create (log: ReplicatedLog, state: AcceptedState): VersionQuestions {
+    return new VersionQuestions(log, state)
+  }
+
+  ask (question: number, send: Send): void {
+    this.waiting.push({ question, send })
+    if (!this.isAnswering) void this.answerWaiting()
+  }
+
+  /** Questions that arrive during a barrier wait for the next one, which starts after they came. */
+  private async answerWaiting (): Promise<void> {
+    this.isAnswering = true
+    while (this.waiting.length > 0) {
+      const questions = this.waiting
+      this.waiting = []
+      const barrier = await this.log.readBarrier()
+      if (barrier.isOk()) this.answer(questions)
+    }
+    this.isAnswering = false
+  }
+
+  private answer (questions: readonly Question[]): void {
+    const number = this.state.accepted?.identity.number ?? 0
+    const { epoch } = this.state.entries
+    for (const { question, send } of questions) send({ body: { $case: 'versions', value: { question, number, epoch } } })
+  }
+}
--- /dev/null
+++ b/packages/control/src/witness-quorum.ts
@@ -0,0 +1,11 @@
+import type { EnrolledEntry } from '@hickoryspoke/protocol/generated/distribution'
+import { quorumSize } from '@hickoryspoke/runtime/quorum'
+
+/** Regions whose witnesses do not pass a test in a quorum; empty when every region has one. */
+export function regionsWithoutQuorum (entries: readonly EnrolledEntry[], passes: (name: string) => boolean): string[] {
+  const regions = [...new Set(entries.map((entry) => entry.region))]
+  return regions.filter((region) => {
+    const witnesses = entries.filter((entry) => entry.region === region && entry.witness)
+    return witnesses.filter((entry) => passes(entry.name)).length < quorumSize(witnesses.length)
+  })
+}
--- a/packages/replication/src/accepted-history.ts
+++ b/packages/replication/src/accepted-history.ts
@@ -22,6 +22,11 @@
     return this.latest
   }
 
+  /** The accepted file of a number. */
+  find (number: number): AcceptedRecord | undefined {
+    return this.records.get(number)
+  }
+
   add (record: AcceptedRecord): void {
     this.records.set(record.number, record)
     this.latest = record
--- a/packages/replication/src/accepted-state-membership.ts
+++ b/packages/replication/src/accepted-state-membership.ts
@@ -32,6 +32,11 @@
     return { epoch: this.currentEpoch, entries: [...this.entries.values()], establishedEpoch: this.established }
   }
 
+  /** Whether an entry is enrolled. */
+  has (name: string): boolean {
+    return this.entries.has(name)
+  }
+
   /** Whether a step would change anything. */
   isChange (put: readonly EnrolledEntry[], remove: readonly string[]): boolean {
     return remove.some((name) => this.entries.has(name)) || put.some((entry) => !sameEntry(this.entries.get(entry.name), entry))
--- a/packages/replication/src/accepted-state.ts
+++ b/packages/replication/src/accepted-state.ts
@@ -1,4 +1,4 @@
-import { differenceBetween, summarizeDifference } from '@hickoryspoke/configuration/difference'
+import { differenceBetween, summarizeDifference, withdrawsAccess } from '@hickoryspoke/configuration/difference'
 import { IdentifiedState, type FileIdentity } from '@hickoryspoke/configuration/identified-state'
 import { applyDifference, decodeDifference, decodeState, encodeState } from '@hickoryspoke/configuration/state-codec'
 import {
@@ -32,6 +32,7 @@
   readonly entries = EnrolledEntries.create()
   readonly audit = AuditTrail.create()
   private current: IdentifiedState | undefined
+  private readonly listeners = new Set<() => void>()
 
   private readonly handlers: Handlers = {
     apply: (value, command) => this.applyFile(value, command),
@@ -55,7 +56,9 @@
     const decoded = ControlCommand.decode(command)
     if (decoded.body === undefined) return ControlAnswer.encode({ body: undefined }).finish()
     const handle = this.handlers[decoded.body.$case] as (value: unknown, command: ControlCommand) => ControlAnswer
-    return ControlAnswer.encode(handle(decoded.body.value, decoded)).finish()
+    const answer = ControlAnswer.encode(handle(decoded.body.value, decoded)).finish()
+    this.notify()
+    return answer
   }
 
   snapshot (): Uint8Array {
@@ -77,6 +80,17 @@
     this.disputes.restore(readDispute(snapshot.dispute), snapshot.settled)
     if (snapshot.audit !== undefined) this.audit.restore(snapshot.audit)
     this.entries.restore(snapshot.membership)
+    this.notify()
+  }
+
+  /** Calls back after each command and each restored snapshot; returns how to unsubscribe. */
+  onChange (listener: () => void): () => void {
+    this.listeners.add(listener)
+    return () => this.listeners.delete(listener)
+  }
+
+  private notify (): void {
+    for (const listener of [...this.listeners]) listener()
   }
 
   private applyFile (request: ApplyCommand, command: ControlCommand): ControlAnswer {
@@ -173,8 +187,10 @@
   }
 
   private takeForce (state: IdentifiedState, { operator, wallMilliseconds }: ControlCommand): void {
+    const before = this.current ?? IdentifiedState.empty()
+    const withdraws = withdrawsAccess(before, differenceBetween(before, state))
     this.current = state
-    this.history.add({ ...state.identity, operator, wallMilliseconds })
+    this.history.add({ ...state.identity, operator, wallMilliseconds, withdraws })
   }
 
   private candidateInForce (): Candidate | undefined {
