--- a/packages/replication/src/accepted-state.ts
+++ b/packages/replication/src/accepted-state.ts
@@ -1,3 +1,4 @@
+import type { AuditEvent, AuditKind } from '@hickoryspoke/configuration/audit-chain'
 import { differenceBetween, summarizeDifference, withdrawsAccess } from '@hickoryspoke/configuration/difference'
 import { IdentifiedState, type FileIdentity } from '@hickoryspoke/configuration/identified-state'
 import { applyDifference, decodeDifference, decodeState, encodeState } from '@hickoryspoke/configuration/state-codec'
@@ -9,7 +10,7 @@
 import { AcceptedHistory } from './accepted-history.ts'
 import { EnrolledEntries } from './accepted-state-membership.ts'
 import { judgeIdentity, verdict, type Verdict } from './accepted-state-rules.ts'
-import { AuditTrail, type AuditEvent, type AuditKind } from './audit-trail.ts'
+import { AuditTrail } from './audit-trail.ts'
 import { DisputeRegister, type Candidate } from './dispute-register.ts'
 
 /** Role that may decide disputes and force changes of the enrolled entries. */
