--- /dev/null
+++ b/packages/limits/src/tests/epoch-authority.ts
@@ -0,0 +1,113 @@
+import type { EnrolledEntry, EntryMembership } from '@hickoryspoke/protocol/generated/distribution'
+import type { Clock } from '@hickoryspoke/runtime/clock'
+import type { FakeClock } from '@hickoryspoke/testing/fake-clock'
+import type { EpochLease } from '../epoch-lease.ts'
+
+/** What receives the membership of a new epoch. */
+export interface EpochHolder {
+  applyMembership (membership: EntryMembership): void
+}
+
+interface HeldLease {
+  epoch: number
+  /** On the common clock. */
+  validUntil: number
+}
+
+const LEASE_MILLISECONDS = 3000
+const RENEW_MILLISECONDS = 1000
+const DRIFT_SHARE = 0.01
+
+/**
+ * Stands in for control: gives epoch leases, and puts a new epoch in force only
+ * after every lease on the old one was given back or has certainly run out.
+ */
+export class EpochAuthority {
+  private readonly holders = new Map<string, EpochHolder>()
+  private readonly leases = new Map<string, HeldLease>()
+  private readonly cutOff = new Set<string>()
+  private next: EntryMembership | undefined
+  private membership: EntryMembership
+
+  private constructor (private readonly clock: FakeClock, roster: readonly EnrolledEntry[]) {
+    this.membership = { epoch: 1, entries: [...roster] }
+  }
+
+  static create (clock: FakeClock, roster: readonly EnrolledEntry[]): EpochAuthority {
+    const authority = new EpochAuthority(clock, roster)
+    authority.tick()
+    return authority
+  }
+
+  get epoch (): number {
+    return this.membership.epoch
+  }
+
+  /** The lease as an entry with its own clock reads it. */
+  leaseFor (name: string, clock: Clock): EpochLease {
+    return {
+      epoch: () => this.leases.get(name)?.epoch ?? 0,
+      validUntilMilliseconds: () => {
+        const left = (this.leases.get(name)?.validUntil ?? 0) - this.clock.monotonicMilliseconds()
+        return clock.monotonicMilliseconds() + left * (1 - DRIFT_SHARE)
+      }
+    }
+  }
+
+  join (name: string, holder: EpochHolder): void {
+    this.holders.set(name, holder)
+    this.leases.delete(name)
+    this.renew(name, holder)
+  }
+
+  leave (name: string): void {
+    this.holders.delete(name)
+  }
+
+  /** Cuts an entry off from control, or control from all. */
+  cut (name: string): void {
+    this.cutOff.add(name)
+  }
+
+  heal (name: string): void {
+    this.cutOff.delete(name)
+  }
+
+  /** Starts the change to a new set of entries. */
+  change (entries: readonly EnrolledEntry[]): void {
+    if (this.next !== undefined) return
+    this.next = { epoch: this.membership.epoch + 1, entries: [...entries] }
+  }
+
+  private tick (): void {
+    this.tryChange()
+    for (const [name, holder] of this.holders) this.renew(name, holder)
+    this.clock.schedule(RENEW_MILLISECONDS, () => this.tick())
+  }
+
+  /** Entries that are reached give the old epoch back at once; the others' leases must run out first. */
+  private tryChange (): void {
+    if (this.next === undefined) return
+    const now = this.clock.monotonicMilliseconds()
+    const unreachable = [...this.leases].filter(([name, lease]) => !this.reached(name) && lease.validUntil > now && this.enrolled(name))
+    if (unreachable.length > 0) return
+    this.membership = this.next
+    this.next = undefined
+  }
+
+  private reached (name: string): boolean {
+    return this.holders.has(name) && !this.cutOff.has(name)
+  }
+
+  private enrolled (name: string): boolean {
+    return this.membership.entries.some((entry) => entry.name === name)
+  }
+
+  private renew (name: string, holder: EpochHolder): void {
+    if (!this.reached(name) || !this.enrolled(name)) return
+    const { epoch } = this.membership
+    const known = this.leases.get(name)?.epoch
+    this.leases.set(name, { epoch, validUntil: this.clock.monotonicMilliseconds() + LEASE_MILLISECONDS })
+    if (known !== epoch) holder.applyMembership(this.membership)
+  }
+}
--- /dev/null
+++ b/packages/limits/src/tests/limiter-fleet.ts
@@ -0,0 +1,149 @@
+import type { EnrolledEntry } from '@hickoryspoke/protocol/generated/distribution'
+import type { ShareMessage } from '@hickoryspoke/protocol/generated/share'
+import type { Clock } from '@hickoryspoke/runtime/clock'
+import { SeededRandom } from '@hickoryspoke/runtime/random'
+import { FakeClock } from '@hickoryspoke/testing/fake-clock'
+import { FakeNetwork, type FakeNetworkSettings } from '@hickoryspoke/testing/fake-network'
+import type { Admission } from '../admission.ts'
+import { FleetLimiter } from '../fleet-limiter.ts'
+import { SHARE_SETTINGS, type ShareSettings } from '../share-settings.ts'
+import type { CustomerRate } from '../share-split.ts'
+import { EpochAuthority, type EpochHolder } from './epoch-authority.ts'
+
+/** One request as an entry decided it; times in milliseconds of the common clock. */
+export interface Decision {
+  readonly entry: string
+  readonly customer: string
+  readonly arrivedAt: number
+  readonly decidedAt: number
+  readonly admission: Admission
+}
+
+/** How a fleet in memory is set up. */
+export interface LimiterFleetSettings {
+  readonly entries: number
+  readonly zones: number
+  readonly regions?: number
+  readonly seed: number
+  readonly network?: Partial<FakeNetworkSettings>
+  readonly settings?: Partial<ShareSettings>
+  /** Speed of an entry's clock against the common one, by name. */
+  readonly clockSpeed?: (name: string) => number
+}
+
+interface Running extends EpochHolder {
+  readonly limiter: FleetLimiter
+}
+
+/** Entries of one fleet in memory, each with the real limiter, on a fake clock and network. */
+export class LimiterFleet {
+  readonly clock = FakeClock.create()
+  readonly network: FakeNetwork<ShareMessage>
+  readonly authority: EpochAuthority
+  readonly decisions: Decision[] = []
+  readonly roster: readonly EnrolledEntry[]
+  private readonly running = new Map<string, Running>()
+  private readonly random: SeededRandom
+  private customers: readonly CustomerRate[] = []
+  private readonly shareSettings: ShareSettings
+
+  private constructor (private readonly fleetSettings: LimiterFleetSettings) {
+    this.random = SeededRandom.create(fleetSettings.seed)
+    this.shareSettings = { ...SHARE_SETTINGS, ...fleetSettings.settings }
+    this.network = FakeNetwork.create(this.clock, this.random, fleetSettings.network)
+    this.roster = rosterOf(fleetSettings)
+    this.authority = EpochAuthority.create(this.clock, this.roster)
+  }
+
+  static create (settings: LimiterFleetSettings): LimiterFleet {
+    const fleet = new LimiterFleet(settings)
+    for (const entry of fleet.roster) fleet.start(entry.name)
+    return fleet
+  }
+
+  get names (): string[] {
+    return [...this.running.keys()]
+  }
+
+  limiter (name: string): FleetLimiter | undefined {
+    return this.running.get(name)?.limiter
+  }
+
+  /** Gives the customers to every running entry, or to some by name. */
+  apply (customers: readonly CustomerRate[], names: readonly string[] = this.names): void {
+    this.customers = customers
+    for (const name of names) this.limiter(name)?.applyCustomers(customers)
+  }
+
+  start (name: string): void {
+    if (this.running.has(name)) return
+    const clock = skewed(this.clock, this.fleetSettings.clockSpeed?.(name) ?? 1)
+    const lease = this.authority.leaseFor(name, clock)
+    const network = this.network.join(name, (from, message): void => limiter.receive(from, message))
+    const random = SeededRandom.create(Math.floor(this.random.next() * 2 ** 31))
+    const limiter: FleetLimiter = FleetLimiter.create({ network, clock, random, epochLease: lease, settings: this.shareSettings })
+    limiter.applyCustomers(this.customers)
+    const running = { limiter, applyMembership: limiter.applyMembership.bind(limiter) }
+    this.running.set(name, running)
+    this.authority.join(name, running)
+  }
+
+  /** Stops an entry without notice; what it knew is gone. */
+  crash (name: string): void {
+    const running = this.running.get(name)
+    if (running === undefined) return
+    this.running.delete(name)
+    this.network.leave(name)
+    this.authority.leave(name)
+    void running.limiter.close()
+  }
+
+  /** Stops an entry gracefully. */
+  async stop (name: string): Promise<void> {
+    const running = this.running.get(name)
+    if (running === undefined) return
+    await running.limiter.close()
+    if (this.running.get(name) !== running) return
+    this.running.delete(name)
+    this.network.leave(name)
+    this.authority.leave(name)
+  }
+
+  /** Sends one request of a customer to an entry and notes the decision. */
+  request (name: string, customer: string): void {
+    const running = this.running.get(name)
+    if (running === undefined) return
+    const arrivedAt = this.clock.monotonicMilliseconds()
+    void running.limiter.admit(customer).then((admission) => {
+      if (this.running.get(name) !== running) return
+      this.decisions.push({ entry: name, customer, arrivedAt, decidedAt: this.clock.monotonicMilliseconds(), admission })
+    })
+  }
+
+  /** Times of a customer's admitted requests. */
+  admittedAt (customer: string): number[] {
+    return this.decisions.filter((decision) => decision.customer === customer && decision.admission.admitted).map((decision) => decision.decidedAt)
+  }
+
+  async run (milliseconds: number): Promise<void> {
+    await this.clock.advanceAsync(milliseconds)
+  }
+}
+
+function rosterOf (settings: LimiterFleetSettings): EnrolledEntry[] {
+  const regions = settings.regions ?? 1
+  return Array.from({ length: settings.entries }, (_, index) => ({
+    name: `entry-${index}`,
+    zone: `zone-${index % settings.zones}`,
+    region: `region-${(index % settings.zones) % regions}`,
+    peerAddress: ''
+  }))
+}
+
+function skewed (clock: FakeClock, speed: number): Clock {
+  return {
+    monotonicMilliseconds: () => clock.monotonicMilliseconds() * speed,
+    wallMilliseconds: () => clock.wallMilliseconds(),
+    schedule: (delay, task) => clock.schedule(delay / speed, task)
+  }
+}
