Shares follow the membership epoch: former home groups act until their right ends

Cause: the epoch lease tells when no other entry can still act on an earlier epoch, so a slot whose home group changes must wait for that moment. Change: until then the former group's holder goes on within its own right; what it knows carries over when it is in the new group and still holds the lease. Conclusion: a change of membership interrupts no slot whose group stays.

--- a/packages/limits/src/admission-desk.ts
+++ b/packages/limits/src/admission-desk.ts
@@ -12,6 +12,8 @@
 export interface AdmissionDeskParts extends LeaseTableParts {
   readonly asker: ShareAsker
   readonly groups: () => HomeGroups | undefined
+  /** The groups of the epoch before, whose holders may act for a while. */
+  readonly formerGroups: () => HomeGroups | undefined
   /** Monotonic time in milliseconds until which this entry may act in the epoch. */
   readonly mayActUntil: () => number
 }
@@ -24,7 +26,7 @@
 const ADMITTED: ShareVerdict = { kind: 'admitted' }
 const UNAVAILABLE: ShareVerdict = { kind: 'unavailable' }
 const UNAVAILABLE_RETRY_AFTER_MILLISECONDS = 1000
-const MOST_HOPS = 3
+const MOST_HOPS = 4
 
 /** Decides for each request of this entry whether its customer has a token left. */
 export class AdmissionDesk {
@@ -139,12 +141,11 @@
   }
 
   private nextMember (shareKey: number, asked: ReadonlySet<string>): string | undefined {
-    const groups = this.parts.groups()
-    if (groups === undefined) return undefined
-    const members = groups.groupOf(regionOfShare(shareKey, groups.regions.length), slotOfShare(shareKey)).members
-    const rest = members.filter((member) => !asked.has(member))
-    if (rest.length === 0) return undefined
-    return asked.size === 0 ? rest[0] : pickOne(this.parts.random, rest)
+    const present = membersOf(this.parts.groups(), shareKey)
+    const rest = present.filter((member) => !asked.has(member))
+    if (rest.length === present.length) return rest[0]
+    if (rest.length > 0) return pickOne(this.parts.random, rest)
+    return membersOf(this.parts.formerGroups(), shareKey).find((member) => !asked.has(member))
   }
 
   private slotName (shareKey: number): string {
@@ -165,6 +166,11 @@
   return { admitted: false, reason, retryAfterMilliseconds: Math.ceil(retryAfterMilliseconds) }
 }
 
+function membersOf (groups: HomeGroups | undefined, shareKey: number): readonly string[] {
+  if (groups === undefined) return []
+  return groups.groupOf(regionOfShare(shareKey, groups.regions.length), slotOfShare(shareKey)).members
+}
+
 /** Shares of the own region from a random one on, then the others. */
 function rotate (shareKeys: readonly number[], near: number, start: number): number[] {
   const own = shareKeys.slice(0, near)
--- a/packages/limits/src/fleet-limiter.ts
+++ b/packages/limits/src/fleet-limiter.ts
@@ -7,7 +7,7 @@
 import { AdmissionDesk } from './admission-desk.ts'
 import { countAdmission, type LimiterView, viewOfCustomers } from './limiter-view.ts'
 import { CustomerDirectory, type KnownCustomer } from './customer-directory.ts'
-import type { EpochLease } from './epoch-lease.ts'
+import type { EpochLease } from '@hickoryspoke/membership/epoch-lease'
 import { HomeGroups } from './home-groups.ts'
 import { LeaseTable, type LeaseTableParts } from './lease-table.ts'
 import { LoopbackNetwork } from './loopback-network.ts'
@@ -50,8 +50,11 @@
   private readonly asker: ShareAsker
   private readonly desk: AdmissionDesk
   private groups: HomeGroups | undefined
+  private formerGroups: HomeGroups | undefined
   private region = 0
   private readonly network: PeerNetwork<ShareMessage>
+  /** The last right to act that was read, and the epoch it was for. */
+  private lastRight = { epoch: 0, until: 0 }
   private pendingDecisions = 0
   private closing = false
 
@@ -64,7 +67,7 @@
     this.leases = LeaseTable.create(shared)
     this.holder = ShareHolder.create({ ...shared, leases: this.leases, lookup, mayActUntil })
     this.asker = ShareAsker.create(shared)
-    this.desk = AdmissionDesk.create({ ...shared, asker: this.asker, groups: () => this.groups, mayActUntil })
+    this.desk = AdmissionDesk.create({ ...shared, asker: this.asker, groups: () => this.groups, formerGroups: () => this.formerGroups, mayActUntil })
   }
 
   /** A limiter that admits once it has customers, a membership and a valid epoch lease. */
@@ -85,9 +88,16 @@
     if (this.groups !== undefined && membership.epoch <= this.groups.epoch) return
     const self = membership.entries.find((entry) => entry.name === this.parts.network.self)
     const groups = HomeGroups.create(membership)
+    this.formerGroups = this.groups
     this.groups = groups
     this.region = self === undefined ? 0 : groups.regions.indexOf(self.region)
-    this.leases.applyGroups(groups, this.region)
+    this.leases.applyGroups(groups, this.region, this.lastRight.until)
+    this.checkLeases()
+  }
+
+  /** Whether this entry may act and its home groups are in force. */
+  ready (): boolean {
+    return this.mayAct() && this.parts.clock.monotonicMilliseconds() >= this.parts.epochLease.exclusiveFromMilliseconds()
   }
 
   /** Decides whether a request of a customer may run now, and takes a token if so. */
@@ -142,10 +152,12 @@
     return admission
   }
 
-  /** Zero while the membership at hand is not the one in force. */
+  /** Zero while the membership at hand is not the one of the epoch lease. */
   private mayActUntil (): number {
     const { epochLease } = this.parts
-    return this.groups?.epoch === epochLease.epoch() ? epochLease.validUntilMilliseconds() : 0
+    if (this.groups === undefined || this.groups.epoch !== epochLease.epoch()) return 0
+    this.lastRight = { epoch: this.groups.epoch, until: epochLease.validUntilMilliseconds() }
+    return this.lastRight.until
   }
 
   private shareHeldHere (shareKey: number): ReturnType<CustomerDirectory['share']> {
@@ -159,7 +171,9 @@
   }
 
   private checkLeases (): void {
-    if (this.mayAct()) this.leases.check()
+    if (!this.mayAct()) return
+    if (this.parts.clock.monotonicMilliseconds() >= this.parts.epochLease.exclusiveFromMilliseconds()) this.leases.settle()
+    this.leases.check()
   }
 
   private receiveLeaseAsks (from: string, asks: readonly LeaseAsk[]): void {
--- a/packages/limits/src/lease-table.ts
+++ b/packages/limits/src/lease-table.ts
@@ -2,7 +2,7 @@
 import type { Clock } from '@hickoryspoke/runtime/clock'
 import type { PeerNetwork } from '@hickoryspoke/runtime/network'
 import type { RandomSource } from '@hickoryspoke/runtime/random'
-import type { HomeGroups } from './home-groups.ts'
+import type { HomeGroup, HomeGroups } from './home-groups.ts'
 import type { ShareSettings } from './share-settings.ts'
 import { SLOTS_PER_REGION } from './share-split.ts'
 import { SlotMember } from './slot-lease.ts'
@@ -20,11 +20,31 @@
 
 const INCARNATION_RANGE = 2 ** 48
 
+/** A slot of whose home group this entry is or was a member. */
+interface TableSlot {
+  /** The member of the present home group; absent when this entry is not in it. */
+  current: SlotMember | undefined
+  /** Whether no other entry can still act with an earlier home group. */
+  settled: boolean
+  /** The member of the home group of an earlier epoch, until the present group is settled. */
+  former: SlotMember | undefined
+  /** Monotonic time in milliseconds until which the former member may act. */
+  formerActsUntil: number
+  /** Whether what the former member knows may carry over. */
+  formerCarriesOver: boolean
+}
+
+/** A member that may grant tokens, and until when. */
+export interface ActingMember {
+  readonly member: SlotMember
+  readonly untilMilliseconds: number
+}
+
 /** The slots of whose home groups this entry is a member, and their leases. */
 export class LeaseTable {
-  private readonly members = new Map<number, SlotMember>()
+  private readonly slots = new Map<number, TableSlot>()
   private readonly incarnations = new Map<string, number>()
-  private readonly lastAsks = new Map<number, PartialAsk>()
+  private readonly lastAsks = new Map<string, PartialAsk>()
   private readonly identity: VoterIdentity
   private epoch: number | undefined
 
@@ -41,31 +61,64 @@
     return new LeaseTable(parts)
   }
 
-  /** The slot as this entry holds or votes for it; undefined when it is not in the home group. */
-  member (slot: number): SlotMember | undefined {
-    return this.members.get(slot)
+  /** The member that may grant tokens of a slot now, within the epoch's limit in monotonic milliseconds. */
+  acting (slot: number, mayActUntilMilliseconds: number): ActingMember | undefined {
+    const entry = this.slots.get(slot)
+    if (entry === undefined) return undefined
+    const { current, former, settled, formerActsUntil } = entry
+    if (settled && current !== undefined) return { member: current, untilMilliseconds: Math.min(current.holdsUntil(), mayActUntilMilliseconds) }
+    return former === undefined ? undefined : { member: former, untilMilliseconds: Math.min(former.holdsUntil(), formerActsUntil) }
+  }
+
+  /** The entry to which this entry has promised a slot, if any. */
+  holderOf (slot: number, nowMilliseconds: number): string | undefined {
+    const entry = this.slots.get(slot)
+    return entry?.current?.voter.holder(nowMilliseconds) ?? entry?.former?.voter.holder(nowMilliseconds)
   }
 
-  all (): Iterable<SlotMember> {
-    return this.members.values()
+  /** Every member, former ones included. */
+  * all (): Iterable<SlotMember> {
+    for (const { current, former } of this.slots.values()) {
+      if (current !== undefined) yield current
+      if (former !== undefined) yield former
+    }
   }
 
-  /** Takes the home groups of a new epoch. Slots whose group stays keep their lease. */
-  applyGroups (groups: HomeGroups, region: number): void {
+  /**
+   * Takes the home groups of a new epoch; slots whose group stays keep their lease. A former member
+   * may act until `formerActsUntilMilliseconds`, the end of this entry's right to act on the epoch before.
+   */
+  applyGroups (groups: HomeGroups, region: number, formerActsUntilMilliseconds: number): void {
     const consecutive = this.epoch !== undefined && groups.epoch === this.epoch + 1
-    for (let slot = 0; slot < SLOTS_PER_REGION; slot += 1) this.applyGroup(groups, region, slot, consecutive)
+    for (let slot = 0; slot < SLOTS_PER_REGION; slot += 1) {
+      this.applyGroup(slot, groups.groupOf(region, slot), consecutive, formerActsUntilMilliseconds)
+    }
     this.epoch = groups.epoch
   }
 
+  /** Puts the present home groups in force, once no other entry can still act with earlier ones. */
+  settle (): void {
+    const now = this.parts.clock.monotonicMilliseconds()
+    for (const [slot, entry] of this.slots) {
+      if (entry.settled) continue
+      entry.settled = true
+      if (entry.former !== undefined && entry.formerCarriesOver) entry.current?.continueFrom(entry.former, now)
+      entry.former = undefined
+      if (entry.current === undefined) this.slots.delete(slot)
+    }
+  }
+
   /** Sends the asks that are due, one message to each peer. */
   check (): void {
     const now = this.parts.clock.monotonicMilliseconds()
     const due: PartialAsk[] = []
-    for (const member of this.members.values()) {
-      const ask = member.check(now, this.parts.random)
-      if (ask === undefined) continue
-      this.lastAsks.set(ask.slot, ask)
-      due.push(ask)
+    for (const entry of this.slots.values()) {
+      for (const member of [entry.settled ? entry.current : undefined, entry.former]) {
+        const ask = member?.check(now, this.parts.random)
+        if (ask === undefined) continue
+        this.lastAsks.set(askName(ask), ask)
+        due.push(ask)
+      }
     }
     this.sendAsks(due)
   }
@@ -75,7 +128,7 @@
     const now = this.parts.clock.monotonicMilliseconds()
     const votes: LeaseVote[] = []
     for (const ask of asks) {
-      const vote = this.members.get(ask.slot)?.voter.vote(from, ask, now)
+      const vote = this.find(ask.slot, ask.group)?.voter.vote(from, ask, now)
       if (vote !== undefined) votes.push(vote)
     }
     if (votes.length > 0) this.parts.network.send(from, { body: { $case: 'leaseVotes', value: { votes } } })
@@ -86,8 +139,8 @@
     const now = this.parts.clock.monotonicMilliseconds()
     const again: PartialAsk[] = []
     for (const vote of votes) {
-      this.members.get(vote.slot)?.receiveVote(from, vote, now)
-      const ask = this.lastAsks.get(vote.slot)
+      this.find(vote.slot, vote.group)?.receiveVote(from, vote, now)
+      const ask = this.lastAsks.get(askName(vote))
       if (ask !== undefined && !vote.granted && vote.voterIncarnation !== this.incarnations.get(from)) again.push(ask)
     }
     const incarnation = votes[0]?.voterIncarnation
@@ -96,31 +149,36 @@
   }
 
   receiveRelease (from: string, release: LeaseRelease): void {
-    if (release.lease !== undefined) this.members.get(release.slot)?.voter.release(from, release.lease)
+    if (release.lease !== undefined) this.find(release.slot, release.group)?.voter.release(from, release.lease)
   }
 
   receiveHandover (handover: SlotHandover): void {
-    this.members.get(handover.slot)?.inherit(handover, this.parts.clock.monotonicMilliseconds())
+    this.find(handover.slot, handover.group)?.inherit(handover, this.parts.clock.monotonicMilliseconds())
     this.check()
   }
 
-  private applyGroup (groups: HomeGroups, region: number, slot: number, consecutive: boolean): void {
-    const { settings, clock, network } = this.parts
-    const former = this.members.get(slot)
-    const group = groups.groupOf(region, slot)
-    if (consecutive && former?.group.digest === group.digest) return
-    this.members.delete(slot)
-    this.lastAsks.delete(slot)
-    if (!group.members.includes(network.self)) return
-    const member = SlotMember.create(settings, this.identity, network.self, slot, group, !consecutive)
-    if (consecutive && former !== undefined) member.continueFrom(former, clock.monotonicMilliseconds())
-    this.members.set(slot, member)
+  private find (slot: number, group: number): SlotMember | undefined {
+    const entry = this.slots.get(slot)
+    if (entry?.current?.group.digest === group) return entry.current
+    return entry?.former?.group.digest === group ? entry.former : undefined
+  }
+
+  private applyGroup (slot: number, group: HomeGroup, consecutive: boolean, formerActsUntil: number): void {
+    const { settings, network } = this.parts
+    const entry = this.slots.get(slot)
+    const stays = consecutive && entry !== undefined && entry.current?.group.digest === group.digest
+    if (stays) return
+    const isMember = group.members.includes(network.self)
+    const current = isMember ? SlotMember.create(settings, this.identity, network.self, slot, group, !consecutive) : undefined
+    const former = formerOf(entry, consecutive, formerActsUntil)
+    if (current === undefined && former.former === undefined) this.slots.delete(slot)
+    else this.slots.set(slot, { current, settled: false, ...former })
   }
 
   private sendAsks (asks: readonly PartialAsk[]): void {
     const byPeer = new Map<string, PartialAsk[]>()
     for (const ask of asks) {
-      for (const peer of this.members.get(ask.slot)?.group.members ?? []) {
+      for (const peer of this.find(ask.slot, ask.group)?.group.members ?? []) {
         if (peer === this.parts.network.self) continue
         const known = byPeer.get(peer)
         if (known === undefined) byPeer.set(peer, [ask])
@@ -137,3 +195,16 @@
     this.parts.network.send(peer, { body: { $case: 'leaseAsks', value } })
   }
 }
+
+function askName (ask: { readonly slot: number, readonly group: number }): string {
+  return `${ask.slot}/${ask.group}`
+}
+
+type Former = Pick<TableSlot, 'former' | 'formerActsUntil' | 'formerCarriesOver'>
+
+/** What remains of a slot whose group changes: the member that acted last, while it may. */
+function formerOf (entry: TableSlot | undefined, consecutive: boolean, formerActsUntil: number): Former {
+  if (entry === undefined) return { former: undefined, formerActsUntil: 0, formerCarriesOver: false }
+  if (entry.settled) return { former: entry.current, formerActsUntil, formerCarriesOver: consecutive }
+  return { former: entry.former, formerActsUntil: entry.formerActsUntil, formerCarriesOver: false }
+}
--- a/packages/limits/src/share-holder.ts
+++ b/packages/limits/src/share-holder.ts
@@ -79,9 +79,10 @@
   /** The share as this entry holds it; when it does not, the ask is answered. */
   private standing (waiting: WaitingAsk, now: number): Standing | undefined {
     const { ask } = waiting
-    const member = this.parts.leases.member(slotOfShare(ask.shareKey))
-    if (member === undefined || now + this.longestUse(ask) > Math.min(member.holdsUntil(), this.parts.mayActUntil())) {
-      this.answer(waiting, { outcome: TokenOutcome.TOKEN_OUTCOME_NOT_HOLDER, holder: this.otherHolder(member, now) })
+    const slot = slotOfShare(ask.shareKey)
+    const acting = this.parts.leases.acting(slot, this.parts.mayActUntil())
+    if (acting === undefined || now + this.longestUse(ask) > acting.untilMilliseconds) {
+      this.answer(waiting, { outcome: TokenOutcome.TOKEN_OUTCOME_NOT_HOLDER, holder: this.otherHolder(slot, now) })
       return undefined
     }
     const share = this.parts.lookup(ask.shareKey)
@@ -89,11 +90,12 @@
       this.answer(waiting, { outcome: TokenOutcome.TOKEN_OUTCOME_UNKNOWN_CUSTOMER })
       return undefined
     }
+    const { member } = acting
     return { member, share, bucket: member.shares.bucket(ask.shareKey, share, now) }
   }
 
-  private otherHolder (member: SlotMember | undefined, now: number): string {
-    const holder = member?.voter.holder(now)
+  private otherHolder (slot: number, now: number): string {
+    const holder = this.parts.leases.holderOf(slot, now)
     return holder === undefined || holder === this.parts.network.self ? '' : holder
   }
 
@@ -138,7 +140,7 @@
 
   private scheduleNext (shareKey: number, now: number): Timer {
     const share = this.parts.lookup(shareKey)
-    const member = this.parts.leases.member(slotOfShare(shareKey))
+    const member = this.parts.leases.acting(slotOfShare(shareKey), now)?.member
     const availableAt = share === undefined || member === undefined ? now : member.shares.bucket(shareKey, share, now).availableAt(1, share, now)
     const delay = Math.min(Math.max(SHORTEST_PAUSE_MILLISECONDS, availableAt - now), this.parts.settings.holderWaitMilliseconds)
     return this.parts.clock.schedule(delay, () => this.serveLine(shareKey))
--- a/packages/limits/src/slot-handover.ts
+++ b/packages/limits/src/slot-handover.ts
@@ -28,7 +28,7 @@
 /** The voters are told first, so that the successor need not wait for the lease to run out. */
 function release (parts: HandoverParts, member: SlotMember, lease: SlotLease): void {
   for (const peer of member.group.members) {
-    parts.network.send(peer, { body: { $case: 'release', value: { slot: member.slot, lease } } })
+    parts.network.send(peer, { body: { $case: 'release', value: { slot: member.slot, group: member.group.digest, lease } } })
   }
 }
 
--- a/packages/limits/src/slot-lease.ts
+++ b/packages/limits/src/slot-lease.ts
@@ -58,7 +58,7 @@
     return this.lease === undefined ? 0 : this.heldUntil
   }
 
-  /** Takes over what a holder of the last epoch knew, because it held the lease when that epoch ended. */
+  /** Takes over what this entry knew as holder with the former home group, provided that it still holds that lease. */
   continueFrom (former: SlotMember, nowMilliseconds: number): void {
     if (former.holdsUntil() <= nowMilliseconds) return
     this.knownLease = former.knownLease
--- a/packages/limits/src/slot-voter.ts
+++ b/packages/limits/src/slot-voter.ts
@@ -63,6 +63,7 @@
     if (granted) this.promise(from, lease, ask.renew, nowMilliseconds)
     return {
       slot: this.slot,
+      group: this.group,
       lease,
       granted,
       voterIncarnation: this.identity.incarnation,
