--- a/packages/limits/src/fleet-limiter.ts
+++ b/packages/limits/src/fleet-limiter.ts
@@ -121,7 +121,7 @@
     const now = this.parts.clock.monotonicMilliseconds()
     const members = [...this.leases.all()]
     return {
-      slotsHeld: members.filter((member) => member.holdsUntil() > now).length,
+      heldSlots: members.filter((member) => member.holdsUntil() > now).map((member) => member.slot),
       slotsVoted: members.length,
       pendingDecisions: this.pendingDecisions,
       customers: viewOfCustomers(this.directory, now)
--- a/packages/limits/src/limiter-view.ts
+++ b/packages/limits/src/limiter-view.ts
@@ -18,7 +18,8 @@
 
 /** What this entry knows of limits. */
 export interface LimiterView {
-  readonly slotsHeld: number
+  /** Slots whose lease this entry holds. */
+  readonly heldSlots: readonly number[]
   readonly slotsVoted: number
   readonly pendingDecisions: number
   /** Customers that sent anything since this entry started. */
--- a/packages/limits/src/slot-voter.ts
+++ b/packages/limits/src/slot-voter.ts
@@ -83,7 +83,7 @@
     if (ask.group !== this.group || ask.voterIncarnation !== this.identity.incarnation) return false
     if (now < this.identity.silentUntil) return false
     if (sameLease(this.promised?.lease, lease)) return this.promised?.holder === from
-    if (ask.renew) return false
+    if (ask.renew) return this.promised === undefined
     const holder = this.holder(now)
     if (holder !== undefined && holder !== from) return false
     return lease.term > this.highestTerm()
--- a/packages/limits/src/tests/fleet-limiter.test.ts
+++ b/packages/limits/src/tests/fleet-limiter.test.ts
@@ -34,10 +34,10 @@
 
 test('the shares of a lost entry are held by another soon after', async () => {
   const fleet = await steadyFleet(3)
-  const holder = fleet.names.find((name) => (fleet.limiter(name)?.view().slotsHeld ?? 0) > 0) as string
+  const holder = fleet.names.find((name) => (fleet.limiter(name)?.view().heldSlots.length ?? 0) > 0) as string
   fleet.crash(holder)
   await fleet.run(3000)
-  const held = fleet.names.reduce((sum, name) => sum + (fleet.limiter(name)?.view().slotsHeld ?? 0), 0)
+  const held = fleet.names.reduce((sum, name) => sum + (fleet.limiter(name)?.view().heldSlots.length ?? 0), 0)
   assert.is(held, 128)
 })
 
