--- a/packages/configuration/src/settings-file.ts
+++ b/packages/configuration/src/settings-file.ts
@@ -24,6 +24,8 @@
   z.strictObject({ kind: z.literal('plain_text') })
 ])
 
+export type SecuritySettings = z.output<typeof securitySchema>
+
 /** A control VM as other processes know it. */
 export const replicaAddressSchema = z.strictObject({ name: processNameSchema, address: addressSchema })
 
--- /dev/null
+++ b/packages/control/src/control-node.ts
@@ -0,0 +1,135 @@
+import { Server } from '@grpc/grpc-js'
+import { DistributionService as DistributionDefinition } from '@hickoryspoke/protocol/generated/distribution'
+import { OperatorService as OperatorDefinition } from '@hickoryspoke/protocol/generated/operator'
+import { InnerCredentials, toInnerSecurity } from '@hickoryspoke/protocol/inner-credentials'
+import { AcceptedState } from '@hickoryspoke/replication/accepted-state'
+import { GrpcReplicaNetwork } from '@hickoryspoke/replication/grpc-replica-network'
+import { Replica } from '@hickoryspoke/replication/replica'
+import type { ReplicaEvent } from '@hickoryspoke/replication/replica-event'
+import type { Clock } from '@hickoryspoke/runtime/clock'
+import { type Failure, describeError } from '@hickoryspoke/runtime/failure'
+import type { RandomSource } from '@hickoryspoke/runtime/random'
+import type { LogFields, Logger } from '@hickoryspoke/telemetry/logger'
+import { Err, Ok, type Result } from 'ts-results-es'
+import { ControlProposer } from './control-proposer.ts'
+import type { ControlSettings } from './control-settings.ts'
+import { DistributionService } from './distribution-service.ts'
+import { Enrolment } from './enrolment.ts'
+import { OperatorService } from './operator-service.ts'
+import { OperatorTokens } from './operator-tokens.ts'
+
+/** What a control process takes from its surroundings. */
+export interface ControlSurroundings {
+  readonly clock: Clock
+  readonly random: RandomSource
+  readonly logger: Logger
+}
+
+const MAXIMUM_MESSAGE_BYTES = 67_108_864
+
+const SERVER_OPTIONS = {
+  'grpc.max_receive_message_length': MAXIMUM_MESSAGE_BYTES,
+  'grpc.max_send_message_length': MAXIMUM_MESSAGE_BYTES
+}
+
+/** One control process: a replica of the log and the services that stand on it. */
+export class ControlNode {
+  private constructor (
+    private readonly server: Server,
+    private readonly replica: Replica,
+    private readonly stopping: AbortController,
+    private readonly tasks: readonly Promise<void>[],
+    /** IP:PORT that was bound. */
+    readonly address: string
+  ) {}
+
+  static async start (settings: ControlSettings, surroundings: ControlSurroundings): Promise<Result<ControlNode, Failure>> {
+    const { clock, random, logger } = surroundings
+    const credentials = InnerCredentials.create(toInnerSecurity(settings.security))
+    const server = new Server(SERVER_OPTIONS)
+    const addresses = Object.fromEntries(settings.replicas.map((replica) => [replica.name, replica.address]))
+    const network = GrpcReplicaNetwork.create({ self: settings.name, addresses, credentials, clock, random })
+    network.addTo(server)
+    const state = AcceptedState.create()
+    const replica = await createReplica(settings, surroundings, state, network)
+    if (replica.isErr()) return replica
+    const log = replica.value
+    const proposer = ControlProposer.create({ log, state, clock, addressOf: (name) => addresses[name] })
+    const distribution = DistributionService.create({ log, state, clock, logger, leaderAddress: () => proposer.leaderAddress() })
+    const enrolment = Enrolment.create({ log, state, register: distribution.register, proposer, clock })
+    const tokens = OperatorTokens.create(settings.operators)
+    const operator = OperatorService.create({ log, state, proposer, register: distribution.register, enrolment, tokens, clock })
+    server.addService(DistributionDefinition, distribution.handlers())
+    server.addService(OperatorDefinition, operator.handlers())
+    const port = await credentials.bind(server, settings.listen)
+    if (port.isErr()) return Err(port.error)
+    const address = `${settings.listen.slice(0, settings.listen.lastIndexOf(':'))}:${port.value}`
+    addresses[settings.name] = address
+    log.start()
+    const stopping = new AbortController()
+    const tasks = [distribution.run(stopping.signal), enrolment.run(stopping.signal)]
+    logger.info('control is listening', { address, cluster: settings.cluster })
+    watchStorage(log, logger)
+    return Ok(new ControlNode(server, log, stopping, tasks, address))
+  }
+
+  /** Hands leadership over, ends streams and closes the journal. */
+  async stop (): Promise<void> {
+    await this.replica.stop()
+    this.stopping.abort()
+    await Promise.all(this.tasks)
+    await shutDown(this.server)
+  }
+
+  /** What would be lost if the process ended now; accepted changes are on disk. */
+  unfinished (): string {
+    return `leader known: ${this.replica.leader() ?? 'none'}`
+  }
+}
+
+async function createReplica (
+  settings: ControlSettings,
+  { clock, random, logger }: ControlSurroundings,
+  stateMachine: AcceptedState,
+  network: GrpcReplicaNetwork
+): Promise<Result<Replica, Failure>> {
+  return await Replica.create({
+    cluster: settings.cluster,
+    name: settings.name,
+    folder: settings.data_folder,
+    peers: settings.replicas.map((replica) => replica.name),
+    onEmptyFolder: settings.on_empty_folder,
+    stateMachine,
+    join: settings.replicas.length > 1 ? (handler) => network.join(handler) : undefined,
+    clock,
+    random,
+    report: (event) => reportEvent(logger, event)
+  })
+}
+
+function reportEvent (logger: Logger, event: ReplicaEvent): void {
+  const { kind, ...fields } = event as { kind: string } & Record<string, unknown>
+  const plain = Object.entries(fields).map(([name, value]) => [name, toLogValue(value)])
+  logger.info(`replica ${kind}`, Object.fromEntries(plain) as LogFields)
+}
+
+function toLogValue (value: unknown): string | number | boolean {
+  if (typeof value === 'number' || typeof value === 'boolean') return value
+  return value instanceof Error ? describeError(value) : String(value)
+}
+
+/** A replica whose disk failed must not go on: the process ends with the failure in its log. */
+function watchStorage (replica: Replica, logger: Logger): void {
+  void replica.whenStopped().then((failure) => {
+    if (failure === undefined) return
+    logger.error('storage failed', { code: failure.code, reason: failure.message })
+    process.exitCode = 1
+    process.kill(process.pid, 'SIGTERM')
+  })
+}
+
+async function shutDown (server: Server): Promise<void> {
+  const closed = new Promise<void>((resolve) => server.tryShutdown(() => resolve()))
+  setImmediate(() => server.forceShutdown())
+  await Promise.race([closed, new Promise<void>((resolve) => setImmediate(resolve))])
+}
--- a/packages/control/src/control-settings.ts
+++ b/packages/control/src/control-settings.ts
@@ -19,6 +19,8 @@
   zone: processNameSchema,
   cluster: processNameSchema,
   data_folder: z.string(),
+  /** What an empty data folder means: a fault, a new cluster, or a VM that joins. */
+  on_empty_folder: z.enum(['refuse', 'form', 'join']).default('refuse'),
   listen: addressSchema,
   replicas: z.array(replicaAddressSchema).min(1).max(5),
   operators: z.array(operatorTokenSchema).min(1),
--- a/packages/protocol/src/inner-credentials.ts
+++ b/packages/protocol/src/inner-credentials.ts
@@ -16,6 +16,18 @@
   | { readonly kind: 'mutual_tls', readonly files: CertificateFiles }
   | { readonly kind: 'plain_text' }
 
+/** The `[security]` section of a settings file. */
+export type SecuritySection =
+  | { readonly kind: 'mutual_tls', readonly certificate_file: string, readonly key_file: string, readonly authority_file: string }
+  | { readonly kind: 'plain_text' }
+
+/** How to talk, from the settings. */
+export function toInnerSecurity (section: SecuritySection): InnerSecurity {
+  if (section.kind === 'plain_text') return section
+  const files = { certificateFile: section.certificate_file, keyFile: section.key_file, authorityFile: section.authority_file }
+  return { kind: section.kind, files }
+}
+
 /** Plain text was asked for on an address that other machines can reach. */
 export class PlainTextOutsideLoopback extends Failure {
   readonly code = 'plain_text_outside_loopback'
