--- a/packages/control/src/control-node.ts
+++ b/packages/control/src/control-node.ts
@@ -115,7 +115,8 @@
 
 function toLogValue (value: unknown): string | number | boolean {
   if (typeof value === 'number' || typeof value === 'boolean') return value
-  return value instanceof Error ? describeError(value) : String(value)
+  if (value instanceof Error) return describeError(value)
+  return JSON.stringify(value) ?? 'none'
 }
 
 /** A replica whose disk failed must not go on: the process ends with the failure in its log. */
