Request path: routes, keys, attempts over own connections, caller edge

Cause: nothing yet takes a caller's request to an upstream. Change: package request (route and key tables, gate, attempts with retry budget and hedging, whole-answer check, drain) and the strict caller edge of the entry. Connections are opened before a request is handed to undici, so a failure before the first byte is known as such, and undici has no second socket to replay on.

--- /dev/null
+++ b/packages/request/src/attempt-failure.ts
@@ -0,0 +1,55 @@
+import { Failure } from '@hickoryspoke/runtime/failure'
+import { ATTEMPT_KINDS, type AttemptKind } from './collaborators.ts'
+import type { RefusalCode } from './refusal.ts'
+
+interface AttemptEnd {
+  /** True only where it is proven that no byte of the request was written, or the upstream said so itself. */
+  readonly provenNotRun: boolean
+  readonly kind: AttemptKind
+  /** What the caller gets when this was the last attempt. */
+  readonly refusal: RefusalCode
+}
+
+/** Every way in which an attempt can end without a whole answer. */
+export const ATTEMPT_ENDS = {
+  connect_refused: { provenNotRun: true, kind: ATTEMPT_KINDS.connectFailed, refusal: 'upstream_unreachable' },
+  connect_timeout: { provenNotRun: true, kind: ATTEMPT_KINDS.connectFailed, refusal: 'upstream_unreachable' },
+  too_many_connections: { provenNotRun: true, kind: ATTEMPT_KINDS.cancelled, refusal: 'overloaded' },
+  aborted_before_sending: { provenNotRun: true, kind: ATTEMPT_KINDS.cancelled, refusal: 'deadline_before_sending' },
+  closed_before_sending: { provenNotRun: true, kind: ATTEMPT_KINDS.cancelled, refusal: 'upstream_unreachable' },
+  refused_not_run: { provenNotRun: true, kind: ATTEMPT_KINDS.refusedNotRun, refusal: 'upstream_refused' },
+  closed_after_sending: { provenNotRun: false, kind: ATTEMPT_KINDS.reset, refusal: 'upstream_failed' },
+  malformed_answer: { provenNotRun: false, kind: ATTEMPT_KINDS.reset, refusal: 'upstream_failed' },
+  truncated_answer: { provenNotRun: false, kind: ATTEMPT_KINDS.truncated, refusal: 'upstream_truncated' },
+  unframed_answer: { provenNotRun: false, kind: ATTEMPT_KINDS.truncated, refusal: 'upstream_truncated' },
+  deadline_over: { provenNotRun: false, kind: ATTEMPT_KINDS.timeout, refusal: 'upstream_timeout' },
+  stalled_answer: { provenNotRun: false, kind: ATTEMPT_KINDS.truncated, refusal: 'upstream_truncated' },
+  request_broken: { provenNotRun: false, kind: ATTEMPT_KINDS.cancelled, refusal: 'request_incomplete' },
+  caller_gone: { provenNotRun: false, kind: ATTEMPT_KINDS.cancelled, refusal: 'caller_gone' },
+  hedge_lost: { provenNotRun: false, kind: ATTEMPT_KINDS.cancelled, refusal: 'upstream_failed' }
+} as const satisfies Record<string, AttemptEnd>
+
+export type AttemptEndCode = keyof typeof ATTEMPT_ENDS
+
+/** An attempt that ended without a whole answer. */
+export class AttemptFailure extends Failure {
+  private constructor (readonly code: AttemptEndCode, message: string) {
+    super(message)
+  }
+
+  static create (code: AttemptEndCode, message: string = code): AttemptFailure {
+    return new AttemptFailure(code, message)
+  }
+
+  get provenNotRun (): boolean {
+    return ATTEMPT_ENDS[this.code].provenNotRun
+  }
+
+  get kind (): AttemptKind {
+    return ATTEMPT_ENDS[this.code].kind
+  }
+
+  get refusal (): RefusalCode {
+    return ATTEMPT_ENDS[this.code].refusal
+  }
+}
--- /dev/null
+++ b/packages/request/src/attempt-loop.ts
@@ -0,0 +1,208 @@
+import { sleep, type Clock, type Timer } from '@hickoryspoke/runtime/clock'
+import { describeError } from '@hickoryspoke/runtime/failure'
+import type { RandomSource } from '@hickoryspoke/runtime/random'
+import { Err, Ok, type Result } from 'ts-results-es'
+import { Attempt, type AttemptContext, type ReadyAttempt } from './attempt.ts'
+import { AttemptFailure, type AttemptEndCode } from './attempt-failure.ts'
+import type { Balancer } from './collaborators.ts'
+import type { PoolPolicy } from './pool-policy.ts'
+import { Refusal } from './refusal.ts'
+
+/** Limits on the attempts of one request. */
+export interface AttemptSettings {
+  readonly maximumAttempts: number
+  readonly backoffMilliseconds: number
+}
+
+export const DEFAULT_ATTEMPT_SETTINGS: AttemptSettings = { maximumAttempts: 3, backoffMilliseconds: 5 }
+
+/** One request as the attempts see it. */
+export interface AttemptPlan {
+  readonly pool: string
+  readonly customer: string
+  readonly idempotent: boolean
+  readonly replayable: boolean
+  readonly deadlineMilliseconds: number
+  /** Aborted, with an `AttemptFailure` as its reason, when the deadline is over or the caller has left. */
+  readonly signal: AbortSignal
+  readonly policy: PoolPolicy
+  readonly context: AttemptContext
+  /** Asked again before each attempt: whether the request may still be sent. */
+  readonly stillAllowed: () => Refusal | undefined
+}
+
+/** What the attempts came to. `attempts` counts those that were started. */
+export interface AttemptReport {
+  readonly attempts: number
+  readonly result: Result<ReadyAttempt, Refusal>
+}
+
+const RETRYABLE_STATUSES: ReadonlySet<number> = new Set([502, 503, 504])
+const BODY_UNTOUCHED: ReadonlySet<AttemptEndCode> = new Set(['connect_refused', 'connect_timeout', 'too_many_connections'])
+
+/** Runs the attempts of one request: one by one, with at most one hedge beside each. */
+export class AttemptLoop {
+  private readonly tried: string[] = []
+  private attempts = 0
+  /** The worst that is known: once an attempt may have run, no later end proves the contrary. */
+  private mayHaveRun = false
+
+  private constructor (
+    private readonly clock: Clock,
+    private readonly random: RandomSource,
+    private readonly balancer: Balancer,
+    private readonly settings: AttemptSettings,
+    private readonly plan: AttemptPlan
+  ) {}
+
+  static create (clock: Clock, random: RandomSource, balancer: Balancer, settings: AttemptSettings, plan: AttemptPlan): AttemptLoop {
+    return new AttemptLoop(clock, random, balancer, settings, plan)
+  }
+
+  async run (): Promise<AttemptReport> {
+    this.plan.policy.countRequest()
+    const result = await this.runUntilSettled()
+    return { attempts: this.attempts, result }
+  }
+
+  private async runUntilSettled (): Promise<Result<ReadyAttempt, Refusal>> {
+    let last: AttemptFailure | undefined
+    for (;;) {
+      const refusal = this.plan.stillAllowed()
+      if (refusal !== undefined) return Err(this.truthful(refusal))
+      const attempt = this.pick()
+      if (attempt.isErr()) return Err(last === undefined ? attempt.error : this.refusalOf(last))
+      const ready = await this.withHedge(attempt.value)
+      if (ready.isOk() && !RETRYABLE_STATUSES.has(ready.value.answer.status)) return ready
+      last = ready.isOk() ? AttemptFailure.create('closed_after_sending', 'the upstream answered with a passing error') : ready.error
+      this.mayHaveRun ||= !last.provenNotRun
+      if (!this.mayRetry(last) || !await this.backOff()) return ready.isOk() ? ready : Err(this.refusalOf(last))
+      if (ready.isOk()) ready.value.answer.abort(AttemptFailure.create('hedge_lost', 'another attempt follows'))
+    }
+  }
+
+  private pick (): Result<Attempt, Refusal> {
+    const { pool, idempotent, customer, context } = this.plan
+    const lease = this.balancer.pick({ pool, idempotent, exclude: this.tried, customer })
+    if (lease.isErr()) return Err(this.truthful(Refusal.create('no_healthy_upstream')))
+    this.attempts += 1
+    this.tried.push(lease.value.address)
+    return Ok(Attempt.create(context, lease.value))
+  }
+
+  private mayRetry (failure: AttemptFailure): boolean {
+    const { plan } = this
+    if (plan.signal.aborted || this.attempts >= this.settings.maximumAttempts) return false
+    if (!plan.idempotent && !failure.provenNotRun) return false
+    if (BODY_UNTOUCHED.has(failure.code)) return true
+    return plan.replayable && plan.policy.retries.withdraw()
+  }
+
+  /** Waits a random time that doubles with each attempt; false when the deadline would pass first. */
+  private async backOff (): Promise<boolean> {
+    const longest = this.settings.backoffMilliseconds * 2 ** (this.attempts - 1)
+    const wait = longest * (0.5 + this.random.next() / 2)
+    if (this.clock.monotonicMilliseconds() + wait >= this.plan.deadlineMilliseconds) return false
+    await sleep(this.clock, wait, this.plan.signal)
+    return !this.plan.signal.aborted
+  }
+
+  private async withHedge (first: Attempt): Promise<Result<ReadyAttempt, AttemptFailure>> {
+    const race = HedgedRace.create(this.clock, this.plan.signal, first)
+    const delay = this.plan.policy.hedgeAfterMilliseconds
+    if (delay !== undefined && this.plan.idempotent && this.plan.replayable) race.hedgeAfter(delay, () => this.pickHedge())
+    return await race.run()
+  }
+
+  private pickHedge (): Attempt | undefined {
+    const { policy, pool, idempotent, customer, context } = this.plan
+    if (this.plan.stillAllowed() !== undefined || !policy.hedges.withdraw()) return undefined
+    const lease = this.balancer.pick({ pool, idempotent, exclude: this.tried, customer })
+    if (lease.isOk() && !this.tried.includes(lease.value.address)) {
+      this.attempts += 1
+      this.tried.push(lease.value.address)
+      return Attempt.create(context, lease.value)
+    }
+    policy.hedges.refund()
+    if (lease.isOk()) lease.value.finish({ kind: 'cancelled', milliseconds: 0 })
+    return undefined
+  }
+
+  private refusalOf (failure: AttemptFailure): Refusal {
+    return this.truthful(Refusal.create(failure.refusal))
+  }
+
+  /** Never lets "not run" stand after an attempt that may have run. */
+  private truthful (refusal: Refusal): Refusal {
+    if (!this.mayHaveRun || refusal.run === 'unknown') return refusal
+    return Refusal.create(refusal.status === 504 ? 'upstream_timeout' : 'upstream_failed')
+  }
+}
+
+/** The first attempt and its hedge; the first that is ready wins, and the other is cancelled. */
+class HedgedRace {
+  private readonly running: Attempt[] = []
+  private resolve: (result: Result<ReadyAttempt, AttemptFailure>) => void = () => {}
+  private settled = false
+  private timer: Timer | undefined
+  private failures: AttemptFailure[] = []
+  private hedge: { readonly delayMilliseconds: number, readonly start: () => Attempt | undefined } | undefined
+
+  private constructor (private readonly clock: Clock, private readonly signal: AbortSignal, private readonly first: Attempt) {}
+
+  static create (clock: Clock, signal: AbortSignal, first: Attempt): HedgedRace {
+    return new HedgedRace(clock, signal, first)
+  }
+
+  hedgeAfter (delayMilliseconds: number, start: () => Attempt | undefined): void {
+    this.hedge = { delayMilliseconds, start }
+  }
+
+  async run (): Promise<Result<ReadyAttempt, AttemptFailure>> {
+    const cancelAll = (): void => this.cancelOthers(undefined, this.signal.reason as AttemptFailure)
+    this.signal.addEventListener('abort', cancelAll)
+    const result = await new Promise<Result<ReadyAttempt, AttemptFailure>>((resolve) => {
+      this.resolve = resolve
+      this.start(this.first)
+      if (this.hedge !== undefined) this.scheduleHedge(this.hedge)
+    })
+    if (result.isErr() || result.value.isWhole) this.signal.removeEventListener('abort', cancelAll)
+    return result
+  }
+
+  private scheduleHedge (hedge: NonNullable<HedgedRace['hedge']>): void {
+    this.timer = this.clock.schedule(hedge.delayMilliseconds, () => {
+      if (this.settled || this.signal.aborted) return
+      const second = hedge.start()
+      if (second !== undefined) this.start(second)
+    })
+  }
+
+  private start (attempt: Attempt): void {
+    this.running.push(attempt)
+    attempt.run().then((result) => this.ended(attempt, result), (thrown) => this.broke(attempt, thrown))
+  }
+
+  private broke (attempt: Attempt, thrown: unknown): void {
+    this.ended(attempt, Err(AttemptFailure.create('closed_after_sending', describeError(thrown))))
+  }
+
+  private ended (attempt: Attempt, result: Result<ReadyAttempt, AttemptFailure>): void {
+    if (this.settled) return
+    if (result.isErr()) this.failures.push(result.error)
+    if (result.isErr() && this.failures.length < this.running.length) return
+    this.settled = true
+    this.timer?.cancel()
+    this.cancelOthers(attempt, AttemptFailure.create('hedge_lost'))
+    this.resolve(result.isOk() ? result : Err(this.gravest(result.error)))
+  }
+
+  /** Of two failures, one that does not prove "not run". */
+  private gravest (latest: AttemptFailure): AttemptFailure {
+    return this.failures.find((failure) => !failure.provenNotRun) ?? latest
+  }
+
+  private cancelOthers (kept: Attempt | undefined, reason: AttemptFailure): void {
+    for (const attempt of this.running) if (attempt !== kept) attempt.cancel(reason)
+  }
+}
--- /dev/null
+++ b/packages/request/src/request-run.ts
@@ -0,0 +1,203 @@
+import { Err, Ok, type Result } from 'ts-results-es'
+import { relayAnswer, relayRefusal, replayAnswer, storableAnswer } from './answer-relay.ts'
+import type { ReadyAttempt } from './attempt.ts'
+import { AttemptLoop, DEFAULT_ATTEMPT_SETTINGS, type AttemptReport } from './attempt-loop.ts'
+import type { CallerExchange } from './caller-exchange.ts'
+import type { ClaimEnd, ClaimTicket, CrashTrial } from './collaborators.ts'
+import type { PoolPolicies } from './pool-policy.ts'
+import { Refusal } from './refusal.ts'
+import { DEFAULT_BODY_LIMITS, RequestBody } from './request-body.ts'
+import { RequestDeadline } from './request-deadline.ts'
+import { contentFingerprint, crashFingerprint } from './request-fingerprint.ts'
+import type { GatedRequest, RequestGate } from './request-gate.ts'
+import type { RequestRunnerParts } from './request-runner-parts.ts'
+
+/** Largest body in bytes of a request with an Idempotency-Key; its digest must be known before it is sent. */
+export const CLAIMED_BODY_BYTES = 1_048_576
+
+const IDLE_FOR_IDEMPOTENT_MILLISECONDS = 4000
+const IDLE_FOR_OTHERS_MILLISECONDS = 1000
+
+const UNWATCHED: CrashTrial = { finish: () => false }
+
+/** The one end of a request. `code` is `answered` or says why there is no whole answer. */
+export interface Finished {
+  readonly code: string
+  readonly status: number
+  readonly attempts: number
+}
+
+/** The way of one request, written straight down. */
+export class RequestRun {
+  private request: GatedRequest | undefined
+  private ticket: ClaimTicket | undefined
+
+  private constructor (
+    private readonly parts: RequestRunnerParts,
+    private readonly gate: RequestGate,
+    private readonly policies: PoolPolicies,
+    private readonly exchange: CallerExchange,
+    private readonly requestId: string
+  ) {}
+
+  static create (parts: RequestRunnerParts, gate: RequestGate, policies: PoolPolicies, exchange: CallerExchange, requestId: string): RequestRun {
+    return new RequestRun(parts, gate, policies, exchange, requestId)
+  }
+
+  get customer (): string {
+    return this.request?.customer ?? ''
+  }
+
+  get pool (): string {
+    return this.request?.route.pool ?? ''
+  }
+
+  async toEnd (): Promise<Finished> {
+    try {
+      return await this.follow()
+    } catch {
+      this.finishClaim({ kind: 'unknown' })
+      return this.refuse(Refusal.create('internal_error'))
+    }
+  }
+
+  /** Gives a refusal to the caller. */
+  refuse (refusal: Refusal, attempts = 0): Finished {
+    relayRefusal(this.exchange, refusal, this.requestId)
+    return { code: refusal.code, status: refusal.status, attempts }
+  }
+
+  private async follow (): Promise<Finished> {
+    const gated = this.gate.examine(this.exchange)
+    if (gated.isErr()) return this.refuse(gated.error)
+    this.request = gated.value
+    const admitted = await this.admit(gated.value)
+    if (admitted !== undefined) return this.refuse(admitted)
+    const body = await this.readBody(gated.value)
+    if (body.isErr()) return this.refuse(body.error)
+    const trial = this.beginTrial(gated.value, body.value)
+    if (trial === undefined) return this.refuse(Refusal.create('crashing_request'))
+    const claimed = await this.claim(gated.value, body.value)
+    if (claimed !== undefined) return claimed
+    return await this.runInPool(gated.value, body.value, trial)
+  }
+
+  private async admit (request: GatedRequest): Promise<Refusal | undefined> {
+    if (request.route.open) return undefined
+    const decision = await this.parts.admission.admit(request.customer)
+    return decision.admitted ? undefined : Refusal.create('rate_exceeded', decision.reason, decision.retryAfterMilliseconds)
+  }
+
+  private async readBody (request: GatedRequest): Promise<Result<RequestBody, Refusal>> {
+    const limits = this.parts.bodyLimits ?? DEFAULT_BODY_LIMITS
+    const isClaimed = request.idempotencyKey !== undefined
+    const keepBytes = isClaimed ? CLAIMED_BODY_BYTES : limits.replayBytes
+    const body = await RequestBody.read(this.exchange, limits, keepBytes)
+    if (body.isOk() && isClaimed && !body.value.isReplayable) return Err(Refusal.create('body_too_large', 'too large for an Idempotency-Key'))
+    return body
+  }
+
+  private beginTrial (request: GatedRequest, body: RequestBody): CrashTrial | undefined {
+    if (this.parts.crashes === undefined) return UNWATCHED
+    return this.parts.crashes.begin(crashFingerprint(request.customer, this.exchange.method, request.path, body))
+  }
+
+  /** Claims the Idempotency-Key; gives the end of the request unless it may run. */
+  private async claim (request: GatedRequest, body: RequestBody): Promise<Finished | undefined> {
+    const { customer, idempotencyKey } = request
+    if (idempotencyKey === undefined) return undefined
+    if (this.parts.claims === undefined) return this.refuse(Refusal.create('claim_unavailable'))
+    const fingerprint = contentFingerprint(this.exchange.method, request.upstreamPath, body)
+    const decision = await this.parts.claims.claim({ customer, idempotencyKey, fingerprint, signal: this.exchange.signal })
+    switch (decision.kind) {
+      case 'granted':
+        this.ticket = decision.ticket
+        return undefined
+      case 'stored':
+        replayAnswer(this.exchange, decision.answer, this.requestId)
+        return { code: 'stored_answer', status: decision.answer.status, attempts: 0 }
+      case 'conflict': return this.refuse(Refusal.create('claim_conflict'))
+      case 'content_differs': return this.refuse(Refusal.create('claim_content_differs'))
+      case 'unavailable': return this.refuse(Refusal.create('claim_unavailable'))
+    }
+  }
+
+  private async runInPool (request: GatedRequest, body: RequestBody, trial: CrashTrial): Promise<Finished> {
+    const deadline = RequestDeadline.create(this.parts.clock, request, this.exchange)
+    const pass = await this.parts.queue?.enter({
+      customer: request.customer, pool: request.route.pool, deadlineMilliseconds: deadline.atMilliseconds, signal: deadline.signal
+    }) ?? Ok({ leave: () => {} })
+    if (pass.isErr()) {
+      deadline.clear()
+      this.finishClaim({ kind: 'not_run' })
+      return this.refuse(Refusal.create('overloaded', pass.error.message))
+    }
+    try {
+      return await this.attempt(request, body, trial, deadline)
+    } finally {
+      deadline.clear()
+      pass.value.leave()
+    }
+  }
+
+  private async attempt (request: GatedRequest, body: RequestBody, trial: CrashTrial, deadline: RequestDeadline): Promise<Finished> {
+    const report = await this.runAttempts(request, body, trial, deadline)
+    deadline.headArrived()
+    if (report.result.isErr()) {
+      const refusal = body.grewTooLarge ? Refusal.create('body_too_large_while_sending') : report.result.error
+      this.finishClaim(refusal.run === 'not-run' ? { kind: 'not_run' } : { kind: 'unknown' })
+      return this.refuse(refusal, report.attempts)
+    }
+    return await this.relay(request, report.result.value, report.attempts)
+  }
+
+  private async relay (request: GatedRequest, ready: ReadyAttempt, attempts: number): Promise<Finished> {
+    if (ready.isWhole) this.finishClaim({ kind: 'answered', answer: this.ticket === undefined ? undefined : storableAnswer(ready) })
+    const stall = request.route.timeout_milliseconds
+    const isWhole = await relayAnswer(this.parts.clock, this.exchange, ready, this.requestId, stall)
+    this.finishClaim({ kind: 'answered', answer: undefined })
+    return { code: isWhole ? 'answered' : 'broken_off', status: ready.answer.status, attempts }
+  }
+
+  private async runAttempts (request: GatedRequest, body: RequestBody, trial: CrashTrial, deadline: RequestDeadline): Promise<AttemptReport> {
+    const { clock, random, balancer, connections } = this.parts
+    const policy = this.policies.of(request.route.pool)
+    const loop = AttemptLoop.create(clock, random, balancer, this.parts.attempts ?? DEFAULT_ATTEMPT_SETTINGS, {
+      pool: request.route.pool,
+      customer: request.customer,
+      idempotent: request.idempotent,
+      replayable: body.isReplayable,
+      deadlineMilliseconds: deadline.atMilliseconds,
+      signal: deadline.signal,
+      policy,
+      stillAllowed: () => this.gate.recheck(request),
+      context: {
+        clock,
+        connections,
+        trial,
+        recordAnswer: (milliseconds) => policy.recordAnswer(milliseconds),
+        request: {
+          method: this.exchange.method,
+          path: request.upstreamPath,
+          headers: this.upstreamHeaders(request, deadline),
+          body: body.forAttempt(),
+          maximumIdleMilliseconds: request.idempotent ? IDLE_FOR_IDEMPOTENT_MILLISECONDS : IDLE_FOR_OTHERS_MILLISECONDS
+        }
+      }
+    })
+    return await loop.run()
+  }
+
+  private upstreamHeaders (request: GatedRequest, deadline: RequestDeadline): string[] {
+    const headers = [...request.headers]
+    headers.push('hickoryspoke-request', this.requestId)
+    headers.push('hickoryspoke-deadline-milliseconds', String(deadline.remainingMilliseconds()))
+    if (request.customer !== '') headers.push('hickoryspoke-customer', request.customer)
+    return headers
+  }
+
+  private finishClaim (end: ClaimEnd): void {
+    this.ticket?.finish(end)
+    this.ticket = undefined
+  }
+}
--- /dev/null
+++ b/packages/request/src/request-runner-parts.ts
@@ -0,0 +1,25 @@
+import type { Clock } from '@hickoryspoke/runtime/clock'
+import type { RandomSource } from '@hickoryspoke/runtime/random'
+import type { AttemptSettings } from './attempt-loop.ts'
+import type { Admission, Balancer, ClaimStore, CrashWatch, FreshnessGate, RequestObserver, RequestQueue, TableSource } from './collaborators.ts'
+import type { PoolPolicies } from './pool-policy.ts'
+import type { BodyLimits } from './request-body.ts'
+import type { UpstreamConnections } from './upstream-connections.ts'
+
+/** Everything that the runner works with. `claims`, `crashes`, `queue` and `observer` may be left out. */
+export interface RequestRunnerParts {
+  readonly clock: Clock
+  readonly random: RandomSource
+  readonly tables: TableSource
+  readonly freshness: FreshnessGate
+  readonly admission: Admission
+  readonly balancer: Balancer
+  readonly connections: UpstreamConnections
+  readonly queue?: RequestQueue
+  readonly claims?: ClaimStore
+  readonly crashes?: CrashWatch
+  readonly observer?: RequestObserver
+  readonly policies?: PoolPolicies
+  readonly attempts?: AttemptSettings
+  readonly bodyLimits?: BodyLimits
+}
