--- /dev/null
+++ b/packages/bench/src/health-fleet.ts
@@ -0,0 +1,220 @@
+import { defaultPoolPolicy, type PoolPolicy } from '@hickoryspoke/configuration/pool-policy'
+import { AttemptKind, type AttemptOutcome } from '@hickoryspoke/health/attempt-outcome'
+import type { HealthEvent } from '@hickoryspoke/health/health-event'
+import { PoolBalancer } from '@hickoryspoke/health/pool-balancer'
+import { UpstreamHealth } from '@hickoryspoke/health/upstream-health'
+import { AnnouncementRegistry } from '@hickoryspoke/membership/announcement-registry'
+import type { EvidenceMessage } from '@hickoryspoke/protocol/generated/evidence'
+import type { GossipMessage } from '@hickoryspoke/protocol/generated/gossip'
+import { nextArrivalMilliseconds, pickOne, SeededRandom } from '@hickoryspoke/runtime/random'
+import { FakeClock } from '@hickoryspoke/testing/fake-clock'
+import { FakeNetwork } from '@hickoryspoke/testing/fake-network'
+import { SimulatedUpstream, type SimulatedAttempt } from './simulated-upstream.ts'
+
+const ATTEMPTS = 3
+const LEASE_MILLISECONDS = 600_000
+const RENEWAL_MILLISECONDS = 120_000
+
+/** One pool of a simulated deployment. */
+export interface FleetPool {
+  readonly name: string
+  readonly upstreams: number
+  readonly idempotentShare: number
+  readonly serviceMilliseconds: number
+}
+
+/** A deployment to simulate. */
+export interface FleetPlan {
+  readonly entries: number
+  readonly zones: readonly string[]
+  readonly slots: number
+  readonly pools: readonly FleetPool[]
+  readonly customers: number
+  readonly requestsPerSecondEach: number
+  readonly timeoutMilliseconds: number
+  readonly healthyFloor: number
+  readonly policy: Partial<PoolPolicy>
+  readonly seed: number
+  /** Leaves detection out, for baselines. */
+  readonly withoutEjection?: boolean
+}
+
+/** One entry VM of the simulation. */
+export interface FleetEntry {
+  readonly name: string
+  readonly zone: string
+  readonly registry: AnnouncementRegistry
+  readonly health: UpstreamHealth
+  readonly balancer: PoolBalancer
+}
+
+/** A decision with its time in simulated milliseconds. */
+export interface TimedEvent extends HealthEvent {
+  readonly atMilliseconds: number
+}
+
+/** An attempt that ended, as baselines see it. */
+export interface FleetAttempt {
+  readonly entry: string
+  readonly pool: string
+  readonly address: string
+  readonly outcome: AttemptOutcome
+  readonly atMilliseconds: number
+}
+
+/** Entries with real membership, health and balancing before simulated upstreams, in simulated time. */
+export class HealthFleet {
+  readonly clock = FakeClock.create()
+  readonly random: SeededRandom
+  readonly gossip: FakeNetwork<GossipMessage>
+  readonly evidence: FakeNetwork<EvidenceMessage>
+  readonly entries: readonly FleetEntry[]
+  readonly upstreams = new Map<string, SimulatedUpstream>()
+  readonly poolOf = new Map<string, string>()
+  readonly events: TimedEvent[] = []
+  readonly attempts: FleetAttempt[] = []
+  recordAttempts = false
+  requests = 0
+  failedRequests = 0
+  private sequence = 0
+  private readonly stop = new AbortController()
+
+  private constructor (private readonly plan: FleetPlan) {
+    this.random = SeededRandom.create(plan.seed)
+    const settings = { delayMilliseconds: () => 1.5, jitterMilliseconds: 1 }
+    this.gossip = FakeNetwork.create<GossipMessage>(this.clock, this.random, settings)
+    this.evidence = FakeNetwork.create<EvidenceMessage>(this.clock, this.random, settings)
+    this.entries = Array.from({ length: plan.entries }, (_, index) => this.createEntry(`entry-${index}`, plan.zones[index % plan.zones.length] as string))
+    this.createUpstreams()
+  }
+
+  /** A fleet whose upstreams are all announced; load runs from the start. */
+  static async create (plan: FleetPlan): Promise<HealthFleet> {
+    const fleet = new HealthFleet(plan)
+    await fleet.clock.advanceAsync(1_000)
+    for (const pool of plan.pools) fleet.scheduleArrival(pool)
+    return fleet
+  }
+
+  /** Lets simulated time pass. */
+  async run (milliseconds: number): Promise<void> {
+    await this.clock.advanceAsync(milliseconds)
+  }
+
+  close (): void {
+    this.stop.abort()
+  }
+
+  now (): number {
+    return this.clock.monotonicMilliseconds()
+  }
+
+  /** Slots of a pool that some entry holds out of service now, and those announced. */
+  capacity (pool: string): { readonly ejected: number, readonly announced: number } {
+    const out = new Set<string>()
+    for (const entry of this.entries) {
+      for (const { standing, record } of entry.health.standing(pool)) if (standing === 'ejected' || standing === 'trial') out.add(record.address)
+    }
+    const announced = [...this.upstreams.values()].filter((upstream) => this.poolOf.get(upstream.address) === pool)
+    const slotsOf = (list: readonly SimulatedUpstream[]): number => list.reduce((sum, upstream) => sum + upstream.slots, 0)
+    return { ejected: slotsOf(announced.filter((upstream) => out.has(upstream.address))), announced: slotsOf(announced) }
+  }
+
+  private createEntry (name: string, zone: string): FleetEntry {
+    const { clock, random, plan } = this
+    const registry: AnnouncementRegistry = AnnouncementRegistry.create({
+      clock, random, zone, network: this.gossip.join(name, (from, message) => registry.receive(from, message))
+    })
+    const health: UpstreamHealth = UpstreamHealth.create({
+      clock,
+      random,
+      zone,
+      registry,
+      network: this.evidence.join(name, (from, message) => health.receive(from, message)),
+      epochLease: { epoch: () => 1, validUntilMilliseconds: () => Infinity, exclusiveFromMilliseconds: () => -20_000 },
+      probe: async (address) => await this.probe(zone, address),
+      onEvent: (event) => this.events.push({ ...event, atMilliseconds: this.now() })
+    })
+    const zones = Array.from({ length: plan.entries }, (_, index) => plan.zones[index % plan.zones.length] as string)
+    const balancer = PoolBalancer.create({ clock, random, health, self: name, zone, entryZones: () => zones })
+    this.configure(registry, health)
+    for (const part of [registry, health, balancer]) void part.start(this.stop.signal)
+    return { name, zone, registry, health, balancer }
+  }
+
+  private configure (registry: AnnouncementRegistry, health: UpstreamHealth): void {
+    const { plan } = this
+    const entries = Array.from({ length: plan.entries }, (_, index) => ({
+      name: `entry-${index}`, zone: plan.zones[index % plan.zones.length] as string, region: 'region', peerAddress: ''
+    }))
+    registry.applyMembership({ epoch: 1, entries })
+    health.applyMembership({ epoch: 1, entries })
+    const policy = { ...defaultPoolPolicy(), ...plan.policy, ...(plan.withoutEjection === true ? { detection_threshold: Infinity } : {}) }
+    health.applyPools(plan.pools.map((pool) => ({ name: pool.name, healthy_floor: plan.healthyFloor, policy })))
+  }
+
+  private createUpstreams (): void {
+    const { plan } = this
+    let number = 0
+    for (const pool of plan.pools) {
+      for (let index = 0; index < pool.upstreams; index += 1) {
+        const zone = plan.zones[index % plan.zones.length] as string
+        number += 1
+        const address = `10.0.${Math.floor(number / 250)}.${number % 250 + 1}:8080`
+        this.upstreams.set(address, SimulatedUpstream.create(this.clock, this.random, address, zone, plan.slots, pool.serviceMilliseconds))
+        this.poolOf.set(address, pool.name)
+        this.renew(pool.name, address, zone)
+      }
+    }
+  }
+
+  private renew (pool: string, address: string, zone: string): void {
+    const entry = pickOne(this.random, this.entries)
+    entry.registry.announce({ pool, address, zone, slots: this.plan.slots, incarnation: 1, leaseMilliseconds: LEASE_MILLISECONDS, state: 'serving', load: 0 })
+    this.clock.schedule(RENEWAL_MILLISECONDS, () => { if (!this.stop.signal.aborted) this.renew(pool, address, zone) })
+  }
+
+  private scheduleArrival (pool: FleetPool): void {
+    if (this.stop.signal.aborted) return
+    const rate = pool.upstreams * this.plan.requestsPerSecondEach
+    this.clock.schedule(nextArrivalMilliseconds(this.random, rate), () => {
+      this.arrive(pool)
+      this.scheduleArrival(pool)
+    })
+  }
+
+  private arrive (pool: FleetPool): void {
+    const idempotent = this.random.next() < pool.idempotentShare
+    const customer = `customer-${Math.floor(this.random.next() ** 2 * this.plan.customers)}`
+    this.requests += 1
+    this.attempt(pickOne(this.random, this.entries), pool, { customer, route: idempotent ? '/read' : '/write' }, idempotent, [])
+  }
+
+  private attempt (entry: FleetEntry, pool: FleetPool, tags: { customer: string, route: string }, idempotent: boolean, tried: string[]): void {
+    const picked = entry.balancer.pick({ pool: pool.name, idempotent, exclude: tried, ...tags })
+    if (picked.isErr()) {
+      this.failedRequests += 1
+      return
+    }
+    const lease = picked.value
+    const upstream = this.upstreams.get(lease.address) as SimulatedUpstream
+    const { timeoutMilliseconds } = this.plan
+    const attempt: SimulatedAttempt = { ...tags, fromZone: entry.zone, sequence: this.sequence++, startMilliseconds: this.now(), timeoutMilliseconds }
+    upstream.run(attempt, (outcome) => {
+      lease.finish(outcome)
+      if (this.recordAttempts) this.attempts.push({ entry: entry.name, pool: pool.name, address: lease.address, outcome, atMilliseconds: this.now() })
+      if (outcome.kind === AttemptKind.Answered) return
+      const mayRepeat = idempotent || outcome.kind === AttemptKind.ConnectFailed || outcome.kind === AttemptKind.RefusedNotRun
+      if (mayRepeat && tried.length + 1 < ATTEMPTS) this.attempt(entry, pool, tags, idempotent, [...tried, lease.address])
+      else this.failedRequests += 1
+    })
+  }
+
+  private probe (zone: string, address: string): Promise<{ reachable: boolean, healthy: boolean }> {
+    const upstream = this.upstreams.get(address) as SimulatedUpstream
+    const attempt: SimulatedAttempt = { customer: '', route: '/health', fromZone: zone, sequence: -1, startMilliseconds: this.now(), timeoutMilliseconds: 500 }
+    return new Promise((resolve) => {
+      upstream.run(attempt, (outcome) => resolve({ reachable: outcome.kind === AttemptKind.Answered, healthy: outcome.kind === AttemptKind.Answered }))
+    })
+  }
+}
--- /dev/null
+++ b/packages/bench/src/simulated-upstream.ts
@@ -0,0 +1,110 @@
+import { AttemptKind, type AttemptOutcome } from '@hickoryspoke/health/attempt-outcome'
+import type { Clock } from '@hickoryspoke/runtime/clock'
+import type { RandomSource } from '@hickoryspoke/runtime/random'
+
+const CONNECT_TIMEOUT_MILLISECONDS = 500
+const QUEUE_PER_SLOT = 4
+const CROSS_ZONE_MILLISECONDS = 1.5
+const SAME_ZONE_MILLISECONDS = 0.3
+
+/** One attempt as an upstream sees it. */
+export interface SimulatedAttempt {
+  readonly fromZone: string
+  readonly customer: string
+  readonly route: string
+  readonly sequence: number
+  readonly startMilliseconds: number
+  readonly timeoutMilliseconds: number
+}
+
+/** What a fault does with an attempt; an empty effect leaves it as it is. */
+export interface FaultEffect {
+  /** Ends the attempt so, after the service time or at once. */
+  readonly kind?: AttemptKind
+  readonly atOnce?: boolean
+  /** Multiplies the service time; Infinity never answers. */
+  readonly slowdown?: number
+}
+
+export type Fault = (attempt: SimulatedAttempt, now: number, random: RandomSource) => FaultEffect
+
+interface Waiting {
+  readonly attempt: SimulatedAttempt
+  readonly effect: FaultEffect
+  readonly finish: (outcome: AttemptOutcome) => void
+}
+
+/** An upstream with a few slots, a bounded queue and faults, in simulated time. */
+export class SimulatedUpstream {
+  private readonly waiting: Waiting[] = []
+  private busy = 0
+  faults: Fault[] = []
+
+  private constructor (
+    private readonly clock: Clock,
+    private readonly random: RandomSource,
+    readonly address: string,
+    readonly zone: string,
+    readonly slots: number,
+    private readonly serviceMilliseconds: number
+  ) {}
+
+  static create (clock: Clock, random: RandomSource, address: string, zone: string, slots: number, serviceMilliseconds: number): SimulatedUpstream {
+    return new SimulatedUpstream(clock, random, address, zone, slots, serviceMilliseconds)
+  }
+
+  /** Share of the slots at work. */
+  load (): number {
+    return (this.busy + this.waiting.length) / this.slots
+  }
+
+  /** Runs an attempt and reports its end once. */
+  run (attempt: SimulatedAttempt, done: (outcome: AttemptOutcome) => void): void {
+    const effect = this.effectOn(attempt)
+    const network = 2 * (attempt.fromZone === this.zone ? SAME_ZONE_MILLISECONDS : CROSS_ZONE_MILLISECONDS)
+    let ended = false
+    const finish = (outcome: AttemptOutcome): void => {
+      if (ended) return
+      ended = true
+      done(outcome)
+    }
+    this.clock.schedule(attempt.timeoutMilliseconds, () => finish(this.outcomeOf(AttemptKind.Timeout, attempt)))
+    if (effect.kind === AttemptKind.Timeout) {
+      this.clock.schedule(CONNECT_TIMEOUT_MILLISECONDS, () => finish(this.outcomeOf(AttemptKind.ConnectFailed, attempt)))
+      return
+    }
+    const report = (outcome: AttemptOutcome): void => {
+      this.clock.schedule(network, () => finish({ ...outcome, milliseconds: outcome.milliseconds + network }))
+    }
+    if (effect.atOnce === true) report(this.outcomeOf(effect.kind ?? AttemptKind.Reset, attempt))
+    else this.enqueue({ attempt, effect, finish: report })
+  }
+
+  private effectOn (attempt: SimulatedAttempt): FaultEffect {
+    const now = this.clock.monotonicMilliseconds()
+    return Object.assign({}, ...this.faults.map((fault) => fault(attempt, now, this.random))) as FaultEffect
+  }
+
+  private enqueue (work: Waiting): void {
+    if (this.busy < this.slots) this.serve(work)
+    else if (this.waiting.length < this.slots * QUEUE_PER_SLOT) this.waiting.push(work)
+    else work.finish(this.outcomeOf(AttemptKind.RefusedNotRun, work.attempt))
+  }
+
+  private serve (work: Waiting): void {
+    const drawn = -Math.log(1 - this.random.next()) * 0.7 + 0.3
+    const milliseconds = this.serviceMilliseconds * drawn * (work.effect.slowdown ?? 1)
+    const held = Math.min(milliseconds, work.attempt.timeoutMilliseconds)
+    this.busy += 1
+    this.clock.schedule(held, () => {
+      this.busy -= 1
+      if (Number.isFinite(milliseconds)) work.finish(this.outcomeOf(work.effect.kind ?? AttemptKind.Answered, work.attempt))
+      const next = this.waiting.shift()
+      if (next !== undefined) this.serve(next)
+    })
+  }
+
+  private outcomeOf (kind: AttemptKind, attempt: SimulatedAttempt): AttemptOutcome {
+    return { kind, milliseconds: this.clock.monotonicMilliseconds() - attempt.startMilliseconds }
+  }
+}
--- a/packages/configuration/src/desired-state.ts
+++ b/packages/configuration/src/desired-state.ts
@@ -3,6 +3,7 @@
 import { Err, Ok, type Result } from 'ts-results-es'
 import { z } from 'zod'
 import { findReferenceIssues } from './desired-state-references.ts'
+import { poolPolicySchema } from './pool-policy.ts'
 import { parseTomlDocument, validate } from './toml-document.ts'
 
 const NAME_PATTERN = /^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$/
@@ -34,7 +35,8 @@
 const poolSchema = z.strictObject({
   name,
   healthy_floor: z.number().min(0).max(1).default(DEFAULT_HEALTHY_FLOOR),
-  announce_digest: digest.optional()
+  announce_digest: digest.optional(),
+  policy: poolPolicySchema
 })
 
 /** Requests by path prefix, method and host, and the pool that answers them. */
--- /dev/null
+++ b/packages/health/src/upstream-load.ts
@@ -0,0 +1,51 @@
+import { AttemptKind, type AttemptOutcome } from './attempt-outcome.ts'
+
+const LATENCY_SMOOTHING = 0.1
+const TRUST_LOSS = 0.35
+const LOWEST_TRUST = 0.02
+const TRUST_RECOVERY_MILLISECONDS = 4_000
+const REFUSAL_MEMORY_MILLISECONDS = 1_000
+const REFUSAL_FACTOR = 4
+
+const FAILED: ReadonlySet<AttemptKind> = new Set([
+  AttemptKind.ConnectFailed, AttemptKind.Reset, AttemptKind.Timeout, AttemptKind.Truncated, AttemptKind.ServerError, AttemptKind.Overdue
+])
+
+/** What this entry alone knows of one upstream: its own requests in flight, their latency and their failures. */
+export class UpstreamLoad {
+  inFlight = 0
+  private latencyMilliseconds: number | undefined
+  private trustLevel = 1
+  private failedMilliseconds = -Infinity
+  private refusedMilliseconds = -Infinity
+
+  static create (): UpstreamLoad {
+    return new UpstreamLoad()
+  }
+
+  record (outcome: AttemptOutcome, now: number): void {
+    if (outcome.kind === AttemptKind.Answered) this.latencyMilliseconds = smooth(this.latencyMilliseconds, outcome.milliseconds)
+    if (outcome.kind === AttemptKind.Overdue) this.latencyMilliseconds = smooth(this.latencyMilliseconds, outcome.milliseconds)
+    if (outcome.kind === AttemptKind.RefusedNotRun) this.refusedMilliseconds = now
+    if (!FAILED.has(outcome.kind) || outcome.blamedOnRequest === true) return
+    this.trustLevel = Math.max(LOWEST_TRUST, this.trust(now) * TRUST_LOSS)
+    this.failedMilliseconds = now
+  }
+
+  /** From 0.02 after failures seen here, back to 1 within seconds. */
+  trust (now: number): number {
+    const passed = (now - this.failedMilliseconds) / TRUST_RECOVERY_MILLISECONDS
+    return passed >= 1 ? 1 : Math.min(1, this.trustLevel + (1 - this.trustLevel) * passed)
+  }
+
+  /** Expected cost of one more request; lower is better. */
+  cost (usualMilliseconds: number, reportedLoad: number, now: number): number {
+    const latency = this.latencyMilliseconds ?? usualMilliseconds
+    const refused = now < this.refusedMilliseconds + REFUSAL_MEMORY_MILLISECONDS ? REFUSAL_FACTOR : 1
+    return (this.inFlight + 1) * Math.max(1, latency) * (1 + Math.min(2, reportedLoad)) * refused
+  }
+}
+
+function smooth (before: number | undefined, milliseconds: number): number {
+  return before === undefined ? milliseconds : before + (milliseconds - before) * LATENCY_SMOOTHING
+}
--- a/packages/membership/src/overlay.ts
+++ b/packages/membership/src/overlay.ts
@@ -56,6 +56,17 @@
     return chosen
   }
 
+  /** The member of highest weight for a subject among those present; leaving one moves only its own subjects. */
+  firstFor (subject: string, isPresent: (name: string) => boolean = () => true): string | undefined {
+    const number = hashName(subject) >>> 0
+    let first: { readonly name: string, readonly weight: number } | undefined
+    for (const { member, seed } of this.seeded) {
+      const weight = mix(seed, number)
+      if ((first === undefined || weight > first.weight) && isPresent(member.name)) first = { name: member.name, weight }
+    }
+    return first?.name
+  }
+
   private ordered (subject: number): OverlayMember[] {
     return this.seeded
       .map(({ member, seed }) => ({ member, weight: mix(seed, subject) }))
