--- a/packages/bench/src/health-fleet.ts
+++ b/packages/bench/src/health-fleet.ts
@@ -145,10 +145,11 @@
   private configure (registry: AnnouncementRegistry, health: UpstreamHealth): void {
     const { plan } = this
     const entries = Array.from({ length: plan.entries }, (_, index) => ({
-      name: `entry-${index}`, zone: plan.zones[index % plan.zones.length] as string, region: 'region', peerAddress: ''
+      name: `entry-${index}`, zone: plan.zones[index % plan.zones.length] as string, region: 'region', peerAddress: '', witness: false
     }))
-    registry.applyMembership({ epoch: 1, entries })
-    health.applyMembership({ epoch: 1, entries })
+    const membership = { epoch: 1, establishedEpoch: 1, entries }
+    registry.applyMembership(membership)
+    health.applyMembership(membership)
     const policy = { ...defaultPoolPolicy(), ...plan.policy, ...(plan.withoutEjection === true ? { detection_threshold: Infinity } : {}) }
     health.applyPools(plan.pools.map((pool) => ({ name: pool.name, healthy_floor: plan.healthyFloor, policy })))
   }
--- a/packages/health/src/pool-offices.ts
+++ b/packages/health/src/pool-offices.ts
@@ -1,4 +1,5 @@
 import type { EntryLiveness } from '@hickoryspoke/membership/entry-liveness'
+import type { EpochLease } from '@hickoryspoke/membership/epoch-lease'
 import { Overlay } from '@hickoryspoke/membership/overlay'
 import type { EntryMembership } from '@hickoryspoke/protocol/generated/distribution'
 import { EntryState } from '@hickoryspoke/protocol/generated/gossip'
@@ -6,18 +7,9 @@
 
 const CLOCK_DRIFT_FACTOR = 1.01
 
-/** Right of this entry to act on its membership epoch; what the epoch lease of the membership package gives. */
-export interface EpochRight {
-  epoch (): number
-  /** Monotonic milliseconds until which the epoch may be acted upon. */
-  validUntilMilliseconds (): number
-  /** Monotonic milliseconds from which no other entry can still act on an earlier epoch; Infinity while unknown. */
-  exclusiveFromMilliseconds (): number
-}
-
 /** Who decides about a pool, and who alone may grant ejections. */
 export class PoolOffices {
-  private membership: EntryMembership = { epoch: 0, entries: [] }
+  private membership: EntryMembership = { epoch: 0, establishedEpoch: 0, entries: [] }
   private enrolled = Overlay.create([])
   private readonly zones = new Map<string, string>()
   private readonly homes = new Map<string, string | undefined>()
@@ -25,11 +17,11 @@
   /** Pools of which this entry holds the home, with the time from which it may not remember earlier grants. */
   private readonly held = new Map<string, { readonly sinceMilliseconds: number, settled: boolean }>()
 
-  private constructor (private readonly self: string, private readonly liveness: EntryLiveness, private readonly lease: EpochRight) {
+  private constructor (private readonly self: string, private readonly liveness: EntryLiveness, private readonly lease: EpochLease) {
     liveness.onChange(() => this.judges.clear())
   }
 
-  static create (self: string, liveness: EntryLiveness, lease: EpochRight): PoolOffices {
+  static create (self: string, liveness: EntryLiveness, lease: EpochLease): PoolOffices {
     return new PoolOffices(self, liveness, lease)
   }
 
--- a/packages/health/src/upstream-health.ts
+++ b/packages/health/src/upstream-health.ts
@@ -1,5 +1,6 @@
 import { defaultPoolPolicy } from '@hickoryspoke/configuration/pool-policy'
 import type { AnnouncementRegistry } from '@hickoryspoke/membership/announcement-registry'
+import type { EpochLease } from '@hickoryspoke/membership/epoch-lease'
 import type { EntryMembership } from '@hickoryspoke/protocol/generated/distribution'
 import type {
   Advisory, Ejection, EvidenceMessage, EvidenceReport, PoolEvidence, ProbeReport, ProbeRequest, Verdict, VerdictNotice, VerdictRequest
@@ -11,7 +12,7 @@
 import { EvidenceCollector, type ObservedAttempt } from './evidence-collector.ts'
 import type { HealthEventHandler } from './health-event.ts'
 import { PoolHome, type HealthPool } from './pool-home.ts'
-import { PoolOffices, type EpochRight } from './pool-offices.ts'
+import { PoolOffices } from './pool-offices.ts'
 import { PoolStanding, type UpstreamStanding } from './pool-standing.ts'
 import { describePool, type UpstreamView } from './upstream-view.ts'
 
@@ -36,7 +37,7 @@
   /** Availability zone of this entry. */
   readonly zone: string
   readonly registry: AnnouncementRegistry
-  readonly epochLease: EpochRight
+  readonly epochLease: EpochLease
   /** Asks an upstream's health endpoint; never throws. */
   readonly probe: (address: string) => Promise<ProbeResult>
   readonly onEvent?: HealthEventHandler
