--- a/packages/request/src/attempt-loop.ts
+++ b/packages/request/src/attempt-loop.ts
@@ -20,6 +20,7 @@
 export interface AttemptPlan {
   readonly pool: string
   readonly customer: string
+  readonly route: string
   readonly idempotent: boolean
   readonly replayable: boolean
   readonly deadlineMilliseconds: number
@@ -82,8 +83,8 @@
   }
 
   private pick (): Result<Attempt, Refusal> {
-    const { pool, idempotent, customer, context } = this.plan
-    const lease = this.balancer.pick({ pool, idempotent, exclude: this.tried, customer })
+    const { pool, idempotent, customer, route, context } = this.plan
+    const lease = this.balancer.pick({ pool, idempotent, exclude: this.tried, customer, route })
     if (lease.isErr()) return Err(this.truthful(Refusal.create('no_healthy_upstream')))
     this.attempts += 1
     this.tried.push(lease.value.address)
@@ -115,9 +116,9 @@
   }
 
   private pickHedge (): Attempt | undefined {
-    const { policy, pool, idempotent, customer, context } = this.plan
+    const { policy, pool, idempotent, customer, route, context } = this.plan
     if (this.plan.stillAllowed() !== undefined || !policy.hedges.withdraw()) return undefined
-    const lease = this.balancer.pick({ pool, idempotent, exclude: this.tried, customer })
+    const lease = this.balancer.pick({ pool, idempotent, exclude: this.tried, customer, route })
     if (lease.isOk() && !this.tried.includes(lease.value.address)) {
       this.attempts += 1
       this.tried.push(lease.value.address)
--- a/packages/request/src/collaborators.ts
+++ b/packages/request/src/collaborators.ts
@@ -8,6 +8,9 @@
   | { readonly admitted: true }
   | { readonly admitted: false, readonly retryAfterMilliseconds: number, readonly reason: string }
 
+/** The reason that stands for "over its rate"; any other says that the rate could not be counted now. */
+export const REASON_LIMITED = 'limited'
+
 /** Counts a customer's requests against its rate and burst over the whole fleet. */
 export interface Admission {
   admit (customer: string): Promise<AdmissionDecision>
@@ -49,6 +52,8 @@
   readonly idempotent: boolean
   readonly exclude: readonly string[]
   readonly customer: string
+  /** Path of the route, so that failures of one route need not be held against upstreams. */
+  readonly route: string
 }
 
 /** Picks upstreams by health, load and zone. */
@@ -56,9 +61,9 @@
   pick (question: PickQuestion): Result<UpstreamLease, Failure>
 }
 
-/** Permission to use the upstreams of a pool; `leave` must be called once. */
+/** Permission to use the upstreams of a pool; `release` must be called once, with the milliseconds that the upstream took. */
 export interface QueuePass {
-  leave (): void
+  release (serviceMilliseconds: number): void
 }
 
 /** What a request brings to the queue. `deadlineMilliseconds` is on the monotonic clock. */
--- a/packages/request/src/refusal.ts
+++ b/packages/request/src/refusal.ts
@@ -33,6 +33,7 @@
   claim_content_differs: notRun(422, 'this Idempotency-Key was used with other content'),
   crashing_request: notRun(422, 'requests like this one crashed upstreams lately'),
   rate_exceeded: notRun(429, 'the customer is over its rate'),
+  rate_unavailable: notRun(503, 'the rate of the customer cannot be counted now'),
   draining: notRun(503, 'this entry is shutting down'),
   not_fresh: notRun(503, 'this entry cannot confirm that its configuration is current'),
   no_healthy_upstream: notRun(503, 'no upstream can take the request'),
--- a/packages/request/src/request-run.ts
+++ b/packages/request/src/request-run.ts
@@ -3,9 +3,9 @@
 import type { ReadyAttempt } from './attempt.ts'
 import { AttemptLoop, DEFAULT_ATTEMPT_SETTINGS, type AttemptReport } from './attempt-loop.ts'
 import type { CallerExchange } from './caller-exchange.ts'
-import type { ClaimEnd, ClaimTicket, CrashTrial } from './collaborators.ts'
+import { REASON_LIMITED, type ClaimEnd, type ClaimTicket, type CrashTrial } from './collaborators.ts'
 import type { PoolPolicies } from './pool-policy.ts'
-import { Refusal } from './refusal.ts'
+import { Refusal, REFUSALS } from './refusal.ts'
 import { DEFAULT_BODY_LIMITS, RequestBody } from './request-body.ts'
 import { RequestDeadline } from './request-deadline.ts'
 import { contentFingerprint, crashFingerprint } from './request-fingerprint.ts'
@@ -85,7 +85,9 @@
   private async admit (request: GatedRequest): Promise<Refusal | undefined> {
     if (request.route.open) return undefined
     const decision = await this.parts.admission.admit(request.customer)
-    return decision.admitted ? undefined : Refusal.create('rate_exceeded', decision.reason, decision.retryAfterMilliseconds)
+    if (decision.admitted) return undefined
+    const code = decision.reason === REASON_LIMITED ? 'rate_exceeded' : 'rate_unavailable'
+    return Refusal.create(code, `${REFUSALS[code].title} (${decision.reason})`, decision.retryAfterMilliseconds)
   }
 
   private async readBody (request: GatedRequest): Promise<Result<RequestBody, Refusal>> {
@@ -126,17 +128,18 @@
     const deadline = RequestDeadline.create(this.parts.clock, request, this.exchange)
     const pass = await this.parts.queue?.enter({
       customer: request.customer, pool: request.route.pool, deadlineMilliseconds: deadline.atMilliseconds, signal: deadline.signal
-    }) ?? Ok({ leave: () => {} })
+    }) ?? Ok({ release: () => {} })
     if (pass.isErr()) {
       deadline.clear()
       this.finishClaim({ kind: 'not_run' })
       return this.refuse(Refusal.create('overloaded', pass.error.message))
     }
+    const started = this.parts.clock.monotonicMilliseconds()
     try {
       return await this.attempt(request, body, trial, deadline)
     } finally {
       deadline.clear()
-      pass.value.leave()
+      pass.value.release(this.parts.clock.monotonicMilliseconds() - started)
     }
   }
 
@@ -165,6 +168,7 @@
     const loop = AttemptLoop.create(clock, random, balancer, this.parts.attempts ?? DEFAULT_ATTEMPT_SETTINGS, {
       pool: request.route.pool,
       customer: request.customer,
+      route: request.route.path,
       idempotent: request.idempotent,
       replayable: body.isReplayable,
       deadlineMilliseconds: deadline.atMilliseconds,
