--- a/packages/replication/src/formation.ts
+++ b/packages/replication/src/formation.ts
@@ -87,4 +87,5 @@
   context.report({ kind: 'formed', set })
   context.followSet()
   context.resetElectionDeadline()
+  if (set.members.length === 1) context.electionDeadline = context.now()
 }
--- a/packages/replication/src/tests/cluster.ts
+++ b/packages/replication/src/tests/cluster.ts
@@ -47,6 +47,8 @@
   readonly clock = FakeClock.create()
   readonly network: FakeNetwork<ReplicaMessage>
   tuning: Partial<ReplicaTuning> = {}
+  /** Peers in the settings, when they are not all. */
+  formingPeers: readonly string[] | undefined
   private lives = 0
 
   private constructor (readonly names: readonly string[], readonly root: string, private readonly seed: number) {
@@ -79,7 +81,7 @@
       cluster: 'test',
       name,
       folder: used,
-      peers: this.names,
+      peers: this.formingPeers ?? this.names,
       onEmptyFolder,
       stateMachine: machine,
       join: (handler) => ({ ...this.network.join(name, handler), close: async () => this.network.leave(name) }),
@@ -109,6 +111,15 @@
     await node.folder.dropUnsynced()
   }
 
+  /** A planned stop. */
+  async stop (name: string): Promise<void> {
+    const { replica } = this.node(name)
+    let stopped = false
+    replica.stop().then(() => { stopped = true })
+    await this.until(() => stopped)
+    this.nodes.delete(name)
+  }
+
   async loseDisk (name: string): Promise<void> {
     await this.crash(name)
     await rm(this.folderPath(name), { recursive: true })
--- a/packages/replication/src/tests/election.test.ts
+++ b/packages/replication/src/tests/election.test.ts
@@ -3,8 +3,9 @@
 import { TestCluster } from './cluster.ts'
 
 const THREE = ['alpha', 'beta', 'gamma']
+const FIVE = [...THREE, 'delta', 'epsilon']
 
-for (const names of [['alpha'], THREE, [...THREE, 'delta', 'epsilon']]) {
+for (const names of [['alpha'], THREE, FIVE]) {
   test(`a cluster of ${names.length} forms, elects one leader and answers`, async () => {
     const cluster = await TestCluster.formed(names)
     assert.is(cluster.leaders().length, 1)
@@ -16,4 +17,142 @@
   })
 }
 
+test('a cluster does not form until all initial replicas are there', async () => {
+  const cluster = await TestCluster.create(THREE)
+  await cluster.boot('alpha', 'form')
+  await cluster.boot('beta', 'form')
+  await cluster.advance(5_000)
+  assert.is(cluster.leaderName(), undefined)
+  await cluster.boot('gamma', 'form')
+  await cluster.until(() => cluster.leaderName() !== undefined)
+  await cluster.destroy()
+})
+
+test('a leader that is heard but hears nothing steps down, and the others elect one', async () => {
+  const cluster = await TestCluster.formed(THREE, 11)
+  const old = cluster.leaderName() as string
+  for (const other of cluster.followers()) cluster.network.cut(other, old)
+  await cluster.until(() => cluster.leaderName() !== old && cluster.leaderName() !== undefined, 5_000)
+  assert.is((await cluster.propose('after')).isOk(), true)
+  assert.not.equal(cluster.node(old).replica.role(), 'leader')
+  cluster.network.healAll()
+  await cluster.until(() => cluster.commands(old).includes('after'))
+  await cluster.destroy()
+})
+
+test('a leader that hears but is not heard is replaced, and steps down', async () => {
+  const cluster = await TestCluster.formed(THREE, 12)
+  const old = cluster.leaderName() as string
+  for (const other of cluster.followers()) cluster.network.cut(old, other)
+  await cluster.until(() => cluster.leaders().length === 1 && cluster.leaderName() !== old, 5_000)
+  assert.ok((await cluster.propose('after')).isOk())
+  await cluster.destroy()
+})
+
+for (const direction of ['hears nothing', 'is not heard'] as const) {
+  test(`a follower that ${direction} for a minute does not depose a good leader`, async () => {
+    const cluster = await TestCluster.formed(THREE, 13)
+    const leader = cluster.leaderName() as string
+    const { term } = cluster.leader().status()
+    const lost = cluster.followers()[0] as string
+    for (const other of THREE) {
+      if (direction === 'hears nothing') cluster.network.cut(other, lost)
+      else cluster.network.cut(lost, other)
+    }
+    await cluster.advance(60_000)
+    assert.is(cluster.leaderName(), leader)
+    assert.ok((await cluster.propose('meanwhile')).isOk())
+    cluster.network.healAll()
+    await cluster.advance(3_000)
+    assert.is(cluster.leaderName(), leader)
+    assert.is(cluster.leader().status().term, term)
+    assert.equal(cluster.commands(lost), ['meanwhile'])
+    await cluster.destroy()
+  })
+}
+
+test('a leader cut off from all takes no command for confirmed, and its entry gives way', async () => {
+  const cluster = await TestCluster.formed(THREE, 14)
+  const old = cluster.leaderName() as string
+  cluster.cutOff(old)
+  const lost = await cluster.propose('lost', cluster.node(old).replica)
+  assert.is(lost.unwrapErr().code, 'proposal_not_confirmed')
+  await cluster.until(() => cluster.leaderName() !== undefined && cluster.leaderName() !== old)
+  assert.ok((await cluster.propose('kept')).isOk())
+  cluster.network.healAll()
+  await cluster.until(() => cluster.commands(old).length === 1)
+  for (const name of THREE) assert.equal(cluster.commands(name), ['kept'])
+  await cluster.destroy()
+})
+
+test('a read barrier passes on a leader that still leads, and fails on one that is cut off', async () => {
+  const cluster = await TestCluster.formed(THREE, 15)
+  const old = cluster.leader()
+  let outcome = ''
+  old.readBarrier().then((result) => { outcome = result.isOk() ? 'passed' : 'failed' })
+  await cluster.until(() => outcome === 'passed', 1_000)
+  cluster.cutOff(cluster.leaderName() as string)
+  old.readBarrier().then((result) => { outcome = result.isOk() ? 'passed again' : 'failed' })
+  await cluster.until(() => outcome === 'failed', 10_000)
+  assert.is(outcome, 'failed')
+  await cluster.destroy()
+})
+
+test('a planned stop hands leadership over without an election timeout, and all confirmed commands stay', async () => {
+  const cluster = await TestCluster.formed(THREE, 16)
+  await cluster.propose('before')
+  const old = cluster.leaderName() as string
+  const started = cluster.clock.monotonicMilliseconds()
+  const stopped = cluster.stop(old)
+  await cluster.until(() => cluster.leaderName() !== undefined && cluster.leaderName() !== old)
+  assert.ok(cluster.clock.monotonicMilliseconds() - started < 300)
+  await stopped
+  assert.ok((await cluster.propose('after')).isOk())
+  assert.equal(cluster.commands(cluster.leaderName() as string), ['before', 'after'])
+  await cluster.destroy()
+})
+
+test('a proposal to a follower names the leader', async () => {
+  const cluster = await TestCluster.formed(THREE, 17)
+  const follower = cluster.followers()[0] as string
+  await cluster.until(() => cluster.node(follower).replica.leader() !== undefined)
+  const refused = (await cluster.propose('x', cluster.node(follower).replica)).unwrapErr()
+  assert.is(refused.code === 'not_leader' && refused.leader, cluster.leaderName())
+  await cluster.destroy()
+})
+
+for (const seed of [1, 2, 3, 4, 5, 6]) {
+  test(`with loss, repetition, one-way cuts and crashes no confirmed command is lost (seed ${seed})`, async () => {
+    const names = seed % 2 === 0 ? THREE : FIVE
+    const cluster = await TestCluster.formed(names, seed, { snapshotEntries: 10, segmentBytes: 600, retainedBytes: 100, proposalTimeoutMilliseconds: 1_500 })
+    cluster.network.settings = { ...cluster.network.settings, lossShare: 0.05, repeatShare: 0.05, jitterMilliseconds: 8 }
+    const confirmed: string[] = []
+    for (let round = 0; round < 24; round += 1) {
+      const victim = names[(round * 7 + seed) % names.length] as string
+      const other = names[(round * 5 + seed + 1) % names.length] as string
+      if (round % 4 === 1) cluster.network.cut(victim, other)
+      if (round % 4 === 3) cluster.network.healAll()
+      if (round % 6 === 2) {
+        await cluster.crash(victim)
+        await cluster.boot(victim)
+      }
+      await cluster.until(() => cluster.leaderName() !== undefined)
+      for (const leader of cluster.leaders()) {
+        const command = `${round} ${leader}`
+        if ((await cluster.propose(command, cluster.node(leader).replica)).isOk()) confirmed.push(command)
+      }
+    }
+    cluster.network.healAll()
+    cluster.network.settings = { ...cluster.network.settings, lossShare: 0 }
+    await cluster.until(() => cluster.leaders().length === 1)
+    await cluster.advance(5_000)
+    assert.ok(confirmed.length >= 12, `${confirmed.length} confirmed`)
+    for (const name of names) {
+      assert.equal(cluster.commands(name), cluster.commands(cluster.leaderName() as string))
+      assert.equal(cluster.commands(name).filter((command) => confirmed.includes(command)), confirmed)
+    }
+    await cluster.destroy()
+  })
+}
+
 test.run()
--- /dev/null
+++ b/packages/replication/src/tests/repair.test.ts
@@ -0,0 +1,160 @@
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { TestCluster } from './cluster.ts'
+
+const THREE = ['alpha', 'beta', 'gamma']
+const SMALL = { snapshotEntries: 10, segmentBytes: 500, retainedBytes: 0, chunkBytes: 64 }
+
+function votersOf (cluster: TestCluster): string[] {
+  return cluster.leader().status().members.filter((member) => member.voter).map((member) => member.name).sort()
+}
+
+async function proposeMany (cluster: TestCluster, prefix: string, count: number): Promise<string[]> {
+  const commands = Array.from({ length: count }, (_, at) => `${prefix} ${at}`)
+  for (const command of commands) assert.ok((await cluster.propose(command)).isOk())
+  return commands
+}
+
+/** A follower loses its disk and comes back empty; returns its name. */
+async function replaceFollower (cluster: TestCluster): Promise<string> {
+  const lost = cluster.followers()[0] as string
+  await cluster.loseDisk(lost)
+  return lost
+}
+
+test('an empty replica that the settings do not call new does not start', async () => {
+  const cluster = await TestCluster.formed(THREE, 21)
+  const lost = await replaceFollower(cluster)
+  const { opened } = await cluster.open(lost)
+  assert.is((opened.unwrapErr() as { code?: string }).code, 'empty_folder')
+  await cluster.destroy()
+})
+
+for (const setting of ['join', 'form'] as const) {
+  test(`a replica that lost its disk comes back as learner, is counted when caught up by snapshot, and its old vote is gone (${setting})`, async () => {
+    const cluster = await TestCluster.formed(THREE, 22, SMALL)
+    const commands = await proposeMany(cluster, 'change', 35)
+    const lost = await replaceFollower(cluster)
+    await cluster.boot(lost, setting)
+    assert.is(cluster.node(lost).replica.role(), 'learner')
+    await cluster.until(() => cluster.node(lost).replica.role() === 'follower')
+    await cluster.advance(2_000)
+    assert.equal(cluster.commands(lost), commands)
+    assert.equal(votersOf(cluster), THREE)
+    assert.is(cluster.leader().status().members.length, 3)
+    assert.ok(cluster.events.some(({ name, event }) => name === lost && event.kind === 'snapshot_installed'))
+    await cluster.destroy()
+  })
+}
+
+test('a second VM lost right after a repair: nothing confirmed is lost, and the cluster goes on', async () => {
+  const cluster = await TestCluster.formed(THREE, 23, SMALL)
+  const before = await proposeMany(cluster, 'before', 25)
+  const lost = await replaceFollower(cluster)
+  await cluster.boot(lost, 'join')
+  await cluster.until(() => cluster.node(lost).replica.role() === 'follower' && votersOf(cluster).length === 3)
+  const second = cluster.leaderName() as string
+  await cluster.loseDisk(second)
+  await cluster.until(() => cluster.leaderName() !== undefined)
+  const after = await proposeMany(cluster, 'after', 3)
+  assert.equal(cluster.commands(cluster.leaderName() as string), [...before, ...after])
+  await cluster.boot(second, 'join')
+  await cluster.until(() => cluster.node(second).replica.role() === 'follower')
+  await cluster.until(() => cluster.commands(second).length === 28)
+  assert.equal(cluster.commands(second), [...before, ...after])
+  await cluster.destroy()
+})
+
+test('a second VM lost before the learner has caught up: no leader, rather than one elected by an empty replica', async () => {
+  const cluster = await TestCluster.formed(THREE, 24, SMALL)
+  await proposeMany(cluster, 'before', 25)
+  const lost = await replaceFollower(cluster)
+  const leader = cluster.leaderName() as string
+  const other = cluster.followers()[0] as string
+  cluster.cutOff(lost)
+  await cluster.boot(lost, 'join')
+  await cluster.crash(leader)
+  cluster.network.healAll()
+  await cluster.advance(20_000)
+  assert.is(cluster.leaderName(), undefined)
+  assert.not.equal(cluster.node(lost).replica.role(), 'follower')
+  await cluster.boot(leader)
+  await cluster.until(() => cluster.leaderName() !== undefined)
+  await cluster.until(() => cluster.node(lost).replica.role() === 'follower')
+  assert.is(cluster.commands(other).length, 25)
+  await cluster.destroy()
+})
+
+test('two of three lost with their disks do not form a new cluster, even when their settings say so', async () => {
+  const cluster = await TestCluster.formed(THREE, 25)
+  await proposeMany(cluster, 'before', 5)
+  for (const name of ['alpha', 'beta']) await cluster.loseDisk(name)
+  for (const name of ['alpha', 'beta']) await cluster.boot(name, 'form')
+  await cluster.advance(20_000)
+  assert.is(cluster.leaderName(), undefined)
+  await cluster.destroy()
+})
+
+test('growing from one replica to three and shrinking again, one change at a time', async () => {
+  const cluster = await TestCluster.create(THREE, 26, SMALL)
+  cluster.formingPeers = ['alpha']
+  await cluster.boot('alpha', 'form')
+  await cluster.until(() => cluster.leaderName() === 'alpha')
+  const commands = await proposeMany(cluster, 'alone', 15)
+  cluster.formingPeers = THREE
+  await cluster.stop('alpha')
+  await cluster.boot('alpha')
+  await cluster.until(() => cluster.leaderName() === 'alpha')
+  assert.is(cluster.leader().addReplica('beta').unwrapErr().code, 'replica_set_change_refused')
+  for (const name of ['beta', 'gamma']) {
+    await cluster.boot(name, 'join')
+    await cluster.until(() => cluster.leader().status().joiners.includes(name))
+    assert.ok(cluster.leader().addReplica(name).isOk())
+    assert.is(cluster.leader().addReplica(name).isErr(), true)
+    await cluster.until(() => cluster.node(name).replica.role() === 'follower')
+  }
+  await cluster.advance(1_000)
+  assert.equal(votersOf(cluster), THREE)
+  commands.push(...await proposeMany(cluster, 'together', 5))
+  let moved = false
+  cluster.leader().removeReplica('alpha').then((result) => { moved = result.isErr() })
+  await cluster.until(() => moved && cluster.leaderName() !== undefined && cluster.leaderName() !== 'alpha')
+  await proposeMany(cluster, 'moved', 1)
+  let removed = false
+  cluster.leader().removeReplica('alpha').then((result) => { removed = result.isOk() })
+  await cluster.until(() => removed)
+  await cluster.advance(1_000)
+  assert.equal(votersOf(cluster), ['beta', 'gamma'])
+  assert.equal(cluster.commands('gamma'), [...commands, 'moved 0'])
+  await cluster.destroy()
+})
+
+test('a slow disk on a follower holds nothing up, and one on the leader delays no confirmation', async () => {
+  for (const slowIsLeader of [false, true]) {
+    const cluster = await TestCluster.formed(THREE, 27)
+    const slow = slowIsLeader ? cluster.leaderName() as string : cluster.followers()[0] as string
+    const leader = cluster.leaderName()
+    cluster.node(slow).folder.hold()
+    await proposeMany(cluster, 'change', 10)
+    await cluster.advance(10_000)
+    assert.is(cluster.leaderName(), leader)
+    cluster.node(slow).folder.release()
+    await cluster.advance(1_000)
+    assert.is(cluster.commands(slow).length, 10)
+    assert.is(cluster.node(slow).replica.status().durableIndex, cluster.leader().status().lastIndex)
+    await cluster.destroy()
+  }
+})
+
+test('slow disks on a majority: nothing is confirmed before it is synced', async () => {
+  const cluster = await TestCluster.formed(THREE, 28, { proposalTimeoutMilliseconds: 1_000 })
+  for (const name of cluster.followers()) cluster.node(name).folder.hold()
+  const answer = await cluster.propose('waits')
+  assert.is(answer.unwrapErr().code, 'proposal_not_confirmed')
+  for (const name of cluster.followers()) cluster.node(name).folder.release()
+  await cluster.advance(500)
+  for (const name of THREE) assert.equal(cluster.commands(name), ['waits'])
+  await cluster.destroy()
+})
+
+test.run()
