--- /dev/null
+++ b/packages/bench/src/tests/distribution-fleet.test.ts
@@ -0,0 +1,157 @@
+import { mkdtemp, readFile, writeFile } from 'node:fs/promises'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { regionsBehind } from '@hickoryspoke/control/delivery'
+import { REMOVAL_SILENCE_MILLISECONDS } from '@hickoryspoke/control/enrolment'
+import { FRESHNESS_LEASE_MILLISECONDS } from '@hickoryspoke/membership/epoch-lease'
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { DistributionFleet, fleetFile } from './distribution-fleet.ts'
+
+const SETTLED_MILLISECONDS = 8_000
+
+async function startedFleet (entries: number, customers = 8): Promise<DistributionFleet> {
+  const fleet = DistributionFleet.create()
+  await fleet.apply(fleetFile(1, customers, 4))
+  for (let index = 0; index < entries; index += 1) fleet.start(`entry-${index}`)
+  await fleet.clock.advanceAsync(SETTLED_MILLISECONDS)
+  return fleet
+}
+
+/** The file without its last key. */
+function withoutLastKey (number: number, customers = 8): ReturnType<typeof fleetFile> {
+  const file = fleetFile(number, customers, 4)
+  return { ...file, keys: file.keys.slice(0, -1) }
+}
+
+test('entries are enrolled at the accepted file, become fresh, and hold a change at once', async () => {
+  const fleet = await startedFleet(6)
+  assert.is(fleet.state.entries.membership().entries.length, 6)
+  assert.is(fleet.state.entries.epoch, fleet.state.entries.establishedEpoch)
+  assert.is(fleet.fresh().length, 6)
+  await fleet.apply(withoutLastKey(2))
+  await fleet.clock.advanceAsync(10)
+  assert.equal(fleet.numbers(), Array(6).fill(2))
+  assert.equal(regionsBehind(fleet.state, fleet.service.register, 2), [])
+})
+
+test('one key of many customers is sent as a difference, and logged as one', async () => {
+  const fleet = await startedFleet(3, 3_000)
+  const [pushed, proposed] = [fleet.pushedBytes, fleet.log.proposedBytes]
+  await fleet.apply(withoutLastKey(2, 3_000))
+  await fleet.clock.advanceAsync(10)
+  assert.equal(fleet.numbers(), [2, 2, 2])
+  assert.ok(fleet.pushedBytes - pushed < 3 * 1_000)
+  assert.ok(fleet.log.proposedBytes - proposed < 1_000)
+})
+
+test('an entry that starts while control is away serves with what its peers hold', async () => {
+  const fleet = await startedFleet(5)
+  fleet.isControlAway = true
+  fleet.cutFromControl(fleet.followers.keys())
+  await fleet.clock.advanceAsync(600_000)
+  const late = fleet.start('entry-late', ['entry-3'])
+  await fleet.clock.advanceAsync(5_000)
+  assert.is(late.current()?.identity.number, 1)
+  assert.ok(late.guard.isFresh())
+  assert.not.ok(late.isControlReached())
+})
+
+test('a large file reaches an entry from its peers in pieces', async () => {
+  const fleet = await startedFleet(3, 6_000)
+  fleet.isControlAway = true
+  fleet.cutFromControl(fleet.followers.keys())
+  const late = fleet.start('entry-late', ['entry-1'])
+  await fleet.clock.advanceAsync(5_000)
+  assert.is(late.current()?.identity.digest, fleet.state.accepted?.identity.digest)
+})
+
+test('an entry that control does not reach gets a withdrawal from its peers', async () => {
+  const fleet = await startedFleet(5)
+  fleet.cutFromControl(['entry-4'])
+  await fleet.clock.advanceAsync(500)
+  await fleet.apply(withoutLastKey(2))
+  await fleet.clock.advanceAsync(FRESHNESS_LEASE_MILLISECONDS)
+  assert.equal(fleet.numbers(), Array(5).fill(2))
+  assert.is(fleet.fresh().length, 5)
+})
+
+test('a withdrawal is not answered while control reaches no quorum of the witnesses, and a silent majority is not dropped', async () => {
+  const fleet = await startedFleet(5)
+  const { epoch } = fleet.state.entries
+  const silent = ['entry-0', 'entry-1', 'entry-2']
+  fleet.cutFromControl(silent)
+  for (const left of silent) {
+    for (const right of ['entry-3', 'entry-4']) {
+      fleet.network.cut(left, right)
+      fleet.network.cut(right, left)
+    }
+  }
+  await fleet.apply(withoutLastKey(2))
+  await fleet.clock.advanceAsync(3 * REMOVAL_SILENCE_MILLISECONDS)
+  assert.equal(regionsBehind(fleet.state, fleet.service.register, 2), ['south'])
+  assert.is(fleet.state.entries.epoch, epoch)
+  assert.equal(fleet.fresh().slice(0, 3), silent)
+})
+
+test('an entry that is gone for long leaves the membership, and its place as a witness is taken', async () => {
+  const fleet = await startedFleet(6)
+  await fleet.stop('entry-0')
+  fleet.cutFromControl(['entry-0'])
+  await fleet.clock.advanceAsync(REMOVAL_SILENCE_MILLISECONDS + SETTLED_MILLISECONDS)
+  const { entries, epoch, establishedEpoch } = fleet.state.entries.membership()
+  assert.not.ok(entries.some((entry) => entry.name === 'entry-0'))
+  assert.is(entries.filter((entry) => entry.witness).length, 5)
+  assert.is(epoch, establishedEpoch)
+  assert.is(fleet.fresh().length, 5)
+})
+
+test('a restarted entry of the same name and address changes no epoch', async () => {
+  const fleet = await startedFleet(5)
+  const { epoch } = fleet.state.entries
+  await fleet.stop('entry-2')
+  fleet.cutFromControl(['entry-2'])
+  fleet.cut.clear()
+  await fleet.clock.advanceAsync(2_000)
+  fleet.start('entry-2')
+  await fleet.clock.advanceAsync(SETTLED_MILLISECONDS)
+  assert.is(fleet.state.entries.epoch, epoch)
+  assert.is(fleet.fresh().length, 5)
+})
+
+test('a leader that steps down ends its streams, and entries follow again', async () => {
+  const fleet = await startedFleet(3)
+  fleet.log.setLeading(false)
+  await fleet.clock.advanceAsync(2_000)
+  assert.is(fleet.service.register.entries().length, 0)
+  assert.is(fleet.fresh().length, 3)
+  fleet.log.setLeading(true)
+  await fleet.apply(withoutLastKey(2))
+  await fleet.clock.advanceAsync(SETTLED_MILLISECONDS)
+  assert.equal(fleet.numbers(), [2, 2, 2])
+})
+
+test('an entry starts with what its disk holds, and leaves a damaged file aside', async () => {
+  const folder = await mkdtemp(join(tmpdir(), 'hickoryspoke-entry-'))
+  const fleet = DistributionFleet.create()
+  await fleet.apply(fleetFile(1, 8, 4))
+  fleet.start('entry-0', [], folder)
+  await fleet.clock.advanceAsync(4_000)
+  await fleet.stop('entry-0')
+  fleet.isControlAway = true
+  const file = join(folder, 'accepted-configuration')
+  const stored = await readFile(file)
+  assert.is(await numberAtStart(fleet, folder), 1)
+  await writeFile(file, Buffer.from(stored).fill(0, stored.length / 2))
+  assert.is(await numberAtStart(fleet, folder), 0)
+})
+
+async function numberAtStart (fleet: DistributionFleet, folder: string): Promise<number> {
+  const follower = fleet.start('entry-0', [], folder)
+  await follower.loaded
+  const number = follower.current()?.identity.number ?? 0
+  await fleet.stop('entry-0')
+  return number
+}
+
+test.run()
