--- a/eslint.config.js
+++ b/eslint.config.js
@@ -13,7 +13,7 @@
   health: [...SHARED, 'configuration', 'membership'],
   limits: [...SHARED, 'configuration', 'membership'],
   request: [...SHARED, 'configuration', 'membership', 'health', 'limits'],
-  entry: [...SHARED, 'configuration', 'membership', 'health', 'limits', 'request', 'control', 'operator', 'bench'],
+  entry: [...SHARED, 'configuration', 'membership', 'health', 'limits', 'request'],
   control: [...SHARED, 'configuration', 'replication'],
   operator: [...SHARED, 'configuration'],
   bench: [...SHARED, 'configuration', 'replication', 'membership', 'health', 'limits', 'request', 'control', 'operator', 'entry', 'testing'],
--- /dev/null
+++ b/packages/bench/src/local-fleet.ts
@@ -0,0 +1,160 @@
+import { mkdtemp, readFile, rm } from 'node:fs/promises'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { parseTomlDocument } from '@hickoryspoke/configuration/toml-document'
+import { ControlNode } from '@hickoryspoke/control/control-node'
+import { controlSettingsSchema } from '@hickoryspoke/control/control-settings'
+import { EntryNode } from '@hickoryspoke/entry/entry-node'
+import { entrySettingsSchema } from '@hickoryspoke/entry/entry-settings'
+import { ControlClient } from '@hickoryspoke/operator/control-client'
+import { InnerCredentials } from '@hickoryspoke/protocol/inner-credentials'
+import type { Clock } from '@hickoryspoke/runtime/clock'
+import { sha256Digest } from '@hickoryspoke/runtime/hashing'
+import type { RandomSource } from '@hickoryspoke/runtime/random'
+import type { Logger } from '@hickoryspoke/telemetry/logger'
+import { z } from 'zod'
+import { Announcer } from './announcer.ts'
+import { StandInUpstream } from './stand-in-upstream.ts'
+
+const EXAMPLE_FOLDER = 'examples/local'
+const ANY_PORT = '127.0.0.1:0'
+const POOL = 'ledger'
+const ENTRIES = [{ name: 'entry-1', zone: 'zone-a' }, { name: 'entry-2', zone: 'zone-b' }] as const
+const UPSTREAMS = [{ name: 'ledger-1', zone: 'zone-a' }, { name: 'ledger-2', zone: 'zone-b' }, { name: 'ledger-3', zone: 'zone-a' }] as const
+const LEASE_MILLISECONDS = 3_000
+const APPLY_TIMEOUT_MILLISECONDS = 30_000
+const POLL_MILLISECONDS = 50
+const PLAIN_TEXT = { kind: 'plain_text' } as const
+
+/** Keys and tokens of the local example. */
+const secretsSchema = z.strictObject({
+  operator_token: z.string(),
+  authority_token: z.string(),
+  keys: z.record(z.string(), z.string()),
+  announce_tokens: z.record(z.string(), z.string())
+})
+
+export type LocalSecrets = z.output<typeof secretsSchema>
+
+/** What the local fleet takes from its surroundings. */
+export interface LocalFleetSurroundings {
+  readonly clock: Clock
+  readonly random: RandomSource
+  readonly logger: Logger
+}
+
+/** One control process, two entries and three stand-in upstreams, all in this process on loopback. */
+export class LocalFleet {
+  private constructor (
+    private readonly folder: string,
+    readonly control: ControlNode,
+    readonly entries: readonly EntryNode[],
+    readonly upstreams: readonly StandInUpstream[],
+    private readonly announcers: readonly Announcer[],
+    readonly secrets: LocalSecrets
+  ) {}
+
+  /** Starts everything, applies the example's file, and resolves when all entries are ready. */
+  static async start (surroundings: LocalFleetSurroundings): Promise<LocalFleet> {
+    const secrets = parseTomlDocument(await readFile(join(EXAMPLE_FOLDER, 'secrets.toml'), 'utf8'), secretsSchema).unwrap()
+    const folder = await mkdtemp(join(tmpdir(), 'hickoryspoke-local-'))
+    const control = await startControl(folder, secrets, surroundings)
+    const entries = await Promise.all(ENTRIES.map(async (entry) => await startEntry(entry, control, surroundings)))
+    await applyFile(control, secrets.operator_token, surroundings.clock)
+    await Promise.all(entries.map(async (entry) => await entry.untilReady()))
+    const upstreams = await Promise.all(UPSTREAMS.map(async ({ name }) => await StandInUpstream.start({ ...surroundings, name })))
+    const announcers = upstreams.map((upstream, index) => announce(upstream, index, entries, secrets, surroundings.clock))
+    const fleet = new LocalFleet(folder, control, entries, upstreams, announcers, secrets)
+    await fleet.untilAnswering(surroundings.clock)
+    return fleet
+  }
+
+  /** What `npm start -- --json` prints. */
+  describe (): Record<string, unknown> {
+    return {
+      ready: true,
+      entries: this.entries.map((entry) => ({ public: `http://${entry.publicAddress}`, inner: `http://${entry.innerAddress}` })),
+      control: [this.control.address],
+      operatorToken: this.secrets.operator_token,
+      authorityToken: this.secrets.authority_token,
+      announceTokens: this.secrets.announce_tokens,
+      keys: this.secrets.keys,
+      upstreams: this.upstreams.map((upstream) => upstream.address)
+    }
+  }
+
+  /** Stops callers' side first, so that requests in flight finish. */
+  async stop (): Promise<void> {
+    await Promise.all(this.entries.map(async (entry) => await entry.stop()))
+    await Promise.all(this.announcers.map(async (announcer) => await announcer.abandon()))
+    await Promise.all(this.upstreams.map(async (upstream) => await upstream.stop()))
+    await this.control.stop()
+    await rm(this.folder, { recursive: true, force: true })
+  }
+
+  unfinished (): string {
+    return this.entries.map((entry) => entry.unfinished()).join('; ')
+  }
+
+  /** Waits until every entry has heard the announcements, as its open route shows. */
+  private async untilAnswering (clock: Clock): Promise<void> {
+    for (const entry of this.entries) {
+      while ((await fetch(`http://${entry.publicAddress}/public`)).status !== 200) await pause(clock)
+    }
+  }
+}
+
+async function startControl (folder: string, secrets: LocalSecrets, surroundings: LocalFleetSurroundings): Promise<ControlNode> {
+  const settings = controlSettingsSchema.parse({
+    name: 'control-1',
+    zone: 'zone-a',
+    cluster: 'local',
+    data_folder: join(folder, 'control-1'),
+    on_empty_folder: 'form',
+    listen: ANY_PORT,
+    replicas: [{ name: 'control-1', address: ANY_PORT }],
+    operators: [
+      { name: 'operator', role: 'operator', digest: sha256Digest(secrets.operator_token) },
+      { name: 'authority', role: 'authority', digest: sha256Digest(secrets.authority_token) }
+    ],
+    security: PLAIN_TEXT
+  })
+  return (await ControlNode.start(settings, surroundings)).unwrap()
+}
+
+async function startEntry (entry: typeof ENTRIES[number], control: ControlNode, surroundings: LocalFleetSurroundings): Promise<EntryNode> {
+  const settings = entrySettingsSchema.parse({
+    ...entry,
+    listen: { public: ANY_PORT, inner: ANY_PORT, peer: ANY_PORT },
+    control: [{ name: 'control-1', address: control.address }],
+    security: PLAIN_TEXT,
+    shutdown: { announce_seconds: 0 }
+  })
+  return (await EntryNode.start(settings, { ...surroundings, logger: surroundings.logger.with({ name: entry.name }) })).unwrap()
+}
+
+async function applyFile (control: ControlNode, token: string, clock: Clock): Promise<void> {
+  const file = await readFile(join(EXAMPLE_FOLDER, 'fleet.toml'), 'utf8')
+  const credentials = InnerCredentials.create(PLAIN_TEXT).forChannel()
+  const client = ControlClient.create({ addresses: [control.address], token, credentials, timeoutMilliseconds: APPLY_TIMEOUT_MILLISECONDS, clock })
+  const applied = await client.change((connection, metadata, deadline, callback) => connection.apply({ file }, metadata, deadline, callback))
+  client.close()
+  applied.unwrap()
+}
+
+function announce (upstream: StandInUpstream, index: number, entries: readonly EntryNode[], secrets: LocalSecrets, clock: Clock): Announcer {
+  return Announcer.create({
+    upstream,
+    pool: POOL,
+    zone: UPSTREAMS[index]?.zone ?? 'zone-a',
+    token: secrets.announce_tokens[POOL] ?? '',
+    entries: entries.map((entry) => `http://${entry.innerAddress}`),
+    leaseMilliseconds: LEASE_MILLISECONDS,
+    incarnation: Math.floor(clock.wallMilliseconds()),
+    clock
+  })
+}
+
+async function pause (clock: Clock): Promise<void> {
+  await new Promise<void>((resolve) => clock.schedule(POLL_MILLISECONDS, resolve))
+}
--- a/packages/entry/src/entry-main.ts
+++ b/packages/entry/src/entry-main.ts
@@ -1,1 +1,18 @@
-export {}
+import { runProgram } from '@hickoryspoke/configuration/program'
+import { SystemClock } from '@hickoryspoke/runtime/clock'
+import { SystemRandom } from '@hickoryspoke/runtime/random'
+import { Logger } from '@hickoryspoke/telemetry/logger'
+import { hideBin } from 'yargs/helpers'
+import { EntryNode } from './entry-node.ts'
+import { entrySettingsSchema } from './entry-settings.ts'
+
+void runProgram({
+  name: 'hickoryspoke-entry',
+  summary: 'Takes callers\' requests and sends them to upstreams that are healthy.',
+  settings: entrySettingsSchema,
+  start: async (settings) => await EntryNode.start(settings, {
+    clock: SystemClock.create(),
+    random: SystemRandom.create(),
+    logger: Logger.create('hickoryspoke-entry', settings.log.level).with({ name: settings.name })
+  })
+}, hideBin(process.argv))
--- /dev/null
+++ b/packages/entry/src/entry-services.ts
@@ -0,0 +1,181 @@
+import { randomUUID } from 'node:crypto'
+import type { EntryMembership } from '@hickoryspoke/protocol/generated/distribution'
+import { PoolBalancer } from '@hickoryspoke/health/pool-balancer'
+import { UpstreamHealth } from '@hickoryspoke/health/upstream-health'
+import { FleetLimiter } from '@hickoryspoke/limits/fleet-limiter'
+import { AnnouncementRegistry } from '@hickoryspoke/membership/announcement-registry'
+import { GrpcPeerNetwork } from '@hickoryspoke/protocol/grpc-peer-network'
+import type { InnerCredentials } from '@hickoryspoke/protocol/inner-credentials'
+import type { RequestTables } from '@hickoryspoke/request/collaborators'
+import { KeyTable } from '@hickoryspoke/request/key-table'
+import { RequestRunner } from '@hickoryspoke/request/request-runner'
+import { RouteTable } from '@hickoryspoke/request/route-table'
+import { UpstreamConnections } from '@hickoryspoke/request/upstream-connections'
+import type { Clock } from '@hickoryspoke/runtime/clock'
+import type { RandomSource } from '@hickoryspoke/runtime/random'
+import type { Logger } from '@hickoryspoke/telemetry/logger'
+import { ConfigurationFollower } from './configuration-follower.ts'
+import { EntryMetrics } from './entry-metrics.ts'
+import type { EntrySettings } from './entry-settings.ts'
+import { createFollowClient } from './follow-client.ts'
+import type { ConfigurationHandler } from './held-configuration.ts'
+import { PoolQueues } from './pool-queues.ts'
+import { probeUpstream } from './upstream-probe.ts'
+
+/** What an entry process takes from its surroundings. */
+export interface EntrySurroundings {
+  readonly clock: Clock
+  readonly random: RandomSource
+  readonly logger: Logger
+}
+
+const NO_TABLES: RequestTables = { routes: RouteTable.create([]), keys: KeyTable.create([]) }
+
+/** The services of one entry, wired to each other and to the network of entries. */
+export class EntryServices {
+  readonly network: GrpcPeerNetwork
+  readonly follower: ConfigurationFollower
+  readonly registry: AnnouncementRegistry
+  readonly health: UpstreamHealth
+  readonly balancer: PoolBalancer
+  readonly limiter: FleetLimiter
+  readonly queues: PoolQueues
+  readonly connections: UpstreamConnections
+  readonly metrics: EntryMetrics
+  readonly runner: RequestRunner
+  private tables = NO_TABLES
+  private peerAddresses: ReadonlyMap<string, string>
+  private readonly seeds: ReadonlyMap<string, string>
+
+  private constructor (
+    private readonly settings: EntrySettings,
+    private readonly surroundings: EntrySurroundings,
+    credentials: InnerCredentials,
+    peerAddress: string
+  ) {
+    const { clock, random, logger } = surroundings
+    const { zone, name: self } = settings
+    this.seeds = new Map(settings.seed_peers.map((peer) => [peer.name, peer.address]))
+    this.peerAddresses = this.seeds
+    this.network = GrpcPeerNetwork.create({ self, credentials, clock, random, logger, addressOf: (peer) => this.peerAddresses.get(peer) })
+    this.follower = this.createFollower(credentials, peerAddress)
+    const epochLease = this.follower.guard
+    const gossip = this.network.join('gossip', (from, message) => this.registry.receive(from, message))
+    this.registry = AnnouncementRegistry.create({ clock, random, network: gossip, zone })
+    const evidence = this.network.join('evidence', (from, message) => this.health.receive(from, message))
+    this.health = UpstreamHealth.create({
+      clock,
+      random,
+      network: evidence,
+      zone,
+      registry: this.registry,
+      epochLease,
+      probe: probeUpstream,
+      onEvent: (event) => logger.warn('upstream standing changed', toFields(event))
+    })
+    this.balancer = PoolBalancer.create({ clock, random, health: this.health, self, zone, entryZones: () => this.entryZones() })
+    const shares = this.network.join('share', (from, message) => this.limiter.receive(from, message))
+    this.limiter = FleetLimiter.create({ network: shares, clock, random, epochLease })
+    this.queues = PoolQueues.create({ clock, usableSlots: (pool) => this.usableSlots(pool), liveEntries: () => this.entryZones().length })
+    this.connections = UpstreamConnections.create(clock)
+    this.metrics = this.createMetrics()
+    this.runner = this.createRunner()
+    this.follower.onChange((current, change) => this.apply(current, change))
+  }
+
+  static create (settings: EntrySettings, surroundings: EntrySurroundings, credentials: InnerCredentials, peerAddress: string): EntryServices {
+    return new EntryServices(settings, surroundings, credentials, peerAddress)
+  }
+
+  /** Runs every background task until the signal aborts. */
+  async run (signal: AbortSignal): Promise<void> {
+    await Promise.all([
+      this.follower.run(signal),
+      this.registry.start(signal),
+      this.health.start(signal),
+      this.balancer.start(signal),
+      this.queues.run(signal)
+    ])
+  }
+
+  private createFollower (credentials: InnerCredentials, peerAddress: string): ConfigurationFollower {
+    const { name, zone, region, control, data_folder: dataFolder } = this.settings
+    return ConfigurationFollower.create({
+      ...this.surroundings,
+      identity: { name, zone, region, peerAddress, incarnation: randomUUID() },
+      control,
+      network: this.network.join('freshness', (from, message) => this.follower.handle(from, message)),
+      open: createFollowClient(credentials),
+      seedPeers: () => [...this.seeds.keys()],
+      dataFolder,
+      upstreamView: () => this.health.view()
+    })
+  }
+
+  private createMetrics (): EntryMetrics {
+    const { clock, logger } = this.surroundings
+    const { guard } = this.follower
+    return EntryMetrics.create(logger, {
+      configurationNumber: () => this.follower.current()?.identity.number ?? 0,
+      membershipEpoch: () => guard.epoch(),
+      freshForMilliseconds: () => guard.freshUntilMilliseconds() - clock.monotonicMilliseconds(),
+      limiter: () => this.limiter.view(),
+      upstreams: () => this.health.view(),
+      queues: this.queues,
+      peerLinks: () => this.network.linkFigures()
+    })
+  }
+
+  private createRunner (): RequestRunner {
+    return RequestRunner.create({
+      clock: this.surroundings.clock,
+      random: this.surroundings.random,
+      tables: { current: () => this.tables },
+      freshness: this.follower.guard,
+      admission: this.limiter,
+      balancer: { pick: (question) => this.balancer.pick({ ...question, exclude: new Set(question.exclude) }) },
+      connections: this.connections,
+      queue: this.queues,
+      observer: this.metrics
+    })
+  }
+
+  private apply (...[current, { difference }]: Parameters<ConfigurationHandler>): void {
+    const { state, membership, identity } = current
+    const isSameFile = difference === undefined && this.appliedDigest === identity.digest
+    if (!isSameFile) {
+      this.tables = { routes: RouteTable.create(state.routes), keys: KeyTable.create(state.keys) }
+      this.limiter.applyCustomers(state.customers)
+      this.health.applyPools(state.pools)
+      this.queues.apply(state.customers, state.pools)
+      this.appliedDigest = identity.digest
+      this.surroundings.logger.info('configuration in force', { number: identity.number, digest: identity.digest })
+    }
+    this.applyMembership(membership)
+  }
+
+  private appliedDigest = ''
+
+  private applyMembership (membership: EntryMembership): void {
+    const enrolled = membership.entries.map((entry) => [entry.name, entry.peerAddress] as const)
+    this.peerAddresses = new Map([...this.seeds, ...enrolled])
+    this.network.retain(new Set(this.peerAddresses.keys()))
+    this.registry.liveness.applyMembership(membership)
+    this.registry.applyMembership(membership)
+    this.health.applyMembership(membership)
+    this.limiter.applyMembership(membership)
+  }
+
+  private entryZones (): readonly string[] {
+    return this.registry.liveness.liveEntries().map((entry) => entry.zone)
+  }
+
+  private usableSlots (pool: string): number {
+    return this.health.standing(pool).reduce((sum, upstream) => sum + upstream.record.slots * upstream.weight, 0)
+  }
+}
+
+function toFields (event: object): Record<string, string | number | boolean> {
+  const entries = Object.entries(event).map(([name, value]) => [name, typeof value === 'object' ? JSON.stringify(value) : value])
+  return Object.fromEntries(entries) as Record<string, string | number | boolean>
+}
