--- a/packages/entry/src/entry-node.ts
+++ b/packages/entry/src/entry-node.ts
@@ -20,6 +20,7 @@
   private readonly lifecycle: EntryLifecycle
   private background: Promise<void> = Promise.resolve()
   private inner: InnerServer | undefined
+  private hasShares = false
   /** IP:PORT for callers. */
   publicAddress = ''
 
@@ -60,11 +61,13 @@
   /** Whether the platform's balancer should send callers here, and if not, why. */
   readiness (): Readiness {
     const { follower, limiter } = this.services
+    // Later epochs hand shares over without a gap, so only the first one is waited for.
+    this.hasShares ||= limiter.ready()
     const reasons = [
       ...(this.lifecycle.phase === EntryPhase.Draining || this.lifecycle.phase === EntryPhase.Stopped ? ['draining'] : []),
       ...(follower.current() === undefined ? ['no configuration yet'] : []),
       ...(follower.guard.isFresh() ? [] : ['not fresh: no quorum of witnesses and no control confirmed the versions lately']),
-      ...(limiter.ready() ? [] : ['shares of customers are not in force here yet'])
+      ...(this.hasShares ? [] : ['shares of customers are not in force here yet'])
     ]
     return { ready: reasons.length === 0, reasons }
   }
--- a/packages/entry/src/entry-services.ts
+++ b/packages/entry/src/entry-services.ts
@@ -1,5 +1,6 @@
 import { randomUUID } from 'node:crypto'
 import type { EntryMembership } from '@hickoryspoke/protocol/generated/distribution'
+import { Standing } from '@hickoryspoke/health/pool-standing'
 import { PoolBalancer } from '@hickoryspoke/health/pool-balancer'
 import { UpstreamHealth } from '@hickoryspoke/health/upstream-health'
 import { FleetLimiter } from '@hickoryspoke/limits/fleet-limiter'
@@ -170,8 +171,11 @@
     return this.registry.liveness.liveEntries().map((entry) => entry.zone)
   }
 
+  /** A slow start shifts work between upstreams; it does not take slots from the pool. */
   private usableSlots (pool: string): number {
-    return this.health.standing(pool).reduce((sum, upstream) => sum + upstream.record.slots * upstream.weight, 0)
+    return this.health.standing(pool).reduce((sum, { record, standing, weight }) => {
+      return sum + record.slots * (standing === Standing.SlowStart ? 1 : weight)
+    }, 0)
   }
 }
 
--- a/packages/entry/src/pool-queues.ts
+++ b/packages/entry/src/pool-queues.ts
@@ -3,7 +3,7 @@
 import type { QueuePass, QueueQuestion, RequestQueue } from '@hickoryspoke/request/collaborators'
 import { type Clock, repeatEvery } from '@hickoryspoke/runtime/clock'
 import type { Failure } from '@hickoryspoke/runtime/failure'
-import { Ok, type Result } from 'ts-results-es'
+import type { Result } from 'ts-results-es'
 
 const CAPACITY_INTERVAL_MILLISECONDS = 250
 
@@ -40,16 +40,12 @@
   }
 
   async enter (question: QueueQuestion): Promise<Result<QueuePass, Failure>> {
-    const { clock } = this.parts
-    const entered = await this.queueOf(question.pool).enter({
+    return await this.queueOf(question.pool).enter({
       customer: question.customer,
       weight: this.weights.get(question.customer) ?? OPEN_ROUTE_WEIGHT,
       deadlineMilliseconds: question.deadlineMilliseconds,
       signal: question.signal
     })
-    if (entered.isErr()) return entered
-    const startedAt = clock.monotonicMilliseconds()
-    return Ok({ leave: () => entered.value.release(clock.monotonicMilliseconds() - startedAt) })
   }
 
   /** Keeps the capacities up to date until the signal aborts. */
