--- /dev/null
+++ b/packages/replication/src/model/explorer.ts
@@ -0,0 +1,108 @@
+import { type RandomSource, pickOne } from '@hickoryspoke/runtime/random'
+
+/** One way on from a state. */
+export interface Step<State, Action> {
+  readonly action: Action
+  readonly next: State
+}
+
+/** A system of guarded actions. `key` gives equal texts for states that are the same. */
+export interface Specification<State, Action> {
+  initial (): State
+  steps (state: State): Step<State, Action>[]
+  key (state: State): string
+  readonly invariants: Readonly<Record<string, (state: State) => boolean>>
+}
+
+/** Where an exploration ends even though there is more to see. */
+export interface Bounds {
+  readonly depth: number
+  readonly states: number
+}
+
+/** A state that breaks an invariant, with the shortest way to it. */
+export interface Violation<Action> {
+  readonly invariant: string
+  readonly trace: readonly Action[]
+}
+
+/** What an exploration saw. */
+export interface Exploration<Action> {
+  readonly states: number
+  readonly transitions: number
+  readonly depth: number
+  /** Every state within the depth was seen; false when the bound on states ended the run. */
+  readonly exhaustive: boolean
+  readonly violation: Violation<Action> | undefined
+}
+
+/** The way to each state that was seen: the number of the state before it, and the action that led on. */
+class Ways<Action> {
+  private readonly parents: number[] = []
+  private readonly actions: (Action | undefined)[] = []
+
+  add (parent: number, action: Action | undefined): number {
+    this.parents.push(parent)
+    this.actions.push(action)
+    return this.parents.length - 1
+  }
+
+  traceTo (state: number): Action[] {
+    const trace: Action[] = []
+    for (let at = state; this.actions[at] !== undefined; at = this.parents[at] as number) trace.push(this.actions[at] as Action)
+    return trace.reverse()
+  }
+}
+
+/** Visits every reachable state, nearest first, until an invariant breaks or a bound is reached. */
+export function explore<State, Action> (specification: Specification<State, Action>, bounds: Bounds): Exploration<Action> {
+  const ways = new Ways<Action>()
+  const initial = specification.initial()
+  const seen = new Set([specification.key(initial)])
+  let frontier = [{ state: initial, number: ways.add(-1, undefined) }]
+  let transitions = 0
+  let depth = 0
+  for (; frontier.length > 0 && depth < bounds.depth; depth += 1) {
+    const following: typeof frontier = []
+    for (const { state, number } of frontier) {
+      for (const { action, next } of specification.steps(state)) {
+        transitions += 1
+        const key = specification.key(next)
+        if (seen.has(key)) continue
+        seen.add(key)
+        const added = ways.add(number, action)
+        const invariant = brokenInvariant(specification, next)
+        const counts = { states: seen.size, transitions, depth: depth + 1 }
+        if (invariant !== undefined) return { ...counts, exhaustive: false, violation: { invariant, trace: ways.traceTo(added) } }
+        if (seen.size >= bounds.states) return { ...counts, exhaustive: false, violation: undefined }
+        following.push({ state: next, number: added })
+      }
+    }
+    frontier = following
+  }
+  return { states: seen.size, transitions, depth, exhaustive: true, violation: undefined }
+}
+
+function brokenInvariant<State, Action> (specification: Specification<State, Action>, state: State): string | undefined {
+  return Object.entries(specification.invariants).find(([, holds]) => !holds(state))?.[0]
+}
+
+/** One walk of random steps; checks the invariants on its way. */
+export function randomWalk<State, Action> (specification: Specification<State, Action>, random: RandomSource, length: number): {
+  readonly steps: readonly Step<State, Action>[]
+  readonly broken: string | undefined
+} {
+  const steps: Step<State, Action>[] = []
+  let state = specification.initial()
+  while (steps.length < length) {
+    const here = specification.key(state)
+    const possible = specification.steps(state).filter((step) => specification.key(step.next) !== here)
+    if (possible.length === 0) break
+    const step = pickOne(random, possible)
+    steps.push(step)
+    state = step.next
+    const broken = brokenInvariant(specification, state)
+    if (broken !== undefined) return { steps, broken }
+  }
+  return { steps, broken: undefined }
+}
--- a/packages/replication/src/tests/cluster.ts
+++ b/packages/replication/src/tests/cluster.ts
@@ -192,6 +192,6 @@
   }
 
   private busy (): boolean {
-    return [...this.nodes.values()].some((node) => node.folder.pending > 0 && !node.folder.isHeld())
+    return [...this.nodes.values()].some((node) => node.folder.pending > node.folder.heldOperations)
   }
 }
--- a/packages/replication/src/tests/fault-folder.ts
+++ b/packages/replication/src/tests/fault-folder.ts
@@ -21,6 +21,9 @@
   tornShare = 0
   fault: Fault | undefined
   pending = 0
+  /** How many of the pending operations wait for `release`. */
+  heldOperations = 0
+  private heldPrefix = ''
   private held: Promise<void> | undefined
   private releaseHeld: (() => void) | undefined
   private lost = false
@@ -39,8 +42,9 @@
     return this.inner.path
   }
 
-  /** Syncs wait until `release`. */
-  hold (): void {
+  /** Syncs of files whose name begins so wait until `release`. */
+  hold (prefix = ''): void {
+    this.heldPrefix = prefix
     this.held = new Promise((resolve) => { this.releaseHeld = resolve })
   }
 
@@ -49,10 +53,6 @@
     this.held = undefined
   }
 
-  isHeld (): boolean {
-    return this.held !== undefined
-  }
-
   /** From now on nothing reaches the disk. */
   losePower (): void {
     this.lost = true
@@ -70,11 +70,11 @@
   }
 
   list (): Promise<string[]> {
-    return this.inner.list()
+    return this.track(() => this.inner.list())
   }
 
   read (name: string): Promise<Buffer> {
-    return this.inner.read(name)
+    return this.track(() => this.inner.read(name))
   }
 
   async openAppend (name: string): Promise<AppendFile> {
@@ -123,12 +123,19 @@
 
   sync (): Promise<void> {
     return this.step('syncFolder', async () => {
-      await this.held
+      await this.untilReleased('')
       await this.inner.sync()
       this.undo = []
     })
   }
 
+  private async untilReleased (name: string): Promise<void> {
+    if (this.held === undefined || !name.startsWith(this.heldPrefix)) return
+    this.heldOperations += 1
+    await this.held
+    this.heldOperations -= 1
+  }
+
   private async restore (name: string, content: Buffer): Promise<void> {
     await writeFile(join(this.path, name), content)
     this.syncedLengths.set(name, content.length)
@@ -138,12 +145,12 @@
     return {
       append: (bytes) => this.step('append', () => file.append(bytes), () => this.tear(name, bytes)),
       sync: () => this.step('sync', async () => {
-        await this.held
+        await this.untilReleased(name)
         if (this.lost) throw new PowerLost()
         await file.sync()
         this.syncedLengths.set(name, (await stat(join(this.path, name))).size)
       }),
-      close: () => file.close()
+      close: () => this.track(() => file.close())
     }
   }
 
@@ -156,8 +163,7 @@
 
   private async step<Value> (operation: Operation, run: () => Promise<Value>, tear?: () => Promise<void>): Promise<Value> {
     this.steps += 1
-    this.pending += 1
-    try {
+    return this.track(async () => {
       if (this.lost) throw new PowerLost()
       if (this.steps >= this.crashAtStep) {
         this.lost = true
@@ -165,6 +171,13 @@
         throw new PowerLost()
       }
       if (this.fault?.operation === operation) throw Object.assign(new Error(this.fault.code), { code: this.fault.code })
+      return run()
+    })
+  }
+
+  private async track<Value> (run: () => Promise<Value>): Promise<Value> {
+    this.pending += 1
+    try {
       return await run()
     } finally {
       this.pending -= 1
