Fleet of real processes and the measurement of the whole path

Cause: nothing showed what the path adds to a request. Change: scripts start the bundled programs on loopback; stand-ins get an admin port for faults and counters.

--- a/packages/bench/src/bench-main.ts
+++ b/packages/bench/src/bench-main.ts
@@ -11,6 +11,7 @@
 import { formatLoadResults } from './load-report.ts'
 import { runOpenLoopLoad } from './open-loop-load.ts'
 import { StandInUpstream } from './stand-in-upstream.ts'
+import { UpstreamAdmin } from './upstream-admin.ts'
 
 const PROGRAM = 'hickoryspoke-bench'
 
@@ -69,11 +70,13 @@
     incarnation: clock.wallMilliseconds(),
     clock
   })
-  process.stdout.write(JSON.stringify({ ready: true, address: upstream.address }) + '\n')
+  const admin = await UpstreamAdmin.start(upstream, announcer)
+  process.stdout.write(JSON.stringify({ ready: true, address: upstream.address, admin: admin.address }) + '\n')
   stopOnSignal(PROGRAM, {
     stop: async () => {
       await announcer.withdraw()
       await upstream.stop()
+      admin.stop()
     },
     unfinished: () => `${upstream.running} requests`
   })
--- a/scripts/measure.ts
+++ b/scripts/measure.ts
@@ -5,20 +5,29 @@
 const MODULE_PATTERN = /^measure-(.+)\.ts$/
 const NOT_A_MEASUREMENT = new Set(['report'])
 
-async function findNames (): Promise<string[]> {
-  const files = await readdir('packages/bench/src')
-  const names = files.flatMap((file) => MODULE_PATTERN.exec(file)?.[1] ?? [])
-  return names.filter((name) => !NOT_A_MEASUREMENT.has(name)).sort()
+/** Measurements in one process are in the bench package; those that start processes are scripts. */
+const FOLDERS = ['../packages/bench/src', '.'] as const
+
+async function findModules (): Promise<Map<string, string>> {
+  const modules = new Map<string, string>()
+  for (const folder of FOLDERS) {
+    for (const file of await readdir(new URL(`${folder}/`, import.meta.url))) {
+      const name = MODULE_PATTERN.exec(file)?.[1]
+      if (name !== undefined && !NOT_A_MEASUREMENT.has(name)) modules.set(name, `${folder}/${file}`)
+    }
+  }
+  return modules
 }
 
 async function runMeasurement (name: string): Promise<MeasureReport> {
-  const loaded: Record<string, unknown> = await import(`../packages/bench/src/measure-${name}.ts`)
+  const loaded: Record<string, unknown> = await import(modules.get(name) ?? '')
   const measure = Object.entries(loaded).find(([key]) => key.toLowerCase() === `measure${name.replaceAll('-', '')}`)?.[1]
   if (typeof measure !== 'function') throw new TypeError(`measure-${name}.ts exports no function named for it`)
   return await measure() as MeasureReport
 }
 
-const known = await findNames()
+const modules = await findModules()
+const known = [...modules.keys()].sort()
 const wanted = process.argv.slice(2).filter((argument) => !argument.startsWith('--'))
 const unknown = wanted.filter((name) => !known.includes(name))
 if (unknown.length > 0) {
