--- a/packages/request/src/refusal.ts
+++ b/packages/request/src/refusal.ts
@@ -48,6 +48,7 @@
   request_incomplete: unknown(400, 'the request broke off while it was passed on'),
   expectation_failed: notRun(417, 'only 100-continue may be expected'),
   http_version_not_supported: notRun(505, 'HTTP/1.1 only'),
+  caller_gone_before_sending: notRun(499, 'the caller left before the request was sent'),
   caller_gone: unknown(499, 'the caller left before the answer'),
   internal_error: unknown(500, 'the entry failed')
 } as const satisfies Record<string, RefusalKind>
--- a/packages/request/src/request-run.ts
+++ b/packages/request/src/request-run.ts
@@ -114,7 +114,7 @@
     switch (decision.kind) {
       case 'granted':
         this.ticket = decision.ticket
-        return undefined
+        return this.exchange.signal.aborted ? this.giveBack() : undefined
       case 'stored':
         replayAnswer(this.exchange, decision.answer, this.requestId)
         return { code: 'stored_answer', status: decision.answer.status, attempts: 0 }
@@ -124,6 +124,12 @@
     }
   }
 
+  /** The caller left while its claim was recorded: the key stays free for its next try. */
+  private giveBack (): Finished {
+    this.finishClaim({ kind: 'not_run' })
+    return this.refuse(Refusal.create('caller_gone_before_sending'))
+  }
+
   private async runInPool (request: GatedRequest, body: RequestBody, trial: CrashTrial): Promise<Finished> {
     const deadline = RequestDeadline.create(this.parts.clock, request, this.exchange)
     const pass = await this.parts.queue?.enter({
