--- a/packages/request/src/attempt-loop.ts
+++ b/packages/request/src/attempt-loop.ts
@@ -78,6 +78,8 @@
       last = ready.isOk() ? AttemptFailure.create('closed_after_sending', 'the upstream answered with a passing error') : ready.error
       this.mayHaveRun ||= !last.provenNotRun
       if (!this.mayRetry(last) || !await this.backOff()) return ready.isOk() ? ready : Err(this.refusalOf(last))
+      const heldBack = await this.plan.context.trial.again()
+      if (heldBack !== undefined) return Err(this.truthful(heldBack))
       if (ready.isOk()) ready.value.answer.abort(AttemptFailure.create('hedge_lost', 'another attempt follows'))
     }
   }
--- a/packages/request/src/collaborators.ts
+++ b/packages/request/src/collaborators.ts
@@ -1,6 +1,7 @@
 import type { Failure } from '@hickoryspoke/runtime/failure'
 import type { Result } from 'ts-results-es'
 import type { KeyTable } from './key-table.ts'
+import type { Refusal } from './refusal.ts'
 import type { RouteTable } from './route-table.ts'
 
 /** Answer to one request for admission within a customer's rate. */
@@ -152,14 +153,17 @@
   claim (question: ClaimQuestion): Promise<ClaimDecision>
 }
 
-/** Counts fleet-wide how many upstreams broke off while they ran a request of this fingerprint. */
+/** Counts fleet-wide which requests bring upstreams down. */
 export interface CrashWatch {
-  /** Takes the right to run; undefined while requests of this fingerprint are held back. */
-  begin (fingerprint: string): CrashTrial | undefined
+  /** Takes the right to run; the refusal says that requests of this fingerprint are held back, or cannot be checked now. */
+  begin (fingerprint: string): Promise<Result<CrashTrial, Refusal>>
 }
 
-/** One run of a request; `finish` must be called once for each attempt. */
+/** The runs of one request; `end` must be called once, after its last attempt. */
 export interface CrashTrial {
-  /** Says how an attempt ended; true when the end is the fault of the request rather than of the upstream. */
+  /** Asked before a further attempt. */
+  again (): Promise<Refusal | undefined>
+  /** Says how an attempt ended; true when its end may be the fault of the request rather than of the upstream. */
   finish (address: string, kind: AttemptKind): boolean
+  end (): void
 }
--- a/packages/request/src/refusal.ts
+++ b/packages/request/src/refusal.ts
@@ -32,6 +32,7 @@
   headers_too_large: notRun(431, 'the headers are larger than allowed'),
   claim_content_differs: notRun(422, 'this Idempotency-Key was used with other content'),
   crashing_request: notRun(422, 'requests like this one crashed upstreams lately'),
+  crash_check_pending: notRun(503, 'a request like this one brought an upstream down, and the check of it is not over'),
   rate_exceeded: notRun(429, 'the customer is over its rate'),
   rate_unavailable: notRun(503, 'the rate of the customer cannot be counted now'),
   draining: notRun(503, 'this entry is shutting down'),
--- a/packages/request/src/request-run.ts
+++ b/packages/request/src/request-run.ts
@@ -18,7 +18,7 @@
 const IDLE_FOR_IDEMPOTENT_MILLISECONDS = 4000
 const IDLE_FOR_OTHERS_MILLISECONDS = 1000
 
-const UNWATCHED: CrashTrial = { finish: () => false }
+const UNWATCHED: CrashTrial = { again: () => Promise.resolve(undefined), finish: () => false, end: () => {} }
 
 /** The one end of a request. `code` is `answered` or says why there is no whole answer. */
 export interface Finished {
@@ -75,11 +75,16 @@
     if (admitted !== undefined) return this.refuse(admitted)
     const body = await this.readBody(gated.value)
     if (body.isErr()) return this.refuse(body.error)
-    const trial = this.beginTrial(gated.value, body.value)
-    if (trial === undefined) return this.refuse(Refusal.create('crashing_request'))
     const claimed = await this.claim(gated.value, body.value)
     if (claimed !== undefined) return claimed
-    return await this.runInPool(gated.value, body.value, trial)
+    const trial = await this.beginTrial(gated.value, body.value)
+    if (trial.isErr()) {
+      this.finishClaim({ kind: 'not_run' })
+      return this.refuse(trial.error)
+    }
+    const finished = await this.runInPool(gated.value, body.value, trial.value)
+    trial.value.end()
+    return finished
   }
 
   private async admit (request: GatedRequest): Promise<Refusal | undefined> {
@@ -99,9 +104,9 @@
     return body
   }
 
-  private beginTrial (request: GatedRequest, body: RequestBody): CrashTrial | undefined {
-    if (this.parts.crashes === undefined) return UNWATCHED
-    return this.parts.crashes.begin(crashFingerprint(request.customer, this.exchange.method, request.path, body))
+  private async beginTrial (request: GatedRequest, body: RequestBody): Promise<Result<CrashTrial, Refusal>> {
+    if (this.parts.crashes === undefined) return Ok(UNWATCHED)
+    return await this.parts.crashes.begin(crashFingerprint(request.customer, this.exchange.method, request.path, body))
   }
 
   /** Claims the Idempotency-Key; gives the end of the request unless it may run. */
--- a/packages/request/src/upstream-connections.ts
+++ b/packages/request/src/upstream-connections.ts
@@ -49,6 +49,8 @@
 /** One TCP connection to an upstream, used by one request at a time and never opened again. */
 export class UpstreamConnection {
   idleSinceMilliseconds = 0
+  /** This entry closed it, not the upstream. */
+  isGivenUp = false
 
   private constructor (readonly address: string, readonly client: Client, private readonly socket: Socket) {}
 
@@ -81,14 +83,21 @@
 
   /** Closes at once; what runs on it fails. */
   destroy (): void {
+    if (!this.socket.destroyed) this.isGivenUp = true
     this.socket.destroy()
     this.client.destroy().catch(() => {})
   }
 }
 
+const EMPTY_POOL_MILLISECONDS = 1000
+const LOSSES_REMEMBERED = 8
+const LOSSES_OF_ONE_CRASH = 2
+
 interface AddressPool {
   readonly idle: UpstreamConnection[]
   open: number
+  /** When connections that were not given back by this entry were lost, in monotonic milliseconds; the latest only. */
+  readonly lost: number[]
 }
 
 /** The connections of this entry to all upstreams: connect first, send after. */
@@ -121,6 +130,20 @@
     this.poolOf(connection.address).idle.push(connection)
   }
 
+  /**
+   * Whether an upstream went down since a moment on the monotonic clock: it refuses connections,
+   * or it lost several at once and kept none.
+   */
+  async wentDown (address: string, sinceMilliseconds: number): Promise<boolean> {
+    const pool = this.pools.get(address)
+    if (pool !== undefined && pool.open > 0) return false
+    const lost = pool?.lost.filter((at) => at >= sinceMilliseconds - this.settings.connectTimeoutMilliseconds).length ?? 0
+    if (lost >= LOSSES_OF_ONE_CRASH) return true
+    const connection = await this.acquire({ address, maximumIdleMilliseconds: 0, signal: new AbortController().signal })
+    if (connection.isOk()) this.release(connection.value, true)
+    return connection.isErr()
+  }
+
   /** Open connections, idle ones included. */
   get openConnections (): number {
     return this.all.size
@@ -135,7 +158,7 @@
   private poolOf (address: string): AddressPool {
     const known = this.pools.get(address)
     if (known !== undefined) return known
-    const created: AddressPool = { idle: [], open: 0 }
+    const created: AddressPool = { idle: [], open: 0, lost: [] }
     this.pools.set(address, created)
     return created
   }
@@ -162,6 +185,8 @@
     this.all.add(connection)
     socket.value.once('close', () => {
       this.all.delete(connection)
+      if (!connection.isGivenUp) pool.lost.push(this.clock.monotonicMilliseconds())
+      if (pool.lost.length > LOSSES_REMEMBERED) pool.lost.shift()
       const index = pool.idle.indexOf(connection)
       if (index !== -1) pool.idle.splice(index, 1)
       this.forget(question.address, pool)
@@ -172,7 +197,10 @@
 
   private forget (address: string, pool: AddressPool): void {
     pool.open -= 1
-    if (pool.open === 0 && this.pools.get(address) === pool) this.pools.delete(address)
+    if (pool.open > 0 || this.pools.get(address) !== pool) return
+    this.clock.schedule(EMPTY_POOL_MILLISECONDS, () => {
+      if (pool.open === 0 && this.pools.get(address) === pool) this.pools.delete(address)
+    })
   }
 
   private connectSocket (question: ConnectionQuestion): Promise<Result<Socket, ConnectFailure>> {
