--- /dev/null
+++ b/packages/bench/src/measure-request.ts
@@ -0,0 +1,104 @@
+import { connect, type Socket } from 'node:net'
+import { SystemClock } from '@hickoryspoke/runtime/clock'
+import { SeededRandom } from '@hickoryspoke/runtime/random'
+import { atMost, figure, type MeasureReport, type MeasureRow } from './measure-report.ts'
+import { runOpenLoopLoad, type CustomerLoad } from './open-loop-load.ts'
+import { SITE_KEY } from './request-site.ts'
+import { startWorkers, type RequestWorker } from './request-workers.ts'
+
+const DURATION_MILLISECONDS = 5000
+const WARM_UP_MILLISECONDS = 1500
+const ADDED_LIMIT_MILLISECONDS = 7.7
+const QUANTILES = ['50', '99', '99.9'] as const
+const OPEN_REQUESTS = 500
+const SETTLE_MILLISECONDS = 1500
+
+interface Kind {
+  readonly label: string
+  readonly rates: readonly number[]
+  readonly load: Omit<CustomerLoad, 'ratePerSecond'>
+}
+
+const KINDS: readonly Kind[] = [
+  { label: 'small GET', rates: [100, 1000, 2000], load: { name: 'c', key: SITE_KEY, method: 'GET', path: '/small' } },
+  { label: '100 KB GET', rates: [100, 400], load: { name: 'c', key: SITE_KEY, method: 'GET', path: '/large' } },
+  {
+    label: 'claimed POST',
+    rates: [100, 500],
+    load: {
+      name: 'c',
+      key: SITE_KEY,
+      method: 'POST',
+      path: '/withdrawals',
+      body: '{"lot":7}',
+      headersOf: (sequence) => ({ 'idempotency-key': `${Math.random().toString(36)}-${sequence}` })
+    }
+  }
+]
+
+interface LoadResult {
+  readonly ok: number
+  readonly requests: number
+  readonly quantiles: Readonly<Record<string, number>>
+}
+
+async function runLoad (port: number, load: CustomerLoad, durationMilliseconds: number): Promise<LoadResult> {
+  const recorder = await runOpenLoopLoad({
+    targets: [`http://127.0.0.1:${port}`], customers: [load], durationMilliseconds, clock: SystemClock.create(), random: SeededRandom.create(3)
+  })
+  const [result] = recorder.results()
+  return { ok: result?.statuses['200'] ?? 0, requests: result?.requests ?? 0, quantiles: result?.milliseconds ?? {} }
+}
+
+async function measureKind (kind: Kind, direct: number, entry: number): Promise<MeasureRow[]> {
+  const rows: MeasureRow[] = []
+  for (const ratePerSecond of kind.rates) {
+    const load = { ...kind.load, ratePerSecond }
+    for (const port of [direct, entry]) await runLoad(port, load, WARM_UP_MILLISECONDS)
+    const without = await runLoad(direct, load, DURATION_MILLISECONDS)
+    const through = await runLoad(entry, load, DURATION_MILLISECONDS)
+    for (const quantile of QUANTILES) {
+      const added = (through.quantiles[quantile] ?? 0) - (without.quantiles[quantile] ?? 0)
+      const label = `${kind.label} at ${ratePerSecond}/s: added at p${quantile}`
+      const baseline = `${without.quantiles[quantile]?.toFixed(2)} ms direct`
+      rows.push(quantile === '99' ? atMost(label, added, 'ms', ADDED_LIMIT_MILLISECONDS, baseline) : figure(label, added, 'ms', baseline))
+    }
+    rows.push(atMost(`${kind.label} at ${ratePerSecond}/s: answers other than 200`, through.requests - through.ok, 'of ' + through.requests, 0))
+  }
+  return rows
+}
+
+/** Memory of the entry for each open request, of which the upstream keeps all waiting. */
+async function measureMemory (entry: RequestWorker): Promise<MeasureRow[]> {
+  const before = await entry.usage()
+  const sockets = await Promise.all(Array.from({ length: OPEN_REQUESTS }, () => openRequest(entry.port)))
+  await new Promise((resolve) => setTimeout(resolve, SETTLE_MILLISECONDS))
+  const open = await entry.usage()
+  for (const socket of sockets) socket.destroy()
+  const heap = (open.heapBytes - before.heapBytes) / OPEN_REQUESTS / 1024
+  const external = (open.externalBytes - before.externalBytes) / OPEN_REQUESTS / 1024
+  return [
+    figure(`heap for each open request and its two connections, of ${OPEN_REQUESTS}`, heap, 'KB'),
+    figure('memory outside the heap for each open request', external, 'KB')
+  ]
+}
+
+function openRequest (port: number): Promise<Socket> {
+  return new Promise((resolve) => {
+    const socket = connect({ port, host: '127.0.0.1' })
+    socket.on('error', () => {})
+    socket.write(`GET /slow HTTP/1.1\r\nHost: e\r\nAuthorization: Bearer ${SITE_KEY}\r\n\r\n`, () => resolve(socket))
+  })
+}
+
+/** Latency that one entry adds to a direct call, and its memory for open requests. */
+export async function measureRequest (): Promise<MeasureReport> {
+  const { upstream, entry, holders } = await startWorkers()
+  const rows: MeasureRow[] = []
+  for (const kind of KINDS) rows.push(...await measureKind(kind, upstream.port, entry.port))
+  rows.push(...await measureMemory(entry))
+  await Promise.all([upstream.stop(), entry.stop(), holders.stop()])
+  const notes = ['Load, entry, upstream and the other four claim holders each run in a thread of their own on one machine; arrivals are open loop, ' +
+    'timed from their schedule. Claim messages are encoded and cross between threads without a network delay. Limits and health are left out.']
+  return { name: 'request', rows, notes }
+}
