--- a/packages/bench/src/measure-claims.ts
+++ b/packages/bench/src/measure-claims.ts
@@ -117,11 +117,11 @@
 /** Heap of so many claims at one holder. */
 async function measureMemory (records: number): Promise<number> {
   const stop = new AbortController()
-  const clock = FakeClock.create()
+  const clock = SystemClock.create()
   const claims = FleetClaims.create({ clock, random: SeededRandom.create(1), network: { self: 'entry-0', send: () => {} }, epochLease: ALWAYS })
   join(claims, 1)
   claims.run(stop.signal).catch(() => {})
-  await clock.advanceAsync(600)
+  await sleep(clock, 600)
   globalThis.gc?.()
   const before = process.memoryUsage().heapUsed
   for (let index = 0; index < records; index += 1) {
--- a/packages/request/src/fleet-claims.ts
+++ b/packages/request/src/fleet-claims.ts
@@ -43,7 +43,7 @@
 
 const FREE: RoundResult = { kind: 'free' }
 const NONCE_RANGE = 2 ** 48
-const CLAIM_DIGEST_CHARACTERS = 32
+const CLAIM_DIGEST_BYTES = 16
 
 /** Claims on Idempotency-Keys, recorded in the memory of majorities of entries. */
 export class FleetClaims implements ClaimStore {
@@ -184,7 +184,8 @@
 
 /** The name of a claim: a digest of customer and key, so that no message shows the key. */
 function claimOf (question: ClaimQuestion): string {
-  return createHash('sha256').update(`${question.customer}\u0000${question.idempotencyKey}`).digest('hex').slice(0, CLAIM_DIGEST_CHARACTERS)
+  const digest = createHash('sha256').update(`${question.customer}\u0000${question.idempotencyKey}`).digest()
+  return digest.toString('base64url', 0, CLAIM_DIGEST_BYTES)
 }
 
 function decisionOf (result: RoundResult): ClaimDecision | undefined {
--- a/packages/request/src/request-fingerprint.ts
+++ b/packages/request/src/request-fingerprint.ts
@@ -2,6 +2,7 @@
 import type { RequestBody } from './request-body.ts'
 
 const CRASH_HEAD_BYTES = 4096
+const FINGERPRINT_BYTES = 16
 const SEPARATOR = '\u0000'
 
 /** What an Idempotency-Key is bound to: method, path with query, and the whole body. */
@@ -15,5 +16,5 @@
 }
 
 function digestOf (parts: readonly string[]): string {
-  return createHash('sha256').update(parts.join(SEPARATOR)).digest('hex').slice(0, 32)
+  return createHash('sha256').update(parts.join(SEPARATOR)).digest().toString('base64url', 0, FINGERPRINT_BYTES)
 }
