--- a/packages/bench/src/health-fleet.ts
+++ b/packages/bench/src/health-fleet.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from 'node:events'
 import { defaultPoolPolicy, type PoolPolicy } from '@hickoryspoke/configuration/pool-policy'
 import { AttemptKind, type AttemptOutcome } from '@hickoryspoke/health/attempt-outcome'
 import type { HealthEvent } from '@hickoryspoke/health/health-event'
@@ -80,6 +81,7 @@
   private readonly stop = new AbortController()
 
   private constructor (private readonly plan: FleetPlan) {
+    setMaxListeners(0, this.stop.signal)
     this.random = SeededRandom.create(plan.seed)
     const settings = { delayMilliseconds: () => 1.5, jitterMilliseconds: 1 }
     this.gossip = FakeNetwork.create<GossipMessage>(this.clock, this.random, settings)
--- /dev/null
+++ b/packages/bench/src/health-plans.ts
@@ -0,0 +1,46 @@
+import type { FleetPlan } from './health-fleet.ts'
+
+/** The seed bank of today: three zones, six slots, tuned to few false ejections. */
+export function quitumbePlan (seed: number): FleetPlan {
+  return {
+    entries: 44,
+    zones: ['zone-a', 'zone-b', 'zone-c'],
+    slots: 6,
+    customers: 8,
+    requestsPerSecondEach: 10,
+    timeoutMilliseconds: 2_000,
+    healthyFloor: 0.6,
+    policy: { detection_threshold: 16, same_zone_preference: 2 },
+    seed,
+    pools: [
+      { name: 'record-consultation', upstreams: 8, idempotentShare: 1, serviceMilliseconds: 20 },
+      { name: 'withdrawal-ledger', upstreams: 20, idempotentShare: 0.5, serviceMilliseconds: 20 },
+      { name: 'dispatch-custody', upstreams: 6, idempotentShare: 0.5, serviceMilliseconds: 20 }
+    ]
+  }
+}
+
+/** The trek office of today: four zones, four slots, tuned to early detection. */
+export function yushanPlan (seed: number): FleetPlan {
+  return {
+    entries: 44,
+    zones: ['zone-a', 'zone-b', 'zone-c', 'zone-d'],
+    slots: 4,
+    customers: 8,
+    requestsPerSecondEach: 10,
+    timeoutMilliseconds: 2_000,
+    healthyFloor: 0.5,
+    policy: { detection_threshold: 13, overdue_milliseconds: 120, same_zone_preference: 2 },
+    seed,
+    pools: [
+      { name: 'load-sheets', upstreams: 8, idempotentShare: 1, serviceMilliseconds: 20 },
+      { name: 'mule-bookings', upstreams: 20, idempotentShare: 0.5, serviceMilliseconds: 20 },
+      { name: 'charges-and-handovers', upstreams: 8, idempotentShare: 0.5, serviceMilliseconds: 20 }
+    ]
+  }
+}
+
+/** A plan with one of its pools only. */
+export function onlyPool (plan: FleetPlan, name: string): FleetPlan {
+  return { ...plan, pools: plan.pools.filter((pool) => pool.name === name) }
+}
--- a/packages/health/src/latency-baseline.ts
+++ b/packages/health/src/latency-baseline.ts
@@ -20,9 +20,14 @@
     if (this.total >= SAMPLES_BEFORE_HALVING) this.halve()
   }
 
+  /** Whether enough answers were seen to say what is usual. */
+  isKnown (): boolean {
+    return this.total >= MINIMUM_SAMPLES
+  }
+
   /** Milliseconds beyond which an answer is slow; Infinity while too little is known. */
   slowBeyondMilliseconds (slowFactor: number): number {
-    if (this.total < MINIMUM_SAMPLES) return Infinity
+    if (!this.isKnown()) return Infinity
     return bucketMilliseconds(this.quantileBucket()) * slowFactor
   }
 
--- a/packages/health/src/pool-home.ts
+++ b/packages/health/src/pool-home.ts
@@ -3,10 +3,11 @@
 import type { Advisory, Ejection, EvidenceRow } from '@hickoryspoke/protocol/generated/evidence'
 import { AdvisoryBoard } from './advisory-board.ts'
 import { BackOff } from './back-off.ts'
+import { FindingScope, type Finding } from './channel-judge.ts'
 import { EjectionLedger } from './ejection-ledger.ts'
 import { EjectionState } from './ejection-lifecycle.ts'
 import { HealthEventKind, type HealthEventHandler } from './health-event.ts'
-import { FindingScope, PoolJudge, type Finding } from './pool-judge.ts'
+import { PoolJudge } from './pool-judge.ts'
 
 const LONGEST_TRIAL_MILLISECONDS = 30_000
 const TRIAL_THRESHOLD_SHARE = 0.4
--- a/packages/health/src/pool-judge.ts
+++ b/packages/health/src/pool-judge.ts
@@ -1,45 +1,32 @@
 import type { PoolPolicy } from '@hickoryspoke/configuration/pool-policy'
 import type { EvidenceRow } from '@hickoryspoke/protocol/generated/evidence'
 import { AttemptKind, bucketMilliseconds, kindFacts, Meaning } from './attempt-outcome.ts'
-import type { DetectorShares } from './change-detector.ts'
+import { ChannelJudge, type Finding } from './channel-judge.ts'
 import { FailureAttribution } from './failure-attribution.ts'
 import { LatencyBaseline } from './latency-baseline.ts'
-import { UpstreamEvidence } from './upstream-evidence.ts'
-
-const LOWEST_USUAL_SHARE = 0.02
-const HIGHEST_USUAL_SHARE = 0.6
-const USUAL_MARGIN = 1.5
-const FAULTY_OVER_USUAL = 2.5
-const HIGHEST_FAULTY_SHARE = 0.95
-const USUAL_REFRESH_MILLISECONDS = 100
-const ONE_SIDE_THRESHOLD_SHARE = 0.7
-const MINIMUM_WINDOW_ATTEMPTS = 1
+
 const ATTRIBUTED_SHARE = 0.5
 const SLOW_REASON = 'slow'
-const COLD_EXCUSES: ReadonlySet<string> = new Set([SLOW_REASON, AttemptKind.Overdue])
-
-/** Which observers a fault concerns. */
-export const FindingScope = { All: 'all', OneSide: 'one_side', Unconfirmed: 'unconfirmed' } as const
-export type FindingScope = typeof FindingScope[keyof typeof FindingScope]
-
-/** A fault that the evidence shows. */
-export interface Finding {
-  readonly address: string
-  readonly scope: FindingScope
-  /** Zones that see the fault. */
-  readonly observers: readonly string[]
-  /** The kind of outcome that weighed most. */
+const PROBE_FAILED_REASON = 'probe_failed'
+
+/** Kinds of badness, judged apart so that one that is common in the pool does not hide another. */
+const Channel = { Failing: 'failing', Slow: 'slow' } as const
+type Channel = typeof Channel[keyof typeof Channel]
+
+interface Reading {
+  readonly channel: Channel
+  readonly isBad: boolean
   readonly reason: string
-  readonly evidence: number
+  readonly mayBePath: boolean
 }
 
 /** Judges the upstreams of one pool against each other by the attempts of all entries. */
 export class PoolJudge {
-  private readonly upstreams = new Map<string, UpstreamEvidence>()
+  private readonly channels: Record<Channel, ChannelJudge> = { failing: ChannelJudge.create(), slow: ChannelJudge.create() }
+  private readonly attributions: Record<Channel, FailureAttribution> = { failing: FailureAttribution.create(), slow: FailureAttribution.create() }
   private readonly baselines = new Map<number, LatencyBaseline>()
-  private readonly attribution = FailureAttribution.create()
-  private usualShare = 0
-  private usualMilliseconds = -Infinity
+  private readonly streaks = new Map<string, number>()
+  private readonly lastAttempts = new Map<string, number>()
 
   private constructor (private policy: PoolPolicy) {}
 
@@ -53,120 +40,89 @@
 
   /** Takes one row of an observer in a zone; a cold upstream may be slow. */
   add (zone: string, row: EvidenceRow, nowMilliseconds: number, isCold = false): void {
-    const { meaning, reason, mayBePath } = this.interpret(row)
-    if (meaning === Meaning.Nothing || (isCold && COLD_EXCUSES.has(reason) && meaning === Meaning.Bad)) return
-    const bad = meaning === Meaning.Bad ? row.count : 0
-    const good = row.count - bad
-    this.attribution.count(row.customerTag, row.address, good, bad, nowMilliseconds)
-    this.attribution.count(row.routeTag, row.address, good, bad, nowMilliseconds)
-    const ownBad = bad === 0 ? 0 : bad * this.ownShare(row, nowMilliseconds)
-    const evidence = this.evidenceOf(row.address)
-    evidence.add({ zone, good, bad: ownBad, reason, mayBePath, shares: this.shares(nowMilliseconds), nowMilliseconds })
+    this.lastAttempts.set(row.address, nowMilliseconds)
+    for (const reading of this.interpret(row)) {
+      if (isCold && reading.channel === Channel.Slow && reading.isBad) continue
+      this.addReading(zone, row, reading, nowMilliseconds)
+    }
   }
 
   /** Takes the result of a probe from a zone; it weighs as one attempt. */
   addProbe (zone: string, address: string, reachable: boolean, nowMilliseconds: number): void {
     const [good, bad] = reachable ? [1, 0] : [0, 1]
-    this.evidenceOf(address).add({ zone, good, bad, reason: 'probe_failed', mayBePath: true, shares: this.shares(nowMilliseconds), nowMilliseconds })
+    const attempts = { zone, good, bad, reason: PROBE_FAILED_REASON, mayBePath: true, nowMilliseconds }
+    this.channels.failing.add(address, attempts, this.policy.faulty_share)
   }
 
-  /** The faults that the evidence shows now. */
+  /** The faults that the evidence shows now, the strongest first. */
   findings (fleetZones: number, nowMilliseconds: number): Finding[] {
-    const found: Finding[] = []
-    for (const [address, evidence] of this.upstreams) {
-      const finding = this.judge(address, evidence, fleetZones, nowMilliseconds)
-      if (finding !== undefined) found.push(finding)
-    }
+    const question = { threshold: this.policy.detection_threshold, faultyShare: this.policy.faulty_share, fleetZones }
+    const found = Object.values(this.channels).flatMap((channel) => channel.findings(question, nowMilliseconds))
     return found.sort((left, right) => right.evidence - left.evidence)
   }
 
   /** Evidence of a fault of one upstream, as the logarithm of likelihoods. */
   evidenceAgainst (address: string): number {
-    return this.upstreams.get(address)?.detector.evidence() ?? 0
+    return Math.max(...Object.values(this.channels).map((channel) => channel.evidenceAgainst(address)))
   }
 
   /** Good attempts in a row since the last bad one or the last `forget`. */
   goodStreak (address: string): number {
-    return this.upstreams.get(address)?.goodStreak ?? 0
+    return this.streaks.get(address) ?? 0
   }
 
   /** Monotonic time of the last attempt on an upstream. */
   lastAttemptMilliseconds (address: string): number {
-    return this.upstreams.get(address)?.lastMilliseconds ?? -Infinity
+    return this.lastAttempts.get(address) ?? -Infinity
   }
 
   /** Starts anew with an upstream, as after a change of its state. */
   forget (address: string): void {
-    this.upstreams.get(address)?.reset()
+    this.streaks.delete(address)
+    for (const channel of Object.values(this.channels)) channel.forget(address)
   }
 
   /** Drops everything about upstreams that are gone. */
   retain (addresses: ReadonlySet<string>): void {
-    for (const address of this.upstreams.keys()) if (!addresses.has(address)) this.upstreams.delete(address)
+    for (const channel of Object.values(this.channels)) channel.retain(addresses)
+    for (const address of this.lastAttempts.keys()) if (!addresses.has(address)) this.lastAttempts.delete(address)
+    for (const address of this.streaks.keys()) if (!addresses.has(address)) this.streaks.delete(address)
   }
 
-  private judge (address: string, evidence: UpstreamEvidence, fleetZones: number, now: number): Finding | undefined {
-    const { detection_threshold: threshold } = this.policy
-    const finding = { address, reason: evidence.mainReason(), evidence: evidence.detector.evidence() }
-    const sides = evidence.sides(this.shares(now))
-    if (finding.evidence >= threshold && this.standsOut(evidence, now)) {
-      if (evidence.isUpstreamsOwn() || fleetZones < 2) return { ...finding, scope: FindingScope.All, observers: sides.bad }
-      if (sides.good.length > 0) return { ...finding, scope: FindingScope.OneSide, observers: sides.bad }
-      return { ...finding, scope: sides.bad.length > 1 ? FindingScope.All : FindingScope.Unconfirmed, observers: sides.bad }
-    }
-    const oneSide = evidence.zonesBeyond(threshold * ONE_SIDE_THRESHOLD_SHARE).filter((zone) => sides.bad.includes(zone))
-    const seenGood = sides.good.length > 0 && oneSide.length > 0 && !evidence.isUpstreamsOwn()
-    return seenGood ? { ...finding, scope: FindingScope.OneSide, observers: oneSide } : undefined
-  }
-
-  /** An upstream that is no worse than the middle of its pool is not the fault. */
-  private standsOut (evidence: UpstreamEvidence, now: number): boolean {
-    return evidence.window.badShare(now) >= FAULTY_OVER_USUAL * this.usual(now)
+  private addReading (zone: string, row: EvidenceRow, reading: Reading, now: number): void {
+    const { channel, isBad, reason, mayBePath } = reading
+    const [good, bad] = isBad ? [0, row.count] : [row.count, 0]
+    const attribution = this.attributions[channel]
+    attribution.count(row.customerTag, row.address, good, bad, now)
+    attribution.count(row.routeTag, row.address, good, bad, now)
+    const ownBad = isBad ? bad * this.ownShare(attribution, row, now) : 0
+    if (good + ownBad === 0) return
+    this.streaks.set(row.address, isBad ? 0 : this.goodStreak(row.address) + good)
+    this.channels[channel].add(row.address, { zone, good, bad: ownBad, reason, mayBePath, nowMilliseconds: now }, this.policy.faulty_share)
   }
 
-  private interpret (row: EvidenceRow): { meaning: Meaning, reason: string, mayBePath: boolean } {
+  private interpret (row: EvidenceRow): Reading[] {
     const facts = kindFacts(row.kind)
     const baseline = this.baselineOf(row.routeTag)
-    const milliseconds = bucketMilliseconds(row.latencyBucket)
-    const slow = milliseconds > baseline.slowBeyondMilliseconds(this.policy.slow_factor)
+    const isSlow = bucketMilliseconds(row.latencyBucket) > baseline.slowBeyondMilliseconds(this.policy.slow_factor)
+    if (facts.kind === AttemptKind.Overdue) return [slowReading(true, facts.kind)]
     if (facts.kind === AttemptKind.Answered) {
       baseline.add(row.latencyBucket, row.count)
-      return { meaning: slow ? Meaning.Bad : Meaning.Good, reason: SLOW_REASON, mayBePath: true }
+      return [slowReading(isSlow, SLOW_REASON), { channel: Channel.Failing, isBad: false, reason: '', mayBePath: true }]
     }
-    const tooEarly = facts.onlyWhenSlow && !slow && Number.isFinite(baseline.slowBeyondMilliseconds(1))
-    return { meaning: tooEarly ? Meaning.Nothing : facts.meaning, reason: facts.kind, mayBePath: facts.mayBePath }
+    const tooEarly = facts.onlyWhenSlow && !isSlow && baseline.isKnown()
+    if (tooEarly || facts.meaning === Meaning.Nothing) return []
+    return [{ channel: Channel.Failing, isBad: facts.meaning === Meaning.Bad, reason: facts.kind, mayBePath: facts.mayBePath }]
   }
 
-  private ownShare (row: EvidenceRow, now: number): number {
-    const byCustomer = this.attribution.shareElsewhere(row.customerTag, row.address, now)
-    const byRoute = this.attribution.shareElsewhere(row.routeTag, row.address, now)
+  /** The part of a failure that does not follow its customer or its route over other upstreams. */
+  private ownShare (attribution: FailureAttribution, row: EvidenceRow, now: number): number {
+    const byCustomer = attribution.shareElsewhere(row.customerTag, row.address, now)
+    const byRoute = attribution.shareElsewhere(row.routeTag, row.address, now)
     const elsewhere = Math.max(byCustomer, byRoute)
     return elsewhere >= ATTRIBUTED_SHARE ? 0 : 1 - elsewhere
   }
 
-  private shares (now: number): DetectorShares {
-    const usual = Math.min(HIGHEST_USUAL_SHARE, Math.max(LOWEST_USUAL_SHARE, USUAL_MARGIN * this.usual(now)))
-    return { usual, faulty: Math.min(HIGHEST_FAULTY_SHARE, Math.max(this.policy.faulty_share, FAULTY_OVER_USUAL * usual)) }
-  }
-
-  /** Lower median of the bad shares over the pool: half the pool may be faulty before it moves. */
-  private usual (now: number): number {
-    if (now < this.usualMilliseconds + USUAL_REFRESH_MILLISECONDS) return this.usualShare
-    const seen = [...this.upstreams.values()].filter((evidence) => evidence.window.total(now) >= MINIMUM_WINDOW_ATTEMPTS)
-    const shares = seen.map((evidence) => evidence.window.badShare(now)).sort((left, right) => left - right)
-    this.usualShare = shares[(shares.length - 1) >> 1] ?? 0
-    this.usualMilliseconds = now
-    return this.usualShare
-  }
-
-  private evidenceOf (address: string): UpstreamEvidence {
-    const known = this.upstreams.get(address)
-    if (known !== undefined) return known
-    const created = UpstreamEvidence.create()
-    this.upstreams.set(address, created)
-    return created
-  }
-
   private baselineOf (routeTag: number): LatencyBaseline {
     const known = this.baselines.get(routeTag)
     if (known !== undefined) return known
@@ -175,3 +131,7 @@
     return created
   }
 }
+
+function slowReading (isBad: boolean, reason: string): Reading {
+  return { channel: Channel.Slow, isBad, reason, mayBePath: true }
+}
--- a/packages/health/src/upstream-evidence.ts
+++ b/packages/health/src/upstream-evidence.ts
@@ -1,7 +1,12 @@
 import { ChangeDetector, type DetectorShares } from './change-detector.ts'
 import { DecayedCount } from './decayed-count.ts'
 
+/** Share of bad attempts below which no upstream is thought to stay. */
+export const LOWEST_USUAL_SHARE = 0.01
+
+const TOTAL_FAULT_SHARE = 0.9
 const WINDOW_MILLISECONDS = 3_000
+const HISTORY_MILLISECONDS = 20_000
 const SIDE_SEES_FAULT = 1.5
 const SIDE_SEES_NONE = -2
 const LOWEST_SHARE = 0.001
@@ -25,17 +30,38 @@
 }
 
 interface ZoneEvidence {
-  readonly detector: ChangeDetector
+  readonly detectors: DetectorPair
   good: number
   bad: number
 }
 
+/** Two detectors side by side: one for upstreams that fail now and then, one for those that fail nearly always. */
+class DetectorPair {
+  private readonly partial = ChangeDetector.create()
+  private readonly total = ChangeDetector.create()
+
+  /** True when neither holds evidence any more. */
+  add (good: number, bad: number, shares: DetectorShares): boolean {
+    const partialEnded = this.partial.add(good, bad, shares)
+    const totalEnded = this.total.add(good, bad, { usual: shares.usual, faulty: Math.max(shares.faulty, TOTAL_FAULT_SHARE) })
+    return partialEnded && totalEnded
+  }
+
+  strength (): number {
+    return Math.max(this.partial.evidence(), this.total.evidence())
+  }
+
+  reset (): void {
+    this.partial.reset()
+    this.total.reset()
+  }
+}
+
 /** What all entries saw of one upstream since it was last seen to work well. */
 export class UpstreamEvidence {
-  readonly detector = ChangeDetector.create()
   readonly window = DecayedCount.create(WINDOW_MILLISECONDS)
-  goodStreak = 0
-  lastMilliseconds = -Infinity
+  readonly history = DecayedCount.create(HISTORY_MILLISECONDS)
+  private readonly detectors = new DetectorPair()
   private readonly zones = new Map<string, ZoneEvidence>()
   private readonly reasons = new Map<string, number>()
   private badPath = 0
@@ -47,12 +73,11 @@
 
   add (attempts: WeighedAttempts): void {
     const { zone, good, bad, shares, nowMilliseconds } = attempts
-    this.lastMilliseconds = nowMilliseconds
     this.window.add(good, bad, nowMilliseconds)
-    this.goodStreak = bad > 0 ? 0 : this.goodStreak + good
+    this.history.add(good, bad, nowMilliseconds)
     const zoneEvidence = this.zoneOf(zone)
-    zoneEvidence.detector.add(good, bad, shares)
-    if (this.detector.add(good, bad, shares)) {
+    zoneEvidence.detectors.add(good, bad, shares)
+    if (this.detectors.add(good, bad, shares)) {
       this.startAnew()
       return
     }
@@ -61,6 +86,11 @@
     if (bad > 0) this.countReason(attempts)
   }
 
+  /** Evidence of a fault, as the logarithm of likelihoods. */
+  strength (): number {
+    return this.detectors.strength()
+  }
+
   /** How the zones see it, judged by the share of bad attempts over all of them. */
   sides (shares: DetectorShares): Sides {
     const seen = [...this.zones].map(([zone, counts]) => ({ zone, likelihood: this.likelihood(counts, shares) }))
@@ -72,7 +102,7 @@
 
   /** Zones whose own evidence of a fault passes a threshold. */
   zonesBeyond (threshold: number): string[] {
-    return [...this.zones].filter(([, evidence]) => evidence.detector.evidence() >= threshold).map(([zone]) => zone)
+    return [...this.zones].filter(([, evidence]) => evidence.detectors.strength() >= threshold).map(([zone]) => zone)
   }
 
   /** Whether most failures were answers of the upstream itself, which no network fault explains. */
@@ -86,10 +116,9 @@
   }
 
   reset (): void {
-    this.detector.reset()
+    this.detectors.reset()
     this.window.reset()
     this.zones.clear()
-    this.goodStreak = 0
     this.startAnew()
   }
 
@@ -119,7 +148,7 @@
   private zoneOf (zone: string): ZoneEvidence {
     const known = this.zones.get(zone)
     if (known !== undefined) return known
-    const created = { detector: ChangeDetector.create(), good: 0, bad: 0 }
+    const created = { detectors: new DetectorPair(), good: 0, bad: 0 }
     this.zones.set(zone, created)
     return created
   }
