Holder keeps asks that wait behind others when the burst is small

Cause: the time of the second token of a share with burst 1 was taken as never, so asks behind a waiting one were refused at once.

--- /dev/null
+++ b/packages/bench/src/limit-arrivals.ts
@@ -0,0 +1,58 @@
+import { nextArrivalMilliseconds, pickOne, type RandomSource } from '@hickoryspoke/runtime/random'
+
+/** Rate in requests per second and burst in requests. */
+export interface RateAndBurst {
+  readonly rate: number
+  readonly burst: number
+}
+
+const OFFERED_SHARE = 0.8
+const CLUMP_SHARE = 0.5
+const CLUMP_INTERVALS = 8
+
+/**
+ * Arrivals of a customer that keeps its rate and burst: random arrivals and clumps of half a burst,
+ * thinned by an exact token bucket, so that a perfect counter without delay refuses none.
+ */
+export class ConformingArrivals {
+  private level: number
+  private at: number
+  private clumpLeft = 0
+
+  private constructor (private readonly limit: RateAndBurst, private readonly random: RandomSource, start: number) {
+    this.level = limit.burst
+    this.at = start
+  }
+
+  static create (limit: RateAndBurst, random: RandomSource, startMilliseconds: number): ConformingArrivals {
+    return new ConformingArrivals(limit, random, startMilliseconds)
+  }
+
+  /** Time of the next request in milliseconds. */
+  next (): number {
+    do {
+      const gap = this.clumpLeft > 0 ? this.clumpGap() : this.randomGap()
+      this.at += gap
+      this.level = Math.min(this.limit.burst, this.level + gap * this.limit.rate / 1000)
+    } while (this.level < 1)
+    this.level -= 1
+    return this.at
+  }
+
+  private clumpGap (): number {
+    this.clumpLeft -= 1
+    return this.random.next()
+  }
+
+  private randomGap (): number {
+    const gap = nextArrivalMilliseconds(this.random, this.limit.rate * OFFERED_SHARE)
+    const clumpChance = OFFERED_SHARE / (this.limit.burst * CLUMP_INTERVALS)
+    if (this.limit.burst > 1 && this.random.next() < clumpChance) this.clumpLeft = Math.floor(this.limit.burst * CLUMP_SHARE)
+    return gap
+  }
+}
+
+/** An entry that is up, at random. */
+export function pickEntry (random: RandomSource, names: readonly string[]): string {
+  return pickOne(random, names)
+}
--- /dev/null
+++ b/packages/bench/src/limit-refusals.ts
@@ -0,0 +1,123 @@
+import { LimiterFleet } from '@hickoryspoke/limits/tests/limiter-fleet'
+import { worstExcess } from '@hickoryspoke/limits/tests/bound-checker'
+import { type CustomerRate, customerKey, shareKeyOf, slotOfShare } from '@hickoryspoke/limits/share-split'
+import { randomBelow, SeededRandom } from '@hickoryspoke/runtime/random'
+import { ConformingArrivals, type RateAndBurst } from './limit-arrivals.ts'
+import { equalSplit, type LimitBaseline, type LostHome, NOTHING_LOST, oneCounter, threeHomes } from './limit-baselines.ts'
+import { FAULT_DELAY_MILLISECONDS, type LimitScenario } from './limit-scenarios.ts'
+
+/** What one rate and burst came to in one scenario. */
+export interface RefusalFigures {
+  readonly requests: number
+  /** Shares of requests, from 0 to 1, that were refused although the customer kept its rate and burst. */
+  readonly refusedShare: number
+  readonly equalSplitShare: number
+  readonly oneCounterShare: number
+  readonly threeHomesShare: number
+  /** Largest excess over the bound, in requests; at most 0 when it holds. */
+  readonly worstExcess: number
+  /** Decision latencies in milliseconds. */
+  readonly latencies: readonly number[]
+  readonly sentMessages: number
+}
+
+const ENTRIES = 44
+const ZONES = 3
+const SHORTEST_WARM_UP_MILLISECONDS = 8000
+const LONGEST_WARM_UP_MILLISECONDS = 520_000
+const MINUTE_MILLISECONDS = 60_000
+const TAIL_MILLISECONDS = 3000
+const OFFERED_PER_SECOND = 60
+const MOST_CUSTOMERS = 60
+/** Time until a lost home's part moves where that needs a new epoch: 10 s to remove it and 4.5 s of lease. */
+const EPOCH_MOVE_MILLISECONDS = 14_500
+
+/** Plays one rate and burst in one scenario on a fleet of 44 entries in three zones. */
+export async function measureRefusals (limit: RateAndBurst, scenario: LimitScenario, seed: number): Promise<RefusalFigures> {
+  const random = SeededRandom.create(seed)
+  const fleet = LimiterFleet.create({ entries: ENTRIES, zones: ZONES, seed, network: { delayMilliseconds: zoneDelay, jitterMilliseconds: 0.2 } })
+  const warmUp = warmUpFor(limit)
+  await fleet.run(warmUp)
+  const holder = fleet.names[randomBelow(random, ENTRIES)] as string
+  const customers = customersFor(limit, scenario, slotsHeldBy(fleet, holder))
+  fleet.apply(customers)
+  scenario.begin(fleet, holder)
+  const home = scenario.affectedOnly ? { from: warmUp + FAULT_DELAY_MILLISECONDS, until: warmUp + FAULT_DELAY_MILLISECONDS + EPOCH_MOVE_MILLISECONDS } : NOTHING_LOST
+  const baselines = customers.map((customer) => startCustomer(fleet, customer, random, home))
+  const sentBefore = fleet.network.sentMessages
+  await fleet.run(MINUTE_MILLISECONDS + TAIL_MILLISECONDS)
+  return summarize(fleet, customers, baselines, fleet.network.sentMessages - sentBefore)
+}
+
+/** One way between zones 1.5 ms, within a zone 0.3 ms. */
+export function zoneDelay (from: string, to: string): number {
+  return zoneOf(from) === zoneOf(to) ? 0.3 : 1.5
+}
+
+function zoneOf (name: string): number {
+  return Number(name.slice('entry-'.length)) % ZONES
+}
+
+function slotsHeldBy (fleet: LimiterFleet, name: string): Set<number> {
+  return new Set(fleet.limiter(name)?.view().heldSlots)
+}
+
+function customersFor (limit: RateAndBurst, scenario: LimitScenario, slots: ReadonlySet<number>): CustomerRate[] {
+  const wanted = Math.max(1, Math.min(MOST_CUSTOMERS, Math.round(OFFERED_PER_SECOND / limit.rate)))
+  const customers: CustomerRate[] = []
+  for (let number = 0; customers.length < wanted; number += 1) {
+    const name = `customer-${number}`
+    if (!scenario.affectedOnly || slots.has(slotOfShare(shareKeyOf(customerKey(name), 0)))) customers.push({ name, ...limit })
+  }
+  return customers
+}
+
+interface BaselineCounts {
+  refused: [number, number, number]
+  requests: number
+}
+
+/** Until every entry has its leases and shares of which nothing was known at the start have refilled. */
+function warmUpFor (limit: RateAndBurst): number {
+  return Math.min(LONGEST_WARM_UP_MILLISECONDS, SHORTEST_WARM_UP_MILLISECONDS + limit.burst / limit.rate * 1000)
+}
+
+/** Sends a customer's requests, each to an entry at random, and asks the baselines alongside. */
+function startCustomer (fleet: LimiterFleet, customer: CustomerRate, random: SeededRandom, home: LostHome): BaselineCounts {
+  const start = fleet.clock.monotonicMilliseconds()
+  const arrivals = ConformingArrivals.create(customer, SeededRandom.create(randomBelow(random, 2 ** 31)), start)
+  const ways: LimitBaseline[] = [equalSplit(customer, ENTRIES), oneCounter(customer, home), threeHomes(customer, home)]
+  const counts: BaselineCounts = { refused: [0, 0, 0], requests: 0 }
+  const send = (): void => {
+    const now = fleet.clock.monotonicMilliseconds()
+    const names = fleet.names
+    fleet.request(names[randomBelow(random, names.length)] as string, customer.name)
+    counts.requests += 1
+    ways.forEach((way, index) => { if (!way.admit(randomBelow(random, ENTRIES), now)) counts.refused[index as 0] += 1 })
+    scheduleNext()
+  }
+  const scheduleNext = (): void => {
+    const at = arrivals.next()
+    if (at < start + MINUTE_MILLISECONDS) fleet.clock.schedule(at - fleet.clock.monotonicMilliseconds(), send)
+  }
+  scheduleNext()
+  return counts
+}
+
+function summarize (fleet: LimiterFleet, customers: readonly CustomerRate[], baselines: readonly BaselineCounts[], sentMessages: number): RefusalFigures {
+  const requests = fleet.decisions.length
+  const refused = fleet.decisions.filter((decision) => !decision.admission.admitted).length
+  const total = (index: 0 | 1 | 2): number => baselines.reduce((sum, counts) => sum + counts.refused[index], 0)
+  const offered = Math.max(1, baselines.reduce((sum, counts) => sum + counts.requests, 0))
+  const excesses = customers.map((customer) => worstExcess(fleet.admittedAt(customer.name), customer.rate, customer.burst))
+  return {
+    requests,
+    refusedShare: requests === 0 ? 0 : refused / requests,
+    equalSplitShare: total(0) / offered,
+    oneCounterShare: total(1) / offered,
+    threeHomesShare: total(2) / offered,
+    worstExcess: Math.max(...excesses),
+    latencies: fleet.decisions.map((decision) => decision.decidedAt - decision.arrivedAt),
+    sentMessages
+  }
+}
--- a/packages/limits/src/token-bucket.ts
+++ b/packages/limits/src/token-bucket.ts
@@ -36,8 +36,14 @@
     this.outstandingTokens += tokens
   }
 
-  /** Monotonic time in milliseconds at which `tokens` can be granted; infinite when never. */
+  /** Monotonic time in milliseconds at which `tokens` can have been granted one by one; infinite when never. */
   availableAt (tokens: number, share: Share, nowMilliseconds: number): number {
+    const atOnce = Math.min(tokens, Math.floor(share.burst))
+    if (atOnce < 1) return Infinity
+    return this.availableAtOnceAt(atOnce, share, nowMilliseconds) + (tokens - atOnce) / drainPerMillisecond(share.rate)
+  }
+
+  private availableAtOnceAt (tokens: number, share: Share, nowMilliseconds: number): number {
     this.advance(share, nowMilliseconds)
     const perMillisecond = drainPerMillisecond(share.rate)
     let at = nowMilliseconds
