Claims: a copied record is no grant to anyone

Cause: an exhaustive exploration of a small specification (three holders, one replaced) found a double run in the code as it stood: a new holder copied first the record of a claimant without a majority, then ignored that of the claimant that had one, and granted the first on its next ask. Change: copied records forbid a claim to all and grant it to nobody; where copies name different claimants the record belongs to none.

--- a/packages/request/src/claim-holder.ts
+++ b/packages/request/src/claim-holder.ts
@@ -48,7 +48,7 @@
     if (held !== undefined && held.claimant !== close.claimant && !endsAnother(held, close)) return
     if (held === undefined && this.records.isFull) return
     const { claimant, state, fingerprint } = close
-    const record = this.records.put(slot, close.claim, { claimant, fingerprint, state }, now)
+    const record = this.records.put(slot, close.claim, { claimant, fingerprint, state, isCopied: false }, now)
     this.records.keepAnswer(record, close.answer)
   }
 
@@ -58,11 +58,11 @@
   }
 
   private grant (from: string, ask: ClaimAsk, slot: number, held: HeldClaim | undefined, now: number): void {
-    if (held?.claimant === ask.claimant) return this.reply(from, ask, ClaimVerdict.CLAIM_VERDICT_GRANTED)
+    if (held !== undefined && held.claimant === ask.claimant) return this.reply(from, ask, ClaimVerdict.CLAIM_VERDICT_GRANTED)
     if (ask.probe) return this.reply(from, ask, ClaimVerdict.CLAIM_VERDICT_FREE)
     if (this.records.isFull) return this.reply(from, ask, ClaimVerdict.CLAIM_VERDICT_UNREADY)
     const { claim, claimant, fingerprint } = ask
-    this.records.put(slot, claim, { claimant, fingerprint, state: ClaimState.CLAIM_STATE_HELD }, now)
+    this.records.put(slot, claim, { claimant, fingerprint, state: ClaimState.CLAIM_STATE_HELD, isCopied: false }, now)
     this.reply(from, ask, ClaimVerdict.CLAIM_VERDICT_GRANTED)
   }
 
@@ -81,7 +81,7 @@
 /** Whether a claimant may have a claim that is on record: its own, or one that was given back by another. */
 function isOpenTo (held: HeldClaim, claimant: string): boolean {
   if (held.state === ClaimState.CLAIM_STATE_RELEASED) return held.claimant !== claimant
-  return held.state === ClaimState.CLAIM_STATE_HELD && held.claimant === claimant
+  return held.state === ClaimState.CLAIM_STATE_HELD && held.claimant === claimant && !held.isCopied
 }
 
 /** A claimant that ran had the majority; the claimant on record here cannot have had it, nor run. */
--- a/packages/request/src/claim-records.ts
+++ b/packages/request/src/claim-records.ts
@@ -3,8 +3,11 @@
 
 /** What a holder remembers of one claim. Times are monotonic milliseconds. */
 export interface HeldClaim {
+  /** Empty when copies from other holders named different ones. */
   readonly claimant: string
   readonly fingerprint: string
+  /** Learnt from another holder: it forbids the claim to all, and is no grant to anyone. */
+  readonly isCopied: boolean
   state: ClaimState
   answer: ClaimAnswer | undefined
   expiresMilliseconds: number
@@ -73,9 +76,11 @@
   /** Takes what another holder remembers, where this one remembers nothing that says as much. */
   merge (slot: number, copy: ClaimRecord, nowMilliseconds: number): void {
     const known = this.find(slot, copy.claim, nowMilliseconds)
-    if (known !== undefined && (known.state !== ClaimState.CLAIM_STATE_HELD || copy.state === ClaimState.CLAIM_STATE_HELD)) return
-    const { claim, claimant, fingerprint, state, remainingMilliseconds } = copy
-    this.put(slot, claim, { claimant, fingerprint, state }, nowMilliseconds, remainingMilliseconds)
+    if (known !== undefined && isEnded(known.state)) return
+    const { claim, fingerprint, state, remainingMilliseconds } = copy
+    const isContested = known?.state === ClaimState.CLAIM_STATE_HELD && !isEnded(state) && known.claimant !== copy.claimant
+    const claimant = isContested ? '' : copy.claimant
+    this.put(slot, claim, { claimant, fingerprint, state, isCopied: true }, nowMilliseconds, remainingMilliseconds)
   }
 
   /** Drops what has run out. */
@@ -98,3 +103,7 @@
     this.answerBytes -= held.answer?.body.length ?? 0
   }
 }
+
+function isEnded (state: ClaimState): boolean {
+  return state === ClaimState.CLAIM_STATE_ANSWERED || state === ClaimState.CLAIM_STATE_UNKNOWN
+}
--- a/packages/request/src/tests/claims.test.ts
+++ b/packages/request/src/tests/claims.test.ts
@@ -1,6 +1,9 @@
+import { ClaimState } from '@hickoryspoke/protocol/generated/claim'
 import fastCheck from 'fast-check'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
+import { ClaimRecords } from '../claim-records.ts'
+import { DEFAULT_CLAIM_SETTINGS } from '../claim-settings.ts'
 import type { ClaimDecision } from '../collaborators.ts'
 import { ClaimFleet, TEST_CLAIM_SETTINGS } from './claim-fleet.ts'
 
@@ -117,6 +120,19 @@
   fleet.stop()
 })
 
+test('a record that was only copied is no grant, and one that copies contradict belongs to nobody', () => {
+  const settings = { ...DEFAULT_CLAIM_SETTINGS, ...TEST_CLAIM_SETTINGS }
+  const records = ClaimRecords.create(settings)
+  const copy = { claim: 'c', fingerprint: 'f', state: ClaimState.CLAIM_STATE_HELD, remainingMilliseconds: 1000 }
+  records.merge(0, { ...copy, claimant: 'undecided' }, 0)
+  assert.is(records.find(0, 'c', 1)?.isCopied, true)
+  records.merge(0, { ...copy, claimant: 'decided' }, 0)
+  assert.equal([records.find(0, 'c', 1)?.claimant, records.find(0, 'c', 1)?.isCopied], ['', true])
+  records.merge(0, { ...copy, claimant: 'decided', state: ClaimState.CLAIM_STATE_ANSWERED }, 0)
+  assert.is(records.find(0, 'c', 1)?.state, ClaimState.CLAIM_STATE_ANSWERED)
+  assert.is(records.find(0, 'c', 1100), undefined)
+})
+
 type Step =
   | { readonly kind: 'send', readonly entry: number, readonly key: number, readonly end: 'answered' | 'not_run' | 'unknown' | 'none' }
   | { readonly kind: 'crash' | 'restart' | 'replace' | 'isolate' | 'rejoin', readonly entry: number }
