--- a/packages/replication/src/replica-settings.ts
+++ b/packages/replication/src/replica-settings.ts
@@ -38,9 +38,9 @@
 
 /** Values for replicas a few milliseconds apart. */
 export const DEFAULT_TUNING: ReplicaTuning = {
-  heartbeatMilliseconds: 100,
-  electionTimeoutMilliseconds: 600,
-  tickMilliseconds: 25,
+  heartbeatMilliseconds: 200,
+  electionTimeoutMilliseconds: 800,
+  tickMilliseconds: 50,
   helloMilliseconds: 500,
   proposalTimeoutMilliseconds: 5_000,
   snapshotEntries: 1_000,
