--- a/packages/replication/src/tests/cluster.ts
+++ b/packages/replication/src/tests/cluster.ts
@@ -49,6 +49,7 @@
   tuning: Partial<ReplicaTuning> = {}
   /** Peers in the settings, when they are not all. */
   formingPeers: readonly string[] | undefined
+  createMachine: () => ListMachine = () => new ListMachine()
   private lives = 0
 
   private constructor (readonly names: readonly string[], readonly root: string, private readonly seed: number) {
@@ -62,8 +63,14 @@
   }
 
   /** A cluster whose replicas have formed and elected a leader. */
-  static async formed (names: readonly string[], seed = 1, tuning: Partial<ReplicaTuning> = {}): Promise<TestCluster> {
+  static async formed (
+    names: readonly string[],
+    seed = 1,
+    tuning: Partial<ReplicaTuning> = {},
+    createMachine = () => new ListMachine()
+  ): Promise<TestCluster> {
     const cluster = await TestCluster.create(names, seed, tuning)
+    cluster.createMachine = createMachine
     for (const name of names) await cluster.boot(name, 'form')
     await cluster.until(() => cluster.leaderName() !== undefined)
     return cluster
@@ -74,7 +81,7 @@
   }
 
   async open (name: string, onEmptyFolder: OnEmptyFolder = 'refuse', folder?: FaultFolder): Promise<{ opened: Result<Replica, Error>, node: Omit<Node, 'replica'> }> {
-    const machine = new ListMachine()
+    const machine = this.createMachine()
     const used = folder ?? await FaultFolder.create(this.folderPath(name))
     this.lives += 1
     const opened = await Replica.create({
@@ -146,9 +153,9 @@
   }
 
   /** Proposes at the leader and lets time pass until there is an answer. */
-  async propose (command: string, at = this.leader()): Promise<Result<Uint8Array, ReplicationFailure>> {
+  async propose (command: string | Uint8Array, at = this.leader()): Promise<Result<Uint8Array, ReplicationFailure>> {
     let result: Result<Uint8Array, ReplicationFailure> | undefined
-    at.propose(Buffer.from(command)).then((answer) => { result = answer })
+    at.propose(typeof command === 'string' ? Buffer.from(command) : command).then((answer) => { result = answer })
     await this.until(() => result !== undefined)
     return result as unknown as Result<Uint8Array, ReplicationFailure>
   }
