--- a/packages/control/src/delivery.ts
+++ b/packages/control/src/delivery.ts
@@ -3,6 +3,9 @@
 import type { EntryRegister } from './entry-register.ts'
 import { regionsWithoutQuorum } from './witness-quorum.ts'
 
+/** Longest wait for a quorum of the entries to hold a file that withdraws access, in milliseconds. */
+export const DELIVERY_TIMEOUT_MILLISECONDS = 8_000
+
 /** Regions in which a quorum of the witnesses is not known to hold a number; empty when it is held everywhere. */
 export function regionsBehind (state: AcceptedState, register: EntryRegister, number: number): string[] {
   const { entries, epoch, establishedEpoch } = state.entries.membership()
--- a/packages/control/src/operator-service.ts
+++ b/packages/control/src/operator-service.ts
@@ -10,7 +10,7 @@
 import type { Clock } from '@hickoryspoke/runtime/clock'
 import { AuditFeed } from './audit-feed.ts'
 import type { ControlProposer } from './control-proposer.ts'
-import { waitUntilHeld } from './delivery.ts'
+import { DELIVERY_TIMEOUT_MILLISECONDS, waitUntilHeld } from './delivery.ts'
 import type { Enrolment } from './enrolment.ts'
 import type { EntryRegister } from './entry-register.ts'
 import { RequestRefused, toServiceError, unaryHandler } from './grpc-handlers.ts'
@@ -18,9 +18,6 @@
 import type { OperatorToken, OperatorTokens } from './operator-tokens.ts'
 import { UpstreamViews } from './upstream-views.ts'
 
-/** Longest wait for a quorum of the entries to hold a file that withdraws access, in milliseconds. */
-export const DELIVERY_TIMEOUT_MILLISECONDS = 8_000
-
 /** What the service needs. */
 export interface OperatorServiceParts {
   readonly log: ReplicatedLog
