--- a/packages/bench/src/stand-in-upstream.ts
+++ b/packages/bench/src/stand-in-upstream.ts
@@ -23,6 +23,12 @@
   readonly onCrash?: () => void
 }
 
+/** The first run of a request. */
+export interface FirstRun {
+  readonly customer: string
+  readonly wallMilliseconds: number
+}
+
 type Behaviour = 'hang' | 'reset' | 'truncate' | 'fail' | 'answer'
 type BehaviourHandler = (response: ServerResponse, content: string) => void
 
@@ -48,6 +54,8 @@
   readonly faults: UpstreamFaults = noFaults()
   /** Runs for each marker, see `RUN_MARKER_HEADER`. */
   readonly runs = new Map<string, number>()
+  /** When each request first ran here, with its customer; wall-clock milliseconds. */
+  readonly firstRuns = new Map<string, FirstRun>()
   requests = 0
   running = 0
   cancelled = 0
@@ -127,6 +135,9 @@
   private countRun (request: IncomingMessage): void {
     const marker = request.headers[RUN_MARKER_HEADER]
     if (typeof marker === 'string') this.runs.set(marker, (this.runs.get(marker) ?? 0) + 1)
+    const { 'hickoryspoke-request': identity, 'hickoryspoke-customer': customer } = request.headers
+    if (typeof identity !== 'string' || this.firstRuns.has(identity)) return
+    this.firstRuns.set(identity, { customer: String(customer ?? ''), wallMilliseconds: this.options.clock.wallMilliseconds() })
   }
 
   private workMilliseconds (): number {
--- a/packages/bench/src/upstream-admin.ts
+++ b/packages/bench/src/upstream-admin.ts
@@ -32,8 +32,8 @@
     app.put('/faults', (request, response) => { void changeFaults(upstream, request, response) })
     app.post('/drain', (_request, response) => { void announcer.drain().then(() => send(response, 200, { draining: true })) })
     app.get('/counters', (_request, response) => {
-      const { requests, running, cancelled, runs } = upstream
-      send(response, 200, { requests, running, cancelled, runs: Object.fromEntries(runs) })
+      const { requests, running, cancelled, runs, firstRuns } = upstream
+      send(response, 200, { requests, running, cancelled, runs: Object.fromEntries(runs), firstRuns: Object.fromEntries(firstRuns) })
     })
     const server = createServer((request, response) => { app.handler(request as never, response) })
     await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
--- a/scripts/process-fleet.ts
+++ b/scripts/process-fleet.ts
@@ -50,6 +50,14 @@
   admin: string
 }
 
+/** What a stand-in has counted. */
+export interface UpstreamCounters {
+  readonly requests: number
+  readonly cancelled: number
+  readonly runs: Readonly<Record<string, number>>
+  readonly firstRuns: Readonly<Record<string, { readonly customer: string, readonly wallMilliseconds: number }>>
+}
+
 export interface CommandResult {
   readonly exitCode: number
   readonly output: string
@@ -117,9 +125,19 @@
     await fetch(`http://${upstream.admin}/faults`, { method: 'PUT', body: JSON.stringify(faults) })
   }
 
-  async counters (upstream: FleetUpstream): Promise<{ requests: number, cancelled: number, runs: Record<string, number> }> {
+  async counters (upstream: FleetUpstream): Promise<UpstreamCounters> {
     const answer = await fetch(`http://${upstream.admin}/counters`)
-    return await answer.json() as { requests: number, cancelled: number, runs: Record<string, number> }
+    return await answer.json() as UpstreamCounters
+  }
+
+  /** Asks a stand-in to announce that it takes no more work. */
+  async drain (upstream: FleetUpstream): Promise<void> {
+    await fetch(`http://${upstream.admin}/drain`, { method: 'POST' })
+  }
+
+  /** Stops a process in its tracks, or lets it go on. */
+  freeze (target: FleetProcess, frozen: boolean): void {
+    target.child.kill(frozen ? 'SIGSTOP' : 'SIGCONT')
   }
 
   async stop (): Promise<void> {
--- /dev/null
+++ b/scripts/soak-caller.ts
@@ -0,0 +1,131 @@
+/** Callers of the soak: open-loop requests that are sent again as the callers' page allows. */
+import { randomUUID } from 'node:crypto'
+import { type RandomSource, nextArrivalMilliseconds, pickOne } from '../packages/runtime/src/random.ts'
+import { keyOf } from './example-state.ts'
+import { type FleetEntry, pause } from './process-fleet.ts'
+
+const ANSWER_TIMEOUT_MILLISECONDS = 8_000
+const MOST_SENDS = 6
+const FIRST_RESEND_MILLISECONDS = 200
+const READY_POLL_MILLISECONDS = 200
+const HTTP_OK = 200
+
+/** What a caller asks for: consult may repeat, withdraw carries an Idempotency-Key, charge is sent once. */
+export const SoakOperation = { Consult: 'consult', Withdraw: 'withdraw', Charge: 'charge' } as const
+export type SoakOperation = typeof SoakOperation[keyof typeof SoakOperation]
+
+/** One sending of a request and its answer; status 0 stands for no whole answer. */
+export interface SoakSend {
+  readonly status: number
+  readonly code: string
+  /** Value of `Hickoryspoke-Run` on an answer made by the fleet. */
+  readonly run: string
+  /** Whether a 200 carried the request's own marker, whole. */
+  readonly isOwnAnswer: boolean
+}
+
+/** One request with all its sendings. */
+export interface SoakRequest {
+  readonly customer: string
+  readonly operation: SoakOperation
+  readonly marker: string
+  /** What was going on when it was first sent. */
+  readonly phase: string
+  readonly sends: readonly SoakSend[]
+}
+
+/** Stands for the platform's balancer: callers go to entries that say that they are ready. */
+export class ReadyEntries {
+  private ready: FleetEntry[] = []
+
+  private constructor (private readonly entries: readonly FleetEntry[]) {
+    this.ready = [...entries]
+  }
+
+  static create (entries: readonly FleetEntry[]): ReadyEntries {
+    return new ReadyEntries(entries)
+  }
+
+  async run (signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      const checks = await Promise.all(this.entries.map(async (entry) => await isReady(entry)))
+      this.ready = this.entries.filter((_entry, index) => checks[index])
+      await pause(READY_POLL_MILLISECONDS)
+    }
+  }
+
+  pick (random: RandomSource): FleetEntry {
+    return pickOne(random, this.ready.length > 0 ? this.ready : this.entries)
+  }
+}
+
+/** Sends requests of one customer until the signal aborts, then waits for their ends. */
+export async function runCaller (
+  customer: string,
+  ratePerSecond: number,
+  balancer: ReadyEntries,
+  random: RandomSource,
+  signal: AbortSignal,
+  phase: () => string,
+  record: (request: SoakRequest) => void
+): Promise<void> {
+  const open: Promise<void>[] = []
+  const operations = Object.values(SoakOperation)
+  while (!signal.aborted) {
+    await pause(nextArrivalMilliseconds(random, ratePerSecond))
+    const begun = { customer, operation: pickOne(random, operations), phase: phase(), marker: randomUUID() }
+    open.push(sendUntilDone(begun, balancer, random).then(record))
+  }
+  await Promise.all(open)
+}
+
+async function sendUntilDone (begun: Omit<SoakRequest, 'sends'>, balancer: ReadyEntries, random: RandomSource): Promise<SoakRequest> {
+  const sends: SoakSend[] = []
+  for (let wait = FIRST_RESEND_MILLISECONDS; sends.length < MOST_SENDS; wait *= 2) {
+    const sent = await sendOnce(begun, balancer.pick(random))
+    sends.push(sent)
+    if (!maySendAgain(begun.operation, sent)) break
+    await pause(wait)
+  }
+  return { ...begun, sends }
+}
+
+/** As docs/operations/requests.md says: not run may always be sent again, unknown only where it cannot run twice. */
+function maySendAgain (operation: SoakOperation, sent: SoakSend): boolean {
+  if (sent.status === HTTP_OK || (sent.status >= 400 && sent.status < 500 && sent.status !== 409)) return false
+  return sent.run === 'not-run' || operation !== SoakOperation.Charge
+}
+
+async function sendOnce ({ customer, operation, marker }: Omit<SoakRequest, 'sends'>, entry: FleetEntry): Promise<SoakSend> {
+  try {
+    const answer = await fetch(`${entry.publicUrl}/ledger/${operation}`, {
+      method: operation === SoakOperation.Consult ? 'GET' : 'POST',
+      headers: {
+        authorization: `Bearer ${keyOf(customer)}`,
+        'x-run-marker': marker,
+        ...(operation === SoakOperation.Withdraw ? { 'idempotency-key': marker } : {})
+      },
+      ...(operation === SoakOperation.Consult ? {} : { body: marker }),
+      signal: AbortSignal.timeout(ANSWER_TIMEOUT_MILLISECONDS)
+    })
+    const text = await answer.text()
+    return describeAnswer(answer, text, marker)
+  } catch {
+    return { status: 0, code: 'no_whole_answer', run: 'unknown', isOwnAnswer: false }
+  }
+}
+
+function describeAnswer (answer: Response, text: string, marker: string): SoakSend {
+  const body = JSON.parse(text) as { code?: string, headers?: Record<string, string> }
+  return {
+    status: answer.status,
+    code: body.code ?? '',
+    run: answer.headers.get('hickoryspoke-run') ?? '',
+    isOwnAnswer: body.headers?.['x-run-marker'] === marker
+  }
+}
+
+async function isReady (entry: FleetEntry): Promise<boolean> {
+  const answer = await fetch(`${entry.innerUrl}/ready`, { signal: AbortSignal.timeout(READY_POLL_MILLISECONDS) }).catch(() => undefined)
+  return answer?.status === HTTP_OK
+}
