Claims and the crash watch run in the entry

Cause: requests with an Idempotency-Key were refused in the running fleet. Change: both are wired to the network of entries and to the epoch lease; an upstream counts as down when it refuses connections or came back under a new incarnation. Test: one run for two copies through two entries, the same answer twice.

--- a/packages/bench/src/tests/local-fleet.test.ts
+++ b/packages/bench/src/tests/local-fleet.test.ts
@@ -14,10 +14,10 @@
   readonly body: Record<string, unknown>
 }
 
-async function ask (fleet: LocalFleet, path: string, customer?: string, init: RequestInit = {}): Promise<Answer> {
+async function ask (fleet: LocalFleet, path: string, customer?: string, init: RequestInit = {}, entry = 0): Promise<Answer> {
   const headers = new Headers(init.headers)
   if (customer !== undefined) headers.set('authorization', `Bearer ${fleet.secrets.keys[customer]}`)
-  const answer = await fetch(`http://${fleet.entries[0]?.publicAddress}${path}`, { ...init, headers })
+  const answer = await fetch(`http://${fleet.entries[entry]?.publicAddress}${path}`, { ...init, headers })
   return { status: answer.status, run: answer.headers.get('hickoryspoke-run'), body: await answer.json() as Record<string, unknown> }
 }
 
@@ -56,6 +56,16 @@
   assert.equal([...statuses], [200, 429])
 })
 
+test('an Idempotency-Key runs once and its answer is given again, also by the other entry', async () => {
+  const init = { method: 'POST', body: 'lot 7', headers: { 'idempotency-key': 'withdrawal-7', 'x-run-marker': 'withdrawal-7' } }
+  const first = await ask(fleet, '/ledger/withdraw', 'curators', init)
+  const second = await ask(fleet, '/ledger/withdraw', 'curators', init, 1)
+  assert.equal([first.status, second.status], [200, 200])
+  assert.equal(second.body, first.body)
+  const runs = fleet.upstreams.map((upstream) => upstream.runs.get('withdrawal-7') ?? 0)
+  assert.is(runs.reduce((sum, count) => sum + count, 0), 1)
+})
+
 test('a graceful stop finishes the request in flight', async () => {
   for (const upstream of fleet.upstreams) upstream.faults.slowMilliseconds = SLOW_ANSWER_MILLISECONDS
   const running = fleet.upstreams.reduce((sum, upstream) => sum + upstream.requests, 0)
--- a/packages/entry/src/entry-services.ts
+++ b/packages/entry/src/entry-services.ts
@@ -8,6 +8,8 @@
 import { GrpcPeerNetwork } from '@hickoryspoke/protocol/grpc-peer-network'
 import type { InnerCredentials } from '@hickoryspoke/protocol/inner-credentials'
 import type { RequestTables } from '@hickoryspoke/request/collaborators'
+import { FleetClaims } from '@hickoryspoke/request/fleet-claims'
+import { FleetCrashWatch } from '@hickoryspoke/request/fleet-crash-watch'
 import { KeyTable } from '@hickoryspoke/request/key-table'
 import { RequestRunner } from '@hickoryspoke/request/request-runner'
 import { RouteTable } from '@hickoryspoke/request/route-table'
@@ -41,6 +43,8 @@
   readonly balancer: PoolBalancer
   readonly limiter: FleetLimiter
   readonly queues: PoolQueues
+  readonly claims: FleetClaims
+  readonly crashes: FleetCrashWatch
   readonly connections: UpstreamConnections
   readonly metrics: EntryMetrics
   readonly runner: RequestRunner
@@ -78,6 +82,10 @@
     const shares = this.network.join('share', (from, message) => this.limiter.receive(from, message))
     this.limiter = FleetLimiter.create({ network: shares, clock, random, epochLease })
     this.queues = PoolQueues.create({ clock, usableSlots: (pool) => this.usableSlots(pool), liveEntries: () => this.entryZones().length })
+    const claims = this.network.join('claim', (from, message) => this.claims.receive(from, message))
+    this.claims = FleetClaims.create({ clock, random, network: claims, epochLease })
+    const crashes = this.network.join('crash', (from, message) => this.crashes.receive(from, message))
+    this.crashes = FleetCrashWatch.create({ clock, random, network: crashes, wentDown: async (address, since) => await this.wentDown(address, since) })
     this.connections = UpstreamConnections.create(clock)
     this.metrics = this.createMetrics()
     this.runner = this.createRunner()
@@ -95,7 +103,8 @@
       this.registry.start(signal),
       this.health.start(signal),
       this.balancer.start(signal),
-      this.queues.run(signal)
+      this.queues.run(signal),
+      this.claims.run(signal)
     ])
   }
 
@@ -137,6 +146,8 @@
       balancer: { pick: (question) => this.balancer.pick({ ...question, exclude: new Set(question.exclude) }) },
       connections: this.connections,
       queue: this.queues,
+      claims: this.claims,
+      crashes: this.crashes,
       observer: this.metrics
     })
   }
@@ -165,6 +176,15 @@
     this.registry.applyMembership(membership)
     this.health.applyMembership(membership)
     this.limiter.applyMembership(membership)
+    this.claims.applyMembership(membership)
+    this.crashes.applyMembership(membership)
+  }
+
+  /** A process that is gone refuses connections, or came back under a new incarnation. */
+  private async wentDown (address: string, sinceMilliseconds: number): Promise<boolean> {
+    const record = this.registry.poolNames().flatMap((pool) => this.registry.records(pool)).find((known) => known.address === address)
+    if (record !== undefined && record.seenSinceMilliseconds > sinceMilliseconds) return true
+    return !(await probeUpstream(address)).reachable
   }
 
   private entryZones (): readonly string[] {
--- a/scripts/measure-soak.ts
+++ b/scripts/measure-soak.ts
@@ -126,7 +126,8 @@
   const balancer = ReadyEntries.create(run.fleet.entries)
   const customers = (run.state['customers'] as { name: string }[]).map((customer) => customer.name)
   const callers = customers.map(async (customer, index) => {
-    await runCaller(customer, SENT_PER_SECOND, balancer, SeededRandom.create(SEED + index), stop.signal, () => run.phase, (request) => { run.requests.push(request) })
+    const record = (request: SoakRequest): void => { run.requests.push(request) }
+    await runCaller(customer, SENT_PER_SECOND, balancer, SeededRandom.create(SEED + index), stop.signal, () => run.phase, record)
   })
   const watching = balancer.run(stop.signal)
   for (const [name, event] of Object.entries(EVENTS)) {
