--- a/packages/bench/src/local-fleet.ts
+++ b/packages/bench/src/local-fleet.ts
@@ -61,7 +61,7 @@
     const control = await startControl(folder, secrets, surroundings)
     const entries = await Promise.all(ENTRIES.map(async (entry) => await startEntry(entry, control, surroundings)))
     await applyFile(control, secrets.operator_token, surroundings.clock)
-    await Promise.all(entries.map(async (entry) => await entry.untilReady()))
+    await Promise.all(entries.map(async (entry) => await untilJoined(entry, surroundings.clock)))
     const upstreams = await Promise.all(UPSTREAMS.map(async ({ name }) => await StandInUpstream.start({ ...surroundings, name })))
     const announcers = upstreams.map((upstream, index) => announce(upstream, index, entries, secrets, surroundings.clock))
     const fleet = new LocalFleet(folder, control, entries, upstreams, announcers, secrets)
@@ -155,6 +155,12 @@
   })
 }
 
+/** Resolves when an entry counts with all others of the example. */
+async function untilJoined (entry: EntryNode, clock: Clock): Promise<void> {
+  await entry.untilReady()
+  while (entry.enrolledEntries() < ENTRIES.length || !entry.isSettled()) await pause(clock)
+}
+
 async function pause (clock: Clock): Promise<void> {
   await new Promise<void>((resolve) => clock.schedule(POLL_MILLISECONDS, resolve))
 }
--- a/packages/entry/src/entry-node.ts
+++ b/packages/entry/src/entry-node.ts
@@ -20,7 +20,7 @@
   private readonly lifecycle: EntryLifecycle
   private background: Promise<void> = Promise.resolve()
   private inner: InnerServer | undefined
-  private hasShares = false
+  private hasJoined = false
   /** IP:PORT for callers. */
   publicAddress = ''
 
@@ -60,18 +60,28 @@
 
   /** Whether the platform's balancer should send callers here, and if not, why. */
   readiness (): Readiness {
-    const { follower, limiter } = this.services
-    // Later epochs hand shares over without a gap, so only the first one is waited for.
-    this.hasShares ||= limiter.ready()
+    const { follower } = this.services
+    // Later epochs hand shares and claims over, so only the first one is waited for.
+    this.hasJoined ||= this.isSettled()
     const reasons = [
       ...(this.lifecycle.phase === EntryPhase.Draining || this.lifecycle.phase === EntryPhase.Stopped ? ['draining'] : []),
       ...(follower.current() === undefined ? ['no configuration yet'] : []),
       ...(follower.guard.isFresh() ? [] : ['not fresh: no quorum of witnesses and no control confirmed the versions lately']),
-      ...(this.hasShares ? [] : ['shares of customers are not in force here yet'])
+      ...(this.hasJoined ? [] : ['shares and claims of customers are not in force here yet'])
     ]
     return { ready: reasons.length === 0, reasons }
   }
 
+  /** Whether the membership of this epoch is in force here for shares and for claims. */
+  isSettled (): boolean {
+    return this.services.limiter.ready() && this.services.claims.isReady()
+  }
+
+  /** Entries in the membership that this one holds. */
+  enrolledEntries (): number {
+    return this.services.follower.current()?.membership.entries.length ?? 0
+  }
+
   /** Readiness off, requests in flight finished within the grace time, shares handed over, leave announced. */
   async stop (): Promise<void> {
     const { clock } = this.surroundings
--- a/packages/request/src/claim-seats.ts
+++ b/packages/request/src/claim-seats.ts
@@ -79,6 +79,11 @@
     return !this.unsettled.has(slot)
   }
 
+  /** Whether claims of every slot may be decided. */
+  isSettledEverywhere (): boolean {
+    return this.isSettled(0) && this.unsettled.size === 0
+  }
+
   /** Takes a newer membership. */
   apply (groups: ClaimGroups): void {
     const former = this.groups
--- a/packages/request/src/fleet-claims.ts
+++ b/packages/request/src/fleet-claims.ts
@@ -101,6 +101,11 @@
     ])
   }
 
+  /** Whether claims on all keys can be decided here, with no change of holders under way. */
+  isReady (): boolean {
+    return this.seats.epoch > 0 && this.seats.isSettledEverywhere()
+  }
+
   view (): ClaimsView {
     return {
       records: this.records.size,
