--- a/packages/bench/src/measure-replication.ts
+++ b/packages/bench/src/measure-replication.ts
@@ -17,6 +17,8 @@
 const COMMAND_BYTES = 300
 const PARALLEL_PROPOSERS = 64
 const CHANGES = 3_000
+const COMMAND_SIZES = [300, 30_000, 300_000, 3_000_000]
+const SIZED_CHANGES = 40
 const FAILOVER_RUNS = 7
 const WARM_UP_MILLISECONDS = 3_000
 const IDLE_MILLISECONDS = 5_000
@@ -62,6 +64,7 @@
     ...await measureRestart(500, 1_000),
     ...await measureRestart(3_000, 1_000),
     ...await measureRestart(3_000, 1_000_000),
+    ...await measureSizes(),
     ...await measureFailover(),
     ...await measureIdle(),
     ...await measurePreallocation()
@@ -154,6 +157,29 @@
   ]
 }
 
+/** Cost of an entry by its size, for three replicas and one proposer. */
+async function measureSizes (): Promise<MeasureRow[]> {
+  const rows: MeasureRow[] = []
+  for (const size of COMMAND_SIZES) {
+    const cluster = await startCluster(NAMES, { snapshotEntries: 1_000_000, snapshotBytes: 1_000_000_000 })
+    const leader = await leaderOf(cluster)
+    for (let warm = 0; warm < SIZED_CHANGES; warm += 1) await leader.propose(Buffer.alloc(size, 1))
+    const before = process.cpuUsage()
+    const started = clock.monotonicMilliseconds()
+    for (let done = 0; done < SIZED_CHANGES; done += 1) await leader.propose(Buffer.alloc(size, 1))
+    const elapsed = clock.monotonicMilliseconds() - started
+    const cpu = process.cpuUsage(before)
+    const bytes = await folderBytes(join(cluster.root, NAMES[0] as string))
+    await stopCluster(cluster)
+    rows.push(
+      figure(`entry of ${size} bytes: processor time, all three replicas`, (cpu.user + cpu.system) / SIZED_CHANGES, 'µs'),
+      figure(`entry of ${size} bytes: time to accepted, mean`, elapsed / SIZED_CHANGES, 'ms'),
+      figure(`entry of ${size} bytes: on disk a replica`, bytes / SIZED_CHANGES / 2, 'bytes')
+    )
+  }
+  return rows
+}
+
 async function folderBytes (path: string): Promise<number> {
   const names = await readdir(path)
   const sizes = await Promise.all(names.filter((name) => name.startsWith('segment-')).map((name) => stat(join(path, name))))
