Large files cost control and entries less time at a stretch

Change: the operators' command sends the state as JSON beside which control checks it again; items are digested in steps with pauses; canonical text is written without a replacer; lists of unchanged sections are shared.

--- /dev/null
+++ b/packages/bench/src/measure-freshness.ts
@@ -0,0 +1,89 @@
+import { FreshnessMessage } from '@hickoryspoke/protocol/generated/freshness'
+import { FreshnessGuard } from '@hickoryspoke/membership/freshness-guard'
+import { SeededRandom } from '@hickoryspoke/runtime/random'
+import { FakeClock } from '@hickoryspoke/testing/fake-clock'
+import { FakeNetwork } from '@hickoryspoke/testing/fake-network'
+import { atMost, figure, type MeasureReport, type MeasureRow } from './measure-report.ts'
+
+const GROUP_SIZES = [22, 100, 400] as const
+const WITNESSES = 9
+const SIMULATED_SECONDS = 60
+const WARM_UP_MILLISECONDS = 15_000
+const BYTES_LIMIT_PER_SECOND = 18_000
+const VERSIONS = { number: 3_000, epoch: 1_000, establishedEpoch: 1_000 }
+
+interface Counts {
+  sent: number
+  bytes: number
+}
+
+/** What the comparison of versions costs each entry of a region, by witnesses and by a majority of all entries. */
+export async function measureFreshness (): Promise<MeasureReport> {
+  const rows: MeasureRow[] = []
+  for (const size of GROUP_SIZES) rows.push(...await measureGroup(size, WITNESSES), ...await measureGroup(size, size))
+  const notes = [`${SIMULATED_SECONDS} simulated seconds. Processor time is that of the guards and of coding the messages, without the streams between processes.`]
+  return { name: 'freshness', rows, notes }
+}
+
+async function measureGroup (size: number, witnessCount: number): Promise<MeasureRow[]> {
+  const clock = FakeClock.create()
+  const network = FakeNetwork.create<Uint8Array>(clock, SeededRandom.create(3))
+  const names = Array.from({ length: size }, (_, index) => `entry-${index}`)
+  const counts = new Map<string, Counts>(names.map((name) => [name, { sent: 0, bytes: 0 }]))
+  const stop = new AbortController()
+  names.forEach((name, index) => startGuard(name, index, names.slice(0, witnessCount), { clock, network, counts, signal: stop.signal }))
+  await clock.advanceAsync(WARM_UP_MILLISECONDS)
+  for (const count of counts.values()) Object.assign(count, { sent: 0, bytes: 0 })
+  const before = process.cpuUsage()
+  await clock.advanceAsync(SIMULATED_SECONDS * 1_000)
+  const { user, system } = process.cpuUsage(before)
+  stop.abort()
+  return describeGroup(size, witnessCount, [...counts.values()], (user + system) / 1_000)
+}
+
+interface GroupParts {
+  readonly clock: FakeClock
+  readonly network: FakeNetwork<Uint8Array>
+  readonly counts: Map<string, Counts>
+  readonly signal: AbortSignal
+}
+
+function startGuard (name: string, index: number, witnesses: readonly string[], { clock, network, counts, signal }: GroupParts): void {
+  const peers = network.join(name, (from, bytes) => {
+    const { body } = FreshnessMessage.decode(bytes)
+    if (body?.$case === 'ask' || body?.$case === 'answer') guard.handle(from, body)
+  })
+  const send = (to: string, message: FreshnessMessage): void => {
+    const bytes = FreshnessMessage.encode(message).finish()
+    for (const [peer, sent] of [[name, 1], [to, 0]] as const) {
+      const count = counts.get(peer)
+      if (count !== undefined) Object.assign(count, { sent: count.sent + sent, bytes: count.bytes + bytes.length })
+    }
+    peers.send(to, bytes)
+  }
+  const guard = FreshnessGuard.create({
+    clock,
+    random: SeededRandom.create(index),
+    network: { self: name, send },
+    source: { versions: () => VERSIONS, witnesses: () => witnesses },
+    control: { ask: () => Promise.resolve(VERSIONS) },
+    onBehind: () => {}
+  })
+  void guard.run(signal)
+}
+
+function describeGroup (size: number, witnessCount: number, counts: readonly Counts[], processorMilliseconds: number): MeasureRow[] {
+  const way = witnessCount === size ? 'majority of all' : `${witnessCount} witnesses`
+  const perSecond = (value: number): number => value / SIMULATED_SECONDS
+  const busiest = Math.max(...counts.map((count) => count.sent))
+  const heaviest = Math.max(...counts.map((count) => count.bytes))
+  const mean = counts.reduce((sum, count) => sum + count.sent, 0) / counts.length
+  const label = (text: string): string => `${size} entries, ${way}: ${text}`
+  const bytes = label('bytes to and from the busiest entry, without framing')
+  return [
+    figure(label('messages sent by the average entry'), perSecond(mean), '/s'),
+    figure(label('messages sent by the busiest entry'), perSecond(busiest), '/s'),
+    witnessCount === size ? figure(bytes, perSecond(heaviest), 'B/s') : atMost(bytes, perSecond(heaviest), 'B/s', BYTES_LIMIT_PER_SECOND),
+    figure(label('processor time of the average entry'), perSecond(processorMilliseconds) / size, 'ms/s')
+  ]
+}
--- a/packages/bench/src/tests/distribution-fleet.test.ts
+++ b/packages/bench/src/tests/distribution-fleet.test.ts
@@ -135,7 +135,7 @@
   const folder = await mkdtemp(join(tmpdir(), 'hickoryspoke-entry-'))
   const fleet = DistributionFleet.create()
   await fleet.apply(fleetFile(1, 8, 4))
-  fleet.start('entry-0', [], folder)
+  await fleet.start('entry-0', [], folder).loaded
   await fleet.clock.advanceAsync(4_000)
   await fleet.stop('entry-0')
   fleet.isControlAway = true
--- a/packages/configuration/src/canonical-json.ts
+++ b/packages/configuration/src/canonical-json.ts
@@ -1,12 +1,15 @@
-/** JSON with sorted names, so that equal values give equal text. */
+/** JSON with sorted names, so that equal values give equal text; `undefined` members are left out. */
 export function canonicalJson (value: unknown): string {
-  return JSON.stringify(value, (_name, part: unknown) => isPlainObject(part) ? sortNames(part) : part)
+  if (typeof value !== 'object' || value === null) return JSON.stringify(value) ?? 'null'
+  if (Array.isArray(value)) return `[${value.map(canonicalJson).join(',')}]`
+  return canonicalObject(value as Record<string, unknown>)
 }
 
-function isPlainObject (value: unknown): value is Record<string, unknown> {
-  return typeof value === 'object' && value !== null && !Array.isArray(value)
-}
-
-function sortNames (value: Record<string, unknown>): Record<string, unknown> {
-  return Object.fromEntries(Object.entries(value).sort(([left], [right]) => left < right ? -1 : 1))
+function canonicalObject (value: Record<string, unknown>): string {
+  const members: string[] = []
+  for (const name of Object.keys(value).sort()) {
+    const member = value[name]
+    if (member !== undefined) members.push(`${JSON.stringify(name)}:${canonicalJson(member)}`)
+  }
+  return `{${members.join(',')}}`
 }
--- a/packages/configuration/src/identified-state.ts
+++ b/packages/configuration/src/identified-state.ts
@@ -40,20 +40,26 @@
     })
   }
 
+  /** As `create`, but lets other work run in between; for large states in a process that must answer others. */
+  static async createInSteps (state: DesiredState): Promise<IdentifiedState> {
+    return new IdentifiedState(state.number, {
+      customers: await SectionIndex.createInSteps((customer) => itemName('customers', customer), state.customers),
+      keys: await SectionIndex.createInSteps((key) => itemName('keys', key), state.keys),
+      pools: await SectionIndex.createInSteps((pool) => itemName('pools', pool), state.pools),
+      routes: await SectionIndex.createInSteps((route) => itemName('routes', route), state.routes)
+    })
+  }
+
   /** The state before the first file. */
   static empty (): IdentifiedState {
     return IdentifiedState.create({ number: 0, customers: [], keys: [], pools: [], routes: [] })
   }
 
-  /** The desired state as plain lists; `based_on` is not kept. */
+  /** The desired state as plain lists, shared by states with the same content and not to be changed; `based_on` is not kept. */
   toDesiredState (): DesiredState {
-    return {
-      number: this.identity.number,
-      customers: this.sections.customers.items(),
-      keys: this.sections.keys.items(),
-      pools: this.sections.pools.items(),
-      routes: this.sections.routes.items()
-    }
+    const { customers, keys, pools, routes } = this.sections
+    const lists = { customers: customers.items(), keys: keys.items(), pools: pools.items(), routes: routes.items() }
+    return { number: this.identity.number, ...lists } as DesiredState
   }
 
   /** The same content under another number. */
--- a/packages/configuration/src/recent-states.ts
+++ b/packages/configuration/src/recent-states.ts
@@ -8,7 +8,7 @@
 /** Longest difference that is sent without comparing it with the whole state, in bytes. */
 const SMALL_DIFFERENCE_BYTES = 65_536
 
-/** What leads a holder of one state to the latest: canonical JSON of a difference, or of the whole state. */
+/** What leads a holder of one state to the latest: JSON of a difference, or of the whole state. */
 export interface EncodedUpdate {
   readonly identity: FileIdentity
   /** The state that the difference was made from; undefined when the content is whole. */
--- a/packages/configuration/src/section-index.ts
+++ b/packages/configuration/src/section-index.ts
@@ -2,7 +2,10 @@
 import { canonicalJson } from './canonical-json.ts'
 
 const BUCKET_COUNT = 256
-const BUCKET_HEXADECIMAL_DIGITS = 2
+/** Items digested between two pauses. */
+const ITEMS_PER_STEP = 2_000
+const HASH_START = 2_166_136_261
+const HASH_FACTOR = 16_777_619
 
 /** One item of a section with its name and the digest of its canonical text. */
 export interface IndexedItem<Item> {
@@ -28,19 +31,29 @@
  */
 export class SectionIndex<Item> {
   readonly digest: string
-  readonly size: number
+  private list: readonly Item[] | undefined
 
   private constructor (private readonly nameOf: (item: Item) => string, private readonly buckets: readonly Bucket<Item>[]) {
     this.digest = digestTexts(buckets.map((bucket) => bucket.digest))
-    this.size = buckets.reduce((sum, bucket) => sum + bucket.items.length, 0)
   }
 
   static create<Item> (nameOf: (item: Item) => string, items: readonly Item[]): SectionIndex<Item> {
-    const groups: IndexedItem<Item>[][] = Array.from({ length: BUCKET_COUNT }, () => [])
-    for (const item of items) {
-      const indexed = toIndexed(nameOf(item), item)
-      groups[bucketOf(indexed.name)]?.push(indexed)
+    return SectionIndex.collect(nameOf, items.map((item) => toIndexed(nameOf(item), item)))
+  }
+
+  /** As `create`, but lets other work run after each `ITEMS_PER_STEP` items. */
+  static async createInSteps<Item> (nameOf: (item: Item) => string, items: readonly Item[]): Promise<SectionIndex<Item>> {
+    const indexed: IndexedItem<Item>[] = []
+    for (let start = 0; start < items.length; start += ITEMS_PER_STEP) {
+      for (const item of items.slice(start, start + ITEMS_PER_STEP)) indexed.push(toIndexed(nameOf(item), item))
+      await new Promise((resolve) => setImmediate(resolve))
     }
+    return SectionIndex.collect(nameOf, indexed)
+  }
+
+  private static collect<Item> (nameOf: (item: Item) => string, items: readonly IndexedItem<Item>[]): SectionIndex<Item> {
+    const groups: IndexedItem<Item>[][] = Array.from({ length: BUCKET_COUNT }, () => [])
+    for (const indexed of items) groups[bucketOf(indexed.name)]?.push(indexed)
     return new SectionIndex(nameOf, groups.map((group) => toBucket(group)))
   }
 
@@ -48,9 +61,10 @@
     return this.bucket(bucketOf(name)).items.find((indexed) => indexed.name === name)?.item
   }
 
-  /** All items; their order follows from their names alone. */
-  items (): Item[] {
-    return this.buckets.flatMap((bucket) => bucket.items.map((indexed) => indexed.item))
+  /** All items; their order follows from their names alone. The list is made once and shared. */
+  items (): readonly Item[] {
+    this.list ??= listItems(this.buckets)
+    return this.list
   }
 
   /** A new index with the difference applied; undefined when it removes a name that is not here. */
@@ -96,6 +110,14 @@
   }
 }
 
+function listItems<Item> (buckets: readonly Bucket<Item>[]): Item[] {
+  const list: Item[] = []
+  for (const bucket of buckets) {
+    for (const indexed of bucket.items) list.push(indexed.item)
+  }
+  return list
+}
+
 function addedItems<Item> (before: Bucket<Item>, after: Bucket<Item>): Item[] {
   const digests = new Map(before.items.map((indexed) => [indexed.name, indexed.digest]))
   return after.items.filter((indexed) => digests.get(indexed.name) !== indexed.digest).map((indexed) => indexed.item)
@@ -115,8 +137,11 @@
   return { items, digest: digestTexts(items.map((indexed) => indexed.digest)) }
 }
 
+/** Bucket of a name: FNV-1a over its UTF-16 units, equal on every machine. */
 function bucketOf (name: string): number {
-  return Number.parseInt(hash('sha1', name, 'hex').slice(0, BUCKET_HEXADECIMAL_DIGITS), 16)
+  let value = HASH_START
+  for (let index = 0; index < name.length; index += 1) value = Math.imul(value ^ name.charCodeAt(index), HASH_FACTOR)
+  return (value >>> 0) % BUCKET_COUNT
 }
 
 function digestTexts (texts: readonly string[]): string {
--- a/packages/configuration/src/state-codec.ts
+++ b/packages/configuration/src/state-codec.ts
@@ -1,6 +1,5 @@
 import { describeError, Failure } from '@hickoryspoke/runtime/failure'
 import { Err, Ok, type Result } from 'ts-results-es'
-import { canonicalJson } from './canonical-json.ts'
 import type { DesiredState } from './desired-state.ts'
 import type { StateDifference } from './difference.ts'
 import { IdentifiedState, sameIdentity, type FileIdentity } from './identified-state.ts'
@@ -14,9 +13,9 @@
   }
 }
 
-/** The whole state as canonical JSON. */
+/** The whole state as JSON. */
 export function encodeState (state: IdentifiedState): Buffer {
-  return Buffer.from(canonicalJson(state.toDesiredState()))
+  return Buffer.from(JSON.stringify(state.toDesiredState()))
 }
 
 /** Reads a whole state that was checked before it was encoded, and verifies its identity. */
@@ -26,9 +25,9 @@
   return verify(IdentifiedState.create(parsed.value), identity)
 }
 
-/** A difference as canonical JSON. */
+/** A difference as JSON. */
 export function encodeDifference (difference: StateDifference): Buffer {
-  return Buffer.from(canonicalJson(difference))
+  return Buffer.from(JSON.stringify(difference))
 }
 
 /** Reads a difference. */
--- a/packages/control/src/control-proposer.ts
+++ b/packages/control/src/control-proposer.ts
@@ -1,4 +1,4 @@
-import { parseDesiredState } from '@hickoryspoke/configuration/desired-state'
+import { parseDesiredState, validateDesiredState, type DesiredState } from '@hickoryspoke/configuration/desired-state'
 import { differenceBetween } from '@hickoryspoke/configuration/difference'
 import { IdentifiedState } from '@hickoryspoke/configuration/identified-state'
 import { encodeDifference, encodeState } from '@hickoryspoke/configuration/state-codec'
@@ -11,7 +11,7 @@
 import type { ReplicatedLog } from '@hickoryspoke/replication/replicated-log'
 import type { ReplicationFailure } from '@hickoryspoke/replication/replication-failure'
 import type { Clock } from '@hickoryspoke/runtime/clock'
-import type { InvalidInput, Issue } from '@hickoryspoke/runtime/failure'
+import { describeError, InvalidInput, type Issue } from '@hickoryspoke/runtime/failure'
 import { Err, Ok, type Result } from 'ts-results-es'
 import type { OperatorToken } from './operator-tokens.ts'
 
@@ -55,9 +55,17 @@
 
   /** Applies a desired-state file in TOML. */
   async applyFile (file: string, proposer: Proposer): Promise<ApplyAnswer> {
-    const parsed = parseDesiredState(file)
+    return await this.applyParsed(parseDesiredState(file), proposer)
+  }
+
+  /** Applies a desired state that its sender has parsed, as JSON. */
+  async applyState (state: Uint8Array, proposer: Proposer): Promise<ApplyAnswer> {
+    return await this.applyParsed(readState(state), proposer)
+  }
+
+  private async applyParsed (parsed: Result<DesiredState, InvalidInput>, proposer: Proposer): Promise<ApplyAnswer> {
     if (parsed.isErr()) return await this.refuseInvalid(parsed.error, proposer)
-    const candidate = IdentifiedState.create(parsed.value)
+    const candidate = await IdentifiedState.createInSteps(parsed.value)
     const basedOn = parsed.value.based_on
     const answer = await this.proposeFile(this.smallestCommand(candidate, basedOn), proposer)
     if (answer.outcome !== ApplyOutcome.APPLY_OUTCOME_NEEDS_WHOLE) return answer
@@ -117,6 +125,14 @@
   }
 }
 
+function readState (state: Uint8Array): Result<DesiredState, InvalidInput> {
+  try {
+    return validateDesiredState(JSON.parse(Buffer.from(state).toString('utf8')))
+  } catch (thrown) {
+    return Err(InvalidInput.create([{ code: 'invalid_json', path: [], message: describeError(thrown) }]))
+  }
+}
+
 function wholeCommand (candidate: IdentifiedState, basedOn: number | undefined): ApplyCommand {
   return { identity: candidate.identity, basedOn, whole: encodeState(candidate), difference: NO_BYTES, differenceFrom: undefined }
 }
--- a/packages/control/src/operator-documents.ts
+++ b/packages/control/src/operator-documents.ts
@@ -138,6 +138,6 @@
   return counts
 }
 
-function sortByName<Item> (items: Item[], nameOf: (item: Item) => string): Item[] {
-  return items.sort((left, right) => nameOf(left) < nameOf(right) ? -1 : 1)
+function sortByName<Item> (items: readonly Item[], nameOf: (item: Item) => string): Item[] {
+  return [...items].sort((left, right) => nameOf(left) < nameOf(right) ? -1 : 1)
 }
--- a/packages/control/src/operator-service.ts
+++ b/packages/control/src/operator-service.ts
@@ -49,7 +49,9 @@
     return {
       apply: unaryHandler(async ({ metadata, request }) => {
         const operator = this.authenticate(metadata)
-        return await this.confirmDelivery(await this.parts.proposer.applyFile(request.file, operator))
+        const { proposer } = this.parts
+        const answer = request.state !== undefined ? proposer.applyState(request.state, operator) : proposer.applyFile(request.file, operator)
+        return await this.confirmDelivery(await answer)
       }),
       decide: unaryHandler(async ({ metadata, request }) => {
         const operator = this.authenticate(metadata)
--- a/packages/control/src/tests/operator-service.test.ts
+++ b/packages/control/src/tests/operator-service.test.ts
@@ -93,6 +93,15 @@
   assert.is(desk.state.audit.lastSequence, 1)
 })
 
+test('a state that the sender parsed is checked again and taken', async () => {
+  const desk = Desk.create()
+  const send = async (text: string): Promise<string> => outcomeOf(await desk.ask<ApplyAnswer>('apply', { file: '', state: Buffer.from(text) }))
+  assert.is(await send('{"number":1,"keys":[{"customer":"nobody"}]}'), 'INVALID')
+  assert.is(await send('no JSON'), 'INVALID')
+  assert.is(await send('{"number":1,"customers":[{"name":"ministry","rate":5,"burst":5}]}'), 'ACCEPTED')
+  assert.is(await desk.apply(`number = 1\n${CUSTOMER}`), 'ACCEPTED')
+})
+
 test('requests without a known token are rejected, and decisions of an operator are forbidden', async () => {
   const desk = Desk.create()
   const rejected = await desk.ask('status', {}, 'other').catch((error: ServiceError) => error)
--- a/packages/membership/src/freshness-guard.ts
+++ b/packages/membership/src/freshness-guard.ts
@@ -200,7 +200,12 @@
   }
 
   private async sleepUntilWoken (milliseconds: number, signal: AbortSignal): Promise<void> {
-    this.wake = new AbortController()
-    await sleep(this.parts.clock, milliseconds, AbortSignal.any([signal, this.wake.signal]))
+    if (signal.aborted) return
+    const wake = new AbortController()
+    const stop = (): void => wake.abort()
+    this.wake = wake
+    signal.addEventListener('abort', stop, { once: true })
+    await sleep(this.parts.clock, milliseconds, wake.signal)
+    signal.removeEventListener('abort', stop)
   }
 }
--- a/packages/operator/src/commands-change.ts
+++ b/packages/operator/src/commands-change.ts
@@ -16,7 +16,7 @@
 export async function runApply (context: OperatorContext, file: string): Promise<ExitCode> {
   const read = await context.readState(file)
   if (read.isErr()) return context.fail(read.error)
-  const request = { file: read.value.text }
+  const request = { file: '', state: Buffer.from(JSON.stringify(read.value.state)) }
   return await context.withClient(async (client) => {
     const answer = context.unwrap(await client.change((stub, metadata, options, callback) => stub.apply(request, metadata, options, callback)))
     return answer.isErr() ? answer.error : showApplyAnswer(context, answer.value)
