--- a/packages/control/src/control-proposer.ts
+++ b/packages/control/src/control-proposer.ts
@@ -27,8 +27,7 @@
   proposal_not_confirmed: ApplyOutcome.APPLY_OUTCOME_NOT_CONFIRMED,
   replica_stopped: ApplyOutcome.APPLY_OUTCOME_NOT_CONFIRMED,
   command_too_large: ApplyOutcome.APPLY_OUTCOME_INVALID,
-  too_many_proposals: ApplyOutcome.APPLY_OUTCOME_NOT_CONFIRMED,
-  replica_set_change_refused: ApplyOutcome.APPLY_OUTCOME_NOT_CONFIRMED
+  too_many_proposals: ApplyOutcome.APPLY_OUTCOME_NOT_CONFIRMED
 }
 
 /** What a proposer needs. `addressOf` gives the HOST:PORT of a control VM by name. */
--- a/packages/replication/src/apply.ts
+++ b/packages/replication/src/apply.ts
@@ -1,8 +1,6 @@
 import type { LogEntry } from '@hickoryspoke/protocol/generated/replica'
 import { Ok } from 'ts-results-es'
 import type { ReplicaContext } from './replica-context.ts'
-import { findMember } from './replica-set.ts'
-import { REPLICA_ROLE } from './replicated-log.ts'
 import { describeSnapshot, type Snapshot } from './snapshot-file.ts'
 import { STORAGE_FAULT, StorageFailure } from './storage-failure.ts'
 import { describeError } from '@hickoryspoke/runtime/failure'
@@ -22,7 +20,6 @@
   if (context.isStopped()) return
   context.appliedIndex = entry.index
   if (answer !== undefined) context.proposals.finish(entry.index, Ok(answer))
-  else leaveIfRemoved(context)
 }
 
 function applyCommand (context: ReplicaContext, index: number, command: Uint8Array): Uint8Array | undefined {
@@ -35,13 +32,6 @@
   }
 }
 
-/** A leader that the committed replica set no longer names gives up leadership. */
-function leaveIfRemoved (context: ReplicaContext): void {
-  const latest = context.log.latestSet()
-  if (context.lifecycle.role() !== REPLICA_ROLE.Leader || latest.index > context.commitIndex) return
-  if (findMember(latest.set, context.self()) === undefined) context.stepDown(undefined)
-}
-
 function isSnapshotDue (context: ReplicaContext): boolean {
   if (context.snapshotUnderWay || context.isStopped()) return false
   const entries = context.appliedIndex - (context.snapshot?.header.index ?? 0)
--- a/packages/replication/src/replica-set-change.ts
+++ b/packages/replication/src/replica-set-change.ts
@@ -1,69 +1,54 @@
 import type { ReplicaSet } from '@hickoryspoke/protocol/generated/replica'
-import { Err, Ok, type Result } from 'ts-results-es'
 import { advanceCommit, appendAsLeader, maintainPeers } from './leader-feed.ts'
 import type { Leadership } from './leadership.ts'
 import { FEED_MODE } from './peer-progress.ts'
 import type { ReplicaContext } from './replica-context.ts'
-import { isMajority, memberKey, votersOf, withMember, withoutMember, type ReplicaIdentity } from './replica-set.ts'
-import { NotLeader, REPLICA_SET_REFUSAL, ReplicaSetChangeRefused, type ReplicationFailure } from './replication-failure.ts'
+import { findMember, isMajority, memberKey, withMember, withoutMember, type ReplicaIdentity } from './replica-set.ts'
 
 /** A learner may be this many entries behind when it is given a vote. */
 const CAUGHT_UP_ENTRIES = 16
 
-type Change = Result<number, ReplicationFailure>
-
-/** Adds a replica that has announced itself, as a learner. It gets its vote by itself once it has caught up. */
-export function addReplica (context: ReplicaContext, name: string): Change {
-  const incarnation = context.joiners.get(name)
-  if (context.latestSet().members.some((member) => member.name === name && member.incarnation === incarnation)) {
-    return refuse(REPLICA_SET_REFUSAL.AlreadyMember)
-  }
-  if (incarnation === undefined) return refuse(REPLICA_SET_REFUSAL.UnknownReplica)
-  return changeSet(context, withLearner(context.latestSet(), { name, incarnation }))
-}
-
-/** Removes a replica under all its incarnations. The leader must hand leadership over first. */
-export function removeReplica (context: ReplicaContext, name: string): Change {
-  const set = context.latestSet()
-  const member = set.members.find((one) => one.name === name && one.voter) ?? set.members.find((one) => one.name === name)
-  if (member === undefined) return refuse(REPLICA_SET_REFUSAL.UnknownReplica)
-  if (member.voter && votersOf(set).length === 1) return refuse(REPLICA_SET_REFUSAL.LastVoter)
-  return changeSet(context, withoutMember(set, member))
-}
-
-/** Adds an entry that changes the replica set, unless an earlier change is still under way. */
-function changeSet (context: ReplicaContext, set: ReplicaSet): Change {
-  const leadership = context.leadership
-  if (leadership === undefined || leadership.handingOver) return Err(NotLeader.create(context.leaderName))
-  if (context.commitIndex < leadership.startIndex) return refuse(REPLICA_SET_REFUSAL.TermNotConfirmed)
-  if (context.log.latestSet().index > context.commitIndex) return refuse(REPLICA_SET_REFUSAL.ChangeUnderWay)
+/** Adds an entry that changes the replica set. */
+function changeSet (context: ReplicaContext, set: ReplicaSet): void {
   const index = appendAsLeader(context, { $case: 'replicaSet', value: set })
   context.report({ kind: 'replica_set_changed', index, set })
   maintainPeers(context)
   advanceCommit(context)
-  return Ok(index)
 }
 
-/** Steps that a leader takes on its own, one at a time: repair after a lost disk, and votes for learners that caught up. */
+/**
+ * Steps that a leader takes on its own, one at a time, so that the set becomes the one of its settings:
+ * learners for replicas that are new or lost their disk, votes for learners that caught up, removal of retired replicas.
+ */
 export function superviseReplicaSet (context: ReplicaContext): void {
   const leadership = context.leadership
   if (leadership === undefined || leadership.handingOver) return
   if (context.commitIndex < leadership.startIndex || context.log.latestSet().index > context.commitIndex) return
-  const next = learnerForLostDisk(context) ?? setWithCaughtUpLearner(context, leadership)
+  const next = setWithJoiner(context) ?? setWithCaughtUpLearner(context, leadership) ?? setWithoutRetired(context, leadership)
   if (next !== undefined) changeSet(context, next)
 }
 
-/** A member that came back without its disk becomes a learner under its new incarnation; its old vote stays unused. */
-function learnerForLostDisk (context: ReplicaContext): ReplicaSet | undefined {
+/** A replica of the settings that is new, or came back without its disk, becomes a learner under its new incarnation. */
+function setWithJoiner (context: ReplicaContext): ReplicaSet | undefined {
   const set = context.latestSet()
   for (const [name, incarnation] of context.joiners) {
-    const known = set.members.some((member) => member.name === name)
-    const present = set.members.some((member) => member.name === name && member.incarnation === incarnation)
-    if (known && !present) return withLearner(set, { name, incarnation })
+    if (findMember(set, { name, incarnation }) !== undefined) continue
+    if (context.settings.peers.includes(name)) return withLearner(set, { name, incarnation })
   }
   return undefined
 }
 
+/** A member that the settings no longer name goes once it has been silent for long, as a stopped one is. */
+function setWithoutRetired (context: ReplicaContext, leadership: Leadership): ReplicaSet | undefined {
+  const set = context.latestSet()
+  const retired = set.members.find((member) => {
+    const lastHeard = leadership.peers.get(memberKey(member))?.lastHeard
+    const isSilent = lastHeard !== undefined && context.now() - lastHeard >= context.tuning.retireMilliseconds
+    return isSilent && !context.settings.peers.includes(member.name)
+  })
+  return retired === undefined ? undefined : withoutMember(set, retired)
+}
+
 function withLearner (set: ReplicaSet, identity: ReplicaIdentity): ReplicaSet {
   const staleLearners = set.members.filter((member) => member.name === identity.name && !member.voter)
   const cleaned = staleLearners.reduce<ReplicaSet>(withoutMember, set)
@@ -95,7 +80,3 @@
     return key === context.selfKey() || (leadership.peers.get(key)?.lastHeard ?? -Infinity) >= oldest
   })
 }
-
-function refuse (reason: typeof REPLICA_SET_REFUSAL[keyof typeof REPLICA_SET_REFUSAL]): Change {
-  return Err(ReplicaSetChangeRefused.create(reason))
-}
--- a/packages/replication/src/replica-settings.ts
+++ b/packages/replication/src/replica-settings.ts
@@ -22,6 +22,8 @@
   readonly tickMilliseconds: number
   readonly helloMilliseconds: number
   readonly proposalTimeoutMilliseconds: number
+  /** A member that the settings no longer name is removed after this silence. */
+  readonly retireMilliseconds: number
   /** Entries after a snapshot until the next one is taken. */
   readonly snapshotEntries: number
   /** Bytes of commands after a snapshot until the next one is taken. */
@@ -43,6 +45,7 @@
   tickMilliseconds: 50,
   helloMilliseconds: 500,
   proposalTimeoutMilliseconds: 5_000,
+  retireMilliseconds: 30_000,
   snapshotEntries: 1_000,
   snapshotBytes: 33_554_432,
   retainedBytes: 8_388_608,
@@ -62,7 +65,7 @@
   readonly name: string
   /** A path, or a folder that injects faults. */
   readonly folder: string | DataFolder
-  /** Names of all control VMs that this one knows how to reach, itself included. */
+  /** Names of all control VMs, this one included. As leader it brings the replica set to these names, one change at a time. */
   readonly peers: readonly string[]
   readonly onEmptyFolder: OnEmptyFolder
   readonly stateMachine: StateMachine
--- a/packages/replication/src/replica.ts
+++ b/packages/replication/src/replica.ts
@@ -8,7 +8,7 @@
 import { advanceCommit, appendAsLeader } from './leader-feed.ts'
 import { receiveMessage } from './message-handlers.ts'
 import { ReplicaContext } from './replica-context.ts'
-import { addReplica, hearsQuorum, removeReplica, superviseReplicaSet } from './replica-set-change.ts'
+import { hearsQuorum, superviseReplicaSet } from './replica-set-change.ts'
 import { describeReplica, type ReplicaStatus } from './replica-status.ts'
 import { DEFAULT_TUNING, type ReplicaSettings } from './replica-settings.ts'
 import { ReplicaStorage } from './replica-storage.ts'
@@ -104,18 +104,6 @@
     return answer
   }
 
-  /** Adds a replica that has announced itself; it becomes a voter by itself once it has caught up. Leader only. */
-  addReplica (name: string): Result<number, ReplicationFailure> {
-    return addReplica(this.context, name)
-  }
-
-  /** Removes a replica. When it is this leader, leadership is handed over first and the new leader must be asked. */
-  async removeReplica (name: string): Promise<Result<number, ReplicationFailure>> {
-    if (name !== this.context.settings.name) return removeReplica(this.context, name)
-    await handOver(this.context)
-    return Err(NotLeader.create(this.context.leaderName))
-  }
-
   role (): ReplicaRole {
     return this.context.lifecycle.role()
   }
--- a/packages/replication/src/replication-failure.ts
+++ b/packages/replication/src/replication-failure.ts
@@ -65,41 +65,6 @@
   }
 }
 
-/** A change of the replica set was refused; `reason` is one of `REPLICA_SET_REFUSAL`. */
-export class ReplicaSetChangeRefused extends Failure {
-  readonly code = 'replica_set_change_refused'
-
-  private constructor (readonly reason: ReplicaSetRefusal) {
-    super(REFUSAL_TEXT[reason])
-  }
-
-  static create (reason: ReplicaSetRefusal): ReplicaSetChangeRefused {
-    return new ReplicaSetChangeRefused(reason)
-  }
-}
-
-/** Why a change of the replica set was refused. */
-export const REPLICA_SET_REFUSAL = {
-  ChangeUnderWay: 'change_under_way',
-  TermNotConfirmed: 'term_not_confirmed',
-  UnknownReplica: 'unknown_replica',
-  NotCaughtUp: 'not_caught_up',
-  AlreadyMember: 'already_member',
-  LastVoter: 'last_voter'
-} as const
-
-/** One of the values of `REPLICA_SET_REFUSAL`. */
-export type ReplicaSetRefusal = typeof REPLICA_SET_REFUSAL[keyof typeof REPLICA_SET_REFUSAL]
-
-const REFUSAL_TEXT: Record<ReplicaSetRefusal, string> = {
-  change_under_way: 'an earlier change of the replica set is not committed yet',
-  term_not_confirmed: 'the leader has not committed an entry of its own term yet',
-  unknown_replica: 'no replica of this name is known or has announced itself',
-  not_caught_up: 'the learner has not caught up with the log yet',
-  already_member: 'the replica is a member already',
-  last_voter: 'the last voter cannot be removed'
-}
-
 /** Every failure that an operation on the replicated log returns. */
 export type ReplicationFailure =
-  NotLeader | ProposalNotConfirmed | ReplicaStopped | CommandTooLarge | TooManyProposals | ReplicaSetChangeRefused
+  NotLeader | ProposalNotConfirmed | ReplicaStopped | CommandTooLarge | TooManyProposals
