--- a/packages/protocol/src/peer-link.ts
+++ b/packages/protocol/src/peer-link.ts
@@ -1,5 +1,5 @@
 import type { ClientDuplexStream } from '@grpc/grpc-js'
-import { sleep } from '@hickoryspoke/runtime/clock'
+import { repeatEvery, sleep } from '@hickoryspoke/runtime/clock'
 import type { GrpcPeerNetworkOptions } from './grpc-peer-network.ts'
 import { EntryPeerClient, type PeerBatch, type PeerMessage, type PeerStreamEnd } from './generated/peer.ts'
 
@@ -7,9 +7,17 @@
 const MAXIMUM_BATCH_MESSAGES = 256
 const FIRST_BACKOFF_MILLISECONDS = 50
 const LONGEST_BACKOFF_MILLISECONDS = 2_000
-const KEEPALIVE_INTERVAL_MILLISECONDS = 10_000
+const KEEPALIVE_INTERVAL_MILLISECONDS = 30_000
+const IDLE_LIMIT_MILLISECONDS = 20_000
 const KEEPALIVE_TIMEOUT_MILLISECONDS = 3_000
 
+/** Life of a stream after which the next one is opened without delay. */
+const SETTLED_MILLISECONDS = 1_000
+
+/** Why a stream is over. */
+const StreamEnd = { Idle: 'idle', Lost: 'lost' } as const
+type StreamEnd = typeof StreamEnd[keyof typeof StreamEnd]
+
 type PeerCall = ClientDuplexStream<PeerBatch, PeerStreamEnd>
 
 /** The sending stream to one peer, run by one task that reconnects for as long as it lives. */
@@ -17,6 +25,7 @@
   dropped = 0
   private queue: PeerMessage[] = []
   private wake: (() => void) | undefined
+  private lastWriteMilliseconds = 0
   private readonly stopping = new AbortController()
 
   private constructor (private readonly peer: string, private readonly options: GrpcPeerNetworkOptions) {}
@@ -51,38 +60,49 @@
     let backoffMilliseconds = FIRST_BACKOFF_MILLISECONDS
     while (!this.stopping.signal.aborted) {
       await this.untilWorkWaits()
-      const sent = await this.sendOverOneStream()
+      const startedAt = clock.monotonicMilliseconds()
+      const end = await this.sendOverOneStream()
       if (this.stopping.signal.aborted) return
-      backoffMilliseconds = sent ? FIRST_BACKOFF_MILLISECONDS : Math.min(backoffMilliseconds * 2, LONGEST_BACKOFF_MILLISECONDS)
+      if (end === StreamEnd.Idle) continue
+      const livedMilliseconds = clock.monotonicMilliseconds() - startedAt
+      const isSettled = livedMilliseconds >= SETTLED_MILLISECONDS
+      backoffMilliseconds = isSettled ? FIRST_BACKOFF_MILLISECONDS : Math.min(backoffMilliseconds * 2, LONGEST_BACKOFF_MILLISECONDS)
       this.dropWaiting()
       logger.debug('peer stream lost', { peer: this.peer, backoffMilliseconds })
       await sleep(clock, backoffMilliseconds * (0.5 + random.next()), this.stopping.signal)
     }
   }
 
-  /** Writes batches until the stream ends; tells whether anything was written. */
-  private async sendOverOneStream (): Promise<boolean> {
+  /** Writes batches until the stream ends or has carried nothing for a while. */
+  private async sendOverOneStream (): Promise<StreamEnd> {
     const address = this.options.addressOf(this.peer)
-    if (address === undefined) return false
+    if (address === undefined) return StreamEnd.Lost
+    const { clock } = this.options
     const client = this.connect(address)
     const call = client.exchange()
     const ended = endOf(call)
-    let sent = false
+    const idleWatch = new AbortController()
+    this.lastWriteMilliseconds = clock.monotonicMilliseconds()
+    void repeatEvery(clock, IDLE_LIMIT_MILLISECONDS, idleWatch.signal, () => this.wake?.())
     try {
       while (!this.stopping.signal.aborted && !ended.isOver()) {
-        const batch = this.takeBatch()
-        if (batch.length > 0) {
-          sent = this.write(call, batch) || sent
-          await Promise.race([writable(call), ended.promise])
-        } else {
-          await Promise.race([this.untilWorkWaits(), ended.promise])
-        }
+        if (this.isIdle()) return StreamEnd.Idle
+        await Promise.race([this.sendWaiting(call), ended.promise])
       }
+      return StreamEnd.Lost
     } finally {
+      idleWatch.abort()
       call.cancel()
       client.close()
     }
-    return sent
+  }
+
+  private async sendWaiting (call: PeerCall): Promise<void> {
+    const messages = this.takeBatch()
+    if (messages.length === 0) return await this.untilWorkWaits()
+    call.write({ from: this.options.self, messages })
+    this.lastWriteMilliseconds = this.options.clock.monotonicMilliseconds()
+    await writable(call)
   }
 
   private connect (address: string): EntryPeerClient {
@@ -95,9 +115,10 @@
     })
   }
 
-  private write (call: PeerCall, messages: PeerMessage[]): boolean {
-    call.write({ from: this.options.self, messages })
-    return true
+  /** Streams that carry nothing are closed: at 800 entries a full mesh of idle streams costs more than what they carry. */
+  private isIdle (): boolean {
+    const silence = this.options.clock.monotonicMilliseconds() - this.lastWriteMilliseconds
+    return this.queue.length === 0 && silence >= IDLE_LIMIT_MILLISECONDS
   }
 
   private takeBatch (): PeerMessage[] {
@@ -125,12 +146,12 @@
   }
 }
 
-interface StreamEnd {
+interface EndWatch {
   readonly promise: Promise<void>
   isOver (): boolean
 }
 
-function endOf (call: PeerCall): StreamEnd {
+function endOf (call: PeerCall): EndWatch {
   let over = false
   const promise = new Promise<void>((resolve) => {
     const finish = (): void => {
