Membership names the process that was enrolled, so that a restarted claim holder knows itself

Cause: an entry that restarts and first hears an old membership, from a disk or a late peer, took itself for new and could vote without what it had forgotten. Change: optional incarnation of an enrolled entry, kept from its first enrolment; claims treat another process of that name as restarted. The first epoch may vote at once.

--- a/packages/bench/src/measure-claims.ts
+++ b/packages/bench/src/measure-claims.ts
@@ -23,7 +23,7 @@
 const ALWAYS: EpochLease = { epoch: () => 1, validUntilMilliseconds: () => Infinity, exclusiveFromMilliseconds: () => 0 }
 
 function membershipOf (size: number): EntryMembership {
-  const entries = Array.from({ length: size }, (_, index) => ({ name: `entry-${index}`, zone: `z${index % 3}`, region: 'r', peerAddress: '', witness: true }))
+  const entries = Array.from({ length: size }, (_, index) => ({ name: `entry-${index}`, zone: `z${index % 3}`, region: 'r', peerAddress: '', witness: true, incarnation: 'first' }))
   return { epoch: 1, establishedEpoch: 1, entries }
 }
 
@@ -47,7 +47,7 @@
   setMaxListeners(0, stop.signal)
   const all = membershipOf(size).entries.map(({ name }, index) => {
     const peer = network.join(name, (from, message) => claims.receive(from, message))
-    const claims = FleetClaims.create({ clock, random: SeededRandom.create(index), network: peer, epochLease: ALWAYS })
+    const claims = FleetClaims.create({ clock, random: SeededRandom.create(index), network: peer, epochLease: ALWAYS, incarnation: 'first' })
     join(claims, size)
     claims.run(stop.signal).catch(() => {})
     return claims
@@ -97,7 +97,7 @@
       const bytes = ClaimMessage.encode(message).finish()
       queueMicrotask(() => fleet.get(to)?.receive(name, ClaimMessage.decode(bytes)))
     }
-    const claims = FleetClaims.create({ clock, random: SeededRandom.create(1), network: { self: name, send }, epochLease: ALWAYS })
+    const claims = FleetClaims.create({ clock, random: SeededRandom.create(1), network: { self: name, send }, epochLease: ALWAYS, incarnation: 'first' })
     join(claims, 5)
     claims.run(stop.signal).catch(() => {})
     fleet.set(name, claims)
@@ -118,7 +118,7 @@
 async function measureMemory (records: number): Promise<number> {
   const stop = new AbortController()
   const clock = SystemClock.create()
-  const claims = FleetClaims.create({ clock, random: SeededRandom.create(1), network: { self: 'entry-0', send: () => {} }, epochLease: ALWAYS })
+  const claims = FleetClaims.create({ clock, random: SeededRandom.create(1), network: { self: 'entry-0', send: () => {} }, epochLease: ALWAYS, incarnation: 'first' })
   join(claims, 1)
   claims.run(stop.signal).catch(() => {})
   await sleep(clock, 600)
@@ -134,7 +134,7 @@
 }
 
 function measureEpoch (size: number): number {
-  const claims = FleetClaims.create({ clock: FakeClock.create(), random: SeededRandom.create(1), network: { self: 'entry-0', send: () => {} }, epochLease: ALWAYS })
+  const claims = FleetClaims.create({ clock: FakeClock.create(), random: SeededRandom.create(1), network: { self: 'entry-0', send: () => {} }, epochLease: ALWAYS, incarnation: 'first' })
   const membership = membershipOf(size)
   claims.applyMembership(membership)
   const before = process.cpuUsage()
--- a/packages/bench/src/request-workers.ts
+++ b/packages/bench/src/request-workers.ts
@@ -88,11 +88,11 @@
   const deliver = ({ from, to, bytes }: Envelope): void => local.get(to)?.receive(from, ClaimMessage.decode(bytes))
   for (const name of names) {
     const send = (to: string, message: ClaimMessage): void => port.postMessage({ from: name, to, bytes: ClaimMessage.encode(message).finish() })
-    const parts = { clock: SystemClock.create(), random: SystemRandom.create(), network: { self: name, send }, epochLease: ALWAYS }
+    const parts = { clock: SystemClock.create(), random: SystemRandom.create(), network: { self: name, send }, epochLease: ALWAYS, incarnation: 'first' }
     local.set(name, FleetClaims.create(parts))
   }
   port.on('message', deliver)
-  const entries = HOLDERS.map((name, index) => ({ name, zone: `z${index % 3}`, region: 'r', peerAddress: '', witness: true }))
+  const entries = HOLDERS.map((name, index) => ({ name, zone: `z${index % 3}`, region: 'r', peerAddress: '', witness: true, incarnation: 'first' }))
   for (const claims of local.values()) {
     claims.applyMembership({ epoch: 0, establishedEpoch: 0, entries: [] })
     claims.applyMembership({ epoch: 1, establishedEpoch: 1, entries })
--- a/packages/control/src/entry-register.ts
+++ b/packages/control/src/entry-register.ts
@@ -72,5 +72,6 @@
 
 /** The entry as the membership names it. */
 export function toEnrolled (report: EntryReport): EnrolledEntry {
-  return { name: report.name, zone: report.zone, region: report.region, peerAddress: report.peerAddress, witness: false }
+  const { name, zone, region, peerAddress, incarnation } = report
+  return { name, zone, region, peerAddress, incarnation, witness: false }
 }
--- a/packages/replication/src/accepted-state-membership.ts
+++ b/packages/replication/src/accepted-state-membership.ts
@@ -79,7 +79,10 @@
 ): Map<string, EnrolledEntry> {
   const next = new Map(current)
   for (const name of remove) next.delete(name)
-  for (const entry of put) next.set(entry.name, { ...entry, witness: next.get(entry.name)?.witness === true })
+  for (const entry of put) {
+    const known = next.get(entry.name)
+    next.set(entry.name, { ...entry, witness: known?.witness === true, incarnation: known === undefined ? entry.incarnation : known.incarnation })
+  }
   const sorted = [...next.values()].sort((left, right) => left.name < right.name ? -1 : 1)
   const regions = new Set(sorted.map((entry) => entry.region))
   const witnesses = new Set([...regions].flatMap((region) => chooseWitnesses(sorted.filter((entry) => entry.region === region))))
--- a/packages/request/src/claim-seats.ts
+++ b/packages/request/src/claim-seats.ts
@@ -31,12 +31,19 @@
   readonly slot: number
 }
 
+/** How a process stands in a membership: not at all, as the one that was enrolled, or as a later one of its name. */
+export const CLAIM_ENROLMENTS = { absent: 'absent', original: 'original', restarted: 'restarted' } as const
+export type ClaimEnrolment = typeof CLAIM_ENROLMENTS[keyof typeof CLAIM_ENROLMENTS]
+
+const FIRST_EPOCH = 1
+
 /** Which slots this entry votes on, through changes of membership and its own restart. */
 export class ClaimSeats {
   private readonly seats = new Map<number, ClaimSeat>()
   /** Slots whose group changed, until no entry can act on an earlier epoch. */
   private readonly unsettled = new Set<number>()
   private groups: ClaimGroups | undefined
+  private wasEnrolled = false
   private readonly startedMilliseconds: number
 
   private constructor (
@@ -84,13 +91,15 @@
     return this.isSettled(0) && this.unsettled.size === 0
   }
 
-  /** Takes a newer membership. */
-  apply (groups: ClaimGroups): void {
+  /** Takes a newer membership, and how this process stands in it. */
+  apply (groups: ClaimGroups, enrolment: ClaimEnrolment): void {
     const former = this.groups
     if (former !== undefined && groups.epoch <= former.epoch) return
     this.isSettled(0)
     this.groups = groups
-    for (let slot = 0; slot < this.settings.slots; slot += 1) this.applySlot(slot, groups, former)
+    const mayHaveForgotten = enrolment === CLAIM_ENROLMENTS.restarted && !this.wasEnrolled
+    for (let slot = 0; slot < this.settings.slots; slot += 1) this.applySlot(slot, groups, former, mayHaveForgotten)
+    this.wasEnrolled = enrolment !== CLAIM_ENROLMENTS.absent
   }
 
   /** Copies that are due now; seats whose quarantine is over begin to vote. */
@@ -132,7 +141,7 @@
     return [...this.seats.values()].filter((seat) => !seat.isVoting && seat.untilEpoch === 0).length
   }
 
-  private applySlot (slot: number, groups: ClaimGroups, former: ClaimGroups | undefined): void {
+  private applySlot (slot: number, groups: ClaimGroups, former: ClaimGroups | undefined, mayHaveForgotten: boolean): void {
     const group = groups.of(slot)
     const formerGroup = former !== undefined && former.epoch === groups.epoch - 1 ? former.of(slot) : undefined
     if (formerGroup?.digest !== group.digest) this.unsettled.add(slot)
@@ -143,7 +152,7 @@
       return
     }
     if (stays) this.keepSeat(seat, group)
-    else this.seats.set(slot, this.openSeat(slot, group, groups.epoch, former, formerGroup))
+    else this.seats.set(slot, this.openSeat(slot, group, groups.epoch, mayHaveForgotten ? undefined : formerGroup, mayHaveForgotten))
   }
 
   private keepSeat (seat: ClaimSeat, group: ClaimGroup): void {
@@ -151,17 +160,17 @@
     seat.group = group
   }
 
-  private openSeat (slot: number, group: ClaimGroup, epoch: number, former: ClaimGroups | undefined, formerGroup: ClaimGroup | undefined): ClaimSeat {
+  private openSeat (slot: number, group: ClaimGroup, epoch: number, formerGroup: ClaimGroup | undefined, mayHaveForgotten: boolean): ClaimSeat {
     return {
       slot,
       group,
-      isVoting: false,
+      isVoting: epoch === FIRST_EPOCH && !mayHaveForgotten,
       sinceEpoch: epoch,
       untilEpoch: 0,
       formerGroup,
       formerEpoch: formerGroup === undefined ? -1 : epoch - 1,
       quarantineFromMilliseconds: undefined,
-      mayHaveForgotten: former === undefined,
+      mayHaveForgotten,
       copiedFormer: new Set(),
       copiedPresent: new Set()
     }
--- a/packages/request/src/fleet-claims.ts
+++ b/packages/request/src/fleet-claims.ts
@@ -10,7 +10,7 @@
 import { ClaimHolder } from './claim-holder.ts'
 import { ClaimRecords } from './claim-records.ts'
 import { ClaimRound, type RoundResult } from './claim-round.ts'
-import { ClaimSeats } from './claim-seats.ts'
+import { CLAIM_ENROLMENTS, ClaimSeats } from './claim-seats.ts'
 import { DEFAULT_CLAIM_SETTINGS, type ClaimSettings } from './claim-settings.ts'
 import type { ClaimDecision, ClaimEnd, ClaimQuestion, ClaimStore, ClaimTicket, StoredAnswer } from './collaborators.ts'
 
@@ -20,6 +20,8 @@
   readonly random: RandomSource
   readonly network: PeerNetwork<ClaimMessage>
   readonly epochLease: EpochLease
+  /** Names this process, as it reports to control. */
+  readonly incarnation: string
   readonly settings?: Partial<ClaimSettings>
 }
 
@@ -77,12 +79,11 @@
     return new FleetClaims(parts)
   }
 
-  /**
-   * Takes each membership in turn, as control sent it to this process. An entry that finds itself in the first
-   * one that it sees takes it that it voted before it started, and has forgotten.
-   */
+  /** Takes the membership of a new epoch. A process that is not the one that was enrolled may have voted before it started. */
   applyMembership (membership: EntryMembership): void {
-    this.seats.apply(ClaimGroups.create(membership))
+    const self = membership.entries.find((entry) => entry.name === this.network.self)
+    const enrolment = self?.incarnation === this.parts.incarnation ? CLAIM_ENROLMENTS.original : CLAIM_ENROLMENTS.restarted
+    this.seats.apply(ClaimGroups.create(membership), self === undefined ? CLAIM_ENROLMENTS.absent : enrolment)
   }
 
   /** Handles a message of another entry. */
--- a/packages/request/src/tests/claim-fleet.ts
+++ b/packages/request/src/tests/claim-fleet.ts
@@ -39,6 +39,7 @@
 interface Process {
   readonly claims: FleetClaims
   readonly lease: TestLease
+  readonly incarnation: string
   readonly stop: AbortController
 }
 
@@ -83,8 +84,9 @@
     const clock: Clock = this.clock
     const network = this.network.join(name, (from, message) => claims.receive(from, message))
     const random = SeededRandom.create(this.seed * 1000 + ++this.created)
-    const claims = FleetClaims.create({ clock, random, network, epochLease: lease, settings: this.settings })
-    const process = { claims, lease, stop: new AbortController() }
+    const incarnation = `process-${this.created}`
+    const claims = FleetClaims.create({ clock, random, network, epochLease: lease, settings: this.settings, incarnation })
+    const process = { claims, lease, incarnation, stop: new AbortController() }
     this.processes.set(name, process)
     this.learn(process)
     claims.run(process.stop.signal).catch(() => {})
@@ -101,7 +103,9 @@
   /** Takes entries into and out of the membership; each process learns of it at its next renewal. */
   changeMembership (add: readonly string[], remove: readonly string[]): void {
     const kept = this.membership.entries.filter((entry) => !remove.includes(entry.name))
-    const added = add.map((name, index) => ({ name, zone: `zone-${(kept.length + index) % 3}`, region: 'r', peerAddress: '', witness: true }))
+    const added = add.map((name, index) => ({
+      name, zone: `zone-${(kept.length + index) % 3}`, region: 'r', peerAddress: '', witness: true, incarnation: this.processes.get(name)?.incarnation
+    }))
     this.membership = { epoch: this.membership.epoch + 1, establishedEpoch: this.membership.epoch, entries: [...kept, ...added] }
     this.establishedAt = this.clock.monotonicMilliseconds()
   }
