--- a/packages/entry/src/entry-services.ts
+++ b/packages/entry/src/entry-services.ts
@@ -48,6 +48,7 @@
   readonly connections: UpstreamConnections
   readonly metrics: EntryMetrics
   readonly runner: RequestRunner
+  private readonly incarnation = randomUUID()
   private tables = NO_TABLES
   private peerAddresses: ReadonlyMap<string, string>
   private readonly seeds: ReadonlyMap<string, string>
@@ -83,7 +84,7 @@
     this.limiter = FleetLimiter.create({ network: shares, clock, random, epochLease })
     this.queues = PoolQueues.create({ clock, usableSlots: (pool) => this.usableSlots(pool), liveEntries: () => this.entryZones().length })
     const claims = this.network.join('claim', (from, message) => this.claims.receive(from, message))
-    this.claims = FleetClaims.create({ clock, random, network: claims, epochLease })
+    this.claims = FleetClaims.create({ clock, random, network: claims, epochLease, incarnation: this.incarnation })
     const crashes = this.network.join('crash', (from, message) => this.crashes.receive(from, message))
     this.crashes = FleetCrashWatch.create({ clock, random, network: crashes, wentDown: async (address, since) => await this.wentDown(address, since) })
     this.connections = UpstreamConnections.create(clock)
@@ -112,7 +113,7 @@
     const { name, zone, region, control, data_folder: dataFolder } = this.settings
     return ConfigurationFollower.create({
       ...this.surroundings,
-      identity: { name, zone, region, peerAddress, incarnation: randomUUID() },
+      identity: { name, zone, region, peerAddress, incarnation: this.incarnation },
       control,
       network: this.network.join('freshness', (from, message) => this.follower.handle(from, message)),
       open: createFollowClient(credentials),
@@ -180,11 +181,11 @@
     this.crashes.applyMembership(membership)
   }
 
-  /** A process that is gone refuses connections, or came back under a new incarnation. */
+  /** A process that is gone came back under a new incarnation, refuses connections, or lost several at once. */
   private async wentDown (address: string, sinceMilliseconds: number): Promise<boolean> {
     const record = this.registry.poolNames().flatMap((pool) => this.registry.records(pool)).find((known) => known.address === address)
     if (record !== undefined && record.seenSinceMilliseconds > sinceMilliseconds) return true
-    return !(await probeUpstream(address)).reachable
+    return await this.connections.wentDown(address, sinceMilliseconds)
   }
 
   private entryZones (): readonly string[] {
