--- a/packages/entry/src/entry-services.ts
+++ b/packages/entry/src/entry-services.ts
@@ -146,6 +146,7 @@
       admission: this.limiter,
       balancer: { pick: (question) => this.balancer.pick({ ...question, exclude: new Set(question.exclude) }) },
       connections: this.connections,
+      connectionsPerUpstream: (pool) => this.balancer.connectionsPerUpstream(pool),
       queue: this.queues,
       claims: this.claims,
       crashes: this.crashes,
--- a/packages/entry/src/tests/caller-edge.test.ts
+++ b/packages/entry/src/tests/caller-edge.test.ts
@@ -47,6 +47,7 @@
   { name: 'Connection names the customer', text: get(`${HOST}${AUTHORIZED}Connection: close, hickoryspoke-customer\r\n`), status: 400 },
   { name: 'Connection names an own header', text: get(`${HOST}${AUTHORIZED}Connection: close, x-a\r\nX-A: b\r\n`), status: 200, reaches: 1 },
   { name: 'the key in the query', text: head(`GET /ledger?k=${TEST_KEY}`, HOST + AUTHORIZED + CLOSE), status: 400, code: 'key_in_request' },
+  { name: 'the key in the query of an open route', text: head(`GET /public?k=${TEST_KEY}`, HOST + CLOSE), status: 400, code: 'key_in_request' },
   { name: 'the key twice', text: get(HOST + AUTHORIZED + AUTHORIZED + CLOSE), status: 401, code: 'unauthorized' },
   { name: 'no key', text: get(HOST + CLOSE), status: 401, code: 'unauthorized' },
   { name: 'an unknown key', text: get(`${HOST}Authorization: Bearer wrong-key\r\n${CLOSE}`), status: 401, code: 'unauthorized' },
@@ -101,6 +102,17 @@
   await upstream.close()
 })
 
+test('on an open route too, a key that came in any header does not reach the upstream', async () => {
+  const upstream = await RawUpstream.create((socket) => socket.write(wholeAnswer('ok')))
+  const fixture = await CallerFixture.create({ addresses: [upstream.address] })
+  assert.is(statusOf(await fixture.raw(head('GET /public', `${HOST}${AUTHORIZED}X-Api-Key: ${TEST_KEY}\r\n${CLOSE}`))), 200)
+  assert.is(statusOf(await fixture.raw(head('GET /public', `${HOST}X-Api-Key: ${TEST_KEY}\r\n${CLOSE}`))), 200)
+  assert.is(upstream.requests.length, 2)
+  assert.not.match(upstream.requests.join(''), new RegExp(TEST_KEY))
+  await fixture.close()
+  await upstream.close()
+})
+
 test('a key is withdrawn on an open connection', async () => {
   const upstream = await RawUpstream.create((socket) => socket.write(wholeAnswer('ok')))
   const fixture = await CallerFixture.create({ addresses: [upstream.address] })
--- a/packages/request/src/attempt-loop.ts
+++ b/packages/request/src/attempt-loop.ts
@@ -196,7 +196,7 @@
     if (result.isErr() && this.failures.length < this.running.length) return
     this.settled = true
     this.timer?.cancel()
-    this.cancelOthers(attempt, AttemptFailure.create('hedge_lost'))
+    if (this.running.length > 1) this.cancelOthers(attempt, AttemptFailure.create('hedge_lost'))
     this.resolve(result.isOk() ? result : Err(this.gravest(result.error)))
   }
 
--- a/packages/request/src/header-filter.ts
+++ b/packages/request/src/header-filter.ts
@@ -13,6 +13,10 @@
 const MUST_REACH_ITS_END: ReadonlySet<string> = new Set([
   'host', 'content-length', 'content-type', 'content-encoding', 'content-range', 'range', 'authorization', 'cookie', 'idempotency-key', 'expect'
 ])
+/** Common headers whose values need not be compared with all keys. */
+const NEVER_A_KEY: ReadonlySet<string> = new Set([
+  'host', 'accept', 'accept-encoding', 'accept-language', 'user-agent', 'content-type', 'content-encoding', 'cache-control', 'date', 'sec-fetch-mode'
+])
 const OWN_PREFIX = 'hickoryspoke-'
 const SHORTEST_KEY_CHARACTERS = 8
 
@@ -34,7 +38,7 @@
 }
 
 /** Headers to send to an upstream: without hop-by-hop headers, credentials, and any value that repeats the key. */
-export function upstreamRequestHeaders (headers: RawHeaders, key: string | undefined): Result<string[], Refusal> {
+export function upstreamRequestHeaders (headers: RawHeaders, key: string | undefined, isKey: (text: string) => boolean): Result<string[], Refusal> {
   const named = namedInConnection(headers)
   for (const name of named) {
     if (MUST_REACH_ITS_END.has(name) || name.startsWith(OWN_PREFIX)) return Err(Refusal.create('bad_connection_header'))
@@ -45,6 +49,7 @@
     const value = headers[index + 1] as string
     if (HOP_BY_HOP.has(name) || CONSUMED_FROM_REQUEST.has(name) || name.startsWith(OWN_PREFIX) || named.has(name)) continue
     if (holdsKey(value, key) || holdsKey(name, key?.toLowerCase())) continue
+    if (!NEVER_A_KEY.has(name) && isKey(value)) continue
     kept.push(name, value)
   }
   return Ok(kept)
@@ -62,6 +67,12 @@
   return kept
 }
 
+/** Whether a value in a query is a key that is in force. */
+export function queryHoldsKey (query: string, isKey: (text: string) => boolean): boolean {
+  if (query === '') return false
+  return [...new URLSearchParams(query).values()].some(isKey)
+}
+
 /** Whether text holds the key, plain or with percent escapes. */
 export function holdsKey (text: string, key: string | undefined): boolean {
   if (key === undefined || key.length < SHORTEST_KEY_CHARACTERS) return false
--- a/packages/request/src/key-table.ts
+++ b/packages/request/src/key-table.ts
@@ -4,6 +4,7 @@
 
 const BEARER = /^Bearer +([\x21-\x7e]+) *$/i
 const MAXIMUM_KEY_CHARACTERS = 512
+const SHORTEST_KEY_CHARACTERS = 8
 
 /** The key in an Authorization header, or nothing when the header has another form. */
 export function bearerKey (authorization: string | undefined): string | undefined {
@@ -24,6 +25,11 @@
     return new KeyTable(new Map(keys.map((key) => [key.digest, key.customer])))
   }
 
+  /** Whether a text is a key that is in force, wherever it was found. */
+  isKey (text: string): boolean {
+    return text.length >= SHORTEST_KEY_CHARACTERS && text.length <= MAXIMUM_KEY_CHARACTERS && this.customers.has(keyDigest(text))
+  }
+
   /** The customer whose key has this digest. */
   customerOf (digest: string): string | undefined {
     return this.customers.get(digest)
--- a/packages/request/src/request-gate.ts
+++ b/packages/request/src/request-gate.ts
@@ -2,7 +2,7 @@
 import { Err, Ok, type Result } from 'ts-results-es'
 import type { CallerExchange } from './caller-exchange.ts'
 import type { FreshnessGate, RequestTables, TableSource } from './collaborators.ts'
-import { headerCount, headerValue, holdsKey, upstreamRequestHeaders } from './header-filter.ts'
+import { headerCount, headerValue, holdsKey, queryHoldsKey, upstreamRequestHeaders } from './header-filter.ts'
 import { bearerKey, keyDigest } from './key-table.ts'
 import { normaliseTarget } from './path-normalisation.ts'
 import { Refusal } from './refusal.ts'
@@ -42,16 +42,18 @@
     const key = bearerKey(headerValue(exchange.headers, 'authorization'))
     const owner = this.ownerOf(route, key, tables, headerCount(exchange.headers, 'authorization'))
     if (owner.isErr()) return owner
-    if (holdsKey(target.value.path + target.value.query, key)) return Err(Refusal.create('key_in_request'))
-    const headers = upstreamRequestHeaders(exchange.headers, key)
+    const isKey = (text: string): boolean => tables.keys.isKey(text)
+    const { path, query } = target.value
+    if (holdsKey(path + query, key) || queryHoldsKey(query, isKey)) return Err(Refusal.create('key_in_request'))
+    const headers = upstreamRequestHeaders(exchange.headers, key, isKey)
     if (headers.isErr()) return headers
     const idempotent = isIdempotent(route, exchange.method)
     const claim = claimedKey(exchange, idempotent, route.open)
     if (claim.isErr()) return claim
     return Ok({
       route,
-      path: target.value.path,
-      upstreamPath: target.value.path + target.value.query,
+      path,
+      upstreamPath: path + query,
       customer: owner.value.customer,
       keyDigest: owner.value.digest,
       headers: headers.value,
--- a/packages/request/src/request-run.ts
+++ b/packages/request/src/request-run.ts
@@ -196,6 +196,7 @@
           path: request.upstreamPath,
           headers: this.upstreamHeaders(request, deadline),
           body: body.forAttempt(),
+          maximumOpen: () => this.parts.connectionsPerUpstream?.(request.route.pool) ?? Infinity,
           maximumIdleMilliseconds: request.idempotent ? IDLE_FOR_IDEMPOTENT_MILLISECONDS : IDLE_FOR_OTHERS_MILLISECONDS
         }
       }
--- a/packages/request/src/request-runner-parts.ts
+++ b/packages/request/src/request-runner-parts.ts
@@ -18,6 +18,8 @@
   readonly queue?: RequestQueue
   readonly claims?: ClaimStore
   readonly crashes?: CrashWatch
+  /** Most connections of this entry to one upstream of a pool. */
+  readonly connectionsPerUpstream?: (pool: string) => number
   readonly observer?: RequestObserver
   readonly policies?: PoolPolicies
   readonly attempts?: AttemptSettings
--- a/packages/request/src/upstream-connections.ts
+++ b/packages/request/src/upstream-connections.ts
@@ -43,6 +43,8 @@
 export interface ConnectionQuestion {
   readonly address: string
   readonly maximumIdleMilliseconds: number
+  /** Most connections of this entry to the upstream; asked only when one more is to be opened. */
+  readonly maximumOpen?: () => number
   readonly signal: AbortSignal
 }
 
@@ -116,7 +118,8 @@
     const pool = this.poolOf(question.address)
     const idle = this.takeIdle(pool, question.maximumIdleMilliseconds)
     if (idle !== undefined) return Ok(idle)
-    if (pool.open >= this.settings.maximumPerUpstream) return Err(ConnectFailure.create('too_many_connections', 'too many connections to this upstream'))
+    const maximum = Math.min(this.settings.maximumPerUpstream, question.maximumOpen?.() ?? Infinity)
+    if (pool.open >= maximum) return Err(ConnectFailure.create('too_many_connections', 'too many connections to this upstream'))
     return await this.open(question, pool)
   }
 
--- a/packages/request/src/upstream-exchange.ts
+++ b/packages/request/src/upstream-exchange.ts
@@ -17,6 +17,7 @@
   readonly body: Buffer | Readable | null
   /** Longest idle time in milliseconds of a connection that may be used again. */
   readonly maximumIdleMilliseconds: number
+  readonly maximumOpen?: () => number
 }
 
 type HeadResult = Result<UpstreamAnswer, AttemptFailure>
@@ -42,8 +43,8 @@
   signal: AbortSignal
 ): Promise<HeadResult> {
   if (signal.aborted) return Err(AttemptFailure.create('aborted_before_sending'))
-  const { address, maximumIdleMilliseconds } = request
-  const connection = await connections.acquire({ address, maximumIdleMilliseconds, signal })
+  const { address, maximumIdleMilliseconds, maximumOpen } = request
+  const connection = await connections.acquire({ address, maximumIdleMilliseconds, maximumOpen, signal })
   if (connection.isErr()) return Err(AttemptFailure.create(CONNECT_ENDS[connection.error.code], connection.error.message))
   if (signal.aborted) {
     connections.release(connection.value, true)
