--- a/packages/bench/src/tests/distribution-fleet.test.ts
+++ b/packages/bench/src/tests/distribution-fleet.test.ts
@@ -142,7 +142,7 @@
   const file = join(folder, 'accepted-configuration')
   const stored = await readFile(file)
   assert.is(await numberAtStart(fleet, folder), 1)
-  await writeFile(file, Buffer.from(stored).fill(0, stored.length / 2))
+  await writeFile(file, Buffer.from(stored).fill(0, Math.floor(stored.length / 2)))
   assert.is(await numberAtStart(fleet, folder), 0)
 })
 
