A claim waits while the group of its slot changes

Cause: for about 5 s after a change of the membership claims in the changed slots were refused, a refusal that the caller had done nothing for. Change: such a claim waits, 6 s at most, as a second copy does. Conclusion: a test with one replaced entry: undecided after 3.6 s, granted by 6.1 s.

--- a/packages/request/src/claim-settings.ts
+++ b/packages/request/src/claim-settings.ts
@@ -7,7 +7,7 @@
   /** Within this time of its first ask a claimant must have its majority, or it gives up. */
   readonly roundMilliseconds: number
   readonly resendMilliseconds: number
-  /** Longest wait of a second copy for the end of the first. */
+  /** Longest wait of a second copy for the end of the first, and of any copy while the group of its slot changes. */
   readonly waitForFirstMilliseconds: number
   readonly probeMilliseconds: number
   /** Silence of a restarted holder before it copies; longer than any round that may count its forgotten grants. */
@@ -26,7 +26,7 @@
   retentionMilliseconds: 900_000,
   roundMilliseconds: 1000,
   resendMilliseconds: 60,
-  waitForFirstMilliseconds: 5000,
+  waitForFirstMilliseconds: 6000,
   probeMilliseconds: 50,
   restartSilenceMilliseconds: 2000,
   copyRetryMilliseconds: 500,
--- a/packages/request/src/fleet-claims.ts
+++ b/packages/request/src/fleet-claims.ts
@@ -43,6 +43,10 @@
 type ClaimBody = NonNullable<ClaimMessage['body']>
 type ClaimHandlers = { [Case in ClaimBody['$case']]: (from: string, value: Extract<ClaimBody, { $case: Case }>['value']) => void }
 
+/** What one try came to; `unsettled` while the group of the slot changes. */
+type TryKind = RoundResult['kind'] | 'unsettled'
+
+const DECIDED_BY_OTHERS: ReadonlySet<TryKind> = new Set(['held', 'answered', 'unknown', 'free'])
 const FREE: RoundResult = { kind: 'free' }
 const NONCE_RANGE = 2 ** 48
 const CLAIM_DIGEST_BYTES = 16
@@ -121,22 +125,23 @@
   async claim (question: ClaimQuestion): Promise<ClaimDecision> {
     const claim = claimOf(question)
     const giveUpAt = this.parts.clock.monotonicMilliseconds() + this.settings.waitForFirstMilliseconds
-    let seen: RoundResult['kind'] | undefined
+    let seen: TryKind | undefined
     for (;;) {
       const outcome = await this.claimOnce(claim, question, seen !== undefined)
       if (outcome.decision !== undefined) return outcome.decision
       seen = outcome.kind
       const pause = this.settings.probeMilliseconds * (0.5 + this.parts.random.next())
       const isOver = this.parts.clock.monotonicMilliseconds() + pause > giveUpAt || question.signal.aborted
-      if (isOver || seen === 'unavailable') return { kind: seen === 'unavailable' ? 'unavailable' : 'conflict' }
+      if (isOver || seen === 'unavailable') return { kind: DECIDED_BY_OTHERS.has(seen) ? 'conflict' : 'unavailable' }
       await sleep(this.parts.clock, pause, question.signal)
     }
   }
 
-  private async claimOnce (claim: string, question: ClaimQuestion, probesFirst: boolean): Promise<{ kind: RoundResult['kind'], decision?: ClaimDecision }> {
+  private async claimOnce (claim: string, question: ClaimQuestion, probesFirst: boolean): Promise<{ kind: TryKind, decision?: ClaimDecision }> {
     const slot = slotOfClaim(claim, this.settings.slots)
     const group = this.seats.groupOf(slot)
-    if (group === undefined || group.members.length === 0 || !this.seats.isSettled(slot)) return { kind: 'unavailable' }
+    if (group === undefined || group.members.length === 0 || !this.seats.isLeaseValid()) return { kind: 'unavailable' }
+    if (!this.seats.isSettled(slot)) return { kind: 'unsettled' }
     const probe = probesFirst ? await this.round(claim, group, question, true) : FREE
     if (probe.kind !== 'free') return { kind: probe.kind, decision: decisionOf(probe) }
     const claimant = `${this.network.self}/${randomBelow(this.parts.random, NONCE_RANGE)}`
--- a/packages/request/src/tests/claims.test.ts
+++ b/packages/request/src/tests/claims.test.ts
@@ -110,6 +110,20 @@
   other.stop()
 })
 
+test('a claim that comes while the group of its slot changes waits until it may be decided', async () => {
+  const fleet = await ClaimFleet.create(5, 1, { waitForFirstMilliseconds: 6000 })
+  fleet.replace('entry-5')
+  await fleet.pass(600)
+  let decision: ClaimDecision | undefined
+  const pending = fleet.request('entry-1', 'k').then((value) => { decision = value })
+  await fleet.pass(3000)
+  assert.is(decision, undefined)
+  await fleet.pass(2500)
+  await pending
+  assert.is(decision?.kind, 'granted')
+  fleet.stop()
+})
+
 test('full holders refuse new claims and forget none', async () => {
   const fleet = await ClaimFleet.create(5, 1, { maximumRecords: 3 })
   for (const key of ['a', 'b', 'c']) assert.is((await fleet.ask('entry-1', key))?.kind, 'granted')
