--- a/packages/bench/src/health-fleet.ts
+++ b/packages/bench/src/health-fleet.ts
@@ -2,7 +2,7 @@
 import { defaultPoolPolicy, type PoolPolicy } from '@hickoryspoke/configuration/pool-policy'
 import { AttemptKind, type AttemptOutcome } from '@hickoryspoke/health/attempt-outcome'
 import type { HealthEvent } from '@hickoryspoke/health/health-event'
-import { PoolBalancer } from '@hickoryspoke/health/pool-balancer'
+import { PoolBalancer, type UpstreamLease } from '@hickoryspoke/health/pool-balancer'
 import { UpstreamHealth } from '@hickoryspoke/health/upstream-health'
 import { AnnouncementRegistry } from '@hickoryspoke/membership/announcement-registry'
 import type { EvidenceMessage } from '@hickoryspoke/protocol/generated/evidence'
@@ -36,8 +36,8 @@
   readonly healthyFloor: number
   readonly policy: Partial<PoolPolicy>
   readonly seed: number
-  /** Leaves detection out, for baselines. */
-  readonly withoutEjection?: boolean
+  /** Leaves health and balancing out: every attempt goes to a random upstream, for baselines. */
+  readonly withoutHealth?: boolean
 }
 
 /** One entry VM of the simulation. */
@@ -63,6 +63,11 @@
   readonly atMilliseconds: number
 }
 
+interface RequestTags {
+  readonly customer: string
+  readonly route: string
+}
+
 /** Entries with real membership, health and balancing before simulated upstreams, in simulated time. */
 export class HealthFleet {
   readonly clock = FakeClock.create()
@@ -152,7 +157,7 @@
     const membership = { epoch: 1, establishedEpoch: 1, entries }
     registry.applyMembership(membership)
     health.applyMembership(membership)
-    const policy = { ...defaultPoolPolicy(), ...plan.policy, ...(plan.withoutEjection === true ? { detection_threshold: Infinity } : {}) }
+    const policy = { ...defaultPoolPolicy(), ...plan.policy, ...(plan.withoutHealth === true ? { detection_threshold: Infinity } : {}) }
     health.applyPools(plan.pools.map((pool) => ({ name: pool.name, healthy_floor: plan.healthyFloor, policy })))
   }
 
@@ -193,13 +198,12 @@
     this.attempt(pickOne(this.random, this.entries), pool, { customer, route: idempotent ? '/read' : '/write' }, idempotent, [])
   }
 
-  private attempt (entry: FleetEntry, pool: FleetPool, tags: { customer: string, route: string }, idempotent: boolean, tried: string[]): void {
-    const picked = entry.balancer.pick({ pool: pool.name, idempotent, exclude: tried, ...tags })
-    if (picked.isErr()) {
+  private attempt (entry: FleetEntry, pool: FleetPool, tags: RequestTags, idempotent: boolean, tried: string[]): void {
+    const lease = this.pick(entry, pool, tags, idempotent, tried)
+    if (lease === undefined) {
       this.failedRequests += 1
       return
     }
-    const lease = picked.value
     const upstream = this.upstreams.get(lease.address) as SimulatedUpstream
     const { timeoutMilliseconds } = this.plan
     const attempt: SimulatedAttempt = { ...tags, fromZone: entry.zone, sequence: this.sequence++, startMilliseconds: this.now(), timeoutMilliseconds }
@@ -213,7 +217,14 @@
     })
   }
 
-  private probe (zone: string, address: string): Promise<{ reachable: boolean, healthy: boolean }> {
+  private pick (entry: FleetEntry, pool: FleetPool, tags: RequestTags, idempotent: boolean, tried: string[]): UpstreamLease | undefined {
+    if (this.plan.withoutHealth !== true) return entry.balancer.pick({ pool: pool.name, idempotent, exclude: tried, ...tags }).unwrapOr(undefined)
+    const addresses = [...this.upstreams.keys()].filter((address) => this.poolOf.get(address) === pool.name)
+    return { address: pickOne(this.random, addresses), finish: () => undefined }
+  }
+
+  /** Asks a health endpoint as an entry in a zone would. */
+  probe (zone: string, address: string): Promise<{ reachable: boolean, healthy: boolean }> {
     const upstream = this.upstreams.get(address) as SimulatedUpstream
     const attempt: SimulatedAttempt = { customer: '', route: '/health', fromZone: zone, sequence: -1, startMilliseconds: this.now(), timeoutMilliseconds: 500 }
     return new Promise((resolve) => {
--- a/packages/bench/src/health-plans.ts
+++ b/packages/bench/src/health-plans.ts
@@ -10,7 +10,7 @@
     requestsPerSecondEach: 10,
     timeoutMilliseconds: 2_000,
     healthyFloor: 0.6,
-    policy: { detection_threshold: 16, same_zone_preference: 2 },
+    policy: { detection_threshold: 16, slow_start_seconds: 4 },
     seed,
     pools: [
       { name: 'record-consultation', upstreams: 8, idempotentShare: 1, serviceMilliseconds: 20 },
@@ -30,7 +30,7 @@
     requestsPerSecondEach: 10,
     timeoutMilliseconds: 2_000,
     healthyFloor: 0.5,
-    policy: { detection_threshold: 13, overdue_milliseconds: 120, same_zone_preference: 2 },
+    policy: { detection_threshold: 13, overdue_milliseconds: 120, slow_start_seconds: 4 },
     seed,
     pools: [
       { name: 'load-sheets', upstreams: 8, idempotentShare: 1, serviceMilliseconds: 20 },
