--- a/packages/membership/src/load-hints.ts
+++ b/packages/membership/src/load-hints.ts
@@ -3,7 +3,7 @@
 
 const PERCENT = 100
 const CHANGE_PERCENT = 10
-const HINTS_PER_HEARTBEAT = 24
+const HINTS_PER_HEARTBEAT = 12
 const CLOCK_SLACK_MILLISECONDS = 50
 const MAXIMUM_AGE_MILLISECONDS = 30_000
 
--- a/packages/membership/src/overlay.ts
+++ b/packages/membership/src/overlay.ts
@@ -16,6 +16,11 @@
   readonly zone: string
 }
 
+interface Weighted {
+  readonly member: OverlayMember
+  readonly weight: number
+}
+
 interface Seeded {
   readonly member: OverlayMember
   readonly seed: number
@@ -51,7 +56,7 @@
   homesOf (bucket: number): readonly string[] {
     const known = this.homes[bucket]
     if (known !== undefined) return known
-    const chosen = chooseHomes(this.ordered(bucket))
+    const chosen = this.chooseHomes(bucket)
     this.homes[bucket] = chosen
     return chosen
   }
@@ -67,10 +72,23 @@
     return first?.name
   }
 
+  private chooseHomes (bucket: number): string[] {
+    const bestOfZone = new Map<string, Weighted>()
+    for (const { member, seed } of this.seeded) {
+      const weight = mix(seed, bucket)
+      const best = bestOfZone.get(member.zone)
+      if (best === undefined || weight > best.weight) bestOfZone.set(member.zone, { member, weight })
+    }
+    const chosen = [...bestOfZone.values()].sort(byWeight).slice(0, HOMES_PER_BUCKET).map((item) => item.member)
+    const missing = HOMES_PER_BUCKET - chosen.length
+    const others = missing > 0 ? this.ordered(bucket).filter((member) => !chosen.includes(member)).slice(0, missing) : []
+    return [...chosen, ...others].map((member) => member.name)
+  }
+
   private ordered (subject: number): OverlayMember[] {
     return this.seeded
       .map(({ member, seed }) => ({ member, weight: mix(seed, subject) }))
-      .sort((left, right) => right.weight - left.weight || (left.member.name < right.member.name ? -1 : 1))
+      .sort(byWeight)
       .map(({ member }) => member)
   }
 
@@ -85,15 +103,8 @@
   }
 }
 
-function chooseHomes (order: readonly OverlayMember[]): string[] {
-  const chosen: OverlayMember[] = []
-  for (const member of order) {
-    if (chosen.length < HOMES_PER_BUCKET && chosen.every((other) => other.zone !== member.zone)) chosen.push(member)
-  }
-  for (const member of order) {
-    if (chosen.length < HOMES_PER_BUCKET && !chosen.includes(member)) chosen.push(member)
-  }
-  return chosen.map((member) => member.name)
+function byWeight (left: Weighted, right: Weighted): number {
+  return right.weight - left.weight || (left.member.name < right.member.name ? -1 : 1)
 }
 
 /** A cheap, well-spread 32-bit weight of two numbers. */
