Withdrawals need pool and address only; refusals map to their HTTP status

Cause: DELETE asked for a whole announcement, and refusals by token or incarnation were answered 400. Change: a withdrawal has a shape of its own; a wrong token is 401, an unknown upstream 404, a stale incarnation 409.

--- a/packages/entry/src/entry-node.ts
+++ b/packages/entry/src/entry-node.ts
@@ -1,5 +1,5 @@
 import { Server } from '@grpc/grpc-js'
-import { checkAnnouncementToken, parseAnnouncement, type Announcement, type AnnouncementRefused } from '@hickoryspoke/membership/announcement'
+import { checkAnnouncementToken, parseAnnouncement, parseWithdrawal, type AnnouncementRefused } from '@hickoryspoke/membership/announcement'
 import { InnerCredentials, toInnerSecurity } from '@hickoryspoke/protocol/inner-credentials'
 import type { Failure } from '@hickoryspoke/runtime/failure'
 import { Err, Ok, type Result } from 'ts-results-es'
@@ -134,15 +134,16 @@
   }
 
   private announce (announcement: unknown, token: string): Result<void, AnnouncementRefused> {
-    return this.authorise(announcement, token).andThen(() => this.services.registry.announce(announcement))
+    return this.authorise(parseAnnouncement(announcement), token).andThen(() => this.services.registry.announce(announcement))
   }
 
-  private withdraw (announcement: unknown, token: string): Result<void, AnnouncementRefused> {
-    return this.authorise(announcement, token).andThen(({ pool, address, incarnation }) => this.services.registry.withdraw(pool, address, incarnation))
+  private withdraw (withdrawal: unknown, token: string): Result<void, AnnouncementRefused> {
+    const authorised = this.authorise(parseWithdrawal(withdrawal), token)
+    return authorised.andThen(({ pool, address, incarnation }) => this.services.registry.withdraw(pool, address, incarnation))
   }
 
-  private authorise (announcement: unknown, token: string): Result<Announcement, AnnouncementRefused> {
-    return parseAnnouncement(announcement).andThen((parsed) => {
+  private authorise<Parsed extends { readonly pool: string }> (shape: Result<Parsed, AnnouncementRefused>, token: string): Result<Parsed, AnnouncementRefused> {
+    return shape.andThen((parsed) => {
       const pool = this.services.follower.current()?.state.pools.find((candidate) => candidate.name === parsed.pool)
       return checkAnnouncementToken(token, pool?.announce_digest).map(() => parsed)
     })
--- a/packages/entry/src/inner-server.ts
+++ b/packages/entry/src/inner-server.ts
@@ -26,9 +26,10 @@
 
 const STATUS_BY_FAILURE_CODE: Readonly<Record<string, number>> = {
   invalid_input: 400,
-  announcement_token_refused: 401,
+  wrong_token: 401,
   unknown_pool: 404,
-  stale_announcement: 409,
+  unknown_upstream: 404,
+  stale_incarnation: 409,
   address_claimed: 409
 }
 
--- a/packages/membership/src/announcement-registry.ts
+++ b/packages/membership/src/announcement-registry.ts
@@ -69,12 +69,12 @@
     return Ok.EMPTY
   }
 
-  /** Ends an upstream's incarnation for good, fleet-wide. */
-  withdraw (pool: string, address: string, incarnation: number): Result<void, AnnouncementRefused> {
+  /** Ends an upstream's incarnation for good, fleet-wide; the known one where none is given. */
+  withdraw (pool: string, address: string, incarnation?: number): Result<void, AnnouncementRefused> {
     const known = this.table.get(address)
     if (known === undefined || known.pool !== pool) return Err(AnnouncementRefused.create(RefusalReason.UnknownUpstream, 'no such upstream is announced'))
-    if (incarnation < known.incarnation) return Err(staleIncarnation(known))
-    this.publish({ ...known, incarnation, version: RecordVersion.Withdrawn })
+    if (incarnation !== undefined && incarnation < known.incarnation) return Err(staleIncarnation(known))
+    this.publish({ ...known, incarnation: incarnation ?? known.incarnation, version: RecordVersion.Withdrawn })
     return Ok.EMPTY
   }
 
--- a/packages/membership/src/announcement.ts
+++ b/packages/membership/src/announcement.ts
@@ -25,6 +25,11 @@
 /** What an upstream says of itself; load is a share of its slots. */
 export type Announcement = z.output<typeof announcementSchema>
 
+/** What takes an upstream out; without an incarnation the one that is known. */
+const withdrawalSchema = announcementSchema.pick({ pool: true, address: true }).extend({ incarnation: z.int().min(0).optional() }).strip()
+
+export type Withdrawal = z.output<typeof withdrawalSchema>
+
 /** Why an announcement was not taken in. */
 export const RefusalReason = {
   Invalid: 'invalid_announcement',
@@ -48,7 +53,16 @@
 
 /** Checks the shape of an announcement; the error lists every fault. */
 export function parseAnnouncement (value: unknown): Result<Announcement, AnnouncementRefused> {
-  const parsed = announcementSchema.safeParse(value)
+  return parseWith(announcementSchema, value)
+}
+
+/** Checks the shape of a withdrawal; a whole announcement is one too. */
+export function parseWithdrawal (value: unknown): Result<Withdrawal, AnnouncementRefused> {
+  return parseWith(withdrawalSchema, value)
+}
+
+function parseWith<Output> (schema: z.ZodType<Output>, value: unknown): Result<Output, AnnouncementRefused> {
+  const parsed = schema.safeParse(value)
   if (parsed.success) return Ok(parsed.data)
   const issues = parsed.error.issues.map((issue) => ({ code: issue.code, path: issue.path as (string | number)[], message: issue.message }))
   return Err(AnnouncementRefused.create(RefusalReason.Invalid, 'the announcement is not valid', issues))
--- a/packages/membership/src/tests/entry-liveness.test.ts
+++ b/packages/membership/src/tests/entry-liveness.test.ts
@@ -2,7 +2,7 @@
 import { sha256Digest } from '@hickoryspoke/runtime/hashing'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
-import { checkAnnouncementToken } from '../announcement.ts'
+import { checkAnnouncementToken, parseWithdrawal } from '../announcement.ts'
 import { Overlay } from '../overlay.ts'
 import { RegistryFleet } from './registry-fleet.ts'
 
@@ -62,4 +62,10 @@
   }
 })
 
+test('a withdrawal needs pool and address only, and a whole announcement is one', () => {
+  assert.equal(parseWithdrawal({ pool: 'ledger', address: '10.0.0.1:80' }).unwrap(), { pool: 'ledger', address: '10.0.0.1:80' })
+  assert.is(parseWithdrawal({ pool: 'ledger', address: '10.0.0.1:80', slots: 6, incarnation: 3 }).unwrap().incarnation, 3)
+  assert.is(parseWithdrawal({ pool: 'ledger', address: 'ledger:80' }).unwrapErr().code, 'invalid_announcement')
+})
+
 test.run()
