Fault trials begin after the wait of a new home

Cause: with the shorter slow start the warm-up ended within the 10.1 s in which a new home grants nothing, so a victim was first avoided, and one row of the fault table saw one ejection of two. Change: warm-up of 11 s in trials and measure; the bounds of the test stay.

--- a/packages/bench/src/health-trial.ts
+++ b/packages/bench/src/health-trial.ts
@@ -3,7 +3,7 @@
 import { HealthFleet, type FleetPlan, type TimedEvent } from './health-fleet.ts'
 import type { SimulatedUpstream } from './simulated-upstream.ts'
 
-const WARM_UP_MILLISECONDS = 7_000
+const WARM_UP_MILLISECONDS = 11_000
 const SAMPLE_MILLISECONDS = 250
 
 /** What one fault led to. */
