A pool that turns slow at once ejects no one

Change: evidence must exceed the threshold by four times what 30 % of the rest of the pool shows, without the former cap; in small pools by what half of it shows.

--- a/packages/health/src/channel-judge.ts
+++ b/packages/health/src/channel-judge.ts
@@ -9,8 +9,10 @@
 const USUAL_REFRESH_MILLISECONDS = 100
 const ONE_SIDE_THRESHOLD_SHARE = 0.7
 const MINIMUM_WINDOW_ATTEMPTS = 1
+const POOL_EVIDENCE_FACTOR = 4
 const POOL_QUANTILE = 0.7
-const POOL_EVIDENCE_FACTOR = 2
+const SMALL_POOL_QUANTILE = 0.5
+const SMALL_POOL_OTHERS = 6
 
 /** Which observers a fault concerns. */
 export const FindingScope = { All: 'all', OneSide: 'one_side', Unconfirmed: 'unconfirmed' } as const
@@ -77,18 +79,19 @@
     if (strength < oneSideThreshold && evidence.zonesBeyond(oneSideThreshold).length === 0) return undefined
     const finding = { address, reason: evidence.mainReason(), evidence: strength }
     const sides = evidence.sides(this.shares(question.faultyShare, now))
-    const needed = question.threshold + Math.min(question.threshold, this.evidenceInPool(evidence))
+    const needed = question.threshold + this.evidenceInPool(evidence)
     if (strength >= needed && this.standsOut(evidence, now)) return { ...finding, ...scopeOf(evidence, sides, question) }
     const oneSide = evidence.zonesBeyond(oneSideThreshold).filter((zone) => sides.bad.includes(zone))
     const otherSeesGood = sides.good.length > 0 && oneSide.length > 0 && !evidence.isUpstreamsOwn()
     return otherSeesGood ? { ...finding, scope: FindingScope.OneSide, observers: oneSide } : undefined
   }
 
-  /** What must be exceeded besides the threshold when many upstreams of the pool look faulty at once. */
+  /** What must be exceeded besides the threshold when much of the pool looks faulty at once. */
   private evidenceInPool (evidence: UpstreamEvidence): number {
     const others = [...this.upstreams.values()].filter((other) => other !== evidence).map((other) => other.strength())
     others.sort((left, right) => left - right)
-    return POOL_EVIDENCE_FACTOR * (others[Math.floor(others.length * POOL_QUANTILE)] ?? 0)
+    const quantile = others.length < SMALL_POOL_OTHERS ? SMALL_POOL_QUANTILE : POOL_QUANTILE
+    return POOL_EVIDENCE_FACTOR * (others[Math.floor(others.length * quantile)] ?? 0)
   }
 
   /** An upstream that is no worse than the middle of its pool is not the fault. */
