--- /dev/null
+++ b/packages/bench/src/fairness-arrivals.ts
@@ -0,0 +1,72 @@
+import { nextArrivalMilliseconds, type SeededRandom } from '@hickoryspoke/runtime/random'
+import type { FakeClock } from '@hickoryspoke/testing/fake-clock'
+
+/** One caller of a pool: how much it sends, and what its share is. */
+export interface FairnessCustomer {
+  readonly name: string
+  /** Share against the others, its rate. */
+  readonly weight: number
+  readonly sendsPerSecond: number
+}
+
+/** A way to hand out the slots of a pool. */
+export interface SlotPolicy {
+  /** Calls `start` when the request gets a slot; `done` must be called then once it has been served. */
+  request (customer: FairnessCustomer, deadlineMilliseconds: number, start: (done: () => void) => void): void
+}
+
+/** Requests of one customer that were sent, and that finished in time. */
+export interface CustomerOutcome {
+  sent: number
+  served: number
+}
+
+/** Plays random arrivals of all customers against a policy and counts what finishes before its deadline. */
+export async function playArrivals (
+  clock: FakeClock,
+  random: SeededRandom,
+  customers: readonly FairnessCustomer[],
+  policy: SlotPolicy,
+  settings: { readonly durationMilliseconds: number, readonly serviceMilliseconds: number, readonly timeoutMilliseconds: number }
+): Promise<ReadonlyMap<string, CustomerOutcome>> {
+  const outcomes = new Map<string, CustomerOutcome>(customers.map((customer) => [customer.name, { sent: 0, served: 0 }]))
+  const send = (customer: FairnessCustomer): void => {
+    const outcome = outcomes.get(customer.name) as CustomerOutcome
+    outcome.sent += 1
+    const deadline = clock.monotonicMilliseconds() + settings.timeoutMilliseconds
+    policy.request(customer, deadline, (done) => {
+      const service = settings.serviceMilliseconds * (0.5 + random.next())
+      clock.schedule(service, () => {
+        if (clock.monotonicMilliseconds() <= deadline) outcome.served += 1
+        done()
+      })
+    })
+    scheduleNext(customer)
+  }
+  const scheduleNext = (customer: FairnessCustomer): void => {
+    const delay = nextArrivalMilliseconds(random, customer.sendsPerSecond)
+    if (clock.monotonicMilliseconds() + delay < settings.durationMilliseconds) clock.schedule(delay, () => send(customer))
+  }
+  customers.forEach(scheduleNext)
+  await clock.advanceAsync(settings.durationMilliseconds + settings.timeoutMilliseconds)
+  return outcomes
+}
+
+/** Max-min fair rates by weight: nobody gets more than it sends, and what is left over goes to those who want more. */
+export function maxMinFairRates (customers: readonly FairnessCustomer[], capacityPerSecond: number): Map<string, number> {
+  const rates = new Map<string, number>()
+  let open = [...customers]
+  let capacity = capacityPerSecond
+  while (open.length > 0) {
+    const perWeight = capacity / open.reduce((sum, customer) => sum + customer.weight, 0)
+    const content = open.filter((customer) => customer.sendsPerSecond <= perWeight * customer.weight)
+    if (content.length === 0) {
+      for (const customer of open) rates.set(customer.name, perWeight * customer.weight)
+      return rates
+    }
+    for (const customer of content) rates.set(customer.name, customer.sendsPerSecond)
+    capacity -= content.reduce((sum, customer) => sum + customer.sendsPerSecond, 0)
+    open = open.filter((customer) => !content.includes(customer))
+  }
+  return rates
+}
--- /dev/null
+++ b/packages/bench/src/fairness-policies.ts
@@ -0,0 +1,55 @@
+import { FairQueue } from '@hickoryspoke/limits/fair-queue'
+import type { FakeClock } from '@hickoryspoke/testing/fake-clock'
+import type { SlotPolicy } from './fairness-arrivals.ts'
+
+/** The product's fair queue. */
+export function fairQueuePolicy (clock: FakeClock, slots: number): SlotPolicy {
+  const queue = FairQueue.create(clock)
+  queue.setCapacity(slots)
+  return {
+    request: (customer, deadlineMilliseconds, start) => {
+      void queue.enter({ customer: customer.name, weight: customer.weight, deadlineMilliseconds }).then((result) => {
+        if (result.isErr()) return
+        const pass = result.value
+        const startedAt = clock.monotonicMilliseconds()
+        start(() => pass.release(clock.monotonicMilliseconds() - startedAt))
+      })
+    }
+  }
+}
+
+/** Without a queue: what finds no free slot is refused. */
+export function noQueuePolicy (_clock: FakeClock, slots: number): SlotPolicy {
+  let used = 0
+  return {
+    request: (_customer, _deadline, start) => {
+      if (used >= slots) return
+      used += 1
+      start(() => { used -= 1 })
+    }
+  }
+}
+
+const MOST_WAITING = 1000
+
+/** One queue for all, first come first served. */
+export function sharedQueuePolicy (_clock: FakeClock, slots: number): SlotPolicy {
+  const waiting: ((done: () => void) => void)[] = []
+  let used = 0
+  const dispatch = (): void => {
+    while (used < slots && waiting.length > 0) {
+      used += 1
+      waiting.shift()?.(() => {
+        used -= 1
+        dispatch()
+      })
+    }
+  }
+  return {
+    request: (_customer, _deadline, start) => {
+      if (waiting.length >= MOST_WAITING) return
+      waiting.push(start)
+      dispatch()
+    }
+  }
+}
--- a/packages/limits/src/tests/share-bound.test.ts
+++ b/packages/limits/src/tests/share-bound.test.ts
@@ -2,7 +2,7 @@
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import { worstExcess } from './bound-checker.ts'
-import { FAULT_KINDS, type FaultSchedule, playSchedule } from './fault-schedule.ts'
+import { FAULT_KINDS, type FaultKind, type FaultSchedule, playSchedule } from './fault-schedule.ts'
 
 const SEED = 20_261_204
 const RUNS = 40
@@ -26,6 +26,34 @@
   assert.is(worstExcess([0, 5000, 5000, 5000, 5000], 1, 3), 1)
 })
 
+type Row = readonly [afterMilliseconds: number, kind: FaultKind, entry?: number, size?: number]
+
+function scheduleOf (entries: number, rows: readonly Row[]): FaultSchedule {
+  const steps = rows.map(([afterMilliseconds, kind, entry = 0, size = 0]) => ({ afterMilliseconds, kind, entry, other: entry + 1, size }))
+  return { seed: SEED, entries, steps }
+}
+
+const NAMED_SCHEDULES: readonly (readonly [string, FaultSchedule])[] = [
+  ['all holders crash and come back at once', scheduleOf(3, [[500, 'crashAndRestart', 0], [0, 'crashAndRestart', 1], [0, 'crashAndRestart', 2]])],
+  ['each entry restarts before the last one votes again', scheduleOf(3, [[500, 'crashAndRestart', 0], [900, 'crashAndRestart', 1], [900, 'crashAndRestart', 2]])],
+  ['a holder is heard but hears nothing', scheduleOf(3, [[500, 'isolateReceiving', 0], [4000, 'heal'], [10, 'isolateReceiving', 1], [4000, 'heal']])],
+  ['a holder hears but is not heard', scheduleOf(3, [[500, 'isolateSending', 0], [4000, 'heal'], [10, 'isolateSending', 1], [4000, 'heal']])],
+  ['answers arrive long after they were sent', scheduleOf(4, [[500, 'late', 0, 3], [500, 'crash', 0], [3000, 'restart', 0]])],
+  ['the rate falls while tokens are out', scheduleOf(3, [[500, 'changeRate', 0, 2], [4000, 'changeRate', 0, 1], [4000, 'changeRate', 0, 0]])],
+  ['an isolated entry is removed and enrolled again', scheduleOf(4, [
+    [500, 'isolateSending', 0], [0, 'controlCut', 0], [100, 'remove', 0], [6000, 'heal'], [0, 'controlHeal', 0], [10, 'enrolAll']
+  ])],
+  ['planned stops follow one another', scheduleOf(4, [[500, 'stop', 0], [300, 'stop', 1], [300, 'restart', 0], [300, 'stop', 2], [300, 'restart', 1], [300, 'restart', 2]])]
+]
+
+for (const [name, faults] of NAMED_SCHEDULES) {
+  test(`the bound holds when ${name}`, async () => {
+    const outcome = await playSchedule(faults)
+    assert.ok(outcome.worstExcess <= 0, `excess of ${outcome.worstExcess}`)
+    assert.ok(outcome.admitted > 0)
+  })
+}
+
 test('no schedule of faults breaks burst plus rate times time', async () => {
   let admitted = 0
   await fastCheck.assert(fastCheck.asyncProperty(schedule, async (faults) => {
