Validity of a token at least 6 ms, round trips unlearned slowly

Cause: a single late answer, as from a pause of the process, cost a token when the stated validity followed the last short round trips closely. Change: validity not below 6 ms; the learned round trip falls by a twentieth a grant instead of a fifth.

--- a/packages/limits/src/share-asker.ts
+++ b/packages/limits/src/share-asker.ts
@@ -26,7 +26,7 @@
 }
 
 const ID_LIMIT = 2 ** 32
-const SMOOTHING = 0.2
+const SMOOTHING = 0.05
 const FIRST_ROUND_TRIP_MILLISECONDS = 8
 const LATE_ANSWER_GROWTH = 1.5
 
--- a/packages/limits/src/share-settings.ts
+++ b/packages/limits/src/share-settings.ts
@@ -40,7 +40,7 @@
   leaseCheckMilliseconds: 100,
   leaseRankDelayMilliseconds: 200,
   leaseAttemptMilliseconds: 300,
-  shortestValidityMilliseconds: 2,
+  shortestValidityMilliseconds: 6,
   longestValidityMilliseconds: 120,
   validityRoundTrips: 1.6,
   holderWaitMilliseconds: 50,
