--- a/packages/bench/src/distribution-loopback.ts
+++ b/packages/bench/src/distribution-loopback.ts
@@ -22,7 +22,7 @@
 /** One control replica with a journal on disk, and entries that follow it over loopback gRPC, all in this process. */
 export class DistributionLoopback {
   private readonly followers: ConfigurationFollower[] = []
-  private readonly stopping = new AbortController()
+  private readonly tasks: AbortController[] = []
   private readonly clock = SystemClock.create()
 
   private constructor (
@@ -47,22 +47,22 @@
     const port = (await credentials.bind(server, '127.0.0.1:0')).unwrap()
     replica.start()
     const loopback = new DistributionLoopback(server, replica, proposer, folder)
-    void distribution.run(loopback.stopping.signal)
+    void distribution.run(loopback.startTask())
     await loopback.until(() => replica.role() === 'leader')
     for (let index = 0; index < entries; index += 1) loopback.startEntry(`entry-${index}`, `127.0.0.1:${port}`, credentials)
     await loopback.until(() => distribution.register.entries().length === entries)
     return loopback
   }
 
-  /** Sends a file and resolves when every entry holds it. */
-  async apply (file: string, number: number): Promise<void> {
-    const answer = await this.proposer.applyFile(file, OPERATOR)
+  /** Applies a state as the operators' command sends it, and resolves when every entry holds it. */
+  async apply (state: Uint8Array, number: number): Promise<void> {
+    const answer = await this.proposer.applyState(state, OPERATOR)
     if (answer.outcome !== ApplyOutcome.APPLY_OUTCOME_ACCEPTED) throw new Error(answer.message)
     await this.until(() => this.followers.every((follower) => follower.current()?.identity.number === number))
   }
 
   async stop (): Promise<void> {
-    this.stopping.abort()
+    for (const task of this.tasks) task.abort()
     await this.replica.stop()
     this.server.forceShutdown()
     await rm(this.folder, { recursive: true })
@@ -82,7 +82,13 @@
       upstreamView: () => null
     })
     this.followers.push(follower)
-    void follower.run(this.stopping.signal)
+    void follower.run(this.startTask())
+  }
+
+  private startTask (): AbortSignal {
+    const task = new AbortController()
+    this.tasks.push(task)
+    return task.signal
   }
 
   private async until (isDone: () => boolean): Promise<void> {
--- a/packages/bench/src/measure-distribution.ts
+++ b/packages/bench/src/measure-distribution.ts
@@ -1,4 +1,4 @@
-import { desiredStateSchema, formatDesiredState, type DesiredState } from '@hickoryspoke/configuration/desired-state'
+import { desiredStateSchema, type DesiredState } from '@hickoryspoke/configuration/desired-state'
 import { differenceBetween } from '@hickoryspoke/configuration/difference'
 import { IdentifiedState } from '@hickoryspoke/configuration/identified-state'
 import { applyDifference, decodeDifference, encodeDifference, encodeState } from '@hickoryspoke/configuration/state-codec'
@@ -34,11 +34,11 @@
 
 async function measureFleet (size: FileSize): Promise<MeasureRow[]> {
   const loopback = await DistributionLoopback.start(ENTRIES)
-  const whole = await timeOf(() => loopback.apply(formatDesiredState(fileOf(1, size)), 1))
+  const whole = await timeOf(() => loopback.apply(stateOf(1, size), 1))
   const times: number[] = []
   let processorMilliseconds = 0
   for (let number = 2; number <= CHANGES + 1; number += 1) {
-    const file = formatDesiredState(fileOf(number, size))
+    const file = stateOf(number, size)
     const before = process.cpuUsage()
     times.push(await timeOf(() => loopback.apply(file, number)))
     processorMilliseconds += sinceMilliseconds(before) / CHANGES
@@ -81,6 +81,11 @@
   })
 }
 
+/** The file as the operators' command sends it. */
+function stateOf (number: number, size: FileSize): Uint8Array {
+  return Buffer.from(JSON.stringify(fileOf(number, size)))
+}
+
 function digestOf (index: number): string {
   return `sha256:${index.toString(16).padStart(64, '0')}`
 }
--- a/packages/bench/src/tests/distribution-fleet.test.ts
+++ b/packages/bench/src/tests/distribution-fleet.test.ts
@@ -106,6 +106,28 @@
   assert.is(fleet.fresh().length, 5)
 })
 
+test('no entry may act on an epoch once a later one is exclusive to another', async () => {
+  const fleet = await startedFleet(6)
+  const { epoch } = fleet.state.entries
+  fleet.cutFromControl(['entry-5'])
+  for (const name of fleet.followers.keys()) {
+    fleet.network.cut(name, 'entry-5')
+    fleet.network.cut('entry-5', name)
+  }
+  fleet.start('entry-new')
+  let exclusiveSteps = 0
+  for (let step = 0; step < 150; step += 1) {
+    await fleet.clock.advanceAsync(100)
+    const now = fleet.clock.monotonicMilliseconds()
+    const guards = [...fleet.followers.values()].map((follower) => follower.guard)
+    const exclusive = guards.filter((guard) => guard.exclusiveFromMilliseconds() <= now).map((guard) => guard.epoch())
+    const latest = Math.max(...exclusive)
+    if (latest > epoch) exclusiveSteps += 1
+    assert.ok(guards.every((guard) => guard.epoch() >= latest || guard.validUntilMilliseconds() <= now))
+  }
+  assert.ok(exclusiveSteps > 0)
+})
+
 test('a restarted entry of the same name and address changes no epoch', async () => {
   const fleet = await startedFleet(5)
   const { epoch } = fleet.state.entries
