--- a/packages/bench/src/local-fleet.ts
+++ b/packages/bench/src/local-fleet.ts
@@ -7,7 +7,7 @@
 import { EntryNode } from '@hickoryspoke/entry/entry-node'
 import { entrySettingsSchema } from '@hickoryspoke/entry/entry-settings'
 import { ControlClient } from '@hickoryspoke/operator/control-client'
-import { InnerCredentials } from '@hickoryspoke/protocol/inner-credentials'
+import { InnerCredentials, type SecuritySection, toInnerSecurity } from '@hickoryspoke/protocol/inner-credentials'
 import type { Clock } from '@hickoryspoke/runtime/clock'
 import { sha256Digest } from '@hickoryspoke/runtime/hashing'
 import type { RandomSource } from '@hickoryspoke/runtime/random'
@@ -26,6 +26,9 @@
 const POLL_MILLISECONDS = 50
 const PLAIN_TEXT = { kind: 'plain_text' } as const
 
+/** How a process of the fleet talks to the others, by its name. */
+export type SecurityOf = (name: string) => SecuritySection
+
 /** Keys and tokens of the local example. */
 const secretsSchema = z.strictObject({
   operator_token: z.string(),
@@ -55,12 +58,12 @@
   ) {}
 
   /** Starts everything, applies the example's file, and resolves when all entries are ready. */
-  static async start (surroundings: LocalFleetSurroundings): Promise<LocalFleet> {
+  static async start (surroundings: LocalFleetSurroundings, security: SecurityOf = () => PLAIN_TEXT): Promise<LocalFleet> {
     const secrets = parseTomlDocument(await readFile(join(EXAMPLE_FOLDER, 'secrets.toml'), 'utf8'), secretsSchema).unwrap()
     const folder = await mkdtemp(join(tmpdir(), 'hickoryspoke-local-'))
-    const control = await startControl(folder, secrets, surroundings)
-    const entries = await Promise.all(ENTRIES.map(async (entry) => await startEntry(entry, control, surroundings)))
-    await applyFile(control, secrets.operator_token, surroundings.clock)
+    const control = await startControl(folder, secrets, surroundings, security)
+    const entries = await Promise.all(ENTRIES.map(async (entry) => await startEntry(entry, control, surroundings, security)))
+    await applyFile(control, secrets.operator_token, surroundings.clock, security)
     await Promise.all(entries.map(async (entry) => await untilJoined(entry, surroundings.clock)))
     const upstreams = await Promise.all(UPSTREAMS.map(async ({ name }) => await StandInUpstream.start({ ...surroundings, name })))
     const announcers = upstreams.map((upstream, index) => announce(upstream, index, entries, secrets, surroundings.clock))
@@ -104,7 +107,12 @@
   }
 }
 
-async function startControl (folder: string, secrets: LocalSecrets, surroundings: LocalFleetSurroundings): Promise<ControlNode> {
+async function startControl (
+  folder: string,
+  secrets: LocalSecrets,
+  surroundings: LocalFleetSurroundings,
+  security: SecurityOf
+): Promise<ControlNode> {
   const settings = controlSettingsSchema.parse({
     name: 'control-1',
     zone: 'zone-a',
@@ -117,25 +125,31 @@
       { name: 'operator', role: 'operator', digest: sha256Digest(secrets.operator_token) },
       { name: 'authority', role: 'authority', digest: sha256Digest(secrets.authority_token) }
     ],
-    security: PLAIN_TEXT
+    security: security('control-1')
   })
   return (await ControlNode.start(settings, surroundings)).unwrap()
 }
 
-async function startEntry (entry: typeof ENTRIES[number], control: ControlNode, surroundings: LocalFleetSurroundings): Promise<EntryNode> {
+async function startEntry (
+  entry: typeof ENTRIES[number],
+  control: ControlNode,
+  surroundings: LocalFleetSurroundings,
+  security: SecurityOf
+): Promise<EntryNode> {
   const settings = entrySettingsSchema.parse({
     ...entry,
     listen: { public: ANY_PORT, inner: ANY_PORT, peer: ANY_PORT },
     control: [{ name: 'control-1', address: control.address }],
-    security: PLAIN_TEXT,
+    security: security(entry.name),
     shutdown: { announce_seconds: 0 }
   })
   return (await EntryNode.start(settings, { ...surroundings, logger: surroundings.logger.with({ name: entry.name }) })).unwrap()
 }
 
-async function applyFile (control: ControlNode, token: string, clock: Clock): Promise<void> {
+async function applyFile (control: ControlNode, token: string, clock: Clock, security: SecurityOf): Promise<void> {
   const file = await readFile(join(EXAMPLE_FOLDER, 'fleet.toml'), 'utf8')
-  const credentials = InnerCredentials.create(PLAIN_TEXT).forChannel()
+  const inner = InnerCredentials.create(toInnerSecurity(security('operator')))
+  const credentials = inner.forChannel()
   const client = ControlClient.create({ addresses: [control.address], token, credentials, timeoutMilliseconds: APPLY_TIMEOUT_MILLISECONDS, clock })
   const applied = await client.change((connection, metadata, deadline, callback) => connection.apply({ file }, metadata, deadline, callback))
   client.close()
--- a/packages/telemetry/src/logger.ts
+++ b/packages/telemetry/src/logger.ts
@@ -18,7 +18,7 @@
 
   /** `write` receives each line; standard error by default. */
   static create (program: string, level: LogLevel, write: (line: string) => void = writeToStandardError): Logger {
-    const target = new StructuredLogger<unknown>({ type: 'hidden', minLevel: LEVEL_NUMBERS[level] })
+    const target = new StructuredLogger<unknown>({ type: 'hidden', minLevel: LEVEL_NUMBERS[level], hideLogPositionForProduction: true })
     target.attachTransport((record) => write(formatRecord(program, record as unknown as TransportRecord)))
     return new Logger(target, {})
   }
