--- a/packages/entry/src/entry-metrics.ts
+++ b/packages/entry/src/entry-metrics.ts
@@ -2,7 +2,7 @@
 import type { LimiterView } from '@hickoryspoke/limits/limiter-view'
 import type { RequestObserver, RequestRecord } from '@hickoryspoke/request/collaborators'
 import type { Logger } from '@hickoryspoke/telemetry/logger'
-import { Metrics } from '@hickoryspoke/telemetry/metrics'
+import type { Counter, LatencyFamily, Metrics } from '@hickoryspoke/telemetry/metrics'
 import type { PoolQueues } from './pool-queues.ts'
 
 /** Where the figures of an entry come from when metrics are asked for. */
@@ -18,15 +18,18 @@
 
 /** Counts and times finished requests, writes their log lines, and exposes all figures of an entry. */
 export class EntryMetrics implements RequestObserver {
-  private readonly metrics = Metrics.create()
-  private readonly requests = this.metrics.counter('hickoryspoke_requests_total', 'Finished requests', ['pool', 'status', 'code'])
-  private readonly attempts = this.metrics.counter('hickoryspoke_attempts_total', 'Attempts at upstreams', ['pool'])
-  private readonly latency = this.metrics.latency('hickoryspoke_request_seconds', 'Time from the head of a request to the end of its answer')
+  private readonly requests: Counter
+  private readonly attempts: Counter
+  private readonly latency: LatencyFamily
 
-  private constructor (private readonly logger: Logger) {}
+  private constructor (private readonly logger: Logger, private readonly metrics: Metrics) {
+    this.requests = metrics.counter('hickoryspoke_requests_total', 'Finished requests', ['pool', 'status', 'code'])
+    this.attempts = metrics.counter('hickoryspoke_attempts_total', 'Attempts at upstreams', ['pool'])
+    this.latency = metrics.latency('hickoryspoke_request_seconds', 'Time from the head of a request to the end of its answer')
+  }
 
-  static create (logger: Logger, sources: MetricSources): EntryMetrics {
-    const metrics = new EntryMetrics(logger)
+  static create (logger: Logger, figures: Metrics, sources: MetricSources): EntryMetrics {
+    const metrics = new EntryMetrics(logger, figures)
     metrics.addStateGauges(sources)
     metrics.addLimitGauges(sources)
     metrics.addUpstreamGauges(sources)
--- a/packages/entry/src/entry-node.ts
+++ b/packages/entry/src/entry-node.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from 'node:events'
 import { Server } from '@grpc/grpc-js'
 import { checkAnnouncementToken, parseAnnouncement, parseWithdrawal, type AnnouncementRefused } from '@hickoryspoke/membership/announcement'
 import { InnerCredentials, toInnerSecurity } from '@hickoryspoke/protocol/inner-credentials'
@@ -31,6 +32,7 @@
     private readonly peerServer: Server,
     private readonly callers: CallerServer
   ) {
+    setMaxListeners(0, this.stopping.signal)
     this.lifecycle = EntryLifecycle.create((phase) => surroundings.logger.info('phase changed', { phase }))
   }
 
--- a/packages/entry/src/entry-services.ts
+++ b/packages/entry/src/entry-services.ts
@@ -1,5 +1,6 @@
 import { randomUUID } from 'node:crypto'
 import type { EntryMembership } from '@hickoryspoke/protocol/generated/distribution'
+import { reportHealthEvents } from '@hickoryspoke/health/health-event'
 import { Standing } from '@hickoryspoke/health/pool-standing'
 import { PoolBalancer } from '@hickoryspoke/health/pool-balancer'
 import { UpstreamHealth } from '@hickoryspoke/health/upstream-health'
@@ -17,6 +18,7 @@
 import type { Clock } from '@hickoryspoke/runtime/clock'
 import type { RandomSource } from '@hickoryspoke/runtime/random'
 import type { Logger } from '@hickoryspoke/telemetry/logger'
+import { Metrics } from '@hickoryspoke/telemetry/metrics'
 import { ConfigurationFollower } from './configuration-follower.ts'
 import { EntryMetrics } from './entry-metrics.ts'
 import type { EntrySettings } from './entry-settings.ts'
@@ -49,6 +51,7 @@
   readonly metrics: EntryMetrics
   readonly runner: RequestRunner
   private readonly incarnation = randomUUID()
+  private readonly figures = Metrics.create()
   private tables = NO_TABLES
   private peerAddresses: ReadonlyMap<string, string>
   private readonly seeds: ReadonlyMap<string, string>
@@ -77,7 +80,7 @@
       registry: this.registry,
       epochLease,
       probe: probeUpstream,
-      onEvent: (event) => logger.warn('upstream standing changed', toFields(event))
+      onEvent: reportHealthEvents(logger, this.figures)
     })
     this.balancer = PoolBalancer.create({ clock, random, health: this.health, self, zone, entryZones: () => this.entryZones() })
     const shares = this.network.join('share', (from, message) => this.limiter.receive(from, message))
@@ -126,7 +129,7 @@
   private createMetrics (): EntryMetrics {
     const { clock, logger } = this.surroundings
     const { guard } = this.follower
-    return EntryMetrics.create(logger, {
+    return EntryMetrics.create(logger, this.figures, {
       configurationNumber: () => this.follower.current()?.identity.number ?? 0,
       membershipEpoch: () => guard.epoch(),
       freshForMilliseconds: () => guard.freshUntilMilliseconds() - clock.monotonicMilliseconds(),
@@ -200,8 +203,3 @@
     }, 0)
   }
 }
-
-function toFields (event: object): Record<string, string | number | boolean> {
-  const entries = Object.entries(event).map(([name, value]) => [name, typeof value === 'object' ? JSON.stringify(value) : value])
-  return Object.fromEntries(entries) as Record<string, string | number | boolean>
-}
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -5,6 +5,8 @@
 const SIGNIFICANT_DIGITS = 2
 const QUANTILES = [50, 90, 99, 99.9] as const
 
+export type { Counter, Gauge }
+
 /** Names of labels with their values. */
 export type Labels = Readonly<Record<string, string>>
 
