--- a/scripts/measure-soak.ts
+++ b/scripts/measure-soak.ts
@@ -33,6 +33,9 @@
 
 /** What happens, in order; a calm lies between two events. */
 const EVENTS: Readonly<Record<string, SoakEvent>> = {
+  nothing: async () => {
+    await pause(2 * CALM_MILLISECONDS)
+  },
   killEntry: async ({ fleet }) => {
     const entry = at(fleet.entries, 0)
     await fleet.kill(entry)
