--- a/packages/entry/src/caller-certificates.ts
+++ b/packages/entry/src/caller-certificates.ts
@@ -1,7 +1,9 @@
 import { readFile } from 'node:fs/promises'
+import { createSecureContext } from 'node:tls'
 import { type Clock, repeatEvery } from '@hickoryspoke/runtime/clock'
-import { describeError } from '@hickoryspoke/runtime/failure'
+import { Failure, describeError } from '@hickoryspoke/runtime/failure'
 import type { Logger } from '@hickoryspoke/telemetry/logger'
+import { Err, Ok, type Result } from 'ts-results-es'
 import type { CallerServer } from './caller-server.ts'
 import type { CallerTls } from './caller-settings.ts'
 
@@ -13,10 +15,28 @@
   readonly keyFile: string
 }
 
-/** Reads the certificate of the public port. */
-export async function readCallerTls (files: CallerCertificateFiles): Promise<CallerTls> {
-  const [certificate, key] = await Promise.all([readFile(files.certificateFile, 'utf8'), readFile(files.keyFile, 'utf8')])
-  return { certificate, key }
+/** The certificate or its key cannot be used. */
+export class CertificateNotUsable extends Failure {
+  readonly code = 'certificate_not_usable'
+
+  private constructor (readonly file: string, reason: string) {
+    super(`cannot use the certificate ${file}: ${reason}`)
+  }
+
+  static create (file: string, reason: string): CertificateNotUsable {
+    return new CertificateNotUsable(file, reason)
+  }
+}
+
+/** Reads the certificate of the public port and checks that the key fits it. */
+export async function readCallerTls (files: CallerCertificateFiles): Promise<Result<CallerTls, CertificateNotUsable>> {
+  try {
+    const [certificate, key] = await Promise.all([readFile(files.certificateFile, 'utf8'), readFile(files.keyFile, 'utf8')])
+    createSecureContext({ cert: certificate, key })
+    return Ok({ certificate, key })
+  } catch (thrown) {
+    return Err(CertificateNotUsable.create(files.certificateFile, describeError(thrown)))
+  }
 }
 
 /** Puts renewed files to use for new connections, until the signal aborts. */
@@ -28,14 +48,14 @@
 ): Promise<void> {
   let current = first
   await repeatEvery(clock, RELOAD_INTERVAL_MILLISECONDS, signal, async () => {
-    try {
-      const read = await readCallerTls(files)
-      if (read.certificate === current.certificate && read.key === current.key) return
-      server.renewTls(read)
-      current = read
-      logger.info('public certificate renewed')
-    } catch (thrown) {
-      logger.warn('public certificate not renewed', { reason: describeError(thrown) })
+    const read = await readCallerTls(files)
+    if (read.isErr()) {
+      logger.warn('public certificate not renewed', { reason: read.error.message })
+      return
     }
+    if (read.value.certificate === current.certificate && read.value.key === current.key) return
+    server.renewTls(read.value)
+    current = read.value
+    logger.info('public certificate renewed')
   })
 }
--- a/packages/entry/src/entry-node.ts
+++ b/packages/entry/src/entry-node.ts
@@ -37,6 +37,10 @@
   }
 
   static async start (settings: EntrySettings, surroundings: EntrySurroundings): Promise<Result<EntryNode, Failure>> {
+    const files = certificateFiles(settings)
+    const read = files === undefined ? Ok(undefined) : await readCallerTls(files)
+    if (read.isErr()) return read
+    const tls = read.value
     const credentials = InnerCredentials.create(toInnerSecurity(settings.security))
     const peerServer = new Server({ 'grpc.max_receive_message_length': MAXIMUM_PEER_MESSAGE_BYTES })
     const peerPort = await credentials.bind(peerServer, settings.listen.peer)
@@ -44,8 +48,6 @@
     const peerAddress = settings.advertise_peer ?? withPort(settings.listen.peer, peerPort.value)
     const services = EntryServices.create(settings, surroundings, credentials, peerAddress)
     services.network.addTo(peerServer)
-    const files = certificateFiles(settings)
-    const tls = files === undefined ? undefined : await readCallerTls(files)
     const node = new EntryNode(settings, surroundings, services, peerServer, createCallerServer(settings, surroundings, services, tls))
     const listening = await node.listen()
     if (listening.isErr()) return listening
--- a/packages/entry/src/entry-services.ts
+++ b/packages/entry/src/entry-services.ts
@@ -12,6 +12,7 @@
 import { FleetClaims } from '@hickoryspoke/request/fleet-claims'
 import { FleetCrashWatch } from '@hickoryspoke/request/fleet-crash-watch'
 import { KeyTable } from '@hickoryspoke/request/key-table'
+import { DEFAULT_BODY_LIMITS } from '@hickoryspoke/request/request-body'
 import { RequestRunner } from '@hickoryspoke/request/request-runner'
 import { RouteTable } from '@hickoryspoke/request/route-table'
 import { UpstreamConnections } from '@hickoryspoke/request/upstream-connections'
@@ -153,6 +154,7 @@
       queue: this.queues,
       claims: this.claims,
       crashes: this.crashes,
+      bodyLimits: { ...DEFAULT_BODY_LIMITS, maximumBytes: this.settings.callers.body_bytes },
       observer: this.metrics
     })
   }
--- a/packages/entry/src/tests/caller-fixture.ts
+++ b/packages/entry/src/tests/caller-fixture.ts
@@ -11,7 +11,7 @@
 import { SeededRandom } from '@hickoryspoke/runtime/random'
 import { Err, Ok } from 'ts-results-es'
 import { CallerServer } from '../caller-server.ts'
-import type { CallerLimits } from '../caller-settings.ts'
+import type { CallerLimits, CallerTls } from '../caller-settings.ts'
 
 export const TEST_KEY = 'hs-test-key-0123456789'
 export const AUTHORIZED = `Authorization: Bearer ${TEST_KEY}\r\n`
@@ -24,6 +24,7 @@
   readonly claims?: ClaimStore
   readonly crashes?: CrashWatch
   readonly isFresh?: () => boolean
+  readonly tls?: CallerTls
 }
 
 export const FIXTURE_ROUTES: readonly Partial<Route>[] = [
@@ -59,7 +60,7 @@
       crashes: options.crashes,
       observer: { finished: (record) => holder.fixture?.records.push(record) }
     })
-    const server = CallerServer.create({ clock, runner, host: '127.0.0.1', port: 0, limits: { timeoutCheckMilliseconds: 50, ...options.limits } })
+    const server = CallerServer.create({ clock, runner, host: '127.0.0.1', port: 0, limits: { timeoutCheckMilliseconds: 50, ...options.limits }, tls: options.tls })
     const fixture = new CallerFixture(runner, server, connections)
     holder.fixture = fixture
     fixture.port = (await server.listen()).unwrap()
--- a/packages/protocol/src/inner-credentials.ts
+++ b/packages/protocol/src/inner-credentials.ts
@@ -45,19 +45,19 @@
 export class InnerCredentials {
   private readonly provider: InstanceType<typeof experimental.FileWatcherCertificateProvider> | undefined
 
-  private constructor (readonly security: InnerSecurity) {
+  private constructor (readonly security: InnerSecurity, refreshIntervalMs: number) {
     if (security.kind === 'mutual_tls') {
       this.provider = new experimental.FileWatcherCertificateProvider({
         certificateFile: security.files.certificateFile,
         privateKeyFile: security.files.keyFile,
         caCertificateFile: security.files.authorityFile,
-        refreshIntervalMs: REFRESH_INTERVAL_MILLISECONDS
+        refreshIntervalMs
       })
     }
   }
 
-  static create (security: InnerSecurity): InnerCredentials {
-    return new InnerCredentials(security)
+  static create (security: InnerSecurity, refreshIntervalMilliseconds = REFRESH_INTERVAL_MILLISECONDS): InnerCredentials {
+    return new InnerCredentials(security, refreshIntervalMilliseconds)
   }
 
   /** Credentials of the calling side. */
