--- a/packages/protocol/src/tests/grpc-peer-network.test.ts
+++ b/packages/protocol/src/tests/grpc-peer-network.test.ts
@@ -3,13 +3,16 @@
 import { SeededRandom } from '@hickoryspoke/runtime/random'
 import { LogLevel, Logger, silentLogger } from '@hickoryspoke/telemetry/logger'
 import { generate } from 'selfsigned'
-import { mkdtemp, writeFile } from 'node:fs/promises'
+import { mkdtemp, readFile, writeFile } from 'node:fs/promises'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
+import { connect } from 'node:tls'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import { GrpcPeerNetwork } from '../grpc-peer-network.ts'
-import { InnerCredentials } from '../inner-credentials.ts'
+import { type CertificateFiles, InnerCredentials } from '../inner-credentials.ts'
+
+const REFRESH_MILLISECONDS = 100
 
 interface Node {
   readonly network: GrpcPeerNetwork
@@ -48,18 +51,55 @@
   }
 }
 
-async function certificateFolder (name: string, authority: { key: string, cert: string }): Promise<InnerCredentials> {
-  const folder = await mkdtemp(join(tmpdir(), 'hickoryspoke-'))
+interface Authority {
+  readonly key: string
+  readonly cert: string
+}
+
+async function createAuthority (): Promise<Authority> {
+  const authority = await generate([{ name: 'commonName', value: 'authority' }], {
+    keySize: 2048,
+    extensions: [{ name: 'basicConstraints', cA: true, critical: true }]
+  })
+  return { key: authority.private, cert: authority.cert }
+}
+
+async function issue (files: CertificateFiles, name: string, authority: Authority): Promise<void> {
   const issued = await generate([{ name: 'commonName', value: name }], { ca: authority, keySize: 2048 })
-  await writeFile(join(folder, 'certificate.pem'), issued.cert)
-  await writeFile(join(folder, 'key.pem'), issued.private)
-  await writeFile(join(folder, 'authority.pem'), authority.cert)
+  await writeFile(files.certificateFile, issued.cert)
+  await writeFile(files.keyFile, issued.private)
+  await writeFile(files.authorityFile, authority.cert)
+}
+
+async function certificateFiles (name: string, authority: Authority): Promise<CertificateFiles> {
+  const folder = await mkdtemp(join(tmpdir(), 'hickoryspoke-'))
   const files = {
     certificateFile: join(folder, 'certificate.pem'),
     keyFile: join(folder, 'key.pem'),
     authorityFile: join(folder, 'authority.pem')
   }
-  return InnerCredentials.create({ kind: 'mutual_tls', files })
+  await issue(files, name, authority)
+  return files
+}
+
+function credentialsFrom (files: CertificateFiles): InnerCredentials {
+  return InnerCredentials.create({ kind: 'mutual_tls', files }, REFRESH_MILLISECONDS)
+}
+
+async function certificateFolder (name: string, authority: Authority): Promise<InnerCredentials> {
+  return credentialsFrom(await certificateFiles(name, authority))
+}
+
+/** Fingerprint of the certificate that a server shows to a new connection. */
+async function fingerprintShown (port: number, files: CertificateFiles): Promise<string> {
+  const [cert, key, ca] = await Promise.all([files.certificateFile, files.keyFile, files.authorityFile].map(async (file) => await readFile(file)))
+  return await new Promise((resolve, reject) => {
+    const socket = connect({ host: '127.0.0.1', port, cert, key, ca, ALPNProtocols: ['h2'], checkServerIdentity: () => undefined }, () => {
+      resolve(socket.getPeerCertificate().fingerprint256)
+      socket.destroy()
+    })
+    socket.on('error', reject)
+  })
 }
 
 test('messages of a concern reach its handler in order, also to the sender itself', async () => {
@@ -86,8 +126,7 @@
 })
 
 test('with mutual TLS a peer speaks only under the name in its certificate', async () => {
-  const authority = await generate([{ name: 'commonName', value: 'authority' }], { keySize: 2048, extensions: [{ name: 'basicConstraints', cA: true, critical: true }] })
-  const pair = { key: authority.private, cert: authority.cert }
+  const pair = await createAuthority()
   const refused = deferred()
   const accepted = deferred()
   const logger = Logger.create('test', LogLevel.Warn, (line) => refused.resolve(JSON.parse(line).peer))
@@ -107,4 +146,25 @@
   stop(left, right, liar)
 })
 
+test('renewed certificates serve new connections while the open stream goes on', async () => {
+  const authority = await createAuthority()
+  const leftFiles = await certificateFiles('left', authority)
+  const rightFiles = await certificateFiles('right', authority)
+  const left = await startNode('left', credentialsFrom(leftFiles))
+  const right = await startNode('right', credentialsFrom(rightFiles))
+  let arrival = deferred()
+  right.network.join('gossip', (from) => arrival.resolve(from))
+  const fromLeft = left.network.join('gossip', () => {})
+  fromLeft.send('right', {} as never)
+  await arrival.promise
+  const before = await fingerprintShown(right.port, leftFiles)
+  await issue(rightFiles, 'right', authority)
+  while (await fingerprintShown(right.port, leftFiles) === before) await new Promise((resolve) => setTimeout(resolve, REFRESH_MILLISECONDS))
+  arrival = deferred()
+  fromLeft.send('right', {} as never)
+  assert.is(await arrival.promise, 'left')
+  assert.equal(left.network.linkFigures(), [{ peer: 'right', waiting: 0, dropped: 0 }])
+  stop(left, right)
+})
+
 test.run()
