Entry applies a file by its digest alone

Cause: the digest covers number and content, so the extra look at the difference decided nothing, and a field stood between methods. Change: one comparison. No behaviour changes.

--- a/packages/entry/src/entry-services.ts
+++ b/packages/entry/src/entry-services.ts
@@ -24,7 +24,7 @@
 import { EntryMetrics } from './entry-metrics.ts'
 import type { EntrySettings } from './entry-settings.ts'
 import { createFollowClient } from './follow-client.ts'
-import type { ConfigurationHandler } from './held-configuration.ts'
+import type { CurrentConfiguration } from './held-configuration.ts'
 import { PoolQueues } from './pool-queues.ts'
 import { probeUpstream } from './upstream-probe.ts'
 
@@ -54,6 +54,7 @@
   private readonly incarnation = randomUUID()
   private readonly figures = Metrics.create()
   private tables = NO_TABLES
+  private appliedDigest = ''
   private peerAddresses: ReadonlyMap<string, string>
   private readonly seeds: ReadonlyMap<string, string>
 
@@ -94,7 +95,7 @@
     this.connections = UpstreamConnections.create(clock)
     this.metrics = this.createMetrics()
     this.runner = this.createRunner()
-    this.follower.onChange((current, change) => this.apply(current, change))
+    this.follower.onChange((current) => this.apply(current))
   }
 
   static create (settings: EntrySettings, surroundings: EntrySurroundings, credentials: InnerCredentials, peerAddress: string): EntryServices {
@@ -159,10 +160,8 @@
     })
   }
 
-  private apply (...[current, { difference }]: Parameters<ConfigurationHandler>): void {
-    const { state, membership, identity } = current
-    const isSameFile = difference === undefined && this.appliedDigest === identity.digest
-    if (!isSameFile) {
+  private apply ({ state, membership, identity }: CurrentConfiguration): void {
+    if (this.appliedDigest !== identity.digest) {
       this.tables = { routes: RouteTable.create(state.routes), keys: KeyTable.create(state.keys) }
       this.limiter.applyCustomers(state.customers)
       this.health.applyPools(state.pools)
@@ -173,8 +172,6 @@
     this.applyMembership(membership)
   }
 
-  private appliedDigest = ''
-
   private applyMembership (membership: EntryMembership): void {
     const enrolled = membership.entries.map((entry) => [entry.name, entry.peerAddress] as const)
     this.peerAddresses = new Map([...this.seeds, ...enrolled])
