Control lets answers under way finish when it stops

Cause: the server was ended one turn of the event loop after the stop began, so an operator's answer under way was cut off. Change: new calls are refused and open ones get a second, then the rest is ended.

--- a/packages/control/src/control-node.ts
+++ b/packages/control/src/control-node.ts
@@ -6,7 +6,7 @@
 import { GrpcReplicaNetwork } from '@hickoryspoke/replication/grpc-replica-network'
 import { Replica } from '@hickoryspoke/replication/replica'
 import type { ReplicaEvent } from '@hickoryspoke/replication/replica-event'
-import type { Clock } from '@hickoryspoke/runtime/clock'
+import { type Clock, sleep } from '@hickoryspoke/runtime/clock'
 import { type Failure, describeError } from '@hickoryspoke/runtime/failure'
 import type { RandomSource } from '@hickoryspoke/runtime/random'
 import type { LogFields, Logger } from '@hickoryspoke/telemetry/logger'
@@ -25,6 +25,7 @@
   readonly logger: Logger
 }
 
+const SHUTDOWN_MILLISECONDS = 1_000
 const MAXIMUM_MESSAGE_BYTES = 67_108_864
 
 const SERVER_OPTIONS = {
@@ -36,6 +37,7 @@
 export class ControlNode {
   private constructor (
     private readonly server: Server,
+    private readonly clock: Clock,
     private readonly replica: Replica,
     private readonly stopping: AbortController,
     private readonly tasks: readonly Promise<void>[],
@@ -70,7 +72,7 @@
     const tasks = [distribution.run(stopping.signal), enrolment.run(stopping.signal)]
     logger.info('control is listening', { address, cluster: settings.cluster })
     watchStorage(log, logger)
-    return Ok(new ControlNode(server, log, stopping, tasks, address))
+    return Ok(new ControlNode(server, clock, log, stopping, tasks, address))
   }
 
   /** Hands leadership over, ends streams and closes the journal. */
@@ -78,7 +80,7 @@
     await this.replica.stop()
     this.stopping.abort()
     await Promise.all(this.tasks)
-    await shutDown(this.server)
+    await shutDown(this.server, this.clock)
   }
 
   /** What would be lost if the process ended now; accepted changes are on disk. */
@@ -129,8 +131,9 @@
   })
 }
 
-async function shutDown (server: Server): Promise<void> {
+/** Lets answers under way finish within a bound, then ends what is left. */
+async function shutDown (server: Server, clock: Clock): Promise<void> {
   const closed = new Promise<void>((resolve) => server.tryShutdown(() => resolve()))
-  setImmediate(() => server.forceShutdown())
-  await Promise.race([closed, new Promise<void>((resolve) => setImmediate(resolve))])
+  await Promise.race([closed, sleep(clock, SHUTDOWN_MILLISECONDS)])
+  server.forceShutdown()
 }
