Whole path on the users' platform: dispatcher, published document, platform folder

Cause: the product had no way to run on the platform. New: packages/dispatch (one dispatcher on the leading control VM places every request), a replicated published document (the highest number holds), entries that follow both, platform/ with names, formats and calls.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -12,11 +12,12 @@
   membership: [...SHARED, 'configuration'],
   health: [...SHARED, 'configuration', 'membership'],
   limits: [...SHARED, 'configuration', 'membership'],
-  request: [...SHARED, 'configuration', 'membership', 'health', 'limits'],
-  entry: [...SHARED, 'configuration', 'membership', 'health', 'limits', 'request'],
-  control: [...SHARED, 'configuration', 'replication'],
+  dispatch: [...SHARED, 'configuration'],
+  request: [...SHARED, 'configuration', 'membership', 'health', 'limits', 'dispatch'],
+  entry: [...SHARED, 'configuration', 'membership', 'health', 'limits', 'dispatch', 'request'],
+  control: [...SHARED, 'configuration', 'replication', 'dispatch'],
   operator: [...SHARED, 'configuration'],
-  bench: [...SHARED, 'configuration', 'replication', 'membership', 'health', 'limits', 'request', 'control', 'operator', 'entry', 'testing'],
+  bench: [...SHARED, 'configuration', 'replication', 'membership', 'health', 'limits', 'dispatch', 'request', 'control', 'operator', 'entry', 'testing'],
   testing: [...SHARED]
 }
 
@@ -31,18 +32,25 @@
 function boundary (self, files, extra) {
   const patterns = [
     ...forbiddenImports(ALLOWED_IMPORTS[self], self, extra),
+    PLATFORM_BOUNDARY,
     { group: ['../../*/src/*', '../../../*/src/*'], message: 'import other packages by name' }
   ]
   return { files, rules: { 'no-restricted-imports': ['error', { patterns }] } }
 }
 
+/** The platform's folder stands above all packages: nothing imports from it. */
+const PLATFORM_BOUNDARY = {
+  group: ['@hickoryspoke/platform', '@hickoryspoke/platform/*', '**/platform/src/*'],
+  message: 'nothing outside platform/ may know the platform'
+}
+
 const boundaries = PACKAGE_NAMES.flatMap((name) => [
   boundary(name, [`packages/${name}/src/*.ts`], []),
   boundary(name, [`packages/${name}/src/tests/**/*.ts`], ['testing'])
 ])
 
 export default [
-  ...neostandard({ ts: true, ignores: ['dist/**', '**/generated/**', 'node_modules/**'] }),
+  ...neostandard({ ts: true, ignores: ['dist/**', 'target/**', '**/generated/**', 'node_modules/**'] }),
   {
     files: ['**/*.ts'],
     rules: {
--- a/packages/control/src/control-node.ts
+++ b/packages/control/src/control-node.ts
@@ -5,11 +5,10 @@
 import { AcceptedState } from '@hickoryspoke/replication/accepted-state'
 import { GrpcReplicaNetwork } from '@hickoryspoke/replication/grpc-replica-network'
 import { Replica } from '@hickoryspoke/replication/replica'
-import type { ReplicaEvent } from '@hickoryspoke/replication/replica-event'
 import { type Clock, sleep } from '@hickoryspoke/runtime/clock'
-import { type Failure, describeError } from '@hickoryspoke/runtime/failure'
+import type { Failure } from '@hickoryspoke/runtime/failure'
 import type { RandomSource } from '@hickoryspoke/runtime/random'
-import type { LogFields, Logger } from '@hickoryspoke/telemetry/logger'
+import type { Logger } from '@hickoryspoke/telemetry/logger'
 import { Err, Ok, type Result } from 'ts-results-es'
 import { ControlProposer } from './control-proposer.ts'
 import type { ControlSettings } from './control-settings.ts'
@@ -17,6 +16,7 @@
 import { Enrolment } from './enrolment.ts'
 import { OperatorService } from './operator-service.ts'
 import { OperatorTokens } from './operator-tokens.ts'
+import { reportReplicaEvent } from './replica-log.ts'
 
 /** What a control process takes from its surroundings. */
 export interface ControlSurroundings {
@@ -105,22 +105,10 @@
     join: settings.replicas.length > 1 ? (handler) => network.join(handler) : undefined,
     clock,
     random,
-    report: (event) => reportEvent(logger, event)
+    report: (event) => reportReplicaEvent(logger, event)
   })
 }
 
-function reportEvent (logger: Logger, event: ReplicaEvent): void {
-  const { kind, ...fields } = event as { kind: string } & Record<string, unknown>
-  const plain = Object.entries(fields).map(([name, value]) => [name, toLogValue(value)])
-  logger.info(`replica ${kind}`, Object.fromEntries(plain) as LogFields)
-}
-
-function toLogValue (value: unknown): string | number | boolean {
-  if (typeof value === 'number' || typeof value === 'boolean') return value
-  if (value instanceof Error) return describeError(value)
-  return JSON.stringify(value) ?? 'none'
-}
-
 /** A replica whose disk failed must not go on: the process ends with the failure in its log. */
 function watchStorage (replica: Replica, logger: Logger): void {
   void replica.whenStopped().then((failure) => {
--- /dev/null
+++ b/packages/dispatch/src/configuration-in-force.ts
@@ -0,0 +1,86 @@
+/** The configuration that an entry serves from, and until when it is known to be the one in force. */
+import { applyServingDifference, decodeWhole, type UpdateUnusable } from '@hickoryspoke/configuration/serving-codec'
+import type { ServingConfiguration } from '@hickoryspoke/configuration/serving-configuration'
+import type { ServingUpdate } from '@hickoryspoke/protocol/generated/dispatch'
+import type { Clock } from '@hickoryspoke/runtime/clock'
+import { Ok, type Result } from 'ts-results-es'
+
+interface Moment {
+  readonly monotonic: number
+  readonly wall: number
+}
+
+const REMEMBERED_QUESTIONS = 64
+
+/** Held configuration and its freshness. */
+export class ConfigurationInForce {
+  private held: ServingConfiguration | undefined
+  private newestNumber = 0
+  private confirmedAt: Moment | undefined
+  private readonly asked = new Map<number, Moment>()
+  private readonly listeners = new Set<(configuration: ServingConfiguration) => void>()
+
+  private constructor (private readonly clock: Clock, private readonly validMilliseconds: number) {}
+
+  /** `validMilliseconds` is how long a confirmation counts. */
+  static create (clock: Clock, validMilliseconds: number): ConfigurationInForce {
+    return new ConfigurationInForce(clock, validMilliseconds)
+  }
+
+  get configuration (): ServingConfiguration | undefined {
+    return this.held
+  }
+
+  get number (): number {
+    return this.held?.number ?? 0
+  }
+
+  onChange (listener: (configuration: ServingConfiguration) => void): void {
+    this.listeners.add(listener)
+  }
+
+  /** Takes a whole configuration or a difference; numbers never go back. */
+  take (update: ServingUpdate): Result<boolean, UpdateUnusable> {
+    if (update.number <= this.number) return Ok(false)
+    const from = this.held
+    const decoded = update.baseNumber === 0 || from === undefined ? decodeWhole(update.content) : applyServingDifference(from, update.content)
+    return decoded.map((configuration) => {
+      this.held = configuration
+      for (const listener of this.listeners) listener(configuration)
+      return true
+    })
+  }
+
+  /** Remembers when a question for the number in force was asked. */
+  noteQuestion (question: number): void {
+    this.asked.set(question, this.now())
+    if (this.asked.size > REMEMBERED_QUESTIONS) this.asked.delete(this.asked.keys().next().value as number)
+  }
+
+  /** The number in force was this at some time after the question. */
+  confirm (question: number, number: number): void {
+    const askedAt = this.asked.get(question)
+    this.asked.delete(question)
+    this.newestNumber = Math.max(this.newestNumber, number)
+    if (askedAt !== undefined && number <= this.number) this.confirmedAt = askedAt
+  }
+
+  /**
+   * Whether the configuration was in force a short time ago. Both clocks must agree: the monotonic one
+   * stands still while a machine is suspended, and the wall clock may be stepped back.
+   */
+  isFresh (): boolean {
+    return this.ageMilliseconds() <= this.validMilliseconds && this.newestNumber <= this.number
+  }
+
+  /** Milliseconds since the last confirmation. */
+  ageMilliseconds (): number {
+    if (this.confirmedAt === undefined) return Infinity
+    const now = this.now()
+    return Math.max(now.monotonic - this.confirmedAt.monotonic, Math.abs(now.wall - this.confirmedAt.wall))
+  }
+
+  private now (): Moment {
+    return { monotonic: this.clock.monotonicMilliseconds(), wall: this.clock.wallMilliseconds() }
+  }
+}
--- /dev/null
+++ b/packages/dispatch/src/dispatcher.ts
@@ -0,0 +1,270 @@
+/** Chooses an upstream for every request of the fleet, with all requests in flight and all evidence in one place. */
+import {
+  DenialReason, PlacementOutcome,
+  type DispatchMessage, type PlacementEnd, type PlacementQuestion, type RunningRequest
+} from '@hickoryspoke/protocol/generated/dispatch'
+import type { Clock, Timer } from '@hickoryspoke/runtime/clock'
+import type { Logger } from '@hickoryspoke/telemetry/logger'
+import { CrashRegister } from './crash-register.ts'
+import type { CustomerRates } from './customer-rates.ts'
+import { PoolDispatcher, type Asker, type WaitingQuestion } from './pool-dispatcher.ts'
+import { RequestBudget, type BudgetTerms } from './request-budget.ts'
+import type { HeldUpstream, UpstreamRegistry } from './upstream-registry.ts'
+
+/** One entry that attends, and the way to it. */
+export interface Attendant extends Asker {
+  send (message: DispatchMessage): void
+}
+
+/** What the dispatcher works with. */
+export interface DispatcherParts {
+  readonly clock: Clock
+  readonly logger: Logger
+  readonly registry: UpstreamRegistry
+  readonly rates: CustomerRates
+  readonly budget: BudgetTerms
+}
+
+interface Placed {
+  readonly instance: string
+  readonly pool: string
+  readonly entry: string
+  readonly question: PlacementQuestion | undefined
+  readonly expiry: Timer | undefined
+}
+
+/** Longest wait for a free upstream, as a part of the time in which an answer earns its full value. */
+const WAITING_SHARE = 0.75
+/** A placement whose end is never told is forgotten this long after its time is over. */
+const FORGET_MILLISECONDS = 2_000
+/** Placements that an earlier dispatcher made are forgotten after this time. */
+const INHERITED_MILLISECONDS = 15_000
+const SHORTEST_RETRY_MILLISECONDS = 200
+
+/** The dispatcher of one leader. */
+export class Dispatcher {
+  private readonly pools = new Map<string, PoolDispatcher>()
+  private readonly budgets = new Map<string, RequestBudget>()
+  private readonly crashes = CrashRegister.create()
+  private readonly placed = new Map<string, Placed>()
+  private readonly waiting = new Map<string, WaitingQuestion>()
+
+  private constructor (private readonly parts: DispatcherParts) {
+    for (const upstream of parts.registry.present()) this.update(upstream)
+  }
+
+  static create (parts: DispatcherParts): Dispatcher {
+    return new Dispatcher(parts)
+  }
+
+  /** Takes changes of the announced upstreams. */
+  updateAll (changed: readonly HeldUpstream[]): void {
+    const pools = new Set(changed.map((upstream) => this.update(upstream)))
+    for (const pool of pools) this.drain(pool)
+  }
+
+  /** Counts what an entry has in flight from before; what it does not name has ended. */
+  inherit (attendant: Attendant, running: readonly RunningRequest[]): void {
+    const named = new Set(running.map((request) => keyOf(attendant.entry, request.ticket)))
+    for (const [key, placed] of this.placed) {
+      if (placed.entry === attendant.entry && !named.has(key)) this.release(key)
+    }
+    for (const [key, waiting] of this.waiting) {
+      if (waiting.asker.entry === attendant.entry) this.forgetWaiting(key)
+    }
+    for (const request of running) {
+      const key = keyOf(attendant.entry, request.ticket)
+      if (!this.placed.has(key)) this.count(key, attendant, request.instance, undefined, INHERITED_MILLISECONDS)
+    }
+  }
+
+  /** Places a request, lets it wait, or denies it. */
+  ask (attendant: Attendant, question: PlacementQuestion): void {
+    const now = this.parts.clock.monotonicMilliseconds()
+    const refusal = this.admit(question, now)
+    if (refusal !== undefined) return this.deny(attendant, question, refusal.reason, refusal.retryAfter)
+    const pool = this.poolOf(question.pool)
+    const upstream = pool.choose(question, attendant, now, this.mayProbe(question, now))
+    if (upstream !== undefined) return this.place(attendant, question, upstream)
+    if (!pool.hasEligible(question, attendant, now)) return this.denyUnplaced(attendant, question, DenialReason.DENIAL_REASON_NO_UPSTREAM)
+    this.wait(attendant, question, pool, now)
+  }
+
+  /** Learns how a placed request ended, or takes back one that waits. */
+  end (attendant: Attendant, end: PlacementEnd): void {
+    const now = this.parts.clock.monotonicMilliseconds()
+    const key = keyOf(attendant.entry, end.ticket)
+    this.forgetWaiting(key)
+    const placed = this.placed.get(key)
+    const instance = placed?.instance ?? end.instance
+    const pool = this.parts.registry.find(instance)?.announced.pool
+    if (pool !== undefined) this.learn(attendant, pool, instance, end, placed?.question, now)
+    this.release(key)
+  }
+
+  /** Places what waits for an upstream whose time to be avoided is over. */
+  tick (): void {
+    for (const [name, pool] of this.pools) {
+      if (pool.waiting > 0) this.drain(name)
+    }
+  }
+
+  /** Ends all that waits; the entries ask elsewhere. */
+  close (): void {
+    for (const key of [...this.waiting.keys()]) this.forgetWaiting(key)
+    for (const placed of this.placed.values()) placed.expiry?.cancel()
+    this.placed.clear()
+  }
+
+  /** Whether the upstream has requests in flight or answered the last one. */
+  isInUse (upstream: HeldUpstream): boolean {
+    const { pool, instance } = upstream.announced
+    const standing = this.poolOf(pool).standingOf(instance)
+    return standing.failures === 0 && standing.placed > 0
+  }
+
+  private update (upstream: HeldUpstream): string {
+    const { pool, instance } = upstream.announced
+    for (const [name, other] of this.pools) {
+      if (name !== pool && other.standings.has(instance)) other.update({ ...upstream, announced: { ...upstream.announced, gone: true } })
+    }
+    this.poolOf(pool).update(upstream)
+    return pool
+  }
+
+  private admit (question: PlacementQuestion, now: number): { reason: DenialReason, retryAfter: number } | undefined {
+    if (question.fingerprint !== 0 && this.crashes.isHeldBack(question.fingerprint, now)) {
+      return { reason: DenialReason.DENIAL_REASON_CRASHING, retryAfter: SHORTEST_RETRY_MILLISECONDS }
+    }
+    const budget = this.budgetOf(question.pool)
+    if (question.attempt > 0) {
+      return budget.takeRepeat(now) ? undefined : { reason: DenialReason.DENIAL_REASON_BUDGET, retryAfter: SHORTEST_RETRY_MILLISECONDS }
+    }
+    if (question.charged) return undefined
+    budget.countRequest(now)
+    if (question.customer === '' || this.parts.rates.take(question.customer, now)) return undefined
+    return { reason: DenialReason.DENIAL_REASON_RATE, retryAfter: this.parts.rates.waitMilliseconds(question.customer) }
+  }
+
+  private wait (attendant: Attendant, question: PlacementQuestion, pool: PoolDispatcher, now: number): void {
+    const longest = Math.min(question.patienceMilliseconds, Math.max(0, question.targetMilliseconds) * WAITING_SHARE)
+    const expected = pool.expectedWait(question.priority, now)
+    if (expected >= longest) return this.denyUnplaced(attendant, question, DenialReason.DENIAL_REASON_OVERLOADED, expected)
+    const key = keyOf(attendant.entry, question.ticket)
+    const timer = this.parts.clock.schedule(longest, () => {
+      if (this.forgetWaiting(key)) this.denyUnplaced(attendant, question, DenialReason.DENIAL_REASON_OVERLOADED, expected)
+    })
+    const waiting: WaitingQuestion = {
+      question,
+      asker: attendant,
+      arrivedAt: now,
+      resolve: (upstream) => {
+        timer.cancel()
+        this.waiting.delete(key)
+        if (upstream !== undefined) this.place(attendant, question, upstream)
+      }
+    }
+    this.waiting.set(key, waiting)
+    pool.enqueue(waiting)
+  }
+
+  private forgetWaiting (key: string): boolean {
+    const waiting = this.waiting.get(key)
+    if (waiting === undefined || !this.poolOf(waiting.question.pool).withdraw(waiting)) return false
+    waiting.resolve(undefined)
+    return true
+  }
+
+  private place (attendant: Attendant, question: PlacementQuestion, upstream: HeldUpstream): void {
+    const { instance, address } = upstream.announced
+    this.count(keyOf(attendant.entry, question.ticket), attendant, instance, question, question.patienceMilliseconds + FORGET_MILLISECONDS)
+    attendant.send({ body: { $case: 'placement', value: { ticket: question.ticket, instance, address } } })
+  }
+
+  private count (key: string, attendant: Attendant, instance: string, question: PlacementQuestion | undefined, lifeMilliseconds: number): void {
+    this.release(key)
+    const pool = question?.pool ?? this.parts.registry.find(instance)?.announced.pool ?? ''
+    const standing = this.poolOf(pool).standingOf(instance)
+    standing.inFlight += 1
+    standing.placed += 1
+    const expiry = this.parts.clock.schedule(lifeMilliseconds, () => this.release(key))
+    this.placed.set(key, { instance, pool, entry: attendant.entry, question, expiry })
+  }
+
+  private release (key: string): void {
+    const placed = this.placed.get(key)
+    if (placed === undefined) return
+    this.placed.delete(key)
+    placed.expiry?.cancel()
+    const standing = this.poolOf(placed.pool).standingOf(placed.instance)
+    standing.inFlight = Math.max(0, standing.inFlight - 1)
+    this.drain(placed.pool)
+  }
+
+  private learn (
+    attendant: Attendant, poolName: string, instance: string, end: PlacementEnd, question: PlacementQuestion | undefined, now: number
+  ): void {
+    const pool = this.poolOf(poolName)
+    const standing = pool.standingOf(instance)
+    const kind = question?.route ?? ''
+    const failuresBefore = standing.failures
+    standing.record(end.outcome, attendant.entry, now, { milliseconds: end.milliseconds, usualMilliseconds: pool.times.usualMilliseconds(kind) })
+    if (end.load !== undefined) standing.noteLoad(end.load, now)
+    if (end.outcome === PlacementOutcome.PLACEMENT_OUTCOME_ANSWERED) {
+      pool.times.record(kind, end.milliseconds)
+      if (question !== undefined) this.crashes.countAnswered(question.fingerprint)
+    }
+    if (end.outcome === PlacementOutcome.PLACEMENT_OUTCOME_BROKEN && question !== undefined) this.crashes.countBroken(question.fingerprint, now)
+    if (end.outcome === PlacementOutcome.PLACEMENT_OUTCOME_MISDIRECTED) this.parts.registry.leave(instance, undefined)
+    if (failuresBefore !== standing.failures) {
+      this.parts.logger.info('evidence on an upstream changed', {
+        upstream: instance,
+        pool: poolName,
+        entry: attendant.entry,
+        outcome: end.outcome,
+        milliseconds: end.milliseconds,
+        failures: standing.failures,
+        inFlight: standing.inFlight
+      })
+    }
+  }
+
+  private mayProbe (question: PlacementQuestion, now: number): boolean {
+    return question.mayRepeat && this.budgetOf(question.pool).allowsRepeat(now)
+  }
+
+  private drain (poolName: string): void {
+    const now = this.parts.clock.monotonicMilliseconds()
+    this.poolOf(poolName).drainQueue(now, (question) => this.mayProbe(question, now))
+  }
+
+  private denyUnplaced (attendant: Attendant, question: PlacementQuestion, reason: DenialReason, retryAfter = SHORTEST_RETRY_MILLISECONDS): void {
+    if (question.attempt === 0 && question.customer !== '') this.parts.rates.giveBack(question.customer)
+    this.deny(attendant, question, reason, Math.max(SHORTEST_RETRY_MILLISECONDS, retryAfter))
+  }
+
+  private deny (attendant: Attendant, question: PlacementQuestion, reason: DenialReason, retryAfter: number): void {
+    const value = { ticket: question.ticket, reason, retryAfterMilliseconds: Math.ceil(retryAfter) }
+    attendant.send({ body: { $case: 'denial', value } })
+  }
+
+  private poolOf (name: string): PoolDispatcher {
+    const known = this.pools.get(name)
+    if (known !== undefined) return known
+    const created = PoolDispatcher.create()
+    this.pools.set(name, created)
+    return created
+  }
+
+  private budgetOf (name: string): RequestBudget {
+    const known = this.budgets.get(name)
+    if (known !== undefined) return known
+    const created = RequestBudget.create(this.parts.budget)
+    this.budgets.set(name, created)
+    return created
+  }
+}
+
+function keyOf (entry: string, ticket: number): string {
+  return `${entry}/${ticket}`
+}
--- /dev/null
+++ b/packages/dispatch/src/local-placer.ts
@@ -0,0 +1,83 @@
+/** Chooses upstreams with what one entry knows by itself, while no dispatcher can be reached. */
+import { PlacementOutcome, type PlacementEnd, type PlacementQuestion } from '@hickoryspoke/protocol/generated/dispatch'
+import type { Clock } from '@hickoryspoke/runtime/clock'
+import { pickOne, type RandomSource } from '@hickoryspoke/runtime/random'
+import { CustomerRates, type RateTerms } from './customer-rates.ts'
+import { InstanceStanding, STANDING } from './instance-standing.ts'
+import type { HeldUpstream, UpstreamRegistry } from './upstream-registry.ts'
+
+/** What the placer works with. */
+export interface LocalPlacerParts {
+  readonly clock: Clock
+  readonly random: RandomSource
+  readonly registry: UpstreamRegistry
+  readonly entry: string
+  readonly zone: string
+}
+
+/** One entry's own view of the upstreams. */
+export class LocalPlacer {
+  private readonly standings = new Map<string, InstanceStanding>()
+  private rates = CustomerRates.create(true)
+  private termsOf: (customer: string) => RateTerms | undefined = () => undefined
+
+  private constructor (private readonly parts: LocalPlacerParts) {}
+
+  static create (parts: LocalPlacerParts): LocalPlacer {
+    return new LocalPlacer(parts)
+  }
+
+  /** Begins a time without a dispatcher: each of `entries` entries has an equal part of every rate and burst. */
+  begin (entries: number, termsOf: (customer: string) => RateTerms | undefined): void {
+    const parts = Math.max(1, entries)
+    this.termsOf = (customer) => {
+      const terms = termsOf(customer)
+      return terms === undefined ? undefined : { rate: terms.rate / parts, burst: terms.burst / parts }
+    }
+    this.rates = CustomerRates.create(true)
+    this.rates.setTerms((customer) => this.termsOf(customer))
+  }
+
+  /** Takes one request from this entry's part of the customer's rate. */
+  admit (customer: string): boolean {
+    return customer === '' || this.rates.take(customer, this.parts.clock.monotonicMilliseconds())
+  }
+
+  /** The less busy of two upstreams, those that failed lately last. */
+  choose (question: PlacementQuestion): HeldUpstream | undefined {
+    const now = this.parts.clock.monotonicMilliseconds()
+    const all = this.parts.registry.present().filter(({ announced }) => {
+      return announced.pool === question.pool && !announced.draining && !question.excluded.includes(announced.instance) &&
+        this.standingOf(announced.instance).isReachableFrom(this.parts.entry, now)
+    })
+    const good = all.filter(({ announced }) => this.standingOf(announced.instance).standing(now) === STANDING.good)
+    const usable = good.length > 0 ? good : all
+    if (usable.length === 0) return undefined
+    const near = usable.filter(({ announced }) => announced.zone === this.parts.zone)
+    const first = pickOne(this.parts.random, near.length > 1 ? near : usable)
+    const second = pickOne(this.parts.random, usable)
+    const chosen = this.load(second) < this.load(first) ? second : first
+    this.standingOf(chosen.announced.instance).inFlight += 1
+    return chosen
+  }
+
+  /** Learns from the end of any request of this entry. `local` says that it was placed here. */
+  learn (instance: string, end: PlacementEnd, local: boolean): void {
+    const standing = this.standingOf(instance)
+    if (local) standing.inFlight = Math.max(0, standing.inFlight - 1)
+    if (end.outcome === PlacementOutcome.PLACEMENT_OUTCOME_MISDIRECTED) this.parts.registry.leave(instance, undefined)
+    standing.record(end.outcome, this.parts.entry, this.parts.clock.monotonicMilliseconds(), { milliseconds: end.milliseconds, usualMilliseconds: 0 })
+  }
+
+  private load ({ announced }: HeldUpstream): number {
+    return this.standingOf(announced.instance).inFlight / Math.max(1, announced.slots)
+  }
+
+  private standingOf (instance: string): InstanceStanding {
+    const known = this.standings.get(instance)
+    if (known !== undefined) return known
+    const created = InstanceStanding.create()
+    this.standings.set(instance, created)
+    return created
+  }
+}
--- a/packages/entry/src/caller-server.ts
+++ b/packages/entry/src/caller-server.ts
@@ -6,7 +6,7 @@
 import { Failure } from '@hickoryspoke/runtime/failure'
 import { relayRefusal } from '@hickoryspoke/request/answer-relay'
 import { Refusal, type RefusalCode } from '@hickoryspoke/request/refusal'
-import type { RequestRunner } from '@hickoryspoke/request/request-runner'
+import type { CallerExchange } from '@hickoryspoke/request/caller-exchange'
 import type { DrainReport } from '@hickoryspoke/request/request-lifecycle'
 import polka from 'polka'
 import { Err, Ok, type Result } from 'ts-results-es'
@@ -24,10 +24,16 @@
   }
 }
 
+/** Runs the requests of the edge. */
+export interface ExchangeRunner {
+  run (exchange: CallerExchange): Promise<void>
+  drain (limitMilliseconds: number): Promise<DrainReport>
+}
+
 /** Where and how callers are served. Port 0 takes a free one. */
 export interface CallerServerParts {
   readonly clock: Clock
-  readonly runner: RequestRunner
+  readonly runner: ExchangeRunner
   readonly host: string
   readonly port: number
   readonly limits?: Partial<CallerLimits>
@@ -49,7 +55,7 @@
 export class CallerServer {
   private readonly server: Server | TlsServer
   private readonly exchanges = new Map<Socket, Set<NodeExchange>>()
-  private readonly limits: CallerLimits
+  private limits: CallerLimits
   private isDraining = false
 
   private constructor (private readonly parts: CallerServerParts) {
@@ -84,6 +90,14 @@
     })
   }
 
+  /** Puts other limits in force for what arrives from now on. */
+  setLimits (limits: Partial<CallerLimits>): void {
+    this.limits = { ...this.limits, ...limits }
+    Object.assign(this.server, { maxHeaderSize: this.limits.maximumHeaderBytes })
+    this.server.headersTimeout = this.limits.headersTimeoutMilliseconds
+    this.server.keepAliveTimeout = this.limits.idleTimeoutMilliseconds
+  }
+
   /** Puts a renewed certificate to use for new connections. */
   renewTls (tls: CallerTls): void {
     if ('setSecureContext' in this.server) this.server.setSecureContext({ cert: tls.certificate, key: tls.key })
--- a/packages/protocol/src/inner-credentials.ts
+++ b/packages/protocol/src/inner-credentials.ts
@@ -11,10 +11,11 @@
   readonly authorityFile: string
 }
 
-/** How the system's own processes talk: mutual TLS, or plain text on loopback only. */
+/** How the system's own processes talk: mutual TLS, plain text on loopback only, or plain text on a network that the platform keeps private. */
 export type InnerSecurity =
   | { readonly kind: 'mutual_tls', readonly files: CertificateFiles }
   | { readonly kind: 'plain_text' }
+  | { readonly kind: 'private_network' }
 
 /** The `[security]` section of a settings file. */
 export type SecuritySection =
@@ -79,7 +80,7 @@
 
   /** Starts a server on an IP:PORT; resolves with the port that was bound. */
   async bind (server: Server, address: string): Promise<Result<number, PlainTextOutsideLoopback | AddressNotBound>> {
-    if (this.provider === undefined && !isLoopback(address)) return Err(PlainTextOutsideLoopback.create(address))
+    if (this.security.kind === 'plain_text' && !isLoopback(address)) return Err(PlainTextOutsideLoopback.create(address))
     return await new Promise((resolve) => {
       server.bindAsync(address, this.forServer(), (error, port) => {
         resolve(error === null ? Ok(port) : Err(AddressNotBound.create(address, error.message)))
--- a/packages/replication/src/grpc-replica-network.ts
+++ b/packages/replication/src/grpc-replica-network.ts
@@ -13,6 +13,8 @@
   readonly self: string
   /** IP:PORT of each other control VM by name. */
   readonly addresses: Readonly<Record<string, string>>
+  /** Peers that `addresses` does not name are called by their IP:PORT. */
+  readonly namesAreAddresses?: boolean
   readonly credentials: InnerCredentials
   readonly clock: Clock
   readonly random: RandomSource
@@ -40,11 +42,24 @@
   /** Opens the streams; pass as `join` to `Replica.create`. */
   join (handler: MessageHandler<ReplicaMessage>): ReplicaNetwork {
     this.handler = handler
-    const { self, addresses, ...shared } = this.options
+    const { self, addresses } = this.options
     for (const [peer, address] of Object.entries(addresses)) {
-      if (peer !== self) this.links.set(peer, ReplicaLink.create({ peer, address, ...shared }))
+      if (peer !== self) this.openLink(peer, address)
     }
-    return { self, send: (to, message) => this.links.get(to)?.push(message), close: () => this.close() }
+    return { self, send: (to, message) => this.linkTo(to)?.push(message), close: () => this.close() }
+  }
+
+  private linkTo (peer: string): ReplicaLink | undefined {
+    const known = this.links.get(peer)
+    if (known !== undefined || this.options.namesAreAddresses !== true || this.handler === undefined) return known
+    return this.openLink(peer, peer)
+  }
+
+  private openLink (peer: string, address: string): ReplicaLink {
+    const { credentials, clock, random } = this.options
+    const link = ReplicaLink.create({ peer, address, credentials, clock, random })
+    this.links.set(peer, link)
+    return link
   }
 
   private async close (): Promise<void> {
--- a/packages/replication/src/replica-set-change.ts
+++ b/packages/replication/src/replica-set-change.ts
@@ -1,9 +1,9 @@
-import type { ReplicaSet } from '@hickoryspoke/protocol/generated/replica'
+import type { ReplicaMember, ReplicaSet } from '@hickoryspoke/protocol/generated/replica'
 import { advanceCommit, appendAsLeader, maintainPeers } from './leader-feed.ts'
 import type { Leadership } from './leadership.ts'
 import { FEED_MODE } from './peer-progress.ts'
 import type { ReplicaContext } from './replica-context.ts'
-import { findMember, isMajority, memberKey, withMember, withoutMember, type ReplicaIdentity } from './replica-set.ts'
+import { findMember, isMajority, memberKey, votersOf, withMember, withoutMember, type ReplicaIdentity } from './replica-set.ts'
 
 /** A learner may be this many entries behind when it is given a vote. */
 const CAUGHT_UP_ENTRIES = 16
@@ -33,22 +33,33 @@
   const set = context.latestSet()
   for (const [name, incarnation] of context.joiners) {
     if (findMember(set, { name, incarnation }) !== undefined) continue
-    if (context.settings.peers.includes(name)) return withLearner(set, { name, incarnation })
+    if (mayJoin(context, name)) return withLearner(set, { name, incarnation })
   }
   return undefined
 }
 
+function mayJoin (context: ReplicaContext, name: string): boolean {
+  return context.settings.openMembership !== undefined || context.settings.peers.includes(name)
+}
+
 /** A member that the settings no longer name goes once it has been silent for long, as a stopped one is. */
 function setWithoutRetired (context: ReplicaContext, leadership: Leadership): ReplicaSet | undefined {
   const set = context.latestSet()
   const retired = set.members.find((member) => {
     const lastHeard = leadership.peers.get(memberKey(member))?.lastHeard
     const isSilent = lastHeard !== undefined && context.now() - lastHeard >= context.tuning.retireMilliseconds
-    return isSilent && !context.settings.peers.includes(member.name)
+    return isSilent && mayRetire(context, set, member)
   })
   return retired === undefined ? undefined : withoutMember(set, retired)
 }
 
+/** With open membership a silent voter goes only while enough other voters stay. */
+function mayRetire (context: ReplicaContext, set: ReplicaSet, member: ReplicaMember): boolean {
+  const { openMembership, peers } = context.settings
+  if (openMembership === undefined) return !peers.includes(member.name)
+  return !member.voter || votersOf(set).length > openMembership.minimumVoters
+}
+
 function withLearner (set: ReplicaSet, identity: ReplicaIdentity): ReplicaSet {
   const staleLearners = set.members.filter((member) => member.name === identity.name && !member.voter)
   const cleaned = staleLearners.reduce<ReplicaSet>(withoutMember, set)
--- a/packages/replication/src/replica-settings.ts
+++ b/packages/replication/src/replica-settings.ts
@@ -67,6 +67,8 @@
   readonly folder: string | DataFolder
   /** Names of all control VMs, this one included. As leader it brings the replica set to these names, one change at a time. */
   readonly peers: readonly string[]
+  /** Control VMs that are not named here may join; silent ones are replaced by them but never below this number of voters. */
+  readonly openMembership?: { readonly minimumVoters: number }
   readonly onEmptyFolder: OnEmptyFolder
   readonly stateMachine: StateMachine
   /** Opens the streams; absent for a cluster of one. */
--- a/packages/request/src/upstream-answer.ts
+++ b/packages/request/src/upstream-answer.ts
@@ -33,6 +33,9 @@
   private finish: ((outcome: WholeBody) => void) | undefined
   private lastProgressMilliseconds: number
   private waitsForSink = false
+  /** Resolves when as much of the body waits here as is held before the upstream is paused. */
+  readonly filled: Promise<void>
+  private fill: () => void = () => {}
   /** Resolves with the trailers when the body is whole. */
   readonly whole: Promise<WholeBody>
 
@@ -44,6 +47,7 @@
     private readonly control: AnswerControl
   ) {
     this.lastProgressMilliseconds = clock.monotonicMilliseconds()
+    this.filled = new Promise((resolve) => { this.fill = resolve })
     this.whole = new Promise((resolve) => { this.finish = resolve })
   }
 
@@ -60,7 +64,9 @@
     }
     this.held.push(chunk)
     this.heldBytes += chunk.length
-    if (this.heldBytes >= HELD_BYTES_BEFORE_PAUSE) this.control.pause()
+    if (this.heldBytes < HELD_BYTES_BEFORE_PAUSE) return
+    this.control.pause()
+    this.fill()
   }
 
   /** The body came to its end, with these trailers. */
--- a/packages/request/src/upstream-exchange.ts
+++ b/packages/request/src/upstream-exchange.ts
@@ -18,6 +18,8 @@
   /** Longest idle time in milliseconds of a connection that may be used again. */
   readonly maximumIdleMilliseconds: number
   readonly maximumOpen?: () => number
+  /** Whether an answer may end with its connection. One that is reset on the way is not whole. */
+  readonly takesUnframed?: boolean
 }
 
 type HeadResult = Result<UpstreamAnswer, AttemptFailure>
@@ -97,7 +99,7 @@
     const framing = answerFraming(this.request.method, status, headers)
     if (/(^|,)\s*close\s*(,|$)/i.test(headerValue(headers, 'connection') ?? '')) this.keepsConnection = false
     this.answer = UpstreamAnswer.create(this.clock, status, headers, framing, this.control(controller))
-    const refusal = refusalOfHead(status, headers, framing)
+    const refusal = refusalOfHead(status, headers, framing, this.request.takesUnframed === true)
     if (refusal === undefined) this.resolveHead(Ok(this.answer))
     else this.refuse(controller, refusal, framing)
   }
@@ -154,9 +156,9 @@
   }
 }
 
-function refusalOfHead (status: number, headers: RawHeaders, framing: AnswerFraming): AttemptFailure | undefined {
+function refusalOfHead (status: number, headers: RawHeaders, framing: AnswerFraming, takesUnframed: boolean): AttemptFailure | undefined {
   if (status === NOT_RUN_STATUS && headerValue(headers, 'hickoryspoke-run')?.trim() === 'not-run') return AttemptFailure.create('refused_not_run')
-  if (framing.kind === FRAMINGS.untilClose) return AttemptFailure.create('unframed_answer', 'the answer has neither a length nor chunks')
+  if (framing.kind === FRAMINGS.untilClose && !takesUnframed) return AttemptFailure.create('unframed_answer', 'the answer has neither a length nor chunks')
   return undefined
 }
 
