Tests of the platform's parts; known good upstreams are packed, all are spread when many requests fail

Cause: an upstream that turns bad resets what arrives at once, so each one in use costs about one request an episode; fewer upstreams in use meet fewer episodes.

--- a/packages/control/src/dispatching-control.ts
+++ b/packages/control/src/dispatching-control.ts
@@ -32,7 +32,6 @@
   readonly seeds: readonly string[]
   /** Silent replicas are replaced only while this many voters stay. */
   readonly minimumVoters: number
-  readonly firstOfFleet: boolean
   readonly budget: BudgetTerms
   /** An upstream that is not announced for this long and does not answer requests is taken out. */
   readonly silentUpstreamMilliseconds: number
@@ -76,7 +75,6 @@
       logger,
       registry: this.registry,
       budget: settings.budget,
-      firstOfFleet: settings.firstOfFleet,
       control: {
         isLeader: () => this.isLeader,
         leaderAddress: () => replica.leader() ?? '',
--- a/packages/dispatch/src/dispatch-link.ts
+++ b/packages/dispatch/src/dispatch-link.ts
@@ -2,7 +2,7 @@
 import type { ClientDuplexStream } from '@grpc/grpc-js'
 import {
   DispatchClient,
-  type Denial, type DispatchMessage, type EntryMessage, type LeaderNotice, type Placement, type RunningRequest, type ServingUpdate, type UpstreamUpdate
+  type Denial, type DispatchMessage, type EntryMessage, type LeaderNotice, type NumberAnswer, type Placement, type RunningRequest, type ServingUpdate, type UpstreamUpdate
 } from '@hickoryspoke/protocol/generated/dispatch'
 import type { InnerCredentials } from '@hickoryspoke/protocol/inner-credentials'
 import { sleep, type Clock } from '@hickoryspoke/runtime/clock'
@@ -16,13 +16,13 @@
   configured (update: ServingUpdate): void
   upstreamsChanged (update: UpstreamUpdate): void
   /** A leader serves this stream from now on. */
-  attended (notice: LeaderNotice): void
+  attended (): void
   /** The stream is gone; nothing that was asked on it will be answered. */
   lost (): void
   /** The number in force was asked for just now. */
   asked (question: number): void
-  /** The configuration in force had this number at some time after the question. */
-  confirmed (question: number, number: number): void
+  /** What held at some time after the question. */
+  confirmed (answer: NumberAnswer): void
 }
 
 /** What a link is made of. */
@@ -162,7 +162,7 @@
       case 'denial': return listener.denied(body.value)
       case 'configuration': return listener.configured(body.value)
       case 'upstreams': return listener.upstreamsChanged(body.value)
-      case 'number': return listener.confirmed(body.value.question, body.value.number)
+      case 'number': return listener.confirmed(body.value)
     }
   }
 
@@ -171,8 +171,8 @@
     this.leader = notice.serving ? '' : notice.leader
     if (!notice.serving || stream.isServing) return
     stream.isServing = true
-    this.parts.logger.info('leader attended', { control: notice.leader, entries: notice.entries })
-    this.parts.listener.attended(notice)
+    this.parts.logger.info('leader attended', { control: notice.leader })
+    this.parts.listener.attended()
     this.askNumber()
   }
 }
--- a/packages/dispatch/src/dispatch-service.ts
+++ b/packages/dispatch/src/dispatch-service.ts
@@ -1,7 +1,7 @@
 /** The serving side of `Dispatch`: one task a stream on the leading control VM, and a way to the leader on the others. */
 import type { ServerDuplexStream, UntypedServiceImplementation } from '@grpc/grpc-js'
 import type { ServingConfiguration } from '@hickoryspoke/configuration/serving-configuration'
-import type { DispatchHello, DispatchMessage, EntryMessage, UpstreamUpdate } from '@hickoryspoke/protocol/generated/dispatch'
+import type { DispatchHello, DispatchMessage, EntryMessage, LeaderNotice, UpstreamUpdate } from '@hickoryspoke/protocol/generated/dispatch'
 import { mayActAs } from '@hickoryspoke/protocol/peer-identity'
 import { repeatEvery, type Clock } from '@hickoryspoke/runtime/clock'
 import { describeError } from '@hickoryspoke/runtime/failure'
@@ -30,8 +30,6 @@
   readonly control: ControlView
   readonly registry: UpstreamRegistry
   readonly budget: BudgetTerms
-  /** The process began with the whole fleet, so no earlier dispatcher spent any burst. */
-  readonly firstOfFleet: boolean
 }
 
 const QUEUE_TICK_MILLISECONDS = 50
@@ -49,7 +47,6 @@
   private readonly attendances = new Map<string, Attendance>()
   private readonly history = ServingHistory.create()
   private dispatcher: Dispatcher | undefined
-  private hasLed = false
   private askers: { readonly attendance: Attendance, readonly question: number }[] = []
   private confirming = false
 
@@ -98,12 +95,11 @@
   }
 
   private begin (): void {
-    const { clock, logger, registry, budget, firstOfFleet } = this.parts
-    const rates = CustomerRates.create(firstOfFleet && !this.hasLed)
+    const { clock, logger, registry, budget } = this.parts
+    const rates = CustomerRates.create(this.history.newest === undefined)
     rates.setTerms((name) => this.customerTerms(name))
     registry.refresh()
     this.dispatcher = Dispatcher.create({ clock, logger, registry, rates, budget })
-    this.hasLed = true
     logger.info('dispatcher began', { upstreams: registry.present().length, configuration: this.history.newest?.number ?? 0 })
   }
 
@@ -184,9 +180,9 @@
     call.end()
   }
 
-  private notice (serving: boolean): { leader: string, control: string[], entries: number, serving: boolean } {
+  private notice (serving: boolean): LeaderNotice {
     const { control } = this.parts
-    return { leader: control.leaderAddress(), control: [...control.controlAddresses()], entries: this.entries, serving }
+    return { leader: control.leaderAddress(), control: [...control.controlAddresses()], serving }
   }
 
   private handle (attendance: Attendance, message: EntryMessage): void {
@@ -212,7 +208,7 @@
       this.askers = []
       const number = await this.parts.control.confirmNumber()
       if (number === undefined) break
-      for (const { attendance, question } of asked) attendance.call.write({ body: { $case: 'number', value: { question, number } } })
+      for (const { attendance, question } of asked) attendance.call.write({ body: { $case: 'number', value: { question, number, entries: this.entries } } })
     }
     this.confirming = false
   }
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -41,6 +41,11 @@
 const INHERITED_MILLISECONDS = 15_000
 const SHORTEST_RETRY_MILLISECONDS = 200
 
+/** Ends after which a request is lost unless it may be repeated. */
+const LOST_OUTCOMES: ReadonlySet<PlacementOutcome> = new Set([
+  PlacementOutcome.PLACEMENT_OUTCOME_SERVER_ERROR, PlacementOutcome.PLACEMENT_OUTCOME_BROKEN, PlacementOutcome.PLACEMENT_OUTCOME_TIMEOUT
+])
+
 /** The dispatcher of one leader. */
 export class Dispatcher {
   private readonly pools = new Map<string, PoolDispatcher>()
@@ -208,6 +213,7 @@
     const standing = pool.standingOf(instance)
     const kind = question?.route ?? ''
     const failuresBefore = standing.failures
+    pool.failures.count(LOST_OUTCOMES.has(end.outcome), now)
     standing.record(end.outcome, attendant.entry, now, { milliseconds: end.milliseconds, usualMilliseconds: pool.times.usualMilliseconds(kind) })
     if (end.load !== undefined) standing.noteLoad(end.load, now)
     if (end.outcome === PlacementOutcome.PLACEMENT_OUTCOME_ANSWERED) {
@@ -251,7 +257,7 @@
   private poolOf (name: string): PoolDispatcher {
     const known = this.pools.get(name)
     if (known !== undefined) return known
-    const created = PoolDispatcher.create()
+    const created = PoolDispatcher.create(this.parts.clock)
     this.pools.set(name, created)
     return created
   }
--- a/packages/dispatch/src/instance-standing.ts
+++ b/packages/dispatch/src/instance-standing.ts
@@ -18,6 +18,8 @@
 const LONGEST_AVOID_MILLISECONDS = 12_000
 /** A server error may be the request's own fault, so it is weaker evidence than a broken connection. */
 const AVOID_AFTER_ERROR_MILLISECONDS = 1_000
+/** An upstream that answered within this time is known to be good. */
+const KNOWN_MILLISECONDS = 6_000
 const FULL_MILLISECONDS = 150
 const SLOWNESS_WEIGHT = 0.25
 /** An upstream that was avoided is tried at the latest after this time, if only with one request. */
@@ -26,7 +28,7 @@
 type EvidenceRule = (standing: InstanceStanding, now: number) => void
 
 const EVIDENCE: Readonly<Partial<Record<PlacementOutcome, EvidenceRule>>> = {
-  [PlacementOutcome.PLACEMENT_OUTCOME_ANSWERED]: (standing) => standing.clear(),
+  [PlacementOutcome.PLACEMENT_OUTCOME_ANSWERED]: (standing, now) => standing.countAnswer(now),
   [PlacementOutcome.PLACEMENT_OUTCOME_SERVER_ERROR]: (standing, now) => standing.countFailure(now, AVOID_AFTER_ERROR_MILLISECONDS),
   [PlacementOutcome.PLACEMENT_OUTCOME_REFUSED]: (standing, now) => standing.markFull(now),
   [PlacementOutcome.PLACEMENT_OUTCOME_BROKEN]: (standing, now) => standing.countFailure(now, AVOID_MILLISECONDS),
@@ -44,12 +46,21 @@
   failures = 0
   private avoidUntil = -Infinity
   private failedAt = -Infinity
+  private answeredAt = -Infinity
   private fullUntil = -Infinity
   /** Entries that could not connect, with the time until which they are kept away. */
   private readonly unreachableFrom = new Map<string, number>()
 
-  static create (): InstanceStanding {
-    return new InstanceStanding()
+  private constructor (readonly firstSeenAt: number) {}
+
+  /** `now` is when the upstream was first seen, in monotonic milliseconds. */
+  static create (now: number): InstanceStanding {
+    return new InstanceStanding(now)
+  }
+
+  /** Whether it answered a short time ago and has not failed since. */
+  isKnownGood (now: number): boolean {
+    return this.failures === 0 && now - this.answeredAt < KNOWN_MILLISECONDS
   }
 
   standing (now: number): Standing {
@@ -89,8 +100,9 @@
     if (load.slots > 0 && load.running >= load.slots && load.waiting > 0) this.markFull(now)
   }
 
-  clear (): void {
+  countAnswer (now: number): void {
     this.failures = 0
+    this.answeredAt = now
   }
 
   markFull (now: number): void {
--- a/packages/dispatch/src/local-placer.ts
+++ b/packages/dispatch/src/local-placer.ts
@@ -76,7 +76,7 @@
   private standingOf (instance: string): InstanceStanding {
     const known = this.standings.get(instance)
     if (known !== undefined) return known
-    const created = InstanceStanding.create()
+    const created = InstanceStanding.create(this.parts.clock.monotonicMilliseconds())
     this.standings.set(instance, created)
     return created
   }
--- a/packages/dispatch/src/pool-dispatcher.ts
+++ b/packages/dispatch/src/pool-dispatcher.ts
@@ -1,19 +1,12 @@
 /** Places the requests of one pool on its upstreams, and keeps those that wait in the order of their urgency. */
 import type { PlacementQuestion } from '@hickoryspoke/protocol/generated/dispatch'
+import type { Clock } from '@hickoryspoke/runtime/clock'
 import { InstanceStanding, STANDING } from './instance-standing.ts'
 import { KindTimes } from './kind-times.ts'
+import { RecentFailures } from './recent-failures.ts'
+import { chooseLongestQuiet, chooseUpstream, type Candidate } from './upstream-choice.ts'
 import type { HeldUpstream } from './upstream-registry.ts'
 
-/** Extra cost of an upstream in another zone, in parts of its slots. */
-const OTHER_ZONE_COST = 0.34
-/** Extra cost of an upstream that started just now. */
-const COLD_COST = 0.6
-/** Above this cost of the best good upstream, one that failed lately may be tried with any request. */
-const CROWDED_COST = 1.2
-/** A new upstream gets its first request before those of equal load. */
-const NEWCOMER_GAIN = 0.5
-const SLOWEST_COUNTED = 8
-
 /** Who asks. */
 export interface Asker {
   readonly entry: string
@@ -28,21 +21,18 @@
   readonly resolve: (upstream: HeldUpstream | undefined) => void
 }
 
-interface Candidate {
-  readonly upstream: HeldUpstream
-  readonly standing: InstanceStanding
-  readonly cost: number
-}
-
 /** Upstreams and queue of one pool. */
 export class PoolDispatcher {
   readonly standings = new Map<string, InstanceStanding>()
   readonly times = KindTimes.create()
+  readonly failures = RecentFailures.create()
   private readonly queue: WaitingQuestion[] = []
   private upstreams = new Map<string, HeldUpstream>()
 
-  static create (): PoolDispatcher {
-    return new PoolDispatcher()
+  private constructor (private readonly clock: Clock) {}
+
+  static create (clock: Clock): PoolDispatcher {
+    return new PoolDispatcher(clock)
   }
 
   /** Takes note of an upstream that is new, changed or gone. */
@@ -50,6 +40,7 @@
     const { instance, gone } = upstream.announced
     if (gone) this.upstreams.delete(instance)
     else this.upstreams.set(instance, upstream)
+    this.standingOf(instance)
   }
 
   get waiting (): number {
@@ -64,7 +55,7 @@
   standingOf (instance: string): InstanceStanding {
     const known = this.standings.get(instance)
     if (known !== undefined) return known
-    const created = InstanceStanding.create()
+    const created = InstanceStanding.create(this.clock.monotonicMilliseconds())
     this.standings.set(instance, created)
     return created
   }
@@ -73,12 +64,10 @@
   choose (question: PlacementQuestion, asker: Asker, now: number, mayProbe: boolean): HeldUpstream | undefined {
     const eligible = this.eligible(question, asker, now)
     const free = eligible.filter(({ upstream, standing }) => !standing.isFull(upstream.announced.slots, now))
-    const good = lowest(free.filter(({ standing }) => standing.standing(now) === STANDING.good))
-    const trial = this.chooseTrial(free, question, now, mayProbe, good)
-    if (trial !== undefined) return trial.upstream
-    if (good !== undefined) return good.upstream
-    const usable = eligible.some(({ standing }) => standing.standing(now) !== STANDING.avoided)
-    return usable ? undefined : longestQuiet(free, now)?.upstream
+    const chosen = chooseUpstream(free, { now, mayProbe: mayProbe && question.attempt === 0, isStressed: this.failures.isStressed(now) })
+    if (chosen !== undefined) return chosen.upstream
+    const isHopeless = eligible.every(({ standing }) => standing.standing(now) === STANDING.avoided)
+    return isHopeless ? chooseLongestQuiet(free, now)?.upstream : undefined
   }
 
   /** Whether any upstream could ever take the request. */
@@ -119,45 +108,13 @@
     }
   }
 
-  /** A failed upstream is tried with what may be repeated, or when the good ones are crowded or the failure is long ago. */
-  private chooseTrial (
-    free: readonly Candidate[], question: PlacementQuestion, now: number, mayProbe: boolean, good: Candidate | undefined
-  ): Candidate | undefined {
-    const trial = lowest(free.filter(({ standing }) => standing.standing(now) === STANDING.trial))
-    if (trial === undefined) return undefined
-    if (question.mayRepeat && question.attempt === 0 && mayProbe) return trial
-    if (good === undefined || good.cost > CROWDED_COST) return trial
-    return trial.standing.isTrustedAgain(now) && trial.cost < good.cost ? trial : undefined
-  }
-
   private eligible (question: PlacementQuestion, asker: Asker, now: number): Candidate[] {
     const candidates: Candidate[] = []
     for (const upstream of this.serving) {
       const standing = this.standingOf(upstream.announced.instance)
       if (question.excluded.includes(upstream.announced.instance) || !standing.isReachableFrom(asker.entry, now)) continue
-      candidates.push({ upstream, standing, cost: costOf(upstream, standing, asker, now) })
+      candidates.push({ upstream, standing, isNear: upstream.announced.zone === asker.zone })
     }
     return candidates
   }
 }
-
-function costOf (upstream: HeldUpstream, standing: InstanceStanding, asker: Asker, now: number): number {
-  const { slots, zone } = upstream.announced
-  const load = (standing.inFlight + 1) / Math.max(1, slots) * Math.min(SLOWEST_COUNTED, Math.max(1, standing.slowness))
-  const distance = zone === asker.zone ? 0 : OTHER_ZONE_COST
-  const cold = now < upstream.warmUntil ? COLD_COST : 0
-  const newcomer = standing.placed === 0 ? NEWCOMER_GAIN : 0
-  return load + distance + cold - newcomer
-}
-
-function lowest (candidates: readonly Candidate[]): Candidate | undefined {
-  return candidates.reduce<Candidate | undefined>((best, candidate) => {
-    return best === undefined || candidate.cost < best.cost ? candidate : best
-  }, undefined)
-}
-
-function longestQuiet (candidates: readonly Candidate[], now: number): Candidate | undefined {
-  return candidates.reduce<Candidate | undefined>((best, candidate) => {
-    return best === undefined || candidate.standing.sinceFailure(now) > best.standing.sinceFailure(now) ? candidate : best
-  }, undefined)
-}
--- /dev/null
+++ b/packages/dispatch/src/tests/dispatcher.test.ts
@@ -0,0 +1,140 @@
+import { DenialReason, PlacementOutcome } from '@hickoryspoke/protocol/generated/dispatch'
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { announcement, createDispatcher, question, recordingEntry } from './fixture.ts'
+
+const end = (ticket: number, outcome: PlacementOutcome, milliseconds = 100) => ({ ticket, outcome, milliseconds, load: undefined, instance: '' })
+
+test('requests of different entries never share a slot, and the next goes out when one ends', () => {
+  const { dispatcher } = createDispatcher([announcement({ instance: 'a', slots: 1 }), announcement({ instance: 'bb', slots: 1 })])
+  const entries = ['one', 'two', 'three'].map((name) => recordingEntry(name))
+  entries.forEach((entry) => dispatcher.ask(entry, question(1)))
+  assert.equal(new Set([entries[0]?.answerTo(1), entries[1]?.answerTo(1)]), new Set(['a', 'bb']))
+  assert.is(entries[2]?.answerTo(1), undefined)
+  dispatcher.end(entries[0] as never, end(1, PlacementOutcome.PLACEMENT_OUTCOME_ANSWERED))
+  assert.is(entries[2]?.answerTo(1), entries[0]?.answerTo(1))
+})
+
+test('the more urgent of two waiting requests goes first', () => {
+  const { dispatcher } = createDispatcher([announcement({ instance: 'a', slots: 1 })])
+  const entry = recordingEntry('one')
+  dispatcher.ask(entry, question(1))
+  dispatcher.ask(entry, question(2, { priority: 2 }))
+  dispatcher.ask(entry, question(3, { priority: 0 }))
+  dispatcher.end(entry, end(1, PlacementOutcome.PLACEMENT_OUTCOME_ANSWERED))
+  assert.is(entry.answerTo(3), 'a')
+  assert.is(entry.answerTo(2), undefined)
+})
+
+test('a broken connection steers every entry away at once', () => {
+  const { dispatcher } = createDispatcher([announcement({ instance: 'a', slots: 8 }), announcement({ instance: 'bb', slots: 8 })])
+  const one = recordingEntry('one')
+  dispatcher.ask(one, question(1))
+  const broken = one.answerTo(1)
+  dispatcher.end(one, end(1, PlacementOutcome.PLACEMENT_OUTCOME_BROKEN))
+  const two = recordingEntry('two')
+  for (let ticket = 1; ticket <= 4; ticket += 1) dispatcher.ask(two, question(ticket))
+  for (let ticket = 1; ticket <= 4; ticket += 1) assert.is.not(two.answerTo(ticket), broken)
+})
+
+test('a request that waits in vain is refused before its time is over', () => {
+  const { dispatcher, clock } = createDispatcher([announcement({ instance: 'a', slots: 1 })])
+  const entry = recordingEntry('one')
+  dispatcher.ask(entry, question(1))
+  dispatcher.ask(entry, question(2, { targetMilliseconds: 1_000 }))
+  clock.advance(1_000)
+  assert.is(entry.answerTo(2), DenialReason.DENIAL_REASON_OVERLOADED)
+})
+
+test('a customer over its rate is refused, and a refusal for lack of upstreams is not charged', () => {
+  const { dispatcher, registry } = createDispatcher([], 1)
+  const entry = recordingEntry('one')
+  dispatcher.ask(entry, question(1))
+  assert.is(entry.answerTo(1), DenialReason.DENIAL_REASON_NO_UPSTREAM)
+  registry.announce(announcement({ instance: 'a' }))
+  dispatcher.ask(entry, question(2))
+  dispatcher.ask(entry, question(3))
+  assert.is(entry.answerTo(2), 'a')
+  assert.is(entry.answerTo(3), DenialReason.DENIAL_REASON_RATE)
+})
+
+test('an instance that drains gets nothing new', () => {
+  const { dispatcher, registry } = createDispatcher([announcement({ instance: 'a' }), announcement({ instance: 'bb' })])
+  registry.announce(announcement({ instance: 'a', sequence: 2, draining: true }))
+  const entry = recordingEntry('one')
+  dispatcher.ask(entry, question(1))
+  dispatcher.ask(entry, question(2))
+  assert.equal([entry.answerTo(1), entry.answerTo(2)], ['bb', 'bb'])
+})
+
+test('an entry that cannot connect does not turn the others away', () => {
+  const { dispatcher } = createDispatcher([announcement({ instance: 'a', slots: 8 })])
+  const cutOff = recordingEntry('one')
+  dispatcher.ask(cutOff, question(1))
+  dispatcher.end(cutOff, end(1, PlacementOutcome.PLACEMENT_OUTCOME_UNREACHABLE))
+  dispatcher.ask(cutOff, question(2))
+  assert.is(cutOff.answerTo(2), DenialReason.DENIAL_REASON_NO_UPSTREAM)
+  const other = recordingEntry('two')
+  dispatcher.ask(other, question(1))
+  assert.is(other.answerTo(1), 'a')
+})
+
+test('repeats stop when the budget of the pool is spent', () => {
+  const { dispatcher } = createDispatcher([announcement({ instance: 'a', slots: 50 })])
+  const entry = recordingEntry('one')
+  const answers = Array.from({ length: 20 }, (_, index) => {
+    dispatcher.ask(entry, question(index + 1, { attempt: 1, mayRepeat: true }))
+    return entry.answerTo(index + 1)
+  })
+  assert.is(answers[0], 'a')
+  assert.is(answers.at(-1), DenialReason.DENIAL_REASON_BUDGET)
+})
+
+test('a request that broke three upstreams is held back until one like it is answered', () => {
+  const { dispatcher } = createDispatcher(['a', 'bb', 'ccc', 'dddd'].map((instance) => announcement({ instance, slots: 9 })))
+  const entry = recordingEntry('one')
+  for (let ticket = 1; ticket <= 3; ticket += 1) {
+    dispatcher.ask(entry, question(ticket, { fingerprint: 77 }))
+    dispatcher.end(entry, end(ticket, PlacementOutcome.PLACEMENT_OUTCOME_BROKEN))
+  }
+  dispatcher.ask(entry, question(4, { fingerprint: 77 }))
+  dispatcher.ask(entry, question(5, { fingerprint: 78 }))
+  assert.is(entry.answerTo(4), DenialReason.DENIAL_REASON_CRASHING)
+  assert.is(entry.answerTo(5), 'dddd')
+})
+
+test('a new dispatcher counts what the entries have in flight', () => {
+  const { dispatcher } = createDispatcher([announcement({ instance: 'a', slots: 1 })])
+  const entry = recordingEntry('one')
+  dispatcher.inherit(entry, [{ ticket: 9, instance: 'a' }])
+  dispatcher.ask(entry, question(10))
+  assert.is(entry.answerTo(10), undefined)
+  dispatcher.end(entry, end(9, PlacementOutcome.PLACEMENT_OUTCOME_ANSWERED))
+  assert.is(entry.answerTo(10), 'a')
+})
+
+test('an entry that starts again gives its slots back', () => {
+  const { dispatcher } = createDispatcher([announcement({ instance: 'a', slots: 1 })])
+  const entry = recordingEntry('one')
+  dispatcher.ask(entry, question(1))
+  dispatcher.inherit(entry, [])
+  dispatcher.ask(recordingEntry('two'), question(1))
+  const two = recordingEntry('three')
+  dispatcher.ask(two, question(1))
+  assert.is(two.answerTo(1), undefined)
+})
+
+test('of upstreams that failed lately one is tried with what may be repeated', () => {
+  const { dispatcher, clock } = createDispatcher([announcement({ instance: 'a', slots: 8 }), announcement({ instance: 'bb', slots: 8 })])
+  const entry = recordingEntry('one')
+  dispatcher.ask(entry, question(1))
+  const failed = entry.answerTo(1)
+  dispatcher.end(entry, end(1, PlacementOutcome.PLACEMENT_OUTCOME_BROKEN))
+  clock.advance(4_000)
+  dispatcher.ask(entry, question(2))
+  assert.is.not(entry.answerTo(2), failed)
+  dispatcher.ask(entry, question(3, { mayRepeat: true }))
+  assert.is(entry.answerTo(3), failed)
+})
+
+test.run()
--- /dev/null
+++ b/packages/dispatch/src/tests/fixture.ts
@@ -0,0 +1,79 @@
+import type { AnnouncedUpstream, DispatchMessage, PlacementQuestion } from '@hickoryspoke/protocol/generated/dispatch'
+import { silentLogger } from '@hickoryspoke/telemetry/logger'
+import { FakeClock } from '@hickoryspoke/testing/fake-clock'
+import { CustomerRates } from '../customer-rates.ts'
+import { Dispatcher, type Attendant } from '../dispatcher.ts'
+import { UpstreamRegistry } from '../upstream-registry.ts'
+
+/** An announcement with the given differences from a plain one. */
+export function announcement (changes: Partial<AnnouncedUpstream> & { instance: string }): AnnouncedUpstream {
+  return {
+    pool: 'ledger',
+    address: `10.0.0.1:${changes.instance.length + 8000}${changes.instance.charCodeAt(changes.instance.length - 1)}`,
+    zone: 'zone-a',
+    slots: 2,
+    draining: false,
+    warmupMilliseconds: 0,
+    born: 1_000,
+    sequence: 1,
+    version: 'v1',
+    gone: false,
+    ...changes
+  }
+}
+
+/** A question with the given differences from a plain one. */
+export function question (ticket: number, changes: Partial<PlacementQuestion> = {}): PlacementQuestion {
+  return {
+    ticket,
+    pool: 'ledger',
+    customer: 'ministry',
+    priority: 1,
+    mayRepeat: false,
+    targetMilliseconds: 1_000,
+    patienceMilliseconds: 5_000,
+    excluded: [],
+    attempt: 0,
+    fingerprint: ticket,
+    route: 'withdraw',
+    charged: false,
+    ...changes
+  }
+}
+
+/** An entry that keeps what it is sent. */
+export interface RecordingEntry extends Attendant {
+  readonly sent: DispatchMessage[]
+  /** Instance placed for a ticket, or the reason of the denial. */
+  answerTo (ticket: number): string | number | undefined
+}
+
+export function recordingEntry (entry: string, zone = 'zone-a'): RecordingEntry {
+  const sent: DispatchMessage[] = []
+  return {
+    entry,
+    zone,
+    sent,
+    send: (message) => { sent.push(message) },
+    answerTo: (ticket) => {
+      for (const { body } of sent) {
+        if (body?.$case === 'placement' && body.value.ticket === ticket) return body.value.instance
+        if (body?.$case === 'denial' && body.value.ticket === ticket) return body.value.reason
+      }
+      return undefined
+    }
+  }
+}
+
+/** A dispatcher before the given upstreams. */
+export function createDispatcher (upstreams: readonly AnnouncedUpstream[], rate = 1_000) {
+  const clock = FakeClock.create()
+  const registry = UpstreamRegistry.create(clock)
+  const rates = CustomerRates.create(true)
+  rates.setTerms(() => ({ rate, burst: rate }))
+  for (const upstream of upstreams) registry.announce(upstream)
+  const budget = { ratio: 0.2, slack: 10, windowMilliseconds: 10_000 }
+  const dispatcher = Dispatcher.create({ clock, logger: silentLogger(), registry, rates, budget })
+  registry.onChange((changed) => dispatcher.updateAll(changed))
+  return { clock, registry, dispatcher }
+}
--- /dev/null
+++ b/packages/dispatch/src/tests/upstream-registry.test.ts
@@ -0,0 +1,60 @@
+import { FakeClock } from '@hickoryspoke/testing/fake-clock'
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { UpstreamRegistry } from '../upstream-registry.ts'
+import { announcement } from './fixture.ts'
+
+const present = (registry: UpstreamRegistry): string[] => registry.present().map((held) => held.announced.instance).sort()
+
+test('an announcement with an old sequence does not undo a later one', () => {
+  const registry = UpstreamRegistry.create(FakeClock.create())
+  registry.announce(announcement({ instance: 'a', sequence: 5, draining: true }))
+  assert.is(registry.announce(announcement({ instance: 'a', sequence: 4, draining: false })), false)
+  assert.is(registry.find('a')?.announced.draining, true)
+})
+
+test('an instance that starts again under its name counts anew', () => {
+  const registry = UpstreamRegistry.create(FakeClock.create())
+  registry.announce(announcement({ instance: 'a', sequence: 50, draining: true }))
+  assert.is(registry.announce(announcement({ instance: 'a', sequence: 1, born: 2_000 })), true)
+  assert.is(registry.find('a')?.announced.draining, false)
+})
+
+test('a late announcement does not bring an instance back that has left', () => {
+  const registry = UpstreamRegistry.create(FakeClock.create())
+  registry.announce(announcement({ instance: 'a', sequence: 5 }))
+  registry.leave('a', undefined)
+  assert.is(registry.announce(announcement({ instance: 'a', sequence: 6, draining: true })), false)
+  assert.equal(present(registry), [])
+})
+
+test('an address belongs to the instance that started last', () => {
+  const registry = UpstreamRegistry.create(FakeClock.create())
+  registry.announce(announcement({ instance: 'old', address: '10.0.0.9:80', born: 1_000 }))
+  registry.announce(announcement({ instance: 'new', address: '10.0.0.9:80', born: 2_000, pool: 'other' }))
+  assert.equal(present(registry), ['new'])
+  assert.is(registry.announce(announcement({ instance: 'old', address: '10.0.0.9:80', born: 1_000, sequence: 9 })), false)
+  assert.equal(present(registry), ['new'])
+})
+
+test('a silent upstream leaves only when it may', () => {
+  const clock = FakeClock.create()
+  const registry = UpstreamRegistry.create(clock)
+  registry.announce(announcement({ instance: 'a' }))
+  registry.announce(announcement({ instance: 'bb' }))
+  clock.advance(10_000)
+  registry.expire(5_000, (held) => held.announced.instance === 'a')
+  assert.equal(present(registry), ['bb'])
+})
+
+test('only changes are told', () => {
+  const registry = UpstreamRegistry.create(FakeClock.create())
+  const told: string[] = []
+  registry.onChange((changed) => told.push(...changed.map((held) => held.announced.instance)))
+  registry.announce(announcement({ instance: 'a', sequence: 1 }))
+  registry.announce(announcement({ instance: 'a', sequence: 2 }))
+  registry.announce(announcement({ instance: 'a', sequence: 3, draining: true }))
+  assert.equal(told, ['a', 'a'])
+})
+
+test.run()
--- a/packages/entry/src/dispatched-entry.ts
+++ b/packages/entry/src/dispatched-entry.ts
@@ -6,7 +6,7 @@
 import { LocalPlacer } from '@hickoryspoke/dispatch/local-placer'
 import { PlacementDesk } from '@hickoryspoke/dispatch/placement-desk'
 import { UpstreamRegistry } from '@hickoryspoke/dispatch/upstream-registry'
-import type { LeaderNotice, ServingUpdate } from '@hickoryspoke/protocol/generated/dispatch'
+import type { ServingUpdate } from '@hickoryspoke/protocol/generated/dispatch'
 import type { InnerCredentials } from '@hickoryspoke/protocol/inner-credentials'
 import type { Dialect } from '@hickoryspoke/request/dialect'
 import { DispatchedRunner } from '@hickoryspoke/request/dispatched-runner'
@@ -99,10 +99,13 @@
         denied: (denial) => this.desk.takeDenial(denial),
         configured: (update) => this.takeConfiguration(update),
         upstreamsChanged: (update) => this.registry.merge(update.upstreams),
-        attended: (notice) => this.attended(notice),
+        attended: () => this.desk.attended(),
         lost: () => this.lost(),
         asked: (question) => this.inForce.noteQuestion(question),
-        confirmed: (question, number) => this.inForce.confirm(question, number)
+        confirmed: ({ question, number, entries }) => {
+          this.entries = entries
+          this.inForce.confirm(question, number)
+        }
       }
     })
     this.connections = UpstreamConnections.create(clock, { connectTimeoutMilliseconds: CONNECT_TIMEOUT_MILLISECONDS })
@@ -174,11 +177,6 @@
     if (taken.isErr()) this.parts.logger.error('configuration could not be read', { number: update.number, reason: taken.error.message })
   }
 
-  private attended (notice: LeaderNotice): void {
-    this.entries = Math.max(1, notice.entries)
-    this.desk.attended()
-  }
-
   private lost (): void {
     this.placer.begin(this.entries, (customer) => this.table?.termsOf(customer))
     this.desk.lost()
--- a/scripts/count-lines.ts
+++ b/scripts/count-lines.ts
@@ -2,7 +2,7 @@
 import { readFile, readdir } from 'node:fs/promises'
 import { join } from 'node:path'
 
-const FOLDERS = ['packages', 'scripts'] as const
+const FOLDERS = ['packages', 'platform', 'scripts'] as const
 const LARGEST_TEST_SHARE = 1 / 3
 
 async function listFiles (): Promise<string[]> {
--- a/scripts/test.ts
+++ b/scripts/test.ts
@@ -7,6 +7,7 @@
 import { availableParallelism } from 'node:os'
 import { join } from 'node:path'
 
+const TEST_FOLDERS = ['packages', 'platform'] as const
 const FILE_TIMEOUT_MILLISECONDS = 300_000
 const PARALLEL_FILES = Math.max(1, Math.min(5, Math.floor(availableParallelism() / 2)))
 
@@ -17,12 +18,11 @@
 }
 
 async function findTestFiles (wanted: readonly string[]): Promise<string[]> {
-  const names = await readdir('packages', { recursive: true })
-  return names
+  const folders = await Promise.all(TEST_FOLDERS.map(async (folder) => (await readdir(folder, { recursive: true })).map((name) => join(folder, name))))
+  return folders.flat()
     .filter((name) => /src\/tests\/.*\.test\.ts$/.test(name) && !name.includes('node_modules'))
     .filter((name) => wanted.length === 0 || wanted.some((part) => name.includes(part)))
     .sort()
-    .map((name) => join('packages', name))
 }
 
 function countOf (output: string, label: string): number {
