--- a/packages/dispatch/src/dispatch-link.ts
+++ b/packages/dispatch/src/dispatch-link.ts
@@ -2,7 +2,8 @@
 import type { ClientDuplexStream } from '@grpc/grpc-js'
 import {
   DispatchClient,
-  type Denial, type DispatchMessage, type EntryMessage, type LeaderNotice, type NumberAnswer, type Placement, type RunningRequest, type ServingUpdate, type UpstreamUpdate
+  type Denial, type DispatchMessage, type EntryMessage, type LeaderNotice, type NumberAnswer, type Placement, type RunningRequest,
+  type ServingUpdate, type UpstreamUpdate
 } from '@hickoryspoke/protocol/generated/dispatch'
 import type { InnerCredentials } from '@hickoryspoke/protocol/inner-credentials'
 import { sleep, type Clock } from '@hickoryspoke/runtime/clock'
--- a/packages/request/src/upstream-connections.ts
+++ b/packages/request/src/upstream-connections.ts
@@ -53,8 +53,12 @@
   idleSinceMilliseconds = 0
   /** This entry closed it, not the upstream. */
   isGivenUp = false
+  /** The connection was reset or broke, rather than being closed in order. */
+  hasBroken = false
 
-  private constructor (readonly address: string, readonly client: Client, private readonly socket: Socket) {}
+  private constructor (readonly address: string, readonly client: Client, private readonly socket: Socket) {
+    socket.on('error', () => { this.hasBroken = true })
+  }
 
   static create (address: string, socket: Socket, settings: ConnectionSettings): UpstreamConnection {
     let handedOver = false
--- a/packages/request/src/upstream-exchange.ts
+++ b/packages/request/src/upstream-exchange.ts
@@ -110,6 +110,7 @@
 
   onResponseEnd (controller: Dispatcher.DispatchController): void {
     this.signal.removeEventListener('abort', this.onAbort)
+    if (this.isCutShort()) this.answer?.fail(AttemptFailure.create('truncated_answer', 'the connection was reset before the end'))
     this.answer?.complete(decodeHeaders((controller.rawTrailers ?? []) as Buffer[]))
     const { connection, keepsConnection } = this
     setImmediate(() => this.connections.release(connection, keepsConnection))
@@ -123,6 +124,11 @@
     this.resolveHead(Err(failure))
   }
 
+  /** The client library takes a reset for the end of an answer that ends with its connection. */
+  private isCutShort (): boolean {
+    return this.answer?.framing.kind === FRAMINGS.untilClose && this.connection.hasBroken
+  }
+
   private readonly onAbort = (): void => {
     this.abortFailure = this.signal.reason instanceof AttemptFailure ? this.signal.reason : AttemptFailure.create('caller_gone')
     if (this.controller === undefined) this.connection.destroy()
--- a/scripts/bundle.ts
+++ b/scripts/bundle.ts
@@ -23,6 +23,8 @@
       platform: 'node',
       target: 'node20',
       format: 'esm',
+      minify: true,
+      keepNames: true,
       banner: {
         js: '#!/usr/bin/env node\nimport { createRequire as createRequireOfBundle } from \'node:module\'\nconst require = createRequireOfBundle(import.meta.url)'
       },
