An answer to a request from before a failure no longer clears the upstream

Trials after 3 and 6 s were lost as well: episodes last about 9 s. Change: only answers to requests placed after the failure clear it; an upstream is trusted again after 9 s (4 s after a single error), and tried earlier only with what may be repeated; a timeout counts from three usual times on.

--- a/packages/dispatch/src/dispatch-link.ts
+++ b/packages/dispatch/src/dispatch-link.ts
@@ -117,11 +117,13 @@
     const over = new Promise<void>((resolve) => {
       const finish = (): void => {
         stream.isOver = true
+        signal.removeEventListener('abort', finish)
         resolve()
       }
       call.on('data', (message: DispatchMessage) => this.receive(stream, message))
       call.on('end', finish)
       call.on('error', finish)
+      call.on('status', finish)
       signal.addEventListener('abort', finish, { once: true })
     })
     call.write({ body: { $case: 'hello', value: { name, zone, mirror, configurationNumber: held(), running: running() } } })
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -29,6 +29,7 @@
   readonly instance: string
   readonly pool: string
   readonly entry: string
+  readonly placedAt: number
   readonly question: PlacementQuestion | undefined
   readonly expiry: Timer | undefined
 }
@@ -41,6 +42,9 @@
 const INHERITED_MILLISECONDS = 15_000
 const SHORTEST_RETRY_MILLISECONDS = 200
 
+/** A request that ran out of time counts against its upstream when it took this many times the usual time. */
+const SLOW_FACTOR = 3
+
 /** Ends after which a request is lost unless it may be repeated. */
 const LOST_OUTCOMES: ReadonlySet<PlacementOutcome> = new Set([
   PlacementOutcome.PLACEMENT_OUTCOME_SERVER_ERROR, PlacementOutcome.PLACEMENT_OUTCOME_BROKEN, PlacementOutcome.PLACEMENT_OUTCOME_TIMEOUT
@@ -97,13 +101,12 @@
 
   /** Learns how a placed request ended, or takes back one that waits. */
   end (attendant: Attendant, end: PlacementEnd): void {
-    const now = this.parts.clock.monotonicMilliseconds()
     const key = keyOf(attendant.entry, end.ticket)
     this.forgetWaiting(key)
     const placed = this.placed.get(key)
     const instance = placed?.instance ?? end.instance
     const pool = this.parts.registry.find(instance)?.announced.pool
-    if (pool !== undefined) this.learn(attendant, pool, instance, end, placed?.question, now)
+    if (pool !== undefined) this.learn(attendant, pool, instance, end, placed)
     this.release(key)
   }
 
@@ -193,7 +196,7 @@
     standing.inFlight += 1
     standing.placed += 1
     const expiry = this.parts.clock.schedule(lifeMilliseconds, () => this.release(key))
-    this.placed.set(key, { instance, pool, entry: attendant.entry, question, expiry })
+    this.placed.set(key, { instance, pool, entry: attendant.entry, placedAt: this.parts.clock.monotonicMilliseconds(), question, expiry })
   }
 
   private release (key: string): void {
@@ -206,15 +209,18 @@
     this.drain(placed.pool)
   }
 
-  private learn (
-    attendant: Attendant, poolName: string, instance: string, end: PlacementEnd, question: PlacementQuestion | undefined, now: number
-  ): void {
+  private learn (attendant: Attendant, poolName: string, instance: string, end: PlacementEnd, placed: Placed | undefined): void {
+    const now = this.parts.clock.monotonicMilliseconds()
+    const { question, placedAt } = placed ?? { question: undefined, placedAt: undefined }
     const pool = this.poolOf(poolName)
     const standing = pool.standingOf(instance)
     const kind = question?.route ?? ''
     const failuresBefore = standing.failures
-    pool.failures.count(LOST_OUTCOMES.has(end.outcome), now)
-    standing.record(end.outcome, attendant.entry, now, { milliseconds: end.milliseconds, usualMilliseconds: pool.times.usualMilliseconds(kind) })
+    const outcome = isEarlyTimeout(end, pool) ? PlacementOutcome.PLACEMENT_OUTCOME_CANCELLED : end.outcome
+    pool.failures.count(LOST_OUTCOMES.has(outcome), now)
+    const { milliseconds } = end
+    const usualMilliseconds = pool.times.usualMilliseconds(kind)
+    standing.record({ outcome, entry: attendant.entry, placedAt: placedAt ?? now - milliseconds, milliseconds, usualMilliseconds }, now)
     if (end.load !== undefined) standing.noteLoad(end.load, now)
     if (end.outcome === PlacementOutcome.PLACEMENT_OUTCOME_ANSWERED) {
       pool.times.record(kind, end.milliseconds)
@@ -271,6 +277,11 @@
   }
 }
 
+/** A request whose own time was short says nothing about its upstream. */
+function isEarlyTimeout (end: PlacementEnd, pool: PoolDispatcher): boolean {
+  return end.outcome === PlacementOutcome.PLACEMENT_OUTCOME_TIMEOUT && end.milliseconds < SLOW_FACTOR * pool.times.meanMilliseconds()
+}
+
 function keyOf (entry: string, ticket: number): string {
   return `${entry}/${ticket}`
 }
--- a/packages/dispatch/src/instance-standing.ts
+++ b/packages/dispatch/src/instance-standing.ts
@@ -14,25 +14,38 @@
 /** One of the values of `STANDING`. */
 export type Standing = typeof STANDING[keyof typeof STANDING]
 
-const AVOID_MILLISECONDS = 3_000
-const LONGEST_AVOID_MILLISECONDS = 12_000
+/** After a failure an upstream gets nothing for this time, unless all failed. */
+const AVOID_MILLISECONDS = 2_000
 /** A server error may be the request's own fault, so it is weaker evidence than a broken connection. */
 const AVOID_AFTER_ERROR_MILLISECONDS = 1_000
+/** After this time without requests the cause of a failure is probably over. */
+const TRUST_AGAIN_MILLISECONDS = 9_000
+const TRUST_AGAIN_AFTER_ERROR_MILLISECONDS = 4_000
 /** An upstream that answered within this time is known to be good. */
 const KNOWN_MILLISECONDS = 6_000
 const FULL_MILLISECONDS = 150
+/** An entry that could not connect is kept away for this time. */
+const UNREACHABLE_MILLISECONDS = 3_000
 const SLOWNESS_WEIGHT = 0.25
-/** An upstream that was avoided is tried at the latest after this time, if only with one request. */
-const TRUST_AGAIN_MILLISECONDS = 9_000
 
-type EvidenceRule = (standing: InstanceStanding, now: number) => void
+/** What is known of a request that ended; times are monotonic milliseconds, durations milliseconds. */
+export interface EndedRequest {
+  readonly outcome: PlacementOutcome
+  readonly entry: string
+  readonly placedAt: number
+  readonly milliseconds: number
+  /** Usual duration of requests of its kind; 0 while unknown. */
+  readonly usualMilliseconds: number
+}
+
+type EvidenceRule = (standing: InstanceStanding, now: number, ended: EndedRequest) => void
 
 const EVIDENCE: Readonly<Partial<Record<PlacementOutcome, EvidenceRule>>> = {
-  [PlacementOutcome.PLACEMENT_OUTCOME_ANSWERED]: (standing, now) => standing.countAnswer(now),
-  [PlacementOutcome.PLACEMENT_OUTCOME_SERVER_ERROR]: (standing, now) => standing.countFailure(now, AVOID_AFTER_ERROR_MILLISECONDS),
+  [PlacementOutcome.PLACEMENT_OUTCOME_ANSWERED]: (standing, now, ended) => standing.countAnswer(now, ended.placedAt),
+  [PlacementOutcome.PLACEMENT_OUTCOME_SERVER_ERROR]: (standing, now) => standing.countError(now),
   [PlacementOutcome.PLACEMENT_OUTCOME_REFUSED]: (standing, now) => standing.markFull(now),
-  [PlacementOutcome.PLACEMENT_OUTCOME_BROKEN]: (standing, now) => standing.countFailure(now, AVOID_MILLISECONDS),
-  [PlacementOutcome.PLACEMENT_OUTCOME_TIMEOUT]: (standing, now) => standing.countFailure(now, AVOID_MILLISECONDS)
+  [PlacementOutcome.PLACEMENT_OUTCOME_BROKEN]: (standing, now) => standing.countFailure(now),
+  [PlacementOutcome.PLACEMENT_OUTCOME_TIMEOUT]: (standing, now) => standing.countFailure(now)
 }
 
 /** Load and evidence of one upstream. */
@@ -45,6 +58,7 @@
   placed = 0
   failures = 0
   private avoidUntil = -Infinity
+  private trustAgainAt = -Infinity
   private failedAt = -Infinity
   private answeredAt = -Infinity
   private fullUntil = -Infinity
@@ -70,7 +84,7 @@
 
   /** Whether the last failure is so long ago that its cause is probably over. */
   isTrustedAgain (now: number): boolean {
-    return now - this.failedAt >= TRUST_AGAIN_MILLISECONDS
+    return now >= this.trustAgainAt
   }
 
   /** Milliseconds since the last failure. */
@@ -86,12 +100,12 @@
     return now >= (this.unreachableFrom.get(entry) ?? -Infinity)
   }
 
-  /** Learns from the end of a request. `usualMilliseconds` is the pool's usual time for requests of this kind. */
-  record (outcome: PlacementOutcome, entry: string, now: number, timing: { milliseconds: number, usualMilliseconds: number }): void {
-    EVIDENCE[outcome]?.(this, now)
-    if (outcome === PlacementOutcome.PLACEMENT_OUTCOME_UNREACHABLE) this.unreachableFrom.set(entry, now + AVOID_MILLISECONDS)
-    if (outcome === PlacementOutcome.PLACEMENT_OUTCOME_ANSWERED && timing.usualMilliseconds > 0) {
-      this.slowness += SLOWNESS_WEIGHT * (timing.milliseconds / timing.usualMilliseconds - this.slowness)
+  /** Learns from the end of a request. */
+  record (ended: EndedRequest, now: number): void {
+    EVIDENCE[ended.outcome]?.(this, now, ended)
+    if (ended.outcome === PlacementOutcome.PLACEMENT_OUTCOME_UNREACHABLE) this.unreachableFrom.set(ended.entry, now + UNREACHABLE_MILLISECONDS)
+    if (ended.outcome === PlacementOutcome.PLACEMENT_OUTCOME_ANSWERED && ended.usualMilliseconds > 0) {
+      this.slowness += SLOWNESS_WEIGHT * (ended.milliseconds / ended.usualMilliseconds - this.slowness)
     }
   }
 
@@ -100,7 +114,9 @@
     if (load.slots > 0 && load.running >= load.slots && load.waiting > 0) this.markFull(now)
   }
 
-  countAnswer (now: number): void {
+  /** An answer to a request from before a failure says nothing about the time after it. */
+  countAnswer (now: number, placedAt: number): void {
+    if (placedAt < this.failedAt) return
     this.failures = 0
     this.answeredAt = now
   }
@@ -109,10 +125,20 @@
     this.fullUntil = now + FULL_MILLISECONDS
   }
 
-  countFailure (now: number, avoidMilliseconds: number): void {
+  countFailure (now: number): void {
+    this.fail(now, AVOID_MILLISECONDS, TRUST_AGAIN_MILLISECONDS)
+  }
+
+  /** A second error in a row counts like a broken connection. */
+  countError (now: number): void {
+    if (this.failures > 0) this.countFailure(now)
+    else this.fail(now, AVOID_AFTER_ERROR_MILLISECONDS, TRUST_AGAIN_AFTER_ERROR_MILLISECONDS)
+  }
+
+  private fail (now: number, avoidMilliseconds: number, trustAgainMilliseconds: number): void {
     this.failures += 1
     this.failedAt = now
-    const wait = Math.min(LONGEST_AVOID_MILLISECONDS, avoidMilliseconds * 2 ** (this.failures - 1))
-    this.avoidUntil = Math.max(this.avoidUntil, now + wait)
+    this.avoidUntil = Math.max(this.avoidUntil, now + avoidMilliseconds)
+    this.trustAgainAt = Math.max(this.trustAgainAt, now + trustAgainMilliseconds)
   }
 }
--- a/packages/dispatch/src/local-placer.ts
+++ b/packages/dispatch/src/local-placer.ts
@@ -66,7 +66,9 @@
     const standing = this.standingOf(instance)
     if (local) standing.inFlight = Math.max(0, standing.inFlight - 1)
     if (end.outcome === PlacementOutcome.PLACEMENT_OUTCOME_MISDIRECTED) this.parts.registry.leave(instance, undefined)
-    standing.record(end.outcome, this.parts.entry, this.parts.clock.monotonicMilliseconds(), { milliseconds: end.milliseconds, usualMilliseconds: 0 })
+    const now = this.parts.clock.monotonicMilliseconds()
+    const { outcome, milliseconds } = end
+    standing.record({ outcome, entry: this.parts.entry, placedAt: now - milliseconds, milliseconds, usualMilliseconds: 0 }, now)
   }
 
   private load ({ announced }: HeldUpstream): number {
--- a/packages/dispatch/src/tests/dispatcher.test.ts
+++ b/packages/dispatch/src/tests/dispatcher.test.ts
@@ -137,4 +137,33 @@
   assert.is(entry.answerTo(3), failed)
 })
 
+test('an answer to a request from before a failure does not clear the upstream', () => {
+  const { dispatcher, clock } = createDispatcher([announcement({ instance: 'a', slots: 8 }), announcement({ instance: 'bb', slots: 8 })])
+  const entry = recordingEntry('one')
+  dispatcher.ask(entry, question(1))
+  const used = entry.answerTo(1)
+  dispatcher.end(entry, end(1, PlacementOutcome.PLACEMENT_OUTCOME_ANSWERED))
+  dispatcher.ask(entry, question(2))
+  dispatcher.ask(entry, question(3))
+  assert.equal([entry.answerTo(2), entry.answerTo(3)], [used, used])
+  clock.advance(50)
+  dispatcher.end(entry, end(3, PlacementOutcome.PLACEMENT_OUTCOME_BROKEN))
+  clock.advance(50)
+  dispatcher.end(entry, end(2, PlacementOutcome.PLACEMENT_OUTCOME_ANSWERED))
+  dispatcher.ask(entry, question(4))
+  assert.is.not(entry.answerTo(4), used)
+})
+
+test('a request whose own time was short does not speak against its upstream', () => {
+  const { dispatcher, clock } = createDispatcher([announcement({ instance: 'a', slots: 8 }), announcement({ instance: 'bb', slots: 8 })])
+  const entry = recordingEntry('one')
+  dispatcher.ask(entry, question(1))
+  clock.advance(300)
+  dispatcher.end(entry, end(1, PlacementOutcome.PLACEMENT_OUTCOME_ANSWERED, 300))
+  dispatcher.ask(entry, question(2))
+  dispatcher.end(entry, end(2, PlacementOutcome.PLACEMENT_OUTCOME_TIMEOUT, 100))
+  dispatcher.ask(entry, question(3))
+  assert.is(entry.answerTo(3), entry.answerTo(1))
+})
+
 test.run()
