Shorter times without a dispatcher, and no customer refused for lack of one

After a restart of all machines the leader published every old document in turn. Change: silence counts from 650 ms, elections begin after 600 to 1,200 ms, an entry alone keeps the rate that the dispatcher gave it lately; documents applied together are published once; routes and keys are judged by a confirmed configuration only.

--- a/packages/control/src/dispatching-control.ts
+++ b/packages/control/src/dispatching-control.ts
@@ -32,6 +32,8 @@
   readonly seeds: readonly string[]
   /** Silent replicas are replaced only while this many voters stay. */
   readonly minimumVoters: number
+  /** The whole fleet starts for the first time, so that no customer has spent anything yet. */
+  readonly firstOfFleet: boolean
   readonly budget: BudgetTerms
   /** An upstream that is not announced for this long and does not answer requests is taken out. */
   readonly silentUpstreamMilliseconds: number
@@ -48,6 +50,8 @@
 }
 
 const EXPIRY_CHECK_MILLISECONDS = 500
+const ELECTION_TIMEOUT_MILLISECONDS = 600
+const HEARTBEAT_MILLISECONDS = 150
 const RETIRE_MILLISECONDS = 8_000
 const PROPOSAL_TIMEOUT_MILLISECONDS = 2_500
 const SHUTDOWN_MILLISECONDS = 300
@@ -60,6 +64,7 @@
   private readonly service: DispatchService
   private readonly stopping = new AbortController()
   private readonly mirror: DispatchLink
+  private isPublishing = false
 
   private constructor (
     private readonly settings: DispatchingControlSettings,
@@ -75,6 +80,7 @@
       logger,
       registry: this.registry,
       budget: settings.budget,
+      startsUnspent: () => settings.firstOfFleet && state.document === undefined,
       control: {
         isLeader: () => this.isLeader,
         leaderAddress: () => replica.leader() ?? '',
@@ -105,7 +111,7 @@
         confirmed: () => {}
       }
     })
-    state.onChange(() => this.publishDocument())
+    state.onChange(() => this.publishSoon())
     server.addService(DispatchDefinition, this.service.handlers())
   }
 
@@ -127,7 +133,12 @@
       clock,
       random,
       report: (event) => reportReplicaEvent(logger, event),
-      tuning: { retireMilliseconds: RETIRE_MILLISECONDS, proposalTimeoutMilliseconds: PROPOSAL_TIMEOUT_MILLISECONDS }
+      tuning: {
+        electionTimeoutMilliseconds: ELECTION_TIMEOUT_MILLISECONDS,
+        heartbeatMilliseconds: HEARTBEAT_MILLISECONDS,
+        retireMilliseconds: RETIRE_MILLISECONDS,
+        proposalTimeoutMilliseconds: PROPOSAL_TIMEOUT_MILLISECONDS
+      }
     })
     if (replica.isErr()) return replica
     const control = new DispatchingControl(settings, parts, server, replica.value, state)
@@ -214,6 +225,16 @@
     return barrier.isErr() ? undefined : this.state.document?.number ?? 0
   }
 
+  /** Of documents that are applied together, as at a start, only the last is published. */
+  private publishSoon (): void {
+    if (this.isPublishing) return
+    this.isPublishing = true
+    queueMicrotask(() => {
+      this.isPublishing = false
+      this.publishDocument()
+    })
+  }
+
   private publishDocument (): void {
     const document = this.state.document
     if (document === undefined) return
--- a/packages/dispatch/src/dispatch-link.ts
+++ b/packages/dispatch/src/dispatch-link.ts
@@ -44,8 +44,8 @@
   readonly wanted: () => boolean
 }
 
-const QUESTION_MILLISECONDS = 400
-const SILENT_MILLISECONDS = 1_100
+const QUESTION_MILLISECONDS = 250
+const SILENT_MILLISECONDS = 650
 const FIRST_MESSAGE_MILLISECONDS = 500
 const PAUSE_MILLISECONDS = 40
 const IDLE_MILLISECONDS = 200
--- a/packages/dispatch/src/dispatch-service.ts
+++ b/packages/dispatch/src/dispatch-service.ts
@@ -30,6 +30,8 @@
   readonly control: ControlView
   readonly registry: UpstreamRegistry
   readonly budget: BudgetTerms
+  /** Whether certainly no earlier dispatcher spent any customer's burst. */
+  readonly startsUnspent: () => boolean
 }
 
 const QUEUE_TICK_MILLISECONDS = 50
@@ -96,7 +98,7 @@
 
   private begin (): void {
     const { clock, logger, registry, budget } = this.parts
-    const rates = CustomerRates.create(this.history.newest === undefined)
+    const rates = CustomerRates.create(this.parts.startsUnspent())
     rates.setTerms((name) => this.customerTerms(name))
     registry.refresh()
     this.dispatcher = Dispatcher.create({ clock, logger, registry, rates, budget })
--- a/packages/dispatch/src/local-placer.ts
+++ b/packages/dispatch/src/local-placer.ts
@@ -4,6 +4,7 @@
 import { pickOne, type RandomSource } from '@hickoryspoke/runtime/random'
 import { CustomerRates, type RateTerms } from './customer-rates.ts'
 import { InstanceStanding, STANDING } from './instance-standing.ts'
+import { RecentRates } from './recent-rates.ts'
 import type { HeldUpstream, UpstreamRegistry } from './upstream-registry.ts'
 
 /** What the placer works with. */
@@ -19,6 +20,7 @@
 export class LocalPlacer {
   private readonly standings = new Map<string, InstanceStanding>()
   private rates = CustomerRates.create(true)
+  private readonly recent = RecentRates.create()
   private termsOf: (customer: string) => RateTerms | undefined = () => undefined
 
   private constructor (private readonly parts: LocalPlacerParts) {}
@@ -27,12 +29,22 @@
     return new LocalPlacer(parts)
   }
 
-  /** Begins a time without a dispatcher: each of `entries` entries has an equal part of every rate and burst. */
+  /** Takes note of a request that the dispatcher placed. */
+  countPlaced (customer: string): void {
+    this.recent.count(customer, this.parts.clock.monotonicMilliseconds())
+  }
+
+  /**
+   * Begins a time without a dispatcher. This entry has an equal part of every rate, or the part that the dispatcher
+   * gave it lately where that is more; the parts of all entries together stay within the rate.
+   */
   begin (entries: number, termsOf: (customer: string) => RateTerms | undefined): void {
     const parts = Math.max(1, entries)
+    const lately = this.recent.rates(this.parts.clock.monotonicMilliseconds())
     this.termsOf = (customer) => {
       const terms = termsOf(customer)
-      return terms === undefined ? undefined : { rate: terms.rate / parts, burst: terms.burst / parts }
+      if (terms === undefined) return undefined
+      return { rate: terms.rate === 0 ? 0 : Math.max(terms.rate / parts, lately.get(customer) ?? 0), burst: terms.burst / parts }
     }
     this.rates = CustomerRates.create(true)
     this.rates.setTerms((customer) => this.termsOf(customer))
--- a/packages/dispatch/src/placement-desk.ts
+++ b/packages/dispatch/src/placement-desk.ts
@@ -38,7 +38,7 @@
 type Reply = Result<Placement, PlacementDenied> | undefined
 
 /** Without a dispatcher for this long, an entry places by itself. */
-const WITHOUT_DISPATCHER_MILLISECONDS = 250
+const WITHOUT_DISPATCHER_MILLISECONDS = 120
 const CHECK_MILLISECONDS = 20
 const RETRY_AFTER_MILLISECONDS = 500
 const TICKET_LIMIT = 0x7fffffff
@@ -99,7 +99,7 @@
     const until = clock.monotonicMilliseconds() + question.patienceMilliseconds
     while (!signal.aborted && clock.monotonicMilliseconds() < until) {
       const reply = await this.askDispatcher(question, signal)
-      if (reply !== undefined) return reply.map((placement) => this.hold(placement, false))
+      if (reply !== undefined) return reply.map((placement) => this.takeReply(question, placement))
       if (this.unattendedMilliseconds >= WITHOUT_DISPATCHER_MILLISECONDS) return this.placeLocally(question)
       await sleep(clock, CHECK_MILLISECONDS, signal)
     }
@@ -146,6 +146,11 @@
     return Ok(this.hold({ ticket: question.ticket, instance, address }, true))
   }
 
+  private takeReply (question: PlacementQuestion, placement: Placement): PlacedRequest {
+    if (question.attempt === 0 && question.customer !== '') this.parts.placer.countPlaced(question.customer)
+    return this.hold(placement, false)
+  }
+
   private hold (placement: Placement, local: boolean): PlacedRequest {
     const placed = { ...placement, local }
     this.placed.set(placement.ticket, placed)
--- a/packages/request/src/dispatched-run.ts
+++ b/packages/request/src/dispatched-run.ts
@@ -113,9 +113,9 @@
   }
 
   private async admit (): Promise<Result<Admitted, Refusal>> {
+    if (!await this.untilFresh()) return Err(Refusal.create('not_fresh', undefined, RETRY_AFTER_MILLISECONDS))
     const examined = this.examine()
     if (examined.isErr()) return examined
-    if (!await this.untilFresh()) return Err(Refusal.create('not_fresh', undefined, RETRY_AFTER_MILLISECONDS))
     const limits = { maximumBytes: this.parts.inForce.configuration?.bounds.maximumBodyBytes ?? 0, replayBytes: REPLAY_BYTES }
     const body = await RequestBody.read(this.exchange, limits, REPLAY_BYTES)
     if (body.isErr()) return body
