--- /dev/null
+++ b/packages/bench/src/tests/dispatched-fleet.test.ts
@@ -0,0 +1,75 @@
+import { RawUpstream, wholeAnswer } from '@hickoryspoke/testing/raw-upstream'
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { DispatchedFleet, fleetConfiguration, until } from './dispatched-fleet.ts'
+
+const url = (fleet: DispatchedFleet, index = 0): string => fleet.entries[index]?.url ?? ''
+
+test('a request goes through an entry to an announced upstream, and follows changes and departures', async () => {
+  const fleet = await DispatchedFleet.create(3, 2)
+  const upstream = await RawUpstream.create((socket, request) => socket.write(wholeAnswer(`ran ${request.split('\r\n')[0]}`)))
+  const other = await RawUpstream.create((socket) => socket.write(wholeAnswer('from the other')))
+  try {
+    assert.is((await fetch(`${url(fleet)}/lots/1`)).status, 503, 'no configuration yet')
+    await fleet.publish(fleetConfiguration(3, [{ prefix: '/lots/' }]))
+    await fleet.announce('i-1', upstream.address)
+    await fleet.untilReady()
+    const answer = await fetch(`${url(fleet)}/lots/1?a=b`, { method: 'POST', body: 'x' })
+    assert.is(await answer.text(), 'ran POST /lots/1?a=b HTTP/1.1')
+    assert.ok(upstream.requests[0]?.includes('instance: i-1'))
+    assert.is((await fetch(`${url(fleet, 1)}/other/`)).status, 404)
+    await fleet.publish(fleetConfiguration(9, [{ prefix: '/other/' }]))
+    await until(async () => (await fetch(`${url(fleet, 1)}/other/`)).status === 200 ? true : undefined)
+    await fleet.announce('i-2', other.address)
+    await fleet.announce('i-1', upstream.address, { draining: true, sequence: 2 })
+    assert.is(await (await fetch(`${url(fleet)}/other/`)).text(), 'from the other')
+  } finally {
+    await fleet.stop()
+    await Promise.all([upstream.close(), other.close()])
+  }
+})
+
+test('a fleet that loses its leader goes on, keeps what was acknowledged and takes a new control VM in', async () => {
+  const fleet = await DispatchedFleet.create(3, 1)
+  const upstream = await RawUpstream.create((socket) => socket.write(wholeAnswer('served')))
+  try {
+    await fleet.publish(fleetConfiguration(5, [{}]))
+    await fleet.announce('i-1', upstream.address)
+    await fleet.untilReady()
+    const lost = await fleet.leader()
+    await fleet.dropControl(lost)
+    assert.is(await (await fetch(url(fleet))).text(), 'served')
+    const leader = await fleet.leader()
+    assert.is.not(leader.address, lost.address)
+    const read = await until(async () => {
+      const answer = await leader.desk.read()
+      return answer.kind === 'done' ? answer.value : undefined
+    })
+    assert.is(read.number, 5)
+    const fresh = await fleet.startControl(lost.address, false)
+    await until(() => fresh.control.held?.number === 5 ? true : undefined)
+    await until(() => leader.control.voters === 3 ? true : undefined)
+    await fleet.publish(fleetConfiguration(6, [{}]))
+  } finally {
+    await fleet.stop()
+    await upstream.close()
+  }
+})
+
+test('an older document is acknowledged and changes nothing; a process that does not lead points to the leader', async () => {
+  const fleet = await DispatchedFleet.create(3, 0)
+  try {
+    await fleet.publish(fleetConfiguration(5, [{ prefix: '/new/' }]))
+    await fleet.publish(fleetConfiguration(4, [{ prefix: '/old/' }]))
+    const leader = await fleet.leader()
+    const read = await leader.desk.read()
+    assert.is(read.kind === 'done' ? read.value?.number : undefined, 5)
+    const follower = fleet.controls.find(({ control }) => !control.isLeader)
+    await until(() => follower?.control.leader === leader.address ? true : undefined)
+    assert.equal(await follower?.desk.read(), { kind: 'elsewhere', leader: leader.address })
+  } finally {
+    await fleet.stop()
+  }
+})
+
+test.run()
--- /dev/null
+++ b/packages/bench/src/tests/dispatched-fleet.ts
@@ -0,0 +1,173 @@
+import { mkdtemp, rm } from 'node:fs/promises'
+import { createServer, type AddressInfo } from 'node:net'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import type { ServingConfiguration, ServingRoute } from '@hickoryspoke/configuration/serving-configuration'
+import { ControlDesk } from '@hickoryspoke/control/control-desk'
+import { DispatchingControl } from '@hickoryspoke/control/dispatching-control'
+import { DispatchedEntry } from '@hickoryspoke/entry/dispatched-entry'
+import { InnerCredentials } from '@hickoryspoke/protocol/inner-credentials'
+import type { Dialect } from '@hickoryspoke/request/dialect'
+import { callerAnswerHeaders, headerValue } from '@hickoryspoke/request/header-filter'
+import { SystemClock, sleep } from '@hickoryspoke/runtime/clock'
+import { SystemRandom } from '@hickoryspoke/runtime/random'
+import { silentLogger } from '@hickoryspoke/telemetry/logger'
+import { Ok } from 'ts-results-es'
+
+const LONGEST_WAIT_MILLISECONDS = 20_000
+const POLL_MILLISECONDS = 25
+
+/** Headers of these tests: `request`, `key`, `instance` and `not-run`. */
+const TEST_DIALECT: Dialect = {
+  readCaller: (headers) => ({ requestId: headerValue(headers, 'request') ?? '', key: headerValue(headers, 'key'), patienceMilliseconds: undefined }),
+  upstreamHeaders: (_, facts) => ['host', 'upstream', 'instance', facts.instance, 'customer', facts.customer],
+  readAnswer: (_, headers) => ({ notRun: headerValue(headers, 'not-run') !== undefined, misdirected: false, genuine: true, load: undefined }),
+  answerHeaders: callerAnswerHeaders
+}
+
+const surroundings = () => ({
+  clock: SystemClock.create(), random: SystemRandom.create(), logger: silentLogger(), credentials: InnerCredentials.create({ kind: 'plain_text' })
+})
+
+/** One control process with its desk. */
+export interface FleetControl {
+  readonly address: string
+  readonly control: DispatchingControl
+  readonly desk: ControlDesk
+}
+
+/** Control processes and entries of the dispatching kind in one Node process on loopback. */
+export class DispatchedFleet {
+  readonly controls: FleetControl[] = []
+  readonly entries: { readonly entry: DispatchedEntry, readonly url: string, readonly readiness: string }[] = []
+  private readonly folders: string[] = []
+
+  private constructor (private readonly addresses: readonly string[]) {}
+
+  /** Starts the given numbers of processes and waits for a leader. */
+  static async create (controls: number, entries: number): Promise<DispatchedFleet> {
+    const fleet = new DispatchedFleet(await freeAddresses(controls))
+    await Promise.all(fleet.addresses.map(async (address) => await fleet.startControl(address, true)))
+    for (let number = 1; number <= entries; number += 1) await fleet.startEntry(`entry-${number}`)
+    await fleet.leader()
+    return fleet
+  }
+
+  /** The control process that leads, once there is one. */
+  async leader (): Promise<FleetControl> {
+    return await until(() => this.controls.find(({ control }) => control.isLeader))
+  }
+
+  /** Publishes a configuration at the leader until it is acknowledged. */
+  async publish (configuration: ServingConfiguration): Promise<void> {
+    const document = { number: configuration.number, content: Buffer.from(JSON.stringify(configuration)) }
+    await until(async () => {
+      const answer = await (await this.leader()).desk.publish(document)
+      return answer.kind === 'done' ? true : undefined
+    })
+  }
+
+  async announce (instance: string, address: string, changes: { draining?: boolean, sequence?: number } = {}): Promise<void> {
+    await until(async () => {
+      const answer = (await this.leader()).desk.announce({
+        instance, pool: 'ledger', address, zone: 'zone-a', slots: 2, draining: false, warmupMilliseconds: 0, born: 1, sequence: 1, version: '', gone: false, ...changes
+      })
+      return answer.kind === 'done' ? true : undefined
+    })
+  }
+
+  /** Waits until every entry says that it is ready. */
+  async untilReady (): Promise<void> {
+    await until(() => this.entries.every(({ entry }) => entry.isReady) ? true : undefined)
+  }
+
+  /** Ends a control process as a lost VM would. */
+  async dropControl (lost: FleetControl): Promise<void> {
+    this.controls.splice(this.controls.indexOf(lost), 1)
+    await lost.control.stop()
+  }
+
+  /** Starts a control process with an empty folder. */
+  async startControl (address: string, firstOfFleet: boolean): Promise<FleetControl> {
+    const folder = await mkdtemp(join(tmpdir(), 'dispatched-'))
+    this.folders.push(folder)
+    const parts = surroundings()
+    const started = await DispatchingControl.start({
+      address,
+      zone: 'zone-a',
+      cluster: 'test',
+      folder,
+      onEmptyFolder: firstOfFleet ? 'form' : 'join',
+      seeds: [...this.addresses],
+      minimumVoters: this.addresses.length,
+      firstOfFleet,
+      budget: { ratio: 0.2, slack: 10, windowMilliseconds: 10_000 },
+      silentUpstreamMilliseconds: 60_000
+    }, { ...parts, decode: (document) => Ok(JSON.parse(document.content.toString()) as ServingConfiguration) })
+    const control = started.unwrap()
+    const fleetControl = { address, control, desk: ControlDesk.create({ control, ...parts, wantedVoters: this.addresses.length }) }
+    this.controls.push(fleetControl)
+    return fleetControl
+  }
+
+  async stop (): Promise<void> {
+    await Promise.all(this.entries.map(async ({ entry }) => await entry.stop()))
+    await Promise.all(this.controls.map(async ({ control }) => await control.stop()))
+    await Promise.all(this.folders.map(async (folder) => await rm(folder, { recursive: true, force: true })))
+  }
+
+  private async startEntry (name: string): Promise<void> {
+    const [callers, readiness] = await freeAddresses(2) as [string, string]
+    const started = await DispatchedEntry.start({
+      name, zone: 'zone-a', callers, readiness, readinessPath: '/ready', freshMilliseconds: 3_500, stopMilliseconds: 3_200, seeds: () => this.addresses
+    }, { ...surroundings(), dialect: TEST_DIALECT })
+    this.entries.push({ entry: started.unwrap(), url: `http://${callers}`, readiness: `http://${readiness}/ready` })
+  }
+}
+
+/** A configuration with one pool and the given routes. */
+export function fleetConfiguration (number: number, routes: readonly Partial<ServingRoute>[]): ServingConfiguration {
+  return {
+    number,
+    keyed: false,
+    bounds: { maximumHeaderBytes: 16_384, maximumBodyBytes: 100_000, headerTimeoutMilliseconds: 3_000, idleTimeoutMilliseconds: 15_000 },
+    pools: [{ name: 'ledger', healthPath: '/', maximumConnections: 100 }],
+    customers: [],
+    routes: routes.map((route) => ({
+      name: 'all',
+      host: '127.0.0.1',
+      prefix: '/',
+      mayRepeat: false,
+      timeoutMilliseconds: 10_000,
+      targetMilliseconds: 5_000,
+      priority: 1,
+      shares: [{ pool: 'ledger', weight: 1 }],
+      maximumAttempts: 2,
+      open: true,
+      ...route
+    }))
+  }
+}
+
+/** Asks again until there is a value. */
+export async function until<Value> (find: () => Value | undefined | Promise<Value | undefined>): Promise<Value> {
+  const clock = SystemClock.create()
+  const end = clock.monotonicMilliseconds() + LONGEST_WAIT_MILLISECONDS
+  for (;;) {
+    const value = await find()
+    if (value !== undefined) return value
+    if (clock.monotonicMilliseconds() > end) throw new Error('what was waited for did not happen')
+    await sleep(clock, POLL_MILLISECONDS)
+  }
+}
+
+async function freeAddresses (count: number): Promise<string[]> {
+  const servers = await Promise.all(Array.from({ length: count }, async () => {
+    const server = createServer()
+    await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+    return server
+  }))
+  const addresses = servers.map((server) => `127.0.0.1:${(server.address() as AddressInfo).port}`)
+  await Promise.all(servers.map(async (server) => await new Promise((resolve) => server.close(resolve))))
+  return addresses
+}
--- a/packages/dispatch/src/instance-standing.ts
+++ b/packages/dispatch/src/instance-standing.ts
@@ -24,6 +24,8 @@
 /** An upstream that answered within this time is known to be good. */
 const KNOWN_MILLISECONDS = 6_000
 const FULL_MILLISECONDS = 150
+/** An upstream that breaks connections lets some requests through, so one answer does not clear it. */
+const ANSWERS_AFTER_FAILURE = 2
 /** An entry that could not connect is kept away for this time. */
 const UNREACHABLE_MILLISECONDS = 3_000
 const SLOWNESS_WEIGHT = 0.25
@@ -61,6 +63,7 @@
   private trustAgainAt = -Infinity
   private failedAt = -Infinity
   private answeredAt = -Infinity
+  private answersWanted = 0
   private fullUntil = -Infinity
   /** Entries that could not connect, with the time until which they are kept away. */
   private readonly unreachableFrom = new Map<string, number>()
@@ -117,6 +120,8 @@
   /** An answer to a request from before a failure says nothing about the time after it. */
   countAnswer (now: number, placedAt: number): void {
     if (placedAt < this.failedAt) return
+    this.answersWanted -= 1
+    if (this.answersWanted > 0) return
     this.failures = 0
     this.answeredAt = now
   }
@@ -126,6 +131,7 @@
   }
 
   countFailure (now: number): void {
+    this.answersWanted = ANSWERS_AFTER_FAILURE
     this.fail(now, AVOID_MILLISECONDS, TRUST_AGAIN_MILLISECONDS)
   }
 
--- a/packages/dispatch/src/kind-times.ts
+++ b/packages/dispatch/src/kind-times.ts
@@ -6,14 +6,15 @@
 /** Moving averages of the answer times of a pool. */
 export class KindTimes {
   private readonly means = new Map<string, number>()
+  private overall: number | undefined
 
   static create (): KindTimes {
     return new KindTimes()
   }
 
   record (kind: string, milliseconds: number): void {
-    const mean = this.means.get(kind)
-    this.means.set(kind, mean === undefined ? milliseconds : mean + WEIGHT * (milliseconds - mean))
+    this.means.set(kind, moved(this.means.get(kind), milliseconds))
+    this.overall = moved(this.overall, milliseconds)
   }
 
   /** The usual time of a kind; 0 while unknown. */
@@ -21,9 +22,12 @@
     return this.means.get(kind) ?? 0
   }
 
-  /** The mean over all kinds. */
+  /** The mean over all requests. */
   meanMilliseconds (): number {
-    if (this.means.size === 0) return FIRST_GUESS_MILLISECONDS
-    return [...this.means.values()].reduce((sum, mean) => sum + mean, 0) / this.means.size
+    return this.overall ?? FIRST_GUESS_MILLISECONDS
   }
 }
+
+function moved (mean: number | undefined, milliseconds: number): number {
+  return mean === undefined ? milliseconds : mean + WEIGHT * (milliseconds - mean)
+}
--- a/packages/dispatch/src/tests/dispatcher.test.ts
+++ b/packages/dispatch/src/tests/dispatcher.test.ts
@@ -135,6 +135,9 @@
   assert.is.not(entry.answerTo(2), failed)
   dispatcher.ask(entry, question(3, { mayRepeat: true }))
   assert.is(entry.answerTo(3), failed)
+  dispatcher.end(entry, end(3, PlacementOutcome.PLACEMENT_OUTCOME_ANSWERED))
+  dispatcher.ask(entry, question(4, { mayRepeat: true }))
+  assert.is(entry.answerTo(4), failed, 'one answer is not enough')
 })
 
 test('an answer to a request from before a failure does not clear the upstream', () => {
