--- /dev/null
+++ b/packages/control/src/dispatching-control-metrics.ts
@@ -0,0 +1,32 @@
+/** Gauges of a control process that dispatches. */
+import type { DispatchService } from '@hickoryspoke/dispatch/dispatch-service'
+import type { PublishedDocumentState } from '@hickoryspoke/replication/published-document'
+import type { Replica } from '@hickoryspoke/replication/replica'
+import { REPLICA_ROLE } from '@hickoryspoke/replication/replicated-log'
+import { Metrics } from '@hickoryspoke/telemetry/metrics'
+
+/** Metrics that are read when they are asked for. */
+export function createControlMetrics (replica: Replica, state: PublishedDocumentState, service: DispatchService): Metrics {
+  const metrics = Metrics.create()
+  metrics.gauge('hickoryspoke_leader', '1 on the leader', [], (gauge) => gauge.set(replica.role() === REPLICA_ROLE.Leader ? 1 : 0))
+  metrics.gauge('hickoryspoke_document_number', 'number of the document held', [], (gauge) => gauge.set(state.document?.number ?? 0))
+  metrics.gauge('hickoryspoke_log_index', 'index of the log', ['kind'], (gauge) => {
+    const status = replica.status()
+    gauge.set({ kind: 'last' }, status.lastIndex)
+    gauge.set({ kind: 'committed' }, status.commitIndex)
+    gauge.set({ kind: 'durable' }, status.durableIndex)
+  })
+  metrics.gauge('hickoryspoke_entries', 'entries that attend', [], (gauge) => gauge.set(service.entries))
+  metrics.gauge('hickoryspoke_pool_requests', 'requests of a pool by state', ['pool', 'state'], (gauge) => {
+    for (const pool of service.pools()) {
+      gauge.set({ pool: pool.name, state: 'in_flight' }, pool.inFlight)
+      gauge.set({ pool: pool.name, state: 'waiting' }, pool.waiting)
+    }
+  })
+  metrics.gauge('hickoryspoke_upstreams', 'upstreams of a pool by standing', ['pool', 'standing'], (gauge) => {
+    for (const pool of service.pools()) {
+      for (const [standing, count] of Object.entries(pool.standings)) gauge.set({ pool: pool.name, standing }, count)
+    }
+  })
+  return metrics
+}
--- a/packages/control/src/dispatching-control.ts
+++ b/packages/control/src/dispatching-control.ts
@@ -17,7 +17,9 @@
 import type { Failure } from '@hickoryspoke/runtime/failure'
 import type { RandomSource } from '@hickoryspoke/runtime/random'
 import type { Logger } from '@hickoryspoke/telemetry/logger'
+import type { Metrics } from '@hickoryspoke/telemetry/metrics'
 import { Ok, type Result } from 'ts-results-es'
+import { createControlMetrics } from './dispatching-control-metrics.ts'
 import { reportReplicaEvent } from './replica-log.ts'
 
 /** What the process takes from its settings. Addresses are IP:PORT of inner ports; times in milliseconds. */
@@ -61,6 +63,7 @@
 /** One control process. */
 export class DispatchingControl {
   readonly registry: UpstreamRegistry
+  readonly metrics: Metrics
   private readonly service: DispatchService
   private readonly stopping = new AbortController()
   private readonly mirror: DispatchLink
@@ -112,6 +115,7 @@
       }
     })
     state.onChange(() => this.publishSoon())
+    this.metrics = createControlMetrics(replica, state, this.service)
     server.addService(DispatchDefinition, this.service.handlers())
   }
 
--- a/packages/dispatch/src/dispatch-service.ts
+++ b/packages/dispatch/src/dispatch-service.ts
@@ -8,6 +8,7 @@
 import type { Logger } from '@hickoryspoke/telemetry/logger'
 import { CustomerRates } from './customer-rates.ts'
 import { Dispatcher, type Attendant } from './dispatcher.ts'
+import type { PoolView } from './pool-dispatcher.ts'
 import type { BudgetTerms } from './request-budget.ts'
 import { ServingHistory } from './serving-history.ts'
 import type { HeldUpstream, UpstreamRegistry } from './upstream-registry.ts'
@@ -77,6 +78,11 @@
     return [...this.attendances.values()].filter((attendance) => !attendance.mirror).length
   }
 
+  /** Pools as the dispatcher sees them; none where it does not run. */
+  pools (): PoolView[] {
+    return this.dispatcher?.views() ?? []
+  }
+
   /** Whether an upstream answered its last request. */
   isInUse (upstream: HeldUpstream): boolean {
     return this.dispatcher?.isInUse(upstream) ?? true
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -7,7 +7,7 @@
 import type { Logger } from '@hickoryspoke/telemetry/logger'
 import { CrashRegister } from './crash-register.ts'
 import type { CustomerRates } from './customer-rates.ts'
-import { PoolDispatcher, type Asker, type WaitingQuestion } from './pool-dispatcher.ts'
+import { PoolDispatcher, type Asker, type PoolView, type WaitingQuestion } from './pool-dispatcher.ts'
 import { RequestBudget, type BudgetTerms } from './request-budget.ts'
 import type { HeldUpstream, UpstreamRegistry } from './upstream-registry.ts'
 
@@ -124,6 +124,12 @@
     this.placed.clear()
   }
 
+  /** All pools as they are now. */
+  views (): PoolView[] {
+    const now = this.parts.clock.monotonicMilliseconds()
+    return [...this.pools].map(([name, pool]) => pool.view(name, now))
+  }
+
   /** Whether the upstream has requests in flight or answered the last one. */
   isInUse (upstream: HeldUpstream): boolean {
     const { pool, instance } = upstream.announced
--- a/packages/dispatch/src/pool-dispatcher.ts
+++ b/packages/dispatch/src/pool-dispatcher.ts
@@ -1,12 +1,21 @@
 /** Places the requests of one pool on its upstreams, and keeps those that wait in the order of their urgency. */
 import type { PlacementQuestion } from '@hickoryspoke/protocol/generated/dispatch'
 import type { Clock } from '@hickoryspoke/runtime/clock'
-import { InstanceStanding, STANDING } from './instance-standing.ts'
+import { InstanceStanding, STANDING, type Standing } from './instance-standing.ts'
 import { KindTimes } from './kind-times.ts'
 import { RecentFailures } from './recent-failures.ts'
 import { chooseLongestQuiet, chooseUpstream, type Candidate } from './upstream-choice.ts'
 import type { HeldUpstream } from './upstream-registry.ts'
 
+/** What a pool looks like now. */
+export interface PoolView {
+  readonly name: string
+  readonly inFlight: number
+  readonly waiting: number
+  /** Upstreams by standing. */
+  readonly standings: Readonly<Record<Standing, number>>
+}
+
 /** Who asks. */
 export interface Asker {
   readonly entry: string
@@ -52,6 +61,18 @@
     return [...this.upstreams.values()].filter((upstream) => !upstream.announced.draining)
   }
 
+  /** The pool as it is now. */
+  view (name: string, now: number): PoolView {
+    const standings = { good: 0, trial: 0, avoided: 0 }
+    let inFlight = 0
+    for (const { announced } of this.serving) {
+      const standing = this.standingOf(announced.instance)
+      standings[standing.standing(now)] += 1
+      inFlight += standing.inFlight
+    }
+    return { name, inFlight, waiting: this.waiting, standings }
+  }
+
   standingOf (instance: string): InstanceStanding {
     const known = this.standings.get(instance)
     if (known !== undefined) return known
--- a/packages/entry/src/dispatched-entry.ts
+++ b/packages/entry/src/dispatched-entry.ts
@@ -16,8 +16,10 @@
 import type { Failure } from '@hickoryspoke/runtime/failure'
 import type { RandomSource } from '@hickoryspoke/runtime/random'
 import type { Logger } from '@hickoryspoke/telemetry/logger'
+import type { Metrics } from '@hickoryspoke/telemetry/metrics'
 import { Ok, type Result } from 'ts-results-es'
 import { CallerServer } from './caller-server.ts'
+import { DispatchedEntryMetrics } from './dispatched-entry-metrics.ts'
 import { EntryLifecycle, EntryPhase } from './entry-lifecycle.ts'
 
 /** What the entry takes from its settings. Addresses are IP:PORT; times in milliseconds. */
@@ -56,6 +58,7 @@
 export class DispatchedEntry {
   private readonly stopping = new AbortController()
   private readonly lifecycle: EntryLifecycle
+  private readonly observed = DispatchedEntryMetrics.create()
   private readonly registry: UpstreamRegistry
   private readonly inForce: ConfigurationInForce
   private readonly placer: LocalPlacer
@@ -111,7 +114,8 @@
     this.connections = UpstreamConnections.create(clock, { connectTimeoutMilliseconds: CONNECT_TIMEOUT_MILLISECONDS })
     this.runner = DispatchedRunner.create({
       clock, random, dialect, connections: this.connections, desk: this.desk, inForce: this.inForce, table: () => this.table
-    }, logger, { finished: () => {} })
+    }, logger, this.observed)
+    this.observed.follow({ inForce: this.inForce, desk: this.desk, inFlight: () => this.runner.inFlight, isReady: () => this.isReady })
     const [host, port] = splitAddress(settings.callers)
     this.callers = CallerServer.create({ clock, runner: this.runner, host, port })
     this.readiness = createServer((request, response) => {
@@ -132,6 +136,11 @@
     return Ok(entry)
   }
 
+  /** Counters and latencies of this entry. */
+  get metrics (): Metrics {
+    return this.observed.metrics
+  }
+
   /** Whether callers should be sent here. */
   get isReady (): boolean {
     if (this.lifecycle.phase !== EntryPhase.Serving || this.table === undefined) return false
--- /dev/null
+++ b/packages/operator/src/command-explain.ts
@@ -0,0 +1,97 @@
+import { readFile } from 'node:fs/promises'
+import { FileNotReadable } from '@hickoryspoke/configuration/settings-file'
+import { ExitCode } from '@hickoryspoke/configuration/program'
+import { describeError } from '@hickoryspoke/runtime/failure'
+import type { OperatorContext } from './operator-context.ts'
+
+/** One line of a log, read as far as it can be. */
+export interface LogLine {
+  readonly time: string
+  readonly fields: Readonly<Record<string, unknown>>
+}
+
+/** What the logs say about a request. */
+export interface Explanation {
+  /** Lines that name the request, in the order of time. */
+  readonly request: readonly LogLine[]
+  /** Lines of any process on the upstream that had the request, around its end. */
+  readonly upstream: readonly LogLine[]
+  /** Lines of the process that answered, on what it depends on, around the end of the request. */
+  readonly dependencies: readonly LogLine[]
+  /** Lines that could not be read. */
+  readonly damaged: number
+}
+
+const AROUND_MILLISECONDS = 10_000
+const DEPENDENCY_EVENTS: ReadonlySet<string> = new Set(['leader lost', 'leader attended', 'configuration in force', 'phase changed', 'settings reloaded', 'stopping'])
+
+/** Follows a request through the logs of several processes; damaged and foreign lines are passed over and counted. */
+export function explainRequest (id: string, texts: readonly string[]): Explanation {
+  const { lines, damaged } = readLines(texts)
+  const request = lines.filter(({ fields }) => fields.request === id)
+  const end = request.at(-1)
+  if (end === undefined) return { request, upstream: [], dependencies: [], damaged }
+  const around = lines.filter((line) => line !== end && Math.abs(Date.parse(line.time) - Date.parse(end.time)) <= AROUND_MILLISECONDS)
+  return {
+    request,
+    upstream: around.filter(({ fields }) => end.fields.upstream !== '' && fields.upstream === end.fields.upstream && fields.request === undefined),
+    dependencies: around.filter(({ fields }) => fields.node === end.fields.node && DEPENDENCY_EVENTS.has(String(fields.event))),
+    damaged
+  }
+}
+
+/** `explain`: what the logs say about one request. */
+export async function runExplain (context: OperatorContext, id: string, files: readonly string[]): Promise<ExitCode> {
+  const texts: string[] = []
+  for (const file of files) {
+    try {
+      texts.push(await readFile(file, 'utf8'))
+    } catch (thrown) {
+      return context.fail(FileNotReadable.create(file, describeError(thrown)))
+    }
+  }
+  const explanation = explainRequest(id, texts)
+  context.show(explanation, describe(id, explanation))
+  return explanation.request.length > 0 ? ExitCode.Done : ExitCode.Failed
+}
+
+function readLines (texts: readonly string[]): { lines: LogLine[], damaged: number } {
+  const lines: LogLine[] = []
+  let damaged = 0
+  for (const text of texts.flatMap((content) => content.split('\n'))) {
+    const begin = text.indexOf('{"time"')
+    if (begin < 0) continue
+    const line = readLine(text.slice(begin))
+    if (line === undefined) damaged += 1
+    else lines.push(line)
+  }
+  lines.sort((left, right) => left.time < right.time ? -1 : Number(left.time > right.time))
+  return { lines, damaged }
+}
+
+function readLine (text: string): LogLine | undefined {
+  try {
+    const fields = JSON.parse(text) as Record<string, unknown>
+    return typeof fields.time === 'string' ? { time: fields.time, fields } : undefined
+  } catch (thrown) {
+    if (thrown instanceof SyntaxError) return undefined
+    throw thrown
+  }
+}
+
+function describe (id: string, { request, upstream, dependencies, damaged }: Explanation): string[] {
+  if (request.length === 0) return [`no line names the request ${id} (${damaged} lines could not be read)`]
+  return [
+    ...request.map(format),
+    `on its upstream, ${AROUND_MILLISECONDS / 1000} s around:`,
+    ...upstream.map(format),
+    'what the process depends on, at that time:',
+    ...dependencies.map(format),
+    `${damaged} lines could not be read`
+  ]
+}
+
+function format ({ time, fields }: LogLine): string {
+  const { time: _, level, program, process: __, ...rest } = fields
+  return `  ${time} ${Object.entries(rest).map(([name, value]) => `${name}=${String(value)}`).join(' ')}`
+}
--- a/packages/operator/src/operator-program.ts
+++ b/packages/operator/src/operator-program.ts
@@ -2,6 +2,7 @@
 import { Failure } from '@hickoryspoke/runtime/failure'
 import yargs, { type Argv } from 'yargs'
 import { runAudit } from './command-audit.ts'
+import { runExplain } from './command-explain.ts'
 import { runKeyCreate } from './command-key.ts'
 import { runApply, runCheck, runDecide, runForceRemoval } from './commands-change.ts'
 import { runDiff, runDisputeList, runDisputeShow, runExport, runStatus, runUpstreams } from './commands-read.ts'
@@ -107,6 +108,11 @@
     .command('status', 'accepted file, leader, entries by number, disputes', () => {}, handle((context) => runStatus(context)))
     .command('export', 'print the accepted file as TOML', () => {}, handle((context) => runExport(context)))
     .command('upstreams', 'each upstream as the fleet sees it', () => {}, handle((context) => runUpstreams(context)))
+    .command('explain <id> <files..>', 'what the logs of several processes say about one request',
+      (command) => command
+        .positional('id', { type: 'string', demandOption: true, describe: 'name of the request, as its answer gives it' })
+        .positional('files', { type: 'string', array: true, demandOption: true, describe: 'log files of entries and control VMs' }),
+      handle<{ id: string, files: string[] }>(async (context, { id, files }) => await runExplain(context, id, files)))
     .command('audit', 'every change: when, who, what, outcome',
       (command) => command
         .option('follow', { type: 'boolean', default: false, describe: 'go on with new lines' })
--- /dev/null
+++ b/packages/telemetry/src/metrics-server.ts
@@ -0,0 +1,27 @@
+/** Serves metrics as text over HTTP. */
+import { createServer, type Server } from 'node:http'
+import { describeError } from '@hickoryspoke/runtime/failure'
+import type { Logger } from './logger.ts'
+import type { Metrics } from './metrics.ts'
+
+const METRICS_PATH = '/metrics'
+
+/** Answers `GET /metrics` at an IP:PORT. A port that is taken is logged; the process goes on without metrics. */
+export function serveMetrics (address: string, metrics: Metrics, logger: Logger): Server {
+  const server = createServer((request, response) => {
+    if (request.url !== METRICS_PATH) {
+      response.writeHead(404).end()
+      return
+    }
+    metrics.expose().then((text) => {
+      response.writeHead(200, { 'Content-Type': 'text/plain; version=0.0.4' }).end(text)
+    }, (thrown: unknown) => {
+      logger.error('metrics could not be collected', { reason: describeError(thrown) })
+      response.writeHead(500).end()
+    })
+  })
+  const separator = address.lastIndexOf(':')
+  server.on('error', (error) => logger.error('metrics are not served', { address, reason: describeError(error) }))
+  server.listen(Number(address.slice(separator + 1)), address.slice(0, separator))
+  return server
+}
