A reset that comes with an answer's last bytes is told from an orderly end

Ruled out: answers with a length and in chunks. After a reset the system no longer knows the peer's address; after an orderly end it does. Two tests failed first, on this machine's own network stack.

--- a/packages/request/src/tests/upstream-exchange.test.ts
+++ b/packages/request/src/tests/upstream-exchange.test.ts
@@ -38,6 +38,22 @@
   })
 }
 
+/** The last bytes and the reset are there when the reader looks, so that it sees an end of file first. */
+const sayAndReset = (head: string, rest: string): UpstreamBehaviour => (socket) => {
+  socket.write(head)
+  setTimeout(() => {
+    socket.write(rest)
+    socket.resetAndDestroy()
+  }, SPOKEN_MILLISECONDS)
+}
+
+for (const connection of ['', 'Connection: close\r\n']) {
+  test(`an answer without a length whose reset comes with its last bytes is not whole ${connection.trim()}`, async () => {
+    assert.is(await askOnce(sayAndReset(`HTTP/1.1 200 OK\r\n${connection}\r\n`, 'part of')), 'truncated_answer')
+    assert.is(await askOnce(sayAndReset('', `HTTP/1.1 200 OK\r\n${connection}\r\npart of`)), 'truncated_answer')
+  })
+}
+
 test('an answer without a length that ends with its connection is whole', async () => {
   assert.is(await askOnce((socket) => socket.end('HTTP/1.1 200 OK\r\n\r\nall of it')), 'all of it')
 })
--- a/packages/request/src/upstream-connections.ts
+++ b/packages/request/src/upstream-connections.ts
@@ -53,11 +53,19 @@
   idleSinceMilliseconds = 0
   /** This entry closed it, not the upstream. */
   isGivenUp = false
-  /** The connection was reset or broke, rather than being closed in order. */
-  hasBroken = false
+  private hasFailed = false
 
   private constructor (readonly address: string, readonly client: Client, private readonly socket: Socket) {
-    socket.on('error', () => { this.hasBroken = true })
+    socket.on('error', () => { this.hasFailed = true })
+  }
+
+  /**
+   * The connection was reset or broke, rather than being closed in order. A reset that arrives together with the last
+   * bytes is reported as an end of file; then the system no longer knows a peer, as it does after an orderly end.
+   * To be asked once, at the end of an answer: a peer that is known is remembered.
+   */
+  get hasBroken (): boolean {
+    return this.hasFailed || this.socket.remoteAddress === undefined
   }
 
   static create (address: string, socket: Socket, settings: ConnectionSettings): UpstreamConnection {
