After a restart of all control VMs: quick election, entries tell what upstreams they know, requests wait a moment

Cause: after the final fault the first leader needs 1.3 s to be elected and knows no upstream until each has announced itself again (1.5 s apart).

--- a/packages/control/src/dispatching-control.ts
+++ b/packages/control/src/dispatching-control.ts
@@ -53,6 +53,7 @@
 
 const EXPIRY_CHECK_MILLISECONDS = 500
 const ELECTION_TIMEOUT_MILLISECONDS = 600
+const FIRST_ELECTION_MILLISECONDS = 300
 const HEARTBEAT_MILLISECONDS = 150
 const RETIRE_MILLISECONDS = 8_000
 const PROPOSAL_TIMEOUT_MILLISECONDS = 2_500
@@ -102,6 +103,7 @@
       logger,
       held: () => 0,
       running: () => [],
+      known: () => this.registry.announcements(),
       wanted: () => !this.isLeader,
       listener: {
         placed: () => {},
@@ -139,6 +141,7 @@
       report: (event) => reportReplicaEvent(logger, event),
       tuning: {
         electionTimeoutMilliseconds: ELECTION_TIMEOUT_MILLISECONDS,
+        firstElectionMilliseconds: FIRST_ELECTION_MILLISECONDS,
         heartbeatMilliseconds: HEARTBEAT_MILLISECONDS,
         retireMilliseconds: RETIRE_MILLISECONDS,
         proposalTimeoutMilliseconds: PROPOSAL_TIMEOUT_MILLISECONDS
--- a/packages/dispatch/src/dispatch-link.ts
+++ b/packages/dispatch/src/dispatch-link.ts
@@ -2,7 +2,7 @@
 import type { ClientDuplexStream } from '@grpc/grpc-js'
 import {
   DispatchClient,
-  type Denial, type DispatchMessage, type EntryMessage, type LeaderNotice, type NumberAnswer, type Placement, type RunningRequest,
+  type AnnouncedUpstream, type Denial, type DispatchMessage, type EntryMessage, type LeaderNotice, type NumberAnswer, type Placement, type RunningRequest,
   type ServingUpdate, type UpstreamUpdate
 } from '@hickoryspoke/protocol/generated/dispatch'
 import type { InnerCredentials } from '@hickoryspoke/protocol/inner-credentials'
@@ -40,6 +40,7 @@
   readonly listener: DispatchListener
   readonly held: () => number
   readonly running: () => RunningRequest[]
+  readonly known: () => AnnouncedUpstream[]
   /** Whether this link should look for a leader now. */
   readonly wanted: () => boolean
 }
@@ -108,7 +109,7 @@
   }
 
   private async attend (address: string, signal: AbortSignal): Promise<void> {
-    const { clock, credentials, name, zone, mirror, held, running } = this.parts
+    const { clock, credentials, name, zone, mirror, held, running, known } = this.parts
     this.lastAsked = address
     const client = new DispatchClient(address, credentials.forChannel(), { ...credentials.channelOptions(address), 'grpc.use_local_subchannel_pool': 1 })
     const call = client.attend()
@@ -126,7 +127,7 @@
       call.on('status', finish)
       signal.addEventListener('abort', finish, { once: true })
     })
-    call.write({ body: { $case: 'hello', value: { name, zone, mirror, configurationNumber: held(), running: running() } } })
+    call.write({ body: { $case: 'hello', value: { name, zone, mirror, configurationNumber: held(), running: running(), upstreams: known() } } })
     await Promise.race([over, this.watch(stream)])
     this.end(stream, address)
     client.close()
--- a/packages/dispatch/src/dispatch-service.ts
+++ b/packages/dispatch/src/dispatch-service.ts
@@ -159,10 +159,11 @@
       this.pointToLeader(call)
       return undefined
     }
+    this.parts.registry.merge(hello.upstreams)
     const attendance = this.enter(call, hello)
     call.write({ body: { $case: 'leader', value: this.notice(true) } })
     this.sendConfiguration(attendance)
-    this.sendUpstreams(attendance, { whole: true, upstreams: this.announcements(this.parts.registry.everything()) })
+    this.sendUpstreams(attendance, { whole: true, upstreams: this.parts.registry.announcements() })
     if (!attendance.mirror) this.dispatcher.inherit(attendance.attendant, hello.running)
     return attendance
   }
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -41,6 +41,7 @@
 /** Placements that an earlier dispatcher made are forgotten after this time. */
 const INHERITED_MILLISECONDS = 15_000
 const SHORTEST_RETRY_MILLISECONDS = 200
+const YOUNG_MILLISECONDS = 3_000
 
 /** A request that ran out of time counts against its upstream when it took this many times the usual time. */
 const SLOW_FACTOR = 3
@@ -57,8 +58,10 @@
   private readonly crashes = CrashRegister.create()
   private readonly placed = new Map<string, Placed>()
   private readonly waiting = new Map<string, WaitingQuestion>()
+  private readonly beganAt: number
 
   private constructor (private readonly parts: DispatcherParts) {
+    this.beganAt = parts.clock.monotonicMilliseconds()
     for (const upstream of parts.registry.present()) this.update(upstream)
   }
 
@@ -95,7 +98,7 @@
     const pool = this.poolOf(question.pool)
     const upstream = pool.choose(question, attendant, now, this.mayProbe(question, now))
     if (upstream !== undefined) return this.place(attendant, question, upstream)
-    if (!pool.hasEligible(question, attendant, now)) return this.denyUnplaced(attendant, question, DenialReason.DENIAL_REASON_NO_UPSTREAM)
+    if (!this.isYoung(now) && !pool.hasEligible(question, attendant, now)) return this.denyUnplaced(attendant, question, DenialReason.DENIAL_REASON_NO_UPSTREAM)
     this.wait(attendant, question, pool, now)
   }
 
@@ -137,6 +140,11 @@
     return standing.failures === 0 && standing.placed > 0
   }
 
+  /** Just after a change of leader not all upstreams may have been announced here. */
+  private isYoung (now: number): boolean {
+    return now - this.beganAt < YOUNG_MILLISECONDS
+  }
+
   private update (upstream: HeldUpstream): string {
     const { pool, instance } = upstream.announced
     for (const [name, other] of this.pools) {
--- a/packages/dispatch/src/upstream-registry.ts
+++ b/packages/dispatch/src/upstream-registry.ts
@@ -41,6 +41,11 @@
     return [...this.byInstance.values()]
   }
 
+  /** All that is known, as it was announced. */
+  announcements (): AnnouncedUpstream[] {
+    return this.everything().map((held) => held.announced)
+  }
+
   find (instance: string): HeldUpstream | undefined {
     return this.byInstance.get(instance)
   }
--- a/packages/entry/src/dispatched-entry.ts
+++ b/packages/entry/src/dispatched-entry.ts
@@ -96,6 +96,7 @@
       logger,
       held: () => this.inForce.number,
       running: () => this.desk.running(),
+      known: () => this.registry.announcements(),
       wanted: () => true,
       listener: {
         placed: (placement) => this.desk.takePlacement(placement),
--- a/packages/replication/src/replica-settings.ts
+++ b/packages/replication/src/replica-settings.ts
@@ -19,6 +19,8 @@
   readonly heartbeatMilliseconds: number
   /** A follower waits for this time and up to twice of it before it asks for an election. */
   readonly electionTimeoutMilliseconds: number
+  /** A replica that has just started waits at most this long for a leader; a vote needs others that hear none either. */
+  readonly firstElectionMilliseconds: number
   readonly tickMilliseconds: number
   readonly helloMilliseconds: number
   readonly proposalTimeoutMilliseconds: number
@@ -42,6 +44,7 @@
 export const DEFAULT_TUNING: ReplicaTuning = {
   heartbeatMilliseconds: 200,
   electionTimeoutMilliseconds: 800,
+  firstElectionMilliseconds: 1_600,
   tickMilliseconds: 50,
   helloMilliseconds: 500,
   proposalTimeoutMilliseconds: 5_000,
--- a/packages/replication/src/replica.ts
+++ b/packages/replication/src/replica.ts
@@ -59,6 +59,7 @@
     })
     context.followSet()
     context.resetElectionDeadline()
+    context.electionDeadline = Math.min(context.electionDeadline, context.now() + this.firstElectionWait())
     if (this.isOnlyVoter()) context.electionDeadline = context.now()
     this.lastTick = context.now()
     context.tasks.run(() => this.tick())
@@ -121,6 +122,11 @@
     return describeReplica(this.context)
   }
 
+  private firstElectionWait (): number {
+    const { tuning, settings } = this.context
+    return tuning.firstElectionMilliseconds * (1 + settings.random.next()) / 2
+  }
+
   private refusalFor (command: Uint8Array): ReplicationFailure | undefined {
     const { context } = this
     const { maximumCommandBytes, maximumProposals } = context.tuning
