Ends of requests are told to the next dispatcher

Ruled out: evidence (no more than 9 of 18 upstreams had failed in any 2 s), quota (60 of 1,569 refusals). Test failed first.

--- a/packages/dispatch/src/placement-desk.ts
+++ b/packages/dispatch/src/placement-desk.ts
@@ -32,7 +32,8 @@
   readonly placer: LocalPlacer
   /** Sends to the dispatcher; false when none can be reached. */
   readonly ask: (question: PlacementQuestion) => boolean
-  readonly tellEnd: (end: PlacementEnd) => void
+  /** Tells the dispatcher how a placement ended; false when none can be reached. */
+  readonly tellEnd: (end: PlacementEnd) => boolean
 }
 
 type Reply = Result<Placement, PlacementDenied> | undefined
@@ -41,12 +42,15 @@
 const WITHOUT_DISPATCHER_MILLISECONDS = 120
 const CHECK_MILLISECONDS = 20
 const RETRY_AFTER_MILLISECONDS = 500
+/** Ends kept for the next dispatcher; the oldest go first. */
+const MAXIMUM_UNTOLD = 500
 const TICKET_LIMIT = 0x7fffffff
 
 /** Questions that wait and placements that have not ended. */
 export class PlacementDesk {
   private readonly waiting = new Map<number, (reply: Reply) => void>()
   private readonly placed = new Map<number, PlacedRequest>()
+  private readonly untold: PlacementEnd[] = []
   private lastTicket = 0
   private lostAt: number | undefined
 
@@ -74,8 +78,10 @@
     return this.lostAt === undefined ? 0 : this.parts.clock.monotonicMilliseconds() - this.lostAt
   }
 
+  /** A dispatcher is there. It may count requests that ended while the connection was being made. */
   attended (): void {
     this.lostAt = undefined
+    for (const end of this.untold.splice(0)) this.tell(end)
   }
 
   lost (): void {
@@ -86,7 +92,7 @@
   takePlacement (placement: Placement): void {
     const settle = this.waiting.get(placement.ticket)
     if (settle !== undefined) return settle(Ok(placement))
-    this.parts.tellEnd(unused(placement.ticket, placement.instance))
+    this.tell(unused(placement.ticket, placement.instance))
   }
 
   takeDenial (denial: Denial): void {
@@ -113,7 +119,13 @@
     this.placed.delete(end.ticket)
     const told = { ...end, instance: placed.instance }
     this.parts.placer.learn(placed.instance, told, placed.local)
-    this.parts.tellEnd(told)
+    this.tell(told)
+  }
+
+  private tell (end: PlacementEnd): void {
+    if (this.parts.tellEnd(end)) return
+    this.untold.push(end)
+    if (this.untold.length > MAXIMUM_UNTOLD) this.untold.shift()
   }
 
   private askDispatcher (question: PlacementQuestion, signal: AbortSignal): Promise<Reply> {
@@ -125,7 +137,7 @@
         resolve(reply)
       }
       const giveUp = (): void => {
-        this.parts.tellEnd(unused(ticket, ''))
+        this.tell(unused(ticket, ''))
         settle(undefined)
       }
       this.waiting.set(ticket, settle)
--- a/packages/dispatch/src/tests/placement-desk.test.ts
+++ b/packages/dispatch/src/tests/placement-desk.test.ts
@@ -23,7 +23,10 @@
       if (state.reachable) asked.push(value)
       return state.reachable
     },
-    tellEnd: (value) => { ended.push(value) }
+    tellEnd: (value) => {
+      if (state.reachable) ended.push(value)
+      return state.reachable
+    }
   })
   desk.attended()
   return { clock, desk, asked, ended, state, placer }
@@ -86,4 +89,18 @@
   assert.is(ended.at(-1)?.outcome, PlacementOutcome.PLACEMENT_OUTCOME_CANCELLED)
 })
 
+test('what ends while no dispatcher can be reached is told to the next one', async () => {
+  const { desk, ended, state } = createDesk()
+  const placing = desk.place(question(1), never)
+  desk.takePlacement({ ticket: 1, instance: 'a', address: '10.0.0.1:80' })
+  await placing
+  state.reachable = false
+  desk.lost()
+  desk.end({ ticket: 1, outcome: PlacementOutcome.PLACEMENT_OUTCOME_ANSWERED, milliseconds: 5, load: undefined, instance: '' })
+  assert.equal(ended, [])
+  state.reachable = true
+  desk.attended()
+  assert.equal(ended.map(({ ticket, instance }) => ({ ticket, instance })), [{ ticket: 1, instance: 'a' }])
+})
+
 test.run()
--- a/packages/entry/src/dispatched-entry.ts
+++ b/packages/entry/src/dispatched-entry.ts
@@ -83,7 +83,7 @@
       clock,
       placer: this.placer,
       ask: (value) => this.link.send({ body: { $case: 'question', value } }),
-      tellEnd: (value) => { this.link.send({ body: { $case: 'end', value } }) }
+      tellEnd: (value) => this.link.send({ body: { $case: 'end', value } })
     })
     this.link = DispatchLink.create({
       name,
