--- /dev/null
+++ b/packages/dispatch/src/dispatcher-log.ts
@@ -0,0 +1,45 @@
+/** Log lines of the dispatcher's decisions, with what decided them. */
+import { DenialReason, PlacementOutcome, type Denial, type PlacementEnd, type PlacementQuestion } from '@hickoryspoke/protocol/generated/dispatch'
+import type { Logger } from '@hickoryspoke/telemetry/logger'
+import type { InstanceStanding } from './instance-standing.ts'
+import type { PoolView } from './pool-dispatcher.ts'
+
+const UNKNOWN_NAME = 'unknown'
+
+/** An upstream failed, or is trusted again. */
+export function logEvidence (logger: Logger, entry: string, pool: string, end: PlacementEnd, standing: InstanceStanding): void {
+  logger.info('evidence on an upstream changed', {
+    upstream: end.instance,
+    pool,
+    entry,
+    outcome: outcomeName(end.outcome),
+    milliseconds: end.milliseconds,
+    failures: standing.failures,
+    inFlight: standing.inFlight
+  })
+}
+
+/** A request gets no upstream. */
+export function logDenial (logger: Logger, entry: string, question: PlacementQuestion, denial: Denial, view: PoolView): void {
+  logger.info('request denied', {
+    entry,
+    ticket: question.ticket,
+    reason: reasonName(denial.reason),
+    pool: question.pool,
+    customer: question.customer,
+    priority: question.priority,
+    attempt: question.attempt,
+    retryAfter: denial.retryAfterMilliseconds,
+    waiting: view.waiting,
+    inFlight: view.inFlight,
+    ...view.standings
+  })
+}
+
+function outcomeName (outcome: PlacementOutcome): string {
+  return (PlacementOutcome[outcome] ?? UNKNOWN_NAME).replace('PLACEMENT_OUTCOME_', '').toLowerCase()
+}
+
+function reasonName (reason: DenialReason): string {
+  return (DenialReason[reason] ?? UNKNOWN_NAME).replace('DENIAL_REASON_', '').toLowerCase()
+}
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -7,6 +7,7 @@
 import type { Logger } from '@hickoryspoke/telemetry/logger'
 import { CrashRegister } from './crash-register.ts'
 import type { CustomerRates } from './customer-rates.ts'
+import { logDenial, logEvidence } from './dispatcher-log.ts'
 import { PoolDispatcher, type Asker, type PoolView, type WaitingQuestion } from './pool-dispatcher.ts'
 import { RequestBudget, type BudgetTerms } from './request-budget.ts'
 import type { HeldUpstream, UpstreamRegistry } from './upstream-registry.ts'
@@ -242,17 +243,7 @@
     }
     if (end.outcome === PlacementOutcome.PLACEMENT_OUTCOME_BROKEN && question !== undefined) this.crashes.countBroken(question.fingerprint, now)
     if (end.outcome === PlacementOutcome.PLACEMENT_OUTCOME_MISDIRECTED) this.parts.registry.leave(instance, undefined)
-    if (failuresBefore !== standing.failures) {
-      this.parts.logger.info('evidence on an upstream changed', {
-        upstream: instance,
-        pool: poolName,
-        entry: attendant.entry,
-        outcome: end.outcome,
-        milliseconds: end.milliseconds,
-        failures: standing.failures,
-        inFlight: standing.inFlight
-      })
-    }
+    if (failuresBefore !== standing.failures) logEvidence(this.parts.logger, attendant.entry, poolName, { ...end, instance }, standing)
   }
 
   private mayProbe (question: PlacementQuestion, now: number): boolean {
@@ -272,6 +263,8 @@
   private deny (attendant: Attendant, question: PlacementQuestion, reason: DenialReason, retryAfter: number): void {
     const value = { ticket: question.ticket, reason, retryAfterMilliseconds: Math.ceil(retryAfter) }
     attendant.send({ body: { $case: 'denial', value } })
+    const view = this.poolOf(question.pool).view(question.pool, this.parts.clock.monotonicMilliseconds())
+    logDenial(this.parts.logger, attendant.entry, question, value, view)
   }
 
   private poolOf (name: string): PoolDispatcher {
--- a/packages/operator/src/command-explain.ts
+++ b/packages/operator/src/command-explain.ts
@@ -14,6 +14,8 @@
 export interface Explanation {
   /** Lines that name the request, in the order of time. */
   readonly request: readonly LogLine[]
+  /** Lines of the dispatcher on the question of the request. */
+  readonly dispatcher: readonly LogLine[]
   /** Lines of any process on the upstream that had the request, around its end. */
   readonly upstream: readonly LogLine[]
   /** Lines of the process that answered, on what it depends on, around the end of the request. */
@@ -30,10 +32,11 @@
   const { lines, damaged } = readLines(texts)
   const request = lines.filter(({ fields }) => fields.request === id)
   const end = request.at(-1)
-  if (end === undefined) return { request, upstream: [], dependencies: [], damaged }
+  if (end === undefined) return { request, dispatcher: [], upstream: [], dependencies: [], damaged }
   const around = lines.filter((line) => line !== end && Math.abs(Date.parse(line.time) - Date.parse(end.time)) <= AROUND_MILLISECONDS)
   return {
     request,
+    dispatcher: around.filter(({ fields }) => fields.entry === end.fields.node && fields.ticket !== undefined && fields.ticket === end.fields.ticket),
     upstream: around.filter(({ fields }) => end.fields.upstream !== '' && fields.upstream === end.fields.upstream && fields.request === undefined),
     dependencies: around.filter(({ fields }) => fields.node === end.fields.node && DEPENDENCY_EVENTS.has(String(fields.event))),
     damaged
@@ -79,10 +82,12 @@
   }
 }
 
-function describe (id: string, { request, upstream, dependencies, damaged }: Explanation): string[] {
+function describe (id: string, { request, dispatcher, upstream, dependencies, damaged }: Explanation): string[] {
   if (request.length === 0) return [`no line names the request ${id} (${damaged} lines could not be read)`]
   return [
     ...request.map(format),
+    'of the dispatcher, on its question:',
+    ...dispatcher.map(format),
     `on its upstream, ${AROUND_MILLISECONDS / 1000} s around:`,
     ...upstream.map(format),
     'what the process depends on, at that time:',
--- a/packages/operator/src/tests/command-explain.test.ts
+++ b/packages/operator/src/tests/command-explain.test.ts
@@ -6,7 +6,7 @@
 
 const ENTRY = [
   line(5, { node: 'entry-1', event: 'leader lost' }),
-  line(10, { node: 'entry-1', event: 'request ended', request: 'abc', upstream: 'i-1', outcome: 'upstream_failed' }),
+  line(10, { node: 'entry-1', event: 'request ended', request: 'abc', upstream: 'i-1', outcome: 'upstream_failed', ticket: 4 }),
   line(10, { node: 'entry-1', event: 'request ended', request: 'def', upstream: 'i-1', outcome: 'answered' })
 ].join('\n')
 
@@ -14,6 +14,8 @@
   `   3.5 control-1 ${line(9, { node: 'control-1', event: 'evidence on an upstream changed', upstream: 'i-1', failures: 1 })}`,
   line(9, { node: 'control-1', event: 'evidence on an upstream changed', upstream: 'i-2', failures: 1 }),
   line(59, { node: 'control-1', event: 'evidence on an upstream changed', upstream: 'i-1', failures: 2 }),
+  line(10, { node: 'control-1', event: 'request denied', entry: 'entry-1', ticket: 4 }),
+  line(10, { node: 'control-1', event: 'request denied', entry: 'entry-2', ticket: 4 }),
   '{"time":"2026-01-01T00:00:10.000Z","event":"cut sh'
 ].join('\n')
 
@@ -21,13 +23,14 @@
   const explanation = explainRequest('abc', [ENTRY, CONTROL])
   assert.equal(explanation.request.map(({ fields }) => fields.outcome), ['upstream_failed'])
   assert.equal(explanation.upstream.map(({ fields }) => fields.failures), [1])
+  assert.equal(explanation.dispatcher.map(({ fields }) => fields.entry), ['entry-1'])
   assert.equal(explanation.dependencies.map(({ fields }) => fields.event), ['leader lost'])
   assert.is(explanation.damaged, 1)
 })
 
 test('a request that no line names has no explanation', () => {
   const explanation = explainRequest('nobody', [ENTRY, 'plain text\n', ''])
-  assert.equal(explanation, { request: [], upstream: [], dependencies: [], damaged: 0 })
+  assert.equal(explanation, { request: [], dispatcher: [], upstream: [], dependencies: [], damaged: 0 })
 })
 
 test.run()
--- a/packages/request/src/dispatched-run.ts
+++ b/packages/request/src/dispatched-run.ts
@@ -38,6 +38,10 @@
   readonly attempts: number
   readonly instance: string
   readonly local: boolean
+  /** Number of the question to the dispatcher; 0 when none was asked. */
+  readonly ticket: number
+  /** Why the last attempt failed; empty when none did. */
+  readonly failure: string
 }
 
 interface Admitted {
@@ -71,6 +75,8 @@
   private attempts = 0
   private instance = ''
   private local = false
+  private ticket = 0
+  private failure = ''
   private mayHaveRun = false
   private lastAnswer: UpstreamAnswer | undefined
   private readonly excluded: string[] = []
@@ -150,6 +156,7 @@
 
   private async send (admitted: Admitted): Promise<DispatchedEnd> {
     const ticket = this.parts.desk.nextTicket()
+    this.ticket = ticket
     for (;;) {
       const placed = await this.parts.desk.place(this.question(ticket, admitted), this.expiry.signal)
       if (placed.isErr()) return await this.giveUp(admitted, this.refusalOfDenial(placed.error))
@@ -192,6 +199,7 @@
     }, this.caller)
     const end = await attempt.run(ticket, this.expiry.signal)
     if (end.arrived) this.attempts += 1
+    this.failure = end.kind === 'failure' ? `${end.failure.code}: ${end.failure.message}` : ''
     if (end.kind === 'answer' || !end.failure.provenNotRun) this.mayHaveRun = true
     this.excluded.push(instance)
     return end
@@ -265,6 +273,6 @@
   }
 
   private ended (code: string, status: number): DispatchedEnd {
-    return { code, status, attempts: this.attempts, instance: this.instance, local: this.local }
+    return { code, status, attempts: this.attempts, instance: this.instance, local: this.local, ticket: this.ticket, failure: this.failure }
   }
 }
--- a/packages/request/src/dispatched-runner.ts
+++ b/packages/request/src/dispatched-runner.ts
@@ -67,6 +67,8 @@
       outcome: end.code,
       status: end.status,
       attempts: end.attempts,
+      ticket: end.ticket,
+      failure: end.failure,
       upstream: end.instance,
       chosenBy: end.local ? 'entry' : 'dispatcher',
       milliseconds: Math.round(milliseconds),
