--- a/packages/dispatch/src/dispatch-service.ts
+++ b/packages/dispatch/src/dispatch-service.ts
@@ -6,7 +6,7 @@
 import { repeatEvery, type Clock } from '@hickoryspoke/runtime/clock'
 import { describeError } from '@hickoryspoke/runtime/failure'
 import type { Logger } from '@hickoryspoke/telemetry/logger'
-import { CustomerRates } from './customer-rates.ts'
+import { CustomerRates, type RateTerms } from './customer-rates.ts'
 import { Dispatcher, type Attendant } from './dispatcher.ts'
 import type { PoolView } from './pool-dispatcher.ts'
 import type { BudgetTerms } from './request-budget.ts'
@@ -52,6 +52,8 @@
   private dispatcher: Dispatcher | undefined
   private askers: { readonly attendance: Attendance, readonly question: number }[] = []
   private confirming = false
+  private terms = new Map<string, RateTerms>()
+  private termsNumber: number | undefined
 
   private constructor (private readonly parts: DispatchServiceParts) {
     parts.registry.onChange((changed) => this.spreadUpstreams(changed))
@@ -119,19 +121,13 @@
     this.attendances.clear()
   }
 
-  private customerTerms (name: string): { rate: number, burst: number } | undefined {
-    return this.customers().get(name)
-  }
-
-  private customersOf: ServingConfiguration | undefined
-  private customerTable = new Map<string, { rate: number, burst: number }>()
-
-  private customers (): Map<string, { rate: number, burst: number }> {
-    if (this.customersOf !== this.history.newest) {
-      this.customersOf = this.history.newest
-      this.customerTable = new Map(this.customersOf?.customers.map((customer) => [customer.name, customer]))
+  /** Rate and burst of a customer under the newest configuration. */
+  private customerTerms (name: string): RateTerms | undefined {
+    if (this.termsNumber !== this.history.newest?.number) {
+      this.termsNumber = this.history.newest?.number
+      this.terms = new Map(this.history.newest?.customers.map((customer) => [customer.name, customer]))
     }
-    return this.customerTable
+    return this.terms.get(name)
   }
 
   private receive (call: AttendCall): void {
--- a/packages/entry/src/dispatched-entry.ts
+++ b/packages/entry/src/dispatched-entry.ts
@@ -12,7 +12,8 @@
 import { DispatchedRunner } from '@hickoryspoke/request/dispatched-runner'
 import { ServingTable } from '@hickoryspoke/request/serving-table'
 import { UpstreamConnections } from '@hickoryspoke/request/upstream-connections'
-import { sleep, type Clock } from '@hickoryspoke/runtime/clock'
+import { splitAddress } from '@hickoryspoke/runtime/address'
+import type { Clock } from '@hickoryspoke/runtime/clock'
 import type { Failure } from '@hickoryspoke/runtime/failure'
 import type { RandomSource } from '@hickoryspoke/runtime/random'
 import type { Logger } from '@hickoryspoke/telemetry/logger'
@@ -117,7 +118,7 @@
       clock, random, dialect, connections: this.connections, desk: this.desk, inForce: this.inForce, table: () => this.table
     }, logger, this.observed)
     this.observed.follow({ inForce: this.inForce, desk: this.desk, inFlight: () => this.runner.inFlight, isReady: () => this.isReady })
-    const [host, port] = splitAddress(settings.callers)
+    const { host, port } = splitAddress(settings.callers)
     this.callers = CallerServer.create({ clock, runner: this.runner, host, port })
     this.readiness = createServer((request, response) => {
       const ready = request.url === settings.readinessPath && this.isReady
@@ -129,7 +130,7 @@
     const entry = new DispatchedEntry(settings, parts)
     const listening = await entry.callers.listen()
     if (listening.isErr()) return listening
-    const [host, port] = splitAddress(settings.readiness)
+    const { host, port } = splitAddress(settings.readiness)
     entry.readiness.listen(port, host)
     void entry.link.run(entry.stopping.signal)
     entry.lifecycle.send('ready')
@@ -156,7 +157,6 @@
     const finishMilliseconds = this.settings.stopMilliseconds - ANNOUNCE_MILLISECONDS - RESERVE_MILLISECONDS
     const report = await this.callers.drain({ announceMilliseconds: ANNOUNCE_MILLISECONDS, finishMilliseconds })
     this.stopping.abort()
-    await sleep(clock, 1)
     logger.info('entry stopped', {
       milliseconds: Math.round(clock.monotonicMilliseconds() - startedAt), finished: report.finished, lost: report.lost.length
     })
@@ -192,8 +192,3 @@
     this.desk.lost()
   }
 }
-
-function splitAddress (address: string): [string, number] {
-  const separator = address.lastIndexOf(':')
-  return [address.slice(0, separator), Number(address.slice(separator + 1))]
-}
--- /dev/null
+++ b/packages/runtime/src/address.ts
@@ -0,0 +1,5 @@
+/** An IP:PORT in its two parts. */
+export function splitAddress (address: string): { host: string, port: number } {
+  const separator = address.lastIndexOf(':')
+  return { host: address.slice(0, separator), port: Number(address.slice(separator + 1)) }
+}
--- a/packages/telemetry/src/metrics-server.ts
+++ b/packages/telemetry/src/metrics-server.ts
@@ -1,5 +1,6 @@
 /** Serves metrics as text over HTTP. */
 import { createServer, type Server } from 'node:http'
+import { splitAddress } from '@hickoryspoke/runtime/address'
 import { describeError } from '@hickoryspoke/runtime/failure'
 import type { Logger } from './logger.ts'
 import type { Metrics } from './metrics.ts'
@@ -20,8 +21,8 @@
       response.writeHead(500).end()
     })
   })
-  const separator = address.lastIndexOf(':')
+  const { host, port } = splitAddress(address)
   server.on('error', (error) => logger.error('metrics are not served', { address, reason: describeError(error) }))
-  server.listen(Number(address.slice(separator + 1)), address.slice(0, separator))
+  server.listen(port, host)
   return server
 }
