--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -32,7 +32,7 @@
   readonly entry: string
   readonly placedAt: number
   readonly question: PlacementQuestion | undefined
-  readonly expiry: Timer | undefined
+  readonly expiry: Timer
 }
 
 /** Longest wait for a free upstream, as a part of the time in which an answer earns its full value. */
@@ -124,7 +124,7 @@
   /** Ends all that waits; the entries ask elsewhere. */
   close (): void {
     for (const key of [...this.waiting.keys()]) this.forgetWaiting(key)
-    for (const placed of this.placed.values()) placed.expiry?.cancel()
+    for (const placed of this.placed.values()) placed.expiry.cancel()
     this.placed.clear()
   }
 
@@ -180,7 +180,6 @@
     const waiting: WaitingQuestion = {
       question,
       asker: attendant,
-      arrivedAt: now,
       resolve: (upstream) => {
         timer.cancel()
         this.waiting.delete(key)
@@ -218,7 +217,7 @@
     const placed = this.placed.get(key)
     if (placed === undefined) return
     this.placed.delete(key)
-    placed.expiry?.cancel()
+    placed.expiry.cancel()
     const standing = this.poolOf(placed.pool).standingOf(placed.instance)
     standing.inFlight = Math.max(0, standing.inFlight - 1)
     this.drain(placed.pool)
--- a/packages/dispatch/src/pool-dispatcher.ts
+++ b/packages/dispatch/src/pool-dispatcher.ts
@@ -26,7 +26,6 @@
 export interface WaitingQuestion {
   readonly question: PlacementQuestion
   readonly asker: Asker
-  readonly arrivedAt: number
   readonly resolve: (upstream: HeldUpstream | undefined) => void
 }
 
