--- /dev/null
+++ b/packages/bench/src/dispatch-site.ts
@@ -0,0 +1,222 @@
+/** Upstreams with gray episodes behind a dispatcher, in simulated time. */
+import { Dispatcher, type Attendant } from '@hickoryspoke/dispatch/dispatcher'
+import { CustomerRates } from '@hickoryspoke/dispatch/customer-rates'
+import { UpstreamRegistry } from '@hickoryspoke/dispatch/upstream-registry'
+import { PlacementOutcome, type DispatchMessage, type PlacementQuestion } from '@hickoryspoke/protocol/generated/dispatch'
+import { nextArrivalMilliseconds, type SeededRandom } from '@hickoryspoke/runtime/random'
+import { silentLogger } from '@hickoryspoke/telemetry/logger'
+import { FakeClock } from '@hickoryspoke/testing/fake-clock'
+import { GrayUpstream, type GrayPlan } from './gray-upstream.ts'
+
+/** Requests of one kind. Times in milliseconds. */
+export interface DispatchedKind {
+  readonly name: string
+  readonly perSecond: number
+  readonly workMilliseconds: number
+  /** Standard deviation of the work's logarithm. */
+  readonly spread: number
+  readonly targetMilliseconds: number
+  readonly timeoutMilliseconds: number
+  readonly priority: number
+  readonly mayRepeat: boolean
+}
+
+/** One pool and what is asked of it. */
+export interface DispatchScenario {
+  readonly name: string
+  readonly upstreams: number
+  readonly slots: number
+  readonly kinds: readonly DispatchedKind[]
+  readonly gray: GrayPlan
+  /** Factor on the arrivals at a time in milliseconds. */
+  readonly load?: (milliseconds: number) => number
+}
+
+/** How the requests of a run ended. */
+export interface DispatchCounts {
+  asked: number
+  inTime: number
+  late: number
+  /** Ended by a gray upstream. */
+  lost: number
+  /** Failed by themselves at a sound upstream. */
+  failed: number
+  refused: number
+  timedOut: number
+  episodes: number
+}
+
+interface Running {
+  readonly kind: DispatchedKind
+  readonly arrivedAt: number
+  readonly question: PlacementQuestion
+  attempt: number
+}
+
+const NETWORK_MILLISECONDS = 4
+const ERROR_SHARE = 0.012
+const TICK_MILLISECONDS = 50
+const BUDGET = { ratio: 0.2, slack: 60, windowMilliseconds: 10_000 }
+const ENTRIES = 40
+
+/** Plays one scenario for a while. */
+export class DispatchSite {
+  private readonly clock = FakeClock.create()
+  private readonly registry = UpstreamRegistry.create(this.clock)
+  private readonly upstreams = new Map<string, GrayUpstream>()
+  private readonly running = new Map<string, Running>()
+  private readonly dispatcher: Dispatcher
+  private readonly entries: Attendant[] = []
+  private lastTicket = 0
+  readonly counts: DispatchCounts = { asked: 0, inTime: 0, late: 0, lost: 0, failed: 0, refused: 0, timedOut: 0, episodes: 0 }
+
+  private constructor (private readonly scenario: DispatchScenario, private readonly random: SeededRandom) {
+    this.dispatcher = Dispatcher.create({
+      clock: this.clock, logger: silentLogger(), registry: this.registry, rates: CustomerRates.createUnspent(), budget: BUDGET
+    })
+    this.registry.onChange((changed) => this.dispatcher.updateAll(changed))
+    for (let index = 0; index < scenario.upstreams; index += 1) this.addUpstream(`upstream-${index}`, index)
+    for (let index = 0; index < ENTRIES; index += 1) this.addEntry(`entry-${index}`, `zone-${index % 4}`)
+  }
+
+  static create (scenario: DispatchScenario, random: SeededRandom): DispatchSite {
+    return new DispatchSite(scenario, random)
+  }
+
+  /** Lets requests arrive for a time and returns their ends. */
+  play (milliseconds: number): DispatchCounts {
+    for (const kind of this.scenario.kinds) this.scheduleArrival(kind, milliseconds)
+    const tick = (): void => {
+      this.dispatcher.tick()
+      this.clock.schedule(TICK_MILLISECONDS, tick)
+    }
+    tick()
+    this.clock.advance(milliseconds + 10_000)
+    for (const upstream of this.upstreams.values()) this.counts.episodes += upstream.episodesBefore(milliseconds)
+    return this.counts
+  }
+
+  private addUpstream (instance: string, index: number): void {
+    const { slots, gray } = this.scenario
+    this.upstreams.set(instance, GrayUpstream.create(this.clock, this.random, slots, gray))
+    this.registry.announce({
+      instance,
+      pool: 'pool',
+      address: `10.0.0.${index}:80`,
+      zone: `zone-${index % 4}`,
+      slots,
+      draining: false,
+      warmupMilliseconds: 0,
+      born: 1,
+      sequence: 1,
+      version: '',
+      gone: false
+    })
+  }
+
+  private addEntry (entry: string, zone: string): void {
+    const send = (message: DispatchMessage): void => {
+      this.clock.schedule(NETWORK_MILLISECONDS, () => this.receive(attendant, message))
+    }
+    const attendant: Attendant = { entry, zone, send }
+    this.entries.push(attendant)
+  }
+
+  private scheduleArrival (kind: DispatchedKind, until: number): void {
+    const factor = this.scenario.load?.(this.clock.monotonicMilliseconds()) ?? 1
+    this.clock.schedule(nextArrivalMilliseconds(this.random, kind.perSecond * factor), () => {
+      if (this.clock.monotonicMilliseconds() >= until) return
+      this.arrive(kind)
+      this.scheduleArrival(kind, until)
+    })
+  }
+
+  private arrive (kind: DispatchedKind): void {
+    this.counts.asked += 1
+    this.lastTicket += 1
+    const question: PlacementQuestion = {
+      ticket: this.lastTicket,
+      pool: 'pool',
+      customer: '',
+      priority: kind.priority,
+      mayRepeat: kind.mayRepeat,
+      targetMilliseconds: kind.targetMilliseconds,
+      patienceMilliseconds: kind.timeoutMilliseconds,
+      excluded: [],
+      attempt: 0,
+      fingerprint: this.lastTicket,
+      route: kind.name,
+      charged: false
+    }
+    const attendant = this.entries[this.lastTicket % ENTRIES] as Attendant
+    const running = { kind, arrivedAt: this.clock.monotonicMilliseconds(), question, attempt: 0 }
+    this.running.set(`${attendant.entry}/${question.ticket}`, running)
+    this.ask(attendant, running)
+  }
+
+  private ask (attendant: Attendant, { question }: Running): void {
+    this.clock.schedule(NETWORK_MILLISECONDS, () => this.dispatcher.ask(attendant, question))
+  }
+
+  private receive (attendant: Attendant, { body }: DispatchMessage): void {
+    if (body?.$case === 'denial') {
+      this.running.delete(`${attendant.entry}/${body.value.ticket}`)
+      this.counts.refused += 1
+    }
+    if (body?.$case === 'placement') this.send(attendant, body.value.ticket, body.value.instance)
+  }
+
+  private send (attendant: Attendant, ticket: number, instance: string): void {
+    const running = this.running.get(`${attendant.entry}/${ticket}`)
+    if (running === undefined) return
+    const { kind, arrivedAt } = running
+    const sentAt = this.clock.monotonicMilliseconds()
+    const patience = Math.max(1, arrivedAt + kind.timeoutMilliseconds - sentAt)
+    const work = kind.workMilliseconds * Math.exp(kind.spread * this.normal() - kind.spread ** 2 / 2)
+    this.upstreams.get(instance)?.take(work, patience, (result) => {
+      const milliseconds = this.clock.monotonicMilliseconds() - sentAt
+      const outcome = result === PlacementOutcome.PLACEMENT_OUTCOME_ANSWERED && this.random.next() < ERROR_SHARE
+        ? PlacementOutcome.PLACEMENT_OUTCOME_SERVER_ERROR
+        : result
+      this.clock.schedule(NETWORK_MILLISECONDS, () => {
+        this.dispatcher.end(attendant, { ticket, outcome, milliseconds, load: undefined, instance })
+      })
+      this.finish(attendant, running, instance, outcome)
+    })
+  }
+
+  private finish (attendant: Attendant, running: Running, instance: string, outcome: PlacementOutcome): void {
+    const { kind, question, arrivedAt } = running
+    const elapsed = this.clock.monotonicMilliseconds() - arrivedAt
+    const isNotRun = outcome === PlacementOutcome.PLACEMENT_OUTCOME_REFUSED
+    if (outcome !== PlacementOutcome.PLACEMENT_OUTCOME_ANSWERED && (kind.mayRepeat || isNotRun) && running.attempt < 1) {
+      const again = {
+        ...running,
+        attempt: 1,
+        question: {
+          ...question,
+          attempt: 1,
+          excluded: [instance],
+          targetMilliseconds: kind.targetMilliseconds - elapsed,
+          patienceMilliseconds: kind.timeoutMilliseconds - elapsed,
+          charged: true
+        }
+      }
+      this.running.set(`${attendant.entry}/${question.ticket}`, again)
+      return this.ask(attendant, again)
+    }
+    this.running.delete(`${attendant.entry}/${question.ticket}`)
+    if (outcome === PlacementOutcome.PLACEMENT_OUTCOME_ANSWERED) {
+      if (elapsed <= kind.targetMilliseconds) this.counts.inTime += 1
+      else this.counts.late += 1
+    } else if (outcome === PlacementOutcome.PLACEMENT_OUTCOME_SERVER_ERROR) this.counts.failed += 1
+    else if (outcome === PlacementOutcome.PLACEMENT_OUTCOME_TIMEOUT) this.counts.timedOut += 1
+    else if (isNotRun) this.counts.refused += 1
+    else this.counts.lost += 1
+  }
+
+  /** A normally distributed number, by the Box-Muller transform. */
+  private normal (): number {
+    return Math.sqrt(-2 * Math.log(1 - this.random.next())) * Math.cos(2 * Math.PI * this.random.next())
+  }
+}
--- a/packages/control/src/dispatching-control.ts
+++ b/packages/control/src/dispatching-control.ts
@@ -3,6 +3,7 @@
 import type { ServingConfiguration } from '@hickoryspoke/configuration/serving-configuration'
 import { DispatchLink } from '@hickoryspoke/dispatch/dispatch-link'
 import { DispatchService } from '@hickoryspoke/dispatch/dispatch-service'
+import type { OverageTerms } from '@hickoryspoke/dispatch/customer-rates'
 import type { BudgetTerms } from '@hickoryspoke/dispatch/request-budget'
 import { UpstreamRegistry } from '@hickoryspoke/dispatch/upstream-registry'
 import { DispatchService as DispatchDefinition } from '@hickoryspoke/protocol/generated/dispatch'
@@ -37,6 +38,7 @@
   /** The whole fleet starts for the first time, so that no customer has spent anything yet. */
   readonly firstOfFleet: boolean
   readonly budget: BudgetTerms
+  readonly overage: OverageTerms
   /** An upstream that is not announced for this long and does not answer requests is taken out. */
   readonly silentUpstreamMilliseconds: number
 }
@@ -84,6 +86,7 @@
       logger,
       registry: this.registry,
       budget: settings.budget,
+      overage: settings.overage,
       startsUnspent: () => settings.firstOfFleet && state.document === undefined,
       control: {
         isLeader: () => this.isLeader,
@@ -104,6 +107,7 @@
       held: () => 0,
       running: () => [],
       known: () => this.registry.announcements(),
+      admissions: () => ({ admitted: [], fleetShare: 0 }),
       wanted: () => !this.isLeader,
       listener: {
         placed: () => {},
--- a/packages/dispatch/src/configuration-in-force.ts
+++ b/packages/dispatch/src/configuration-in-force.ts
@@ -20,7 +20,11 @@
   private readonly asked = new Map<number, Moment>()
   private readonly listeners = new Set<(configuration: ServingConfiguration) => void>()
 
-  private constructor (private readonly clock: Clock, private readonly validMilliseconds: number) {}
+  private readonly createdAt: number
+
+  private constructor (private readonly clock: Clock, private readonly validMilliseconds: number) {
+    this.createdAt = clock.monotonicMilliseconds()
+  }
 
   /** `validMilliseconds` is how long a confirmation counts. */
   static create (clock: Clock, validMilliseconds: number): ConfigurationInForce {
@@ -80,6 +84,12 @@
     return Math.max(now.monotonic - this.confirmedAt.monotonic, Math.abs(now.wall - this.confirmedAt.wall))
   }
 
+  /** Milliseconds since the configuration was last fresh, or since the start. */
+  staleMilliseconds (): number {
+    const staleSince = this.confirmedAt === undefined ? this.createdAt : this.confirmedAt.monotonic + this.validMilliseconds
+    return Math.max(0, this.clock.monotonicMilliseconds() - staleSince)
+  }
+
   private now (): Moment {
     return { monotonic: this.clock.monotonicMilliseconds(), wall: this.clock.wallMilliseconds() }
   }
--- a/packages/dispatch/src/customer-rates.ts
+++ b/packages/dispatch/src/customer-rates.ts
@@ -1,4 +1,5 @@
 /** Rate and burst of each customer, counted where all its requests are placed. */
+import type { AdmittedRequests } from '@hickoryspoke/protocol/generated/dispatch'
 
 /** Rate in requests per second and burst in requests; a rate of 0 means no limit. */
 export interface RateTerms {
@@ -6,22 +7,48 @@
   readonly burst: number
 }
 
+/** How far the rates may be exceeded: within any window by a share of what is allowed in it, and by some requests more. */
+export interface OverageTerms {
+  readonly windowMilliseconds: number
+  readonly share: number
+  readonly requests: number
+}
+
+/** What one entry tells a new dispatcher of the window before it. */
+export interface AdmissionReport {
+  readonly admitted: AdmittedRequests[]
+  /** Part of the fleet that the entry is; 0 when it cannot account for the whole window. */
+  readonly fleetShare: number
+}
+
 interface Bucket {
   tokens: number
   filledAt: number
   terms: RateTerms
+  /** Tokens added for what the entries reported. */
+  credited: number
 }
 
+/** Part of the allowed overage that is given out before the entries have told what they admitted. */
+const USED_SHARE_OF_OVERAGE = 0.5
+
 /** One token bucket a customer. */
 export class CustomerRates {
   private readonly buckets = new Map<string, Bucket>()
   private termsOf: (customer: string) => RateTerms | undefined = () => undefined
+  private reportedShare = 0
+  private readonly reported = new Map<string, number>()
+
+  private constructor (private readonly overage: OverageTerms | undefined) {}
 
-  /** `startFull` is false where another process may have spent the bursts just before. */
-  private constructor (private readonly startFull: boolean) {}
+  /** Nothing has been spent yet, so bursts are whole. */
+  static createUnspent (): CustomerRates {
+    return new CustomerRates(undefined)
+  }
 
-  static create (startFull: boolean): CustomerRates {
-    return new CustomerRates(startFull)
+  /** An earlier dispatcher may have spent the bursts just before. */
+  static createAfterOther (overage: OverageTerms): CustomerRates {
+    return new CustomerRates(overage)
   }
 
   /** Puts new terms in force for requests from now on. */
@@ -29,6 +56,13 @@
     this.termsOf = termsOf
   }
 
+  /** Takes account of what an entry admitted under an earlier dispatcher; once for each entry. */
+  inherit ({ admitted, fleetShare }: AdmissionReport): void {
+    if (this.overage === undefined || fleetShare === 0) return
+    this.reportedShare = Math.min(1, this.reportedShare + fleetShare)
+    for (const { customer, requests } of admitted) this.reported.set(customer, (this.reported.get(customer) ?? 0) + requests)
+  }
+
   /** Takes one request from the customer's bucket; false when it is empty. */
   take (customer: string, now: number): boolean {
     const terms = this.termsOf(customer)
@@ -54,11 +88,30 @@
 
   private fill (customer: string, terms: RateTerms, now: number): Bucket {
     const size = Math.max(1, terms.burst)
-    const bucket = this.buckets.get(customer) ?? { tokens: this.startFull ? size : 0, filledAt: now, terms }
+    const bucket = this.buckets.get(customer) ?? { tokens: this.firstTokens(terms, size), filledAt: now, terms, credited: 0 }
+    const credit = this.creditOf(customer, terms)
     bucket.terms = { rate: terms.rate, burst: size }
-    bucket.tokens = Math.min(size, bucket.tokens + (now - bucket.filledAt) / 1000 * terms.rate)
+    bucket.tokens = Math.min(size, bucket.tokens + credit - bucket.credited + (now - bucket.filledAt) / 1000 * terms.rate)
+    bucket.credited = credit
     bucket.filledAt = now
     this.buckets.set(customer, bucket)
     return bucket
   }
+
+  private firstTokens (terms: RateTerms, size: number): number {
+    if (this.overage === undefined) return size
+    const { share, requests } = this.overage
+    return Math.min(size, USED_SHARE_OF_OVERAGE * (share * this.allowedInWindow(terms) + requests))
+  }
+
+  /** What was left of the window before this dispatcher, as far as entries have told. */
+  private creditOf (customer: string, terms: RateTerms): number {
+    if (this.reportedShare === 0) return 0
+    const left = this.allowedInWindow(terms) * this.reportedShare - (this.reported.get(customer) ?? 0)
+    return Math.min(terms.burst, left)
+  }
+
+  private allowedInWindow ({ rate, burst }: RateTerms): number {
+    return rate * (this.overage?.windowMilliseconds ?? 0) / 1000 + burst
+  }
 }
--- a/packages/dispatch/src/dispatch-link.ts
+++ b/packages/dispatch/src/dispatch-link.ts
@@ -9,6 +9,7 @@
 import { sleep, type Clock } from '@hickoryspoke/runtime/clock'
 import { pickOne, type RandomSource } from '@hickoryspoke/runtime/random'
 import type { Logger } from '@hickoryspoke/telemetry/logger'
+import type { AdmissionReport } from './customer-rates.ts'
 
 /** Receives what the dispatcher sends. */
 export interface DispatchListener {
@@ -41,6 +42,8 @@
   readonly held: () => number
   readonly running: () => RunningRequest[]
   readonly known: () => AnnouncedUpstream[]
+  /** What this process admitted lately. */
+  readonly admissions: () => AdmissionReport
   /** Whether this link should look for a leader now. */
   readonly wanted: () => boolean
 }
@@ -109,7 +112,7 @@
   }
 
   private async attend (address: string, signal: AbortSignal): Promise<void> {
-    const { clock, credentials, name, zone, mirror, held, running, known } = this.parts
+    const { clock, credentials, name, zone, mirror, held, running, known, admissions } = this.parts
     this.lastAsked = address
     const client = new DispatchClient(address, credentials.forChannel(), { ...credentials.channelOptions(address), 'grpc.use_local_subchannel_pool': 1 })
     const call = client.attend()
@@ -127,7 +130,7 @@
       call.on('status', finish)
       signal.addEventListener('abort', finish, { once: true })
     })
-    call.write({ body: { $case: 'hello', value: { name, zone, mirror, configurationNumber: held(), running: running(), upstreams: known() } } })
+    call.write({ body: { $case: 'hello', value: { name, zone, mirror, configurationNumber: held(), running: running(), upstreams: known(), ...admissions() } } })
     await Promise.race([over, this.watch(stream)])
     this.end(stream, address)
     client.close()
--- a/packages/dispatch/src/dispatch-service.ts
+++ b/packages/dispatch/src/dispatch-service.ts
@@ -6,7 +6,7 @@
 import { repeatEvery, type Clock } from '@hickoryspoke/runtime/clock'
 import { describeError } from '@hickoryspoke/runtime/failure'
 import type { Logger } from '@hickoryspoke/telemetry/logger'
-import { CustomerRates, type RateTerms } from './customer-rates.ts'
+import { CustomerRates, type OverageTerms, type RateTerms } from './customer-rates.ts'
 import { Dispatcher, type Attendant } from './dispatcher.ts'
 import type { PoolView } from './pool-dispatcher.ts'
 import type { BudgetTerms } from './request-budget.ts'
@@ -31,6 +31,7 @@
   readonly control: ControlView
   readonly registry: UpstreamRegistry
   readonly budget: BudgetTerms
+  readonly overage: OverageTerms
   /** Whether certainly no earlier dispatcher spent any customer's burst. */
   readonly startsUnspent: () => boolean
 }
@@ -105,8 +106,8 @@
   }
 
   private begin (): void {
-    const { clock, logger, registry, budget } = this.parts
-    const rates = CustomerRates.create(this.parts.startsUnspent())
+    const { clock, logger, registry, budget, overage } = this.parts
+    const rates = this.parts.startsUnspent() ? CustomerRates.createUnspent() : CustomerRates.createAfterOther(overage)
     rates.setTerms((name) => this.customerTerms(name))
     registry.refresh()
     this.dispatcher = Dispatcher.create({ clock, logger, registry, rates, budget })
@@ -160,7 +161,7 @@
     call.write({ body: { $case: 'leader', value: this.notice(true) } })
     this.sendConfiguration(attendance)
     this.sendUpstreams(attendance, { whole: true, upstreams: this.parts.registry.announcements() })
-    if (!attendance.mirror) this.dispatcher.inherit(attendance.attendant, hello.running)
+    if (!attendance.mirror) this.dispatcher.inherit(attendance.attendant, hello)
     return attendance
   }
 
--- a/packages/dispatch/src/dispatcher-log.ts
+++ b/packages/dispatch/src/dispatcher-log.ts
@@ -7,14 +7,15 @@
 const UNKNOWN_NAME = 'unknown'
 
 /** An upstream failed, or is trusted again. */
-export function logEvidence (logger: Logger, entry: string, pool: string, end: PlacementEnd, standing: InstanceStanding): void {
+export function logEvidence (logger: Logger, entry: string, pool: string, end: PlacementEnd, standing: InstanceStanding, now: number): void {
   logger.info('evidence on an upstream changed', {
     upstream: end.instance,
     pool,
     entry,
     outcome: outcomeName(end.outcome),
     milliseconds: end.milliseconds,
-    failures: standing.failures,
+    standing: standing.standing(now),
+    failureProbability: Number(standing.failureProbability(now).toFixed(2)),
     inFlight: standing.inFlight
   })
 }
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -6,11 +6,12 @@
 import type { Clock, Timer } from '@hickoryspoke/runtime/clock'
 import type { Logger } from '@hickoryspoke/telemetry/logger'
 import { CrashRegister } from './crash-register.ts'
-import type { CustomerRates } from './customer-rates.ts'
+import type { AdmissionReport, CustomerRates } from './customer-rates.ts'
 import { logDenial, logEvidence } from './dispatcher-log.ts'
-import { PoolDispatcher, type Asker, type PoolView, type WaitingQuestion } from './pool-dispatcher.ts'
+import { PoolDispatcher, type Asker, type ChoiceTerms, type PoolView } from './pool-dispatcher.ts'
 import { RequestBudget, type BudgetTerms } from './request-budget.ts'
 import type { HeldUpstream, UpstreamRegistry } from './upstream-registry.ts'
+import type { WaitingQuestion } from './waiting-line.ts'
 
 /** One entry that attends, and the way to it. */
 export interface Attendant extends Asker {
@@ -26,6 +27,11 @@
   readonly budget: BudgetTerms
 }
 
+/** What an entry brings from an earlier dispatcher, or from a time without one. */
+export interface InheritedRequests extends AdmissionReport {
+  readonly running: readonly RunningRequest[]
+}
+
 interface Placed {
   readonly instance: string
   readonly pool: string
@@ -33,10 +39,14 @@
   readonly placedAt: number
   readonly question: PlacementQuestion | undefined
   readonly expiry: Timer
+  overdue: Timer | undefined
+  isOverdue: boolean
 }
 
-/** Longest wait for a free upstream, as a part of the time in which an answer earns its full value. */
-const WAITING_SHARE = 0.75
+/** Times the usual duration that a request is given at its upstream. */
+const NEEDED_FACTOR = 1.3
+/** A request that can no longer be answered in time waits on while it has this many times the usual duration left. */
+const NEEDED_LATE_FACTOR = 2
 /** A placement whose end is never told is forgotten this long after its time is over. */
 const FORGET_MILLISECONDS = 2_000
 /** Placements that an earlier dispatcher made are forgotten after this time. */
@@ -44,7 +54,7 @@
 const SHORTEST_RETRY_MILLISECONDS = 200
 const YOUNG_MILLISECONDS = 3_000
 
-/** A request that ran out of time counts against its upstream when it took this many times the usual time. */
+/** A request that takes this many times the usual time counts against its upstream. */
 const SLOW_FACTOR = 3
 
 /** Ends after which a request is lost unless it may be repeated. */
@@ -59,6 +69,7 @@
   private readonly crashes = CrashRegister.create()
   private readonly placed = new Map<string, Placed>()
   private readonly waiting = new Map<string, WaitingQuestion>()
+  private readonly inherited = new Set<string>()
   private readonly beganAt: number
 
   private constructor (private readonly parts: DispatcherParts) {
@@ -76,8 +87,10 @@
     for (const pool of pools) this.drain(pool)
   }
 
-  /** Counts what an entry has in flight from before; what it does not name has ended. */
-  inherit (attendant: Attendant, running: readonly RunningRequest[]): void {
+  /** Counts what an entry has in flight and admitted from before; what it does not name has ended. */
+  inherit (attendant: Attendant, { running, ...report }: InheritedRequests): void {
+    if (!this.inherited.has(attendant.entry)) this.parts.rates.inherit(report)
+    this.inherited.add(attendant.entry)
     const named = new Set(running.map((request) => keyOf(attendant.entry, request.ticket)))
     for (const [key, placed] of this.placed) {
       if (placed.entry === attendant.entry && !named.has(key)) this.release(key)
@@ -97,7 +110,7 @@
     const refusal = this.admit(question, now)
     if (refusal !== undefined) return this.deny(attendant, question, refusal.reason, refusal.retryAfter)
     const pool = this.poolOf(question.pool)
-    const upstream = pool.choose(question, attendant, now, this.mayProbe(question, now))
+    const upstream = pool.choose(question, attendant, now, this.termsOf(question, pool, 0, now))
     if (upstream !== undefined) return this.place(attendant, question, upstream)
     if (!this.isYoung(now) && !pool.hasEligible(question, attendant, now)) return this.denyUnplaced(attendant, question, DenialReason.DENIAL_REASON_NO_UPSTREAM)
     this.wait(attendant, question, pool, now)
@@ -117,14 +130,17 @@
   /** Places what waits for an upstream whose time to be avoided is over. */
   tick (): void {
     for (const [name, pool] of this.pools) {
-      if (pool.waiting > 0) this.drain(name)
+      if (pool.line.length > 0) this.drain(name)
     }
   }
 
   /** Ends all that waits; the entries ask elsewhere. */
   close (): void {
     for (const key of [...this.waiting.keys()]) this.forgetWaiting(key)
-    for (const placed of this.placed.values()) placed.expiry.cancel()
+    for (const placed of this.placed.values()) {
+      placed.expiry.cancel()
+      placed.overdue?.cancel()
+    }
     this.placed.clear()
   }
 
@@ -134,11 +150,10 @@
     return [...this.pools].map(([name, pool]) => pool.view(name, now))
   }
 
-  /** Whether the upstream has requests in flight or answered the last one. */
+  /** Whether the upstream answers requests. */
   isInUse (upstream: HeldUpstream): boolean {
     const { pool, instance } = upstream.announced
-    const standing = this.poolOf(pool).standingOf(instance)
-    return standing.failures === 0 && standing.placed > 0
+    return this.poolOf(pool).standingOf(instance).isInUse(this.parts.clock.monotonicMilliseconds())
   }
 
   /** Just after a change of leader not all upstreams may have been announced here. */
@@ -170,29 +185,44 @@
   }
 
   private wait (attendant: Attendant, question: PlacementQuestion, pool: PoolDispatcher, now: number): void {
-    const longest = Math.min(question.patienceMilliseconds, Math.max(0, question.targetMilliseconds) * WAITING_SHARE)
+    const longest = lateSlackOf(question, pool)
     const expected = pool.expectedWait(question.priority, now)
     if (expected >= longest) return this.denyUnplaced(attendant, question, DenialReason.DENIAL_REASON_OVERLOADED, expected)
     const key = keyOf(attendant.entry, question.ticket)
-    const timer = this.parts.clock.schedule(longest, () => {
+    const { clock } = this.parts
+    const slack = slackOf(question, pool)
+    const giveUp = (): void => {
+      this.drain(question.pool)
       if (this.forgetWaiting(key)) this.denyUnplaced(attendant, question, DenialReason.DENIAL_REASON_OVERLOADED, expected)
-    })
+    }
+    const timers = [clock.schedule(longest, giveUp)]
     const waiting: WaitingQuestion = {
       question,
       asker: attendant,
+      since: now,
       resolve: (upstream) => {
-        timer.cancel()
+        for (const timer of timers) timer.cancel()
         this.waiting.delete(key)
         if (upstream !== undefined) this.place(attendant, question, upstream)
       }
     }
+    if (slack < longest) timers.push(clock.schedule(Math.max(0, slack), () => this.becomeLate(question.pool, waiting, giveUp)))
     this.waiting.set(key, waiting)
-    pool.enqueue(waiting)
+    pool.line.add(waiting)
+  }
+
+  /** What can no longer be answered in time waits behind the rest, and is refused where the rest would take too long. */
+  private becomeLate (poolName: string, waiting: WaitingQuestion, giveUp: () => void): void {
+    const now = this.parts.clock.monotonicMilliseconds()
+    const pool = this.poolOf(poolName)
+    if (!pool.line.becomeLate(waiting)) return
+    this.drain(poolName)
+    if (pool.expectedWait(Infinity, now) > lateSlackOf(waiting.question, pool) - (now - waiting.since)) giveUp()
   }
 
   private forgetWaiting (key: string): boolean {
     const waiting = this.waiting.get(key)
-    if (waiting === undefined || !this.poolOf(waiting.question.pool).withdraw(waiting)) return false
+    if (waiting === undefined || !this.poolOf(waiting.question.pool).line.withdraw(waiting)) return false
     waiting.resolve(undefined)
     return true
   }
@@ -207,10 +237,23 @@
     this.release(key)
     const pool = question?.pool ?? this.parts.registry.find(instance)?.announced.pool ?? ''
     const standing = this.poolOf(pool).standingOf(instance)
-    standing.inFlight += 1
-    standing.placed += 1
-    const expiry = this.parts.clock.schedule(lifeMilliseconds, () => this.release(key))
-    this.placed.set(key, { instance, pool, entry: attendant.entry, placedAt: this.parts.clock.monotonicMilliseconds(), question, expiry })
+    const { clock } = this.parts
+    const placedAt = clock.monotonicMilliseconds()
+    standing.place(placedAt)
+    const expiry = clock.schedule(lifeMilliseconds, () => this.release(key))
+    const placed: Placed = { instance, pool, entry: attendant.entry, placedAt, question, expiry, overdue: undefined, isOverdue: false }
+    this.placed.set(key, placed)
+    if (question !== undefined) placed.overdue = this.watchOverdue(placed, question)
+  }
+
+  /** A request that takes several times as long as usual speaks against its upstream before it ends. */
+  private watchOverdue (placed: Placed, question: PlacementQuestion): Timer {
+    const { clock } = this.parts
+    const pool = this.poolOf(placed.pool)
+    return clock.schedule(SLOW_FACTOR * pool.usualMilliseconds(question), () => {
+      placed.isOverdue = true
+      pool.standingOf(placed.instance).recordOverdue(clock.monotonicMilliseconds())
+    })
   }
 
   private release (key: string): void {
@@ -218,6 +261,7 @@
     if (placed === undefined) return
     this.placed.delete(key)
     placed.expiry.cancel()
+    placed.overdue?.cancel()
     const standing = this.poolOf(placed.pool).standingOf(placed.instance)
     standing.inFlight = Math.max(0, standing.inFlight - 1)
     this.drain(placed.pool)
@@ -229,12 +273,13 @@
     const pool = this.poolOf(poolName)
     const standing = pool.standingOf(instance)
     const kind = question?.route ?? ''
-    const failuresBefore = standing.failures
+    const before = standing.standing(now)
+    const wasOverdue = placed?.isOverdue ?? false
     const outcome = isEarlyTimeout(end, pool) ? PlacementOutcome.PLACEMENT_OUTCOME_CANCELLED : end.outcome
     pool.failures.count(LOST_OUTCOMES.has(outcome), now)
     const { milliseconds } = end
     const usualMilliseconds = pool.times.usualMilliseconds(kind)
-    standing.record({ outcome, entry: attendant.entry, placedAt: placedAt ?? now - milliseconds, milliseconds, usualMilliseconds }, now)
+    standing.record({ outcome, entry: attendant.entry, placedAt: placedAt ?? now - milliseconds, milliseconds, usualMilliseconds, wasOverdue }, now)
     if (end.load !== undefined) standing.noteLoad(end.load, now)
     if (end.outcome === PlacementOutcome.PLACEMENT_OUTCOME_ANSWERED) {
       pool.times.record(kind, end.milliseconds)
@@ -242,16 +287,23 @@
     }
     if (end.outcome === PlacementOutcome.PLACEMENT_OUTCOME_BROKEN && question !== undefined) this.crashes.countBroken(question.fingerprint, now)
     if (end.outcome === PlacementOutcome.PLACEMENT_OUTCOME_MISDIRECTED) this.parts.registry.leave(instance, undefined)
-    if (failuresBefore !== standing.failures) logEvidence(this.parts.logger, attendant.entry, poolName, { ...end, instance }, standing)
+    if (before !== standing.standing(now) || LOST_OUTCOMES.has(end.outcome)) {
+      logEvidence(this.parts.logger, attendant.entry, poolName, { ...end, instance }, standing, now)
+    }
   }
 
-  private mayProbe (question: PlacementQuestion, now: number): boolean {
-    return question.mayRepeat && this.budgetOf(question.pool).allowsRepeat(now)
+  private termsOf (question: PlacementQuestion, pool: PoolDispatcher, waitedMilliseconds: number, now: number): ChoiceTerms {
+    return {
+      mayProbe: question.mayRepeat && this.budgetOf(question.pool).allowsRepeat(now),
+      slackMilliseconds: slackOf(question, pool) - waitedMilliseconds,
+      lateSlackMilliseconds: lateSlackOf(question, pool) - waitedMilliseconds
+    }
   }
 
   private drain (poolName: string): void {
     const now = this.parts.clock.monotonicMilliseconds()
-    this.poolOf(poolName).drainQueue(now, (question) => this.mayProbe(question, now))
+    const pool = this.poolOf(poolName)
+    pool.drainQueue(now, (waiting) => this.termsOf(waiting.question, pool, now - waiting.since, now))
   }
 
   private denyUnplaced (attendant: Attendant, question: PlacementQuestion, reason: DenialReason, retryAfter = SHORTEST_RETRY_MILLISECONDS): void {
@@ -288,6 +340,17 @@
   return end.outcome === PlacementOutcome.PLACEMENT_OUTCOME_TIMEOUT && end.milliseconds < SLOW_FACTOR * pool.times.meanMilliseconds()
 }
 
+/** Milliseconds that the request may wait and still be answered in time. */
+function slackOf (question: PlacementQuestion, pool: PoolDispatcher): number {
+  const longest = Math.min(question.targetMilliseconds, question.patienceMilliseconds)
+  return longest - NEEDED_FACTOR * pool.usualMilliseconds(question)
+}
+
+/** Milliseconds that the request may wait and still be answered. */
+function lateSlackOf (question: PlacementQuestion, pool: PoolDispatcher): number {
+  return question.patienceMilliseconds - NEEDED_LATE_FACTOR * pool.usualMilliseconds(question)
+}
+
 function keyOf (entry: string, ticket: number): string {
   return `${entry}/${ticket}`
 }
--- a/packages/dispatch/src/local-placer.ts
+++ b/packages/dispatch/src/local-placer.ts
@@ -2,8 +2,9 @@
 import { PlacementOutcome, type PlacementEnd, type PlacementQuestion } from '@hickoryspoke/protocol/generated/dispatch'
 import type { Clock } from '@hickoryspoke/runtime/clock'
 import { pickOne, type RandomSource } from '@hickoryspoke/runtime/random'
-import { CustomerRates, type RateTerms } from './customer-rates.ts'
+import { CustomerRates, type AdmissionReport, type RateTerms } from './customer-rates.ts'
 import { InstanceStanding, STANDING } from './instance-standing.ts'
+import { SoundShares } from './sound-shares.ts'
 import { RecentRates } from './recent-rates.ts'
 import type { HeldUpstream, UpstreamRegistry } from './upstream-registry.ts'
 
@@ -14,16 +15,21 @@
   readonly registry: UpstreamRegistry
   readonly entry: string
   readonly zone: string
+  /** Window within which admitted requests are remembered, in milliseconds. */
+  readonly windowMilliseconds: number
 }
 
 /** One entry's own view of the upstreams. */
 export class LocalPlacer {
   private readonly standings = new Map<string, InstanceStanding>()
-  private rates = CustomerRates.create(true)
-  private readonly recent = RecentRates.create()
+  private readonly shares = SoundShares.create()
+  private rates = CustomerRates.createUnspent()
+  private readonly recent: RecentRates
   private termsOf: (customer: string) => RateTerms | undefined = () => undefined
 
-  private constructor (private readonly parts: LocalPlacerParts) {}
+  private constructor (private readonly parts: LocalPlacerParts) {
+    this.recent = RecentRates.create(parts.clock.monotonicMilliseconds(), parts.windowMilliseconds)
+  }
 
   static create (parts: LocalPlacerParts): LocalPlacer {
     return new LocalPlacer(parts)
@@ -46,13 +52,23 @@
       if (terms === undefined) return undefined
       return { rate: terms.rate === 0 ? 0 : Math.max(terms.rate / parts, lately.get(customer) ?? 0), burst: terms.burst / parts }
     }
-    this.rates = CustomerRates.create(true)
+    this.rates = CustomerRates.createUnspent()
     this.rates.setTerms((customer) => this.termsOf(customer))
   }
 
   /** Takes one request from this entry's part of the customer's rate. */
   admit (customer: string): boolean {
-    return customer === '' || this.rates.take(customer, this.parts.clock.monotonicMilliseconds())
+    if (customer === '') return true
+    const now = this.parts.clock.monotonicMilliseconds()
+    if (!this.rates.take(customer, now)) return false
+    this.recent.count(customer, now)
+    return true
+  }
+
+  /** What this entry, one of so many, admitted lately, for a new dispatcher. */
+  report (entries: number): AdmissionReport {
+    const now = this.parts.clock.monotonicMilliseconds()
+    return { admitted: this.recent.admitted(now), fleetShare: this.recent.isWhole(now) && entries > 0 ? 1 / entries : 0 }
   }
 
   /** The less busy of two upstreams, those that failed lately last. */
@@ -62,14 +78,14 @@
       return announced.pool === question.pool && !announced.draining && !question.excluded.includes(announced.instance) &&
         this.standingOf(announced.instance).isReachableFrom(this.parts.entry, now)
     })
-    const good = all.filter(({ announced }) => this.standingOf(announced.instance).standing(now) === STANDING.good)
-    const usable = good.length > 0 ? good : all
+    const sound = all.filter(({ announced }) => this.standingOf(announced.instance).standing(now) === STANDING.sound)
+    const usable = sound.length > 0 ? sound : all
     if (usable.length === 0) return undefined
     const near = usable.filter(({ announced }) => announced.zone === this.parts.zone)
     const first = pickOne(this.parts.random, near.length > 1 ? near : usable)
     const second = pickOne(this.parts.random, usable)
     const chosen = this.load(second) < this.load(first) ? second : first
-    this.standingOf(chosen.announced.instance).inFlight += 1
+    this.standingOf(chosen.announced.instance).place(now)
     return chosen
   }
 
@@ -80,7 +96,7 @@
     if (end.outcome === PlacementOutcome.PLACEMENT_OUTCOME_MISDIRECTED) this.parts.registry.leave(instance, undefined)
     const now = this.parts.clock.monotonicMilliseconds()
     const { outcome, milliseconds } = end
-    standing.record({ outcome, entry: this.parts.entry, placedAt: now - milliseconds, milliseconds, usualMilliseconds: 0 }, now)
+    standing.record({ outcome, entry: this.parts.entry, placedAt: now - milliseconds, milliseconds, usualMilliseconds: 0, wasOverdue: false }, now)
   }
 
   private load ({ announced }: HeldUpstream): number {
@@ -90,7 +106,7 @@
   private standingOf (instance: string): InstanceStanding {
     const known = this.standings.get(instance)
     if (known !== undefined) return known
-    const created = InstanceStanding.create(this.parts.clock.monotonicMilliseconds())
+    const created = InstanceStanding.create(this.parts.clock.monotonicMilliseconds(), this.shares)
     this.standings.set(instance, created)
     return created
   }
--- a/packages/dispatch/src/pool-dispatcher.ts
+++ b/packages/dispatch/src/pool-dispatcher.ts
@@ -1,11 +1,13 @@
 /** Places the requests of one pool on its upstreams, and keeps those that wait in the order of their urgency. */
 import type { PlacementQuestion } from '@hickoryspoke/protocol/generated/dispatch'
 import type { Clock } from '@hickoryspoke/runtime/clock'
-import { InstanceStanding, STANDING, type Standing } from './instance-standing.ts'
+import { InstanceStanding, type Standing } from './instance-standing.ts'
 import { KindTimes } from './kind-times.ts'
 import { RecentFailures } from './recent-failures.ts'
-import { chooseLongestQuiet, chooseUpstream, type Candidate } from './upstream-choice.ts'
+import { SoundShares } from './sound-shares.ts'
+import { chooseUpstream, successOf, type Candidate } from './upstream-choice.ts'
 import type { HeldUpstream } from './upstream-registry.ts'
+import { WaitingLine, type WaitingQuestion } from './waiting-line.ts'
 
 /** What a pool looks like now. */
 export interface PoolView {
@@ -22,19 +24,28 @@
   readonly zone: string
 }
 
-/** A question that waits for a free upstream. */
-export interface WaitingQuestion {
-  readonly question: PlacementQuestion
-  readonly asker: Asker
-  readonly resolve: (upstream: HeldUpstream | undefined) => void
+/** What a request would do with a free upstream now. */
+export interface ChoiceTerms {
+  /** Failing costs only a repeat. */
+  readonly mayProbe: boolean
+  /** How long it can wait and still be answered in time, in milliseconds; below 0 it can only be answered late. */
+  readonly slackMilliseconds: number
+  /** How long it can wait and still be answered at all. */
+  readonly lateSlackMilliseconds: number
 }
 
+/** An upstream of which nothing is known is always good enough. */
+const HIGHEST_LEAST_HOPE = 0.88
+/** What a late answer is worth, in parts of one in time. */
+const LATE_VALUE = 0.55
+
 /** Upstreams and queue of one pool. */
 export class PoolDispatcher {
   readonly standings = new Map<string, InstanceStanding>()
   readonly times = KindTimes.create()
   readonly failures = RecentFailures.create()
-  private readonly queue: WaitingQuestion[] = []
+  readonly line = WaitingLine.create()
+  private readonly shares = SoundShares.create()
   private upstreams = new Map<string, HeldUpstream>()
 
   private constructor (private readonly clock: Clock) {}
@@ -51,10 +62,6 @@
     this.standingOf(instance)
   }
 
-  get waiting (): number {
-    return this.queue.length
-  }
-
   /** Upstreams that may get requests. */
   get serving (): HeldUpstream[] {
     return [...this.upstreams.values()].filter((upstream) => !upstream.announced.draining)
@@ -62,32 +69,40 @@
 
   /** The pool as it is now. */
   view (name: string, now: number): PoolView {
-    const standings = { good: 0, trial: 0, avoided: 0 }
+    const standings = { sound: 0, suspect: 0 }
     let inFlight = 0
     for (const { announced } of this.serving) {
       const standing = this.standingOf(announced.instance)
       standings[standing.standing(now)] += 1
       inFlight += standing.inFlight
     }
-    return { name, inFlight, waiting: this.waiting, standings }
+    return { name, inFlight, waiting: this.line.length, standings }
   }
 
   standingOf (instance: string): InstanceStanding {
     const known = this.standings.get(instance)
     if (known !== undefined) return known
-    const created = InstanceStanding.create(this.clock.monotonicMilliseconds())
+    const created = InstanceStanding.create(this.clock.monotonicMilliseconds(), this.shares)
     this.standings.set(instance, created)
     return created
   }
 
-  /** An upstream with a free slot, or undefined when the request must wait. */
-  choose (question: PlacementQuestion, asker: Asker, now: number, mayProbe: boolean): HeldUpstream | undefined {
+  /** Usual duration of requests like this one. */
+  usualMilliseconds (question: PlacementQuestion): number {
+    return this.times.usualMilliseconds(question.route) || this.times.meanMilliseconds()
+  }
+
+  /** An upstream with a free slot, or undefined when the request is better kept waiting. */
+  choose (question: PlacementQuestion, asker: Asker, now: number, terms: ChoiceTerms): HeldUpstream | undefined {
     const eligible = this.eligible(question, asker, now)
     const free = eligible.filter(({ upstream, standing }) => !standing.isFull(upstream.announced.slots, now))
-    const chosen = chooseUpstream(free, { now, mayProbe: mayProbe && question.attempt === 0, isStressed: this.failures.isStressed(now) })
-    if (chosen !== undefined) return chosen.upstream
-    const isHopeless = eligible.every(({ standing }) => standing.standing(now) === STANDING.avoided)
-    return isHopeless ? chooseLongestQuiet(free, now)?.upstream : undefined
+    const chosen = chooseUpstream(free, {
+      now,
+      mayProbe: terms.mayProbe && question.attempt === 0,
+      isStressed: this.failures.isStressed(now),
+      leastSuccess: this.leastHope(question.priority, terms, now) * Math.max(0, ...eligible.map((candidate) => successOf(candidate, now)))
+    })
+    return chosen?.upstream
   }
 
   /** Whether any upstream could ever take the request. */
@@ -95,39 +110,31 @@
     return this.eligible(question, asker, now).length > 0
   }
 
-  /** Milliseconds that a question of this urgency would wait now. */
+  /** Milliseconds that a question of this urgency would wait now for an upstream that answers. */
   expectedWait (priority: number, now: number): number {
-    const ahead = this.queue.filter((waiting) => waiting.question.priority <= priority).length
     const slots = this.serving.reduce((sum, { announced }) => {
-      return sum + (this.standingOf(announced.instance).standing(now) === STANDING.good ? announced.slots : 0)
+      return sum + announced.slots * (1 - this.standingOf(announced.instance).failureProbability(now))
     }, 0)
-    return slots === 0 ? 0 : ahead * this.times.meanMilliseconds() / slots
-  }
-
-  enqueue (waiting: WaitingQuestion): void {
-    const place = this.queue.findIndex((other) => other.question.priority > waiting.question.priority)
-    if (place < 0) this.queue.push(waiting)
-    else this.queue.splice(place, 0, waiting)
-  }
-
-  /** Takes a question back; false when it no longer waits. */
-  withdraw (waiting: WaitingQuestion): boolean {
-    const place = this.queue.indexOf(waiting)
-    if (place < 0) return false
-    this.queue.splice(place, 1)
-    return true
+    return slots === 0 ? 0 : (this.line.ahead(priority) + 1) * this.times.meanMilliseconds() / slots
   }
 
   /** Places what waits as far as upstreams are free. */
-  drainQueue (now: number, mayProbe: (question: PlacementQuestion) => boolean): void {
-    for (const waiting of [...this.queue]) {
-      const upstream = this.choose(waiting.question, waiting.asker, now, mayProbe(waiting.question))
+  drainQueue (now: number, termsOf: (waiting: WaitingQuestion) => ChoiceTerms): void {
+    for (const waiting of this.line.inOrder()) {
+      const upstream = this.choose(waiting.question, waiting.asker, now, termsOf(waiting))
       if (upstream === undefined) continue
-      this.withdraw(waiting)
+      this.line.withdraw(waiting)
       waiting.resolve(upstream)
     }
   }
 
+  /** The longer a better upstream would have to be awaited, the worse a free one may be, in parts of the best one. */
+  private leastHope (priority: number, { slackMilliseconds, lateSlackMilliseconds }: ChoiceTerms, now: number): number {
+    if (lateSlackMilliseconds <= 0) return 0
+    if (slackMilliseconds <= 0) return LATE_VALUE * hopeOf(this.expectedWait(Infinity, now), lateSlackMilliseconds)
+    return Math.max(LATE_VALUE, HIGHEST_LEAST_HOPE * hopeOf(this.expectedWait(priority, now), slackMilliseconds))
+  }
+
   private eligible (question: PlacementQuestion, asker: Asker, now: number): Candidate[] {
     const candidates: Candidate[] = []
     for (const upstream of this.serving) {
@@ -138,3 +145,8 @@
     return candidates
   }
 }
+
+/** Hope that a wait ends before the slack does, from 1 down to 0. */
+function hopeOf (waitMilliseconds: number, slackMilliseconds: number): number {
+  return Math.max(0, 1 - waitMilliseconds / slackMilliseconds)
+}
--- a/packages/dispatch/src/recent-rates.ts
+++ b/packages/dispatch/src/recent-rates.ts
@@ -1,30 +1,42 @@
-/** How often each customer's requests were placed lately. */
+/** How many of each customer's requests an entry admitted lately. */
+import type { AdmittedRequests } from '@hickoryspoke/protocol/generated/dispatch'
 
-const WINDOW_MILLISECONDS = 5_000
-
-/** Times of placements within a short window, by customer. */
+/** Times of admissions within a sliding window, by customer. */
 export class RecentRates {
   private readonly times = new Map<string, number[]>()
 
-  static create (): RecentRates {
-    return new RecentRates()
+  private constructor (private readonly beganAt: number, private readonly windowMilliseconds: number) {}
+
+  /** `now` in monotonic milliseconds. */
+  static create (now: number, windowMilliseconds: number): RecentRates {
+    return new RecentRates(now, windowMilliseconds)
   }
 
   count (customer: string, now: number): void {
     const times = this.times.get(customer) ?? []
     times.push(now)
-    while ((times[0] as number) < now - WINDOW_MILLISECONDS) times.shift()
+    while ((times[0] as number) < now - this.windowMilliseconds) times.shift()
     this.times.set(customer, times)
   }
 
-  /** Requests per second of each customer that had any. */
-  rates (now: number): Map<string, number> {
-    const rates = new Map<string, number>()
+  /** Requests of each customer within the window. */
+  admitted (now: number): AdmittedRequests[] {
+    const admitted: AdmittedRequests[] = []
     for (const [customer, times] of this.times) {
-      const recent = times.filter((time) => time >= now - WINDOW_MILLISECONDS).length
-      if (recent > 0) rates.set(customer, recent * 1000 / WINDOW_MILLISECONDS)
+      const requests = times.filter((time) => time >= now - this.windowMilliseconds).length
+      if (requests > 0) admitted.push({ customer, requests })
       else this.times.delete(customer)
     }
-    return rates
+    return admitted
+  }
+
+  /** Requests per second of each customer that had any. */
+  rates (now: number): Map<string, number> {
+    return new Map(this.admitted(now).map(({ customer, requests }) => [customer, requests * 1000 / this.windowMilliseconds]))
+  }
+
+  /** Whether a whole window has been watched. */
+  isWhole (now: number): boolean {
+    return now - this.beganAt >= this.windowMilliseconds
   }
 }
--- a/packages/dispatch/src/tests/configuration-in-force.test.ts
+++ b/packages/dispatch/src/tests/configuration-in-force.test.ts
@@ -48,6 +48,17 @@
   assert.is(inForce.isFresh(), false)
 })
 
+test('the time without freshness counts from the start, or from the end of the last confirmation', () => {
+  const { clock, inForce } = createInForce()
+  clock.advance(700)
+  assert.is(inForce.staleMilliseconds(), 700)
+  inForce.noteQuestion(1)
+  inForce.confirm(1, 0)
+  assert.is(inForce.staleMilliseconds(), 0)
+  clock.advance(3_400)
+  assert.is(inForce.staleMilliseconds(), 400)
+})
+
 test('a higher number in force makes what is held stale until it arrives', () => {
   const { inForce } = createInForce()
   inForce.noteQuestion(1)
--- a/packages/dispatch/src/upstream-choice.ts
+++ b/packages/dispatch/src/upstream-choice.ts
@@ -1,4 +1,5 @@
-/** Which upstream a request goes to: known good ones packed by zone while all is well, all of them spread when many requests fail. */
+/** Which upstream a request goes to: the one where it most probably succeeds, in time and near. */
+import { FAILING_SHARES } from './failure-belief.ts'
 import { STANDING, type InstanceStanding } from './instance-standing.ts'
 import type { HeldUpstream } from './upstream-registry.ts'
 
@@ -16,76 +17,81 @@
   readonly mayProbe: boolean
   /** Many requests of the pool fail. */
   readonly isStressed: boolean
+  /** Least probability of an answer for which the request is sent now rather than kept waiting. */
+  readonly leastSuccess: number
 }
 
-/** Fill up to which a known good upstream gets requests before others are tried. */
-const PACKED_FILL = 0.7
-/** Extra cost of another zone, in parts of an upstream's slots. */
-const OTHER_ZONE_COST = 0.34
-/** Extra cost of an upstream that started just now. */
-const COLD_COST = 0.6
-/** An upstream this much slower than its pool is used last. */
-const SLOW_RATIO = 1.8
+/** Costs are in parts of a lost request. */
+const OTHER_ZONE_COST = 0.02
+/** A longer answer time is now and then too late. */
+const FILL_COST = 0.03
+const SLOWNESS_COST = 0.05
+/** An upstream that started just now is slow. */
+const COLD_COST = 0.05
 /** A new upstream gets its first request at the latest after this time. */
 const NEWCOMER_MILLISECONDS = 1_000
+/** A suspect upstream is probed this often, and an upstream left out under stress gets a request. */
+const PROBE_MILLISECONDS = 2_000
+const SPREAD_MILLISECONDS = 1_200
+/** Between two requests to a suspect upstream when nothing better is free. */
+const RETRIAL_MILLISECONDS = 200
 
 type Rule = (candidates: readonly Candidate[], context: ChoiceContext) => Candidate | undefined
 
-/** Rules in the order in which they are asked while all is well. */
-const CALM_RULES: readonly Rule[] = [chooseNewcomer, chooseProbe, choosePacked, chooseUnknown, chooseLeastLoaded]
-/** Rules while many requests fail: all sound upstreams get their part. */
-const STRESSED_RULES: readonly Rule[] = [chooseNewcomer, chooseProbe, chooseLeastLoaded, chooseUnknown]
+const CALM_RULES: readonly Rule[] = [chooseNewcomer, chooseProbe, chooseBest]
+/** While many requests fail, all sound upstreams get their part. */
+const STRESSED_RULES: readonly Rule[] = [chooseNewcomer, chooseProbe, chooseLeftOut, chooseBest]
 
-/** One of the candidates; undefined when only upstreams that failed just now are free. */
+/** One of the candidates; undefined when the request is better kept waiting. */
 export function chooseUpstream (candidates: readonly Candidate[], context: ChoiceContext): Candidate | undefined {
-  const usable = candidates.filter(({ standing }) => standing.standing(context.now) !== STANDING.avoided)
   for (const rule of context.isStressed ? STRESSED_RULES : CALM_RULES) {
-    const chosen = rule(usable, context)
+    const chosen = rule(candidates, context)
     if (chosen !== undefined) return chosen
   }
   return undefined
 }
 
-/** The candidate whose last failure is longest ago. */
-export function chooseLongestQuiet (candidates: readonly Candidate[], now: number): Candidate | undefined {
-  return lowest(candidates, ({ standing }) => -standing.sinceFailure(now))
+/** Probability that the upstream answers. */
+export function successOf ({ standing }: Candidate, now: number): number {
+  return 1 - standing.failureProbability(now) * (1 - FAILING_SHARES.answered)
 }
 
 function chooseNewcomer (candidates: readonly Candidate[], { now, mayProbe }: ChoiceContext): Candidate | undefined {
-  return candidates.find(({ upstream, standing }) => {
-    return standing.placed === 0 && standing.failures === 0 && (mayProbe || now - standing.firstSeenAt >= NEWCOMER_MILLISECONDS)
-  })
+  return candidates.find(({ standing }) => standing.placed === 0 && (mayProbe || now - standing.firstSeenAt >= NEWCOMER_MILLISECONDS))
 }
 
-/** An upstream that failed lately, for a request that may be repeated. */
+/** A suspect upstream, for a request that may be repeated. */
 function chooseProbe (candidates: readonly Candidate[], { now, mayProbe }: ChoiceContext): Candidate | undefined {
   if (!mayProbe) return undefined
-  return lowest(candidates.filter(({ standing }) => standing.standing(now) === STANDING.trial), ({ standing }) => -standing.sinceFailure(now))
+  const suspects = candidates.filter(({ standing }) => {
+    return standing.standing(now) === STANDING.suspect && standing.inFlight === 0 && standing.sincePlaced(now) >= PROBE_MILLISECONDS
+  })
+  return lowest(suspects, ({ standing }) => -standing.sincePlaced(now))
 }
 
-/** The fullest known good upstream that still has room, near ones first. */
-function choosePacked (candidates: readonly Candidate[], { now }: ChoiceContext): Candidate | undefined {
-  const known = candidates.filter((candidate) => {
-    return candidate.standing.isKnownGood(now) && candidate.standing.slowness < SLOW_RATIO && fillAfter(candidate) <= PACKED_FILL
+/** A sound upstream that got nothing lately. */
+function chooseLeftOut (candidates: readonly Candidate[], { now }: ChoiceContext): Candidate | undefined {
+  const leftOut = candidates.filter(({ standing }) => {
+    return standing.standing(now) === STANDING.sound && standing.sincePlaced(now) >= SPREAD_MILLISECONDS
   })
-  return lowest(known, (candidate) => (candidate.isNear ? 0 : 1) - fillAfter(candidate) / 2)
+  return lowest(leftOut, (candidate) => costOf(candidate, now))
 }
 
-/** An upstream of which nothing new is known, good ones before those that failed. */
-function chooseUnknown (candidates: readonly Candidate[], { now }: ChoiceContext): Candidate | undefined {
-  const unknown = candidates.filter(({ standing }) => !standing.isKnownGood(now) && standing.inFlight === 0 && standing.isTrustedAgain(now))
-  return lowest(unknown, (candidate) => costOf(candidate, now))
+function chooseBest (candidates: readonly Candidate[], { now, leastSuccess }: ChoiceContext): Candidate | undefined {
+  const acceptable = candidates.filter((candidate) => successOf(candidate, now) >= leastSuccess && !isTriedEnough(candidate, now))
+  return lowest(acceptable, (candidate) => costOf(candidate, now))
 }
 
-function chooseLeastLoaded (candidates: readonly Candidate[], { now }: ChoiceContext): Candidate | undefined {
-  const good = candidates.filter(({ standing }) => standing.standing(now) === STANDING.good)
-  return lowest(good, (candidate) => costOf(candidate, now)) ?? lowest(candidates, (candidate) => costOf(candidate, now))
+/** A suspect upstream fails fast and so always has free slots; it must not draw all that waits. */
+function isTriedEnough ({ standing }: Candidate, now: number): boolean {
+  return standing.standing(now) === STANDING.suspect && standing.sincePlaced(now) < RETRIAL_MILLISECONDS
 }
 
 function costOf (candidate: Candidate, now: number): number {
   const { upstream, standing, isNear } = candidate
   const cold = now < upstream.warmUntil ? COLD_COST : 0
-  return fillAfter(candidate) * Math.max(1, standing.slowness) + (isNear ? 0 : OTHER_ZONE_COST) + cold
+  const slow = SLOWNESS_COST * Math.max(0, standing.slowness - 1)
+  return 1 - successOf(candidate, now) + FILL_COST * fillAfter(candidate) + slow + (isNear ? 0 : OTHER_ZONE_COST) + cold
 }
 
 /** Part of the slots in use once one more request is placed. */
--- a/packages/entry/src/dispatched-entry.ts
+++ b/packages/entry/src/dispatched-entry.ts
@@ -32,6 +32,8 @@
   readonly readinessPath: string
   /** How long a confirmation that the configuration is in force counts. */
   readonly freshMilliseconds: number
+  /** Window in which a customer's rate is judged. */
+  readonly rateWindowMilliseconds: number
   /** From the order to stop until the process must be gone. */
   readonly stopMilliseconds: number
   /** Inner addresses of control VMs, asked anew for each connection. */
@@ -70,7 +72,8 @@
   private readonly callers: CallerServer
   private readonly readiness: Server
   private table: ServingTable | undefined
-  private entries = 1
+  /** Entries of the fleet as the leader told last; 0 while unknown. */
+  private entries = 0
 
   private constructor (private readonly settings: DispatchedEntrySettings, private readonly parts: DispatchedEntryParts) {
     const { clock, random, logger, credentials, dialect } = parts
@@ -79,7 +82,7 @@
     this.registry = UpstreamRegistry.create(clock)
     this.inForce = ConfigurationInForce.create(clock, settings.freshMilliseconds)
     this.inForce.onChange((configuration) => this.configure(configuration))
-    this.placer = LocalPlacer.create({ clock, random, registry: this.registry, entry: name, zone })
+    this.placer = LocalPlacer.create({ clock, random, registry: this.registry, entry: name, zone, windowMilliseconds: settings.rateWindowMilliseconds })
     this.desk = PlacementDesk.create({
       clock,
       placer: this.placer,
@@ -98,6 +101,7 @@
       held: () => this.inForce.number,
       running: () => this.desk.running(),
       known: () => this.registry.announcements(),
+      admissions: () => this.placer.report(this.entries),
       wanted: () => true,
       listener: {
         placed: (placement) => this.desk.takePlacement(placement),
--- a/packages/request/src/dispatched-run.ts
+++ b/packages/request/src/dispatched-run.ts
@@ -51,7 +51,11 @@
   readonly body: RequestBody
 }
 
-const FRESH_WAIT_MILLISECONDS = 300
+/** A freshness lost for longer than this will not be back at once. */
+const RECOVERY_MILLISECONDS = 2_500
+/** Part of the caller's patience that may pass before the entry can serve. */
+const RECOVERY_SHARE_OF_PATIENCE = 0.4
+const SHORTEST_RECOVERY_MILLISECONDS = 300
 const FRESH_CHECK_MILLISECONDS = 20
 const REPLAY_BYTES = 65_536
 const FINGERPRINT_MODULUS = 2 ** 48
@@ -146,9 +150,11 @@
 
   private async untilFresh (): Promise<boolean> {
     const { clock, inForce } = this.parts
-    const until = clock.monotonicMilliseconds() + FRESH_WAIT_MILLISECONDS
+    const patience = this.caller.patienceMilliseconds ?? SHORTEST_RECOVERY_MILLISECONDS
+    const until = this.startedAt + Math.max(SHORTEST_RECOVERY_MILLISECONDS, RECOVERY_SHARE_OF_PATIENCE * patience)
     while (!inForce.isFresh()) {
-      if (clock.monotonicMilliseconds() >= until || this.exchange.signal.aborted) return false
+      const isHopeless = inForce.staleMilliseconds() > RECOVERY_MILLISECONDS
+      if (isHopeless || clock.monotonicMilliseconds() >= until || this.exchange.signal.aborted) return false
       await sleep(clock, FRESH_CHECK_MILLISECONDS)
     }
     return true
