--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -3,13 +3,15 @@
   DenialReason, PlacementOutcome,
   type DispatchMessage, type PlacementEnd, type PlacementQuestion, type RunningRequest
 } from '@hickoryspoke/protocol/generated/dispatch'
-import type { Clock, Timer } from '@hickoryspoke/runtime/clock'
+import type { Clock } from '@hickoryspoke/runtime/clock'
 import type { Logger } from '@hickoryspoke/telemetry/logger'
 import { CrashRegister } from './crash-register.ts'
 import type { AdmissionReport, CustomerRates } from './customer-rates.ts'
 import { logDenial, logEvidence } from './dispatcher-log.ts'
+import { OVERDUE_FACTOR, Placements, type EndedPlacement } from './placements.ts'
 import { PoolDispatcher, type Asker, type ChoiceTerms, type PoolView } from './pool-dispatcher.ts'
 import { RequestBudget, type BudgetTerms } from './request-budget.ts'
+import { lateSlackOf, slackOf } from './request-slack.ts'
 import type { HeldUpstream, UpstreamRegistry } from './upstream-registry.ts'
 import type { WaitingQuestion } from './waiting-line.ts'
 
@@ -32,31 +34,8 @@
   readonly running: readonly RunningRequest[]
 }
 
-interface Placed {
-  readonly instance: string
-  readonly pool: string
-  readonly entry: string
-  readonly placedAt: number
-  readonly question: PlacementQuestion | undefined
-  readonly expiry: Timer
-  overdue: Timer | undefined
-  isOverdue: boolean
-}
-
-/** Times the usual duration that a request is given at its upstream. */
-const NEEDED_FACTOR = 1.3
-/** A request that can no longer be answered in time waits on while it has this many times the usual duration left. */
-const NEEDED_LATE_FACTOR = 2
-/** A placement whose end is never told is forgotten this long after its time is over. */
-const FORGET_MILLISECONDS = 2_000
-/** Placements that an earlier dispatcher made are forgotten after this time. */
-const INHERITED_MILLISECONDS = 15_000
 const SHORTEST_RETRY_MILLISECONDS = 200
 const YOUNG_MILLISECONDS = 3_000
-
-/** A request that takes this many times the usual time counts against its upstream. */
-const SLOW_FACTOR = 3
-
 /** Ends after which a request is lost unless it may be repeated. */
 const LOST_OUTCOMES: ReadonlySet<PlacementOutcome> = new Set([
   PlacementOutcome.PLACEMENT_OUTCOME_SERVER_ERROR, PlacementOutcome.PLACEMENT_OUTCOME_BROKEN, PlacementOutcome.PLACEMENT_OUTCOME_TIMEOUT
@@ -67,13 +46,14 @@
   private readonly pools = new Map<string, PoolDispatcher>()
   private readonly budgets = new Map<string, RequestBudget>()
   private readonly crashes = CrashRegister.create()
-  private readonly placed = new Map<string, Placed>()
+  private readonly placements: Placements
   private readonly waiting = new Map<string, WaitingQuestion>()
   private readonly inherited = new Set<string>()
   private readonly beganAt: number
 
   private constructor (private readonly parts: DispatcherParts) {
     this.beganAt = parts.clock.monotonicMilliseconds()
+    this.placements = Placements.create(parts.clock, ({ poolName }) => this.drain(poolName))
     for (const upstream of parts.registry.present()) this.update(upstream)
   }
 
@@ -92,15 +72,15 @@
     if (!this.inherited.has(attendant.entry)) this.parts.rates.inherit(report)
     this.inherited.add(attendant.entry)
     const named = new Set(running.map((request) => keyOf(attendant.entry, request.ticket)))
-    for (const [key, placed] of this.placed) {
-      if (placed.entry === attendant.entry && !named.has(key)) this.release(key)
+    for (const key of this.placements.keysOf(attendant.entry)) {
+      if (!named.has(key)) this.release(key)
     }
     for (const [key, waiting] of this.waiting) {
       if (waiting.asker.entry === attendant.entry) this.forgetWaiting(key)
     }
     for (const request of running) {
       const key = keyOf(attendant.entry, request.ticket)
-      if (!this.placed.has(key)) this.count(key, attendant, request.instance, undefined, INHERITED_MILLISECONDS)
+      if (!this.placements.has(key)) this.inheritOne(key, attendant.entry, request.instance)
     }
   }
 
@@ -120,11 +100,11 @@
   end (attendant: Attendant, end: PlacementEnd): void {
     const key = keyOf(attendant.entry, end.ticket)
     this.forgetWaiting(key)
-    const placed = this.placed.get(key)
+    const placed = this.placements.take(key)
     const instance = placed?.instance ?? end.instance
-    const pool = this.parts.registry.find(instance)?.announced.pool
-    if (pool !== undefined) this.learn(attendant, pool, instance, end, placed)
-    this.release(key)
+    const poolName = this.parts.registry.find(instance)?.announced.pool
+    if (poolName !== undefined) this.learn(attendant, poolName, { ...end, instance }, placed)
+    if (placed !== undefined) this.drain(placed.poolName)
   }
 
   /** Places what waits for an upstream whose time to be avoided is over. */
@@ -137,11 +117,7 @@
   /** Ends all that waits; the entries ask elsewhere. */
   close (): void {
     for (const key of [...this.waiting.keys()]) this.forgetWaiting(key)
-    for (const placed of this.placed.values()) {
-      placed.expiry.cancel()
-      placed.overdue?.cancel()
-    }
-    this.placed.clear()
+    this.placements.clear()
   }
 
   /** All pools as they are now. */
@@ -229,67 +205,50 @@
 
   private place (attendant: Attendant, question: PlacementQuestion, upstream: HeldUpstream): void {
     const { instance, address } = upstream.announced
-    this.count(keyOf(attendant.entry, question.ticket), attendant, instance, question, question.patienceMilliseconds + FORGET_MILLISECONDS)
-    attendant.send({ body: { $case: 'placement', value: { ticket: question.ticket, instance, address } } })
-  }
-
-  private count (key: string, attendant: Attendant, instance: string, question: PlacementQuestion | undefined, lifeMilliseconds: number): void {
+    const key = keyOf(attendant.entry, question.ticket)
     this.release(key)
-    const pool = question?.pool ?? this.parts.registry.find(instance)?.announced.pool ?? ''
-    const standing = this.poolOf(pool).standingOf(instance)
-    const { clock } = this.parts
-    const placedAt = clock.monotonicMilliseconds()
-    standing.place(placedAt)
-    const expiry = clock.schedule(lifeMilliseconds, () => this.release(key))
-    const placed: Placed = { instance, pool, entry: attendant.entry, placedAt, question, expiry, overdue: undefined, isOverdue: false }
-    this.placed.set(key, placed)
-    if (question !== undefined) placed.overdue = this.watchOverdue(placed, question)
+    const pool = this.poolOf(question.pool)
+    this.placements.add({ key, entry: attendant.entry, instance, pool, poolName: question.pool, question })
+    attendant.send({ body: { $case: 'placement', value: { ticket: question.ticket, instance, address } } })
   }
 
-  /** A request that takes several times as long as usual speaks against its upstream before it ends. */
-  private watchOverdue (placed: Placed, question: PlacementQuestion): Timer {
-    const { clock } = this.parts
-    const pool = this.poolOf(placed.pool)
-    return clock.schedule(SLOW_FACTOR * pool.usualMilliseconds(question), () => {
-      placed.isOverdue = true
-      pool.standingOf(placed.instance).recordOverdue(clock.monotonicMilliseconds())
-    })
+  private inheritOne (key: string, entry: string, instance: string): void {
+    const poolName = this.parts.registry.find(instance)?.announced.pool ?? ''
+    this.placements.add({ key, entry, instance, pool: this.poolOf(poolName), poolName, question: undefined })
   }
 
   private release (key: string): void {
-    const placed = this.placed.get(key)
-    if (placed === undefined) return
-    this.placed.delete(key)
-    placed.expiry.cancel()
-    placed.overdue?.cancel()
-    const standing = this.poolOf(placed.pool).standingOf(placed.instance)
-    standing.inFlight = Math.max(0, standing.inFlight - 1)
-    this.drain(placed.pool)
+    const placed = this.placements.take(key)
+    if (placed !== undefined) this.drain(placed.poolName)
   }
 
-  private learn (attendant: Attendant, poolName: string, instance: string, end: PlacementEnd, placed: Placed | undefined): void {
+  private learn (attendant: Attendant, poolName: string, end: PlacementEnd, placed: EndedPlacement | undefined): void {
     const now = this.parts.clock.monotonicMilliseconds()
-    const { question, placedAt } = placed ?? { question: undefined, placedAt: undefined }
+    const question = placed?.question
     const pool = this.poolOf(poolName)
-    const standing = pool.standingOf(instance)
-    const kind = question?.route ?? ''
+    const standing = pool.standingOf(end.instance)
     const before = standing.standing(now)
-    const wasOverdue = placed?.isOverdue ?? false
     const outcome = isEarlyTimeout(end, pool) ? PlacementOutcome.PLACEMENT_OUTCOME_CANCELLED : end.outcome
     pool.failures.count(LOST_OUTCOMES.has(outcome), now)
-    const { milliseconds } = end
-    const usualMilliseconds = pool.times.usualMilliseconds(kind)
-    standing.record({ outcome, entry: attendant.entry, placedAt: placedAt ?? now - milliseconds, milliseconds, usualMilliseconds, wasOverdue }, now)
+    standing.record({
+      outcome,
+      entry: attendant.entry,
+      placedAt: placed?.placedAt ?? now - end.milliseconds,
+      milliseconds: end.milliseconds,
+      usualMilliseconds: pool.times.usualMilliseconds(question?.route ?? ''),
+      wasOverdue: placed?.wasOverdue ?? false
+    }, now)
     if (end.load !== undefined) standing.noteLoad(end.load, now)
-    if (end.outcome === PlacementOutcome.PLACEMENT_OUTCOME_ANSWERED) {
-      pool.times.record(kind, end.milliseconds)
-      if (question !== undefined) this.crashes.countAnswered(question.fingerprint)
-    }
-    if (end.outcome === PlacementOutcome.PLACEMENT_OUTCOME_BROKEN && question !== undefined) this.crashes.countBroken(question.fingerprint, now)
-    if (end.outcome === PlacementOutcome.PLACEMENT_OUTCOME_MISDIRECTED) this.parts.registry.leave(instance, undefined)
-    if (before !== standing.standing(now) || LOST_OUTCOMES.has(end.outcome)) {
-      logEvidence(this.parts.logger, attendant.entry, poolName, { ...end, instance }, standing, now)
-    }
+    if (question !== undefined) this.learnOfRequest(question, end, pool, now)
+    if (end.outcome === PlacementOutcome.PLACEMENT_OUTCOME_MISDIRECTED) this.parts.registry.leave(end.instance, undefined)
+    if (before !== standing.standing(now) || LOST_OUTCOMES.has(end.outcome)) logEvidence(this.parts.logger, attendant.entry, poolName, end, standing, now)
+  }
+
+  private learnOfRequest (question: PlacementQuestion, end: PlacementEnd, pool: PoolDispatcher, now: number): void {
+    if (end.outcome === PlacementOutcome.PLACEMENT_OUTCOME_BROKEN) this.crashes.countBroken(question.fingerprint, now)
+    if (end.outcome !== PlacementOutcome.PLACEMENT_OUTCOME_ANSWERED) return
+    pool.times.record(question.route, end.milliseconds)
+    this.crashes.countAnswered(question.fingerprint)
   }
 
   private termsOf (question: PlacementQuestion, pool: PoolDispatcher, waitedMilliseconds: number, now: number): ChoiceTerms {
@@ -337,18 +296,7 @@
 
 /** A request whose own time was short says nothing about its upstream. */
 function isEarlyTimeout (end: PlacementEnd, pool: PoolDispatcher): boolean {
-  return end.outcome === PlacementOutcome.PLACEMENT_OUTCOME_TIMEOUT && end.milliseconds < SLOW_FACTOR * pool.times.meanMilliseconds()
-}
-
-/** Milliseconds that the request may wait and still be answered in time. */
-function slackOf (question: PlacementQuestion, pool: PoolDispatcher): number {
-  const longest = Math.min(question.targetMilliseconds, question.patienceMilliseconds)
-  return longest - NEEDED_FACTOR * pool.usualMilliseconds(question)
-}
-
-/** Milliseconds that the request may wait and still be answered. */
-function lateSlackOf (question: PlacementQuestion, pool: PoolDispatcher): number {
-  return question.patienceMilliseconds - NEEDED_LATE_FACTOR * pool.usualMilliseconds(question)
+  return end.outcome === PlacementOutcome.PLACEMENT_OUTCOME_TIMEOUT && end.milliseconds < OVERDUE_FACTOR * pool.times.meanMilliseconds()
 }
 
 function keyOf (entry: string, ticket: number): string {
