--- a/packages/bench/src/bench-settings.ts
+++ b/packages/bench/src/bench-settings.ts
@@ -1,5 +1,5 @@
 import { addressSchema, processNameSchema } from '@hickoryspoke/configuration/settings-file'
-import { z } from 'zod'
+import * as z from 'zod'
 
 const urlSchema = z.string().regex(/^https?:\/\/(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d+$/, 'http://IP:PORT')
 
--- a/packages/bench/src/local-fleet.ts
+++ b/packages/bench/src/local-fleet.ts
@@ -12,7 +12,7 @@
 import { sha256Digest } from '@hickoryspoke/runtime/hashing'
 import type { RandomSource } from '@hickoryspoke/runtime/random'
 import type { Logger } from '@hickoryspoke/telemetry/logger'
-import { z } from 'zod'
+import * as z from 'zod'
 import { Announcer } from './announcer.ts'
 import { StandInUpstream } from './stand-in-upstream.ts'
 
--- a/packages/bench/src/upstream-admin.ts
+++ b/packages/bench/src/upstream-admin.ts
@@ -1,7 +1,7 @@
 import { type IncomingMessage, type Server, type ServerResponse, createServer } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import polka from 'polka'
-import { z } from 'zod'
+import * as z from 'zod'
 import type { Announcer } from './announcer.ts'
 import type { StandInUpstream } from './stand-in-upstream.ts'
 
--- a/packages/configuration/src/desired-state.ts
+++ b/packages/configuration/src/desired-state.ts
@@ -1,7 +1,7 @@
 import { InvalidInput, type Issue } from '@hickoryspoke/runtime/failure'
 import { stringify } from 'smol-toml'
 import { Err, Ok, type Result } from 'ts-results-es'
-import { z } from 'zod'
+import * as z from 'zod'
 import { findReferenceIssues } from './desired-state-references.ts'
 import { poolPolicySchema } from './pool-policy.ts'
 import { parseTomlDocument, validate } from './toml-document.ts'
--- a/packages/configuration/src/pool-policy.ts
+++ b/packages/configuration/src/pool-policy.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod'
+import * as z from 'zod'
 
 /** How the health of a pool's upstreams is judged. Operators set what differs from the defaults. */
 export const poolPolicySchema = z.strictObject({
--- a/packages/configuration/src/settings-file.ts
+++ b/packages/configuration/src/settings-file.ts
@@ -2,7 +2,7 @@
 import type { InvalidInput } from '@hickoryspoke/runtime/failure'
 import { Failure, describeError } from '@hickoryspoke/runtime/failure'
 import { Err, type Result } from 'ts-results-es'
-import { z } from 'zod'
+import * as z from 'zod'
 import { parseTomlDocument } from './toml-document.ts'
 
 const ADDRESS_PATTERN = /^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$/
--- a/packages/control/src/control-settings.ts
+++ b/packages/control/src/control-settings.ts
@@ -1,5 +1,5 @@
 import { addressSchema, logSchema, processNameSchema, replicaAddressSchema, securitySchema } from '@hickoryspoke/configuration/settings-file'
-import { z } from 'zod'
+import * as z from 'zod'
 
 const DIGEST_PATTERN = /^sha256:[0-9a-f]{64}$/
 
--- a/packages/entry/src/entry-settings.ts
+++ b/packages/entry/src/entry-settings.ts
@@ -1,5 +1,5 @@
 import { addressSchema, logSchema, processNameSchema, replicaAddressSchema, securitySchema } from '@hickoryspoke/configuration/settings-file'
-import { z } from 'zod'
+import * as z from 'zod'
 
 const DEFAULT_ANNOUNCE_SECONDS = 5
 const DEFAULT_GRACE_SECONDS = 20
--- a/packages/membership/src/announcement.ts
+++ b/packages/membership/src/announcement.ts
@@ -2,7 +2,7 @@
 import { Failure, type Issue } from '@hickoryspoke/runtime/failure'
 import { sha256Digest } from '@hickoryspoke/runtime/hashing'
 import { Err, Ok, type Result } from 'ts-results-es'
-import { z } from 'zod'
+import * as z from 'zod'
 
 const MINIMUM_LEASE_MILLISECONDS = 200
 const MAXIMUM_LEASE_MILLISECONDS = 600_000
--- a/packages/operator/src/operator-context.ts
+++ b/packages/operator/src/operator-context.ts
@@ -6,7 +6,7 @@
 import type { Clock } from '@hickoryspoke/runtime/clock'
 import { describeError, type Failure, formatIssue, InvalidInput } from '@hickoryspoke/runtime/failure'
 import { Err, Ok, type Result } from 'ts-results-es'
-import { z } from 'zod'
+import * as z from 'zod'
 import { ControlClient } from './control-client.ts'
 import type { ControlFailure } from './control-failure.ts'
 
