--- a/packages/control/src/dispatching-control.ts
+++ b/packages/control/src/dispatching-control.ts
@@ -114,6 +114,7 @@
         denied: () => {},
         configured: () => {},
         upstreamsChanged: (update) => this.registry.merge(update.upstreams),
+        suspected: (suspicions) => this.service.takeSuspicions(suspicions),
         attended: () => {},
         lost: () => {},
         asked: () => {},
--- a/packages/dispatch/src/dispatch-link.ts
+++ b/packages/dispatch/src/dispatch-link.ts
@@ -3,7 +3,7 @@
 import {
   DispatchClient,
   type AnnouncedUpstream, type Denial, type DispatchMessage, type EntryMessage, type LeaderNotice, type NumberAnswer, type Placement, type RunningRequest,
-  type ServingUpdate, type UpstreamUpdate
+  type ServingUpdate, type Suspicion, type UpstreamUpdate
 } from '@hickoryspoke/protocol/generated/dispatch'
 import type { InnerCredentials } from '@hickoryspoke/protocol/inner-credentials'
 import { sleep, type Clock } from '@hickoryspoke/runtime/clock'
@@ -17,6 +17,8 @@
   denied (denial: Denial): void
   configured (update: ServingUpdate): void
   upstreamsChanged (update: UpstreamUpdate): void
+  /** All upstreams that the dispatcher suspects now. */
+  suspected (suspicions: readonly Suspicion[]): void
   /** A leader serves this stream from now on. */
   attended (): void
   /** The stream is gone; nothing that was asked on it will be answered. */
@@ -169,6 +171,7 @@
       case 'denial': return listener.denied(body.value)
       case 'configuration': return listener.configured(body.value)
       case 'upstreams': return listener.upstreamsChanged(body.value)
+      case 'suspicions': return listener.suspected(body.value.suspicions)
       case 'number': return listener.confirmed(body.value)
     }
   }
--- a/packages/dispatch/src/dispatch-service.ts
+++ b/packages/dispatch/src/dispatch-service.ts
@@ -1,7 +1,7 @@
 /** The serving side of `Dispatch`: one task a stream on the leading control VM, and a way to the leader on the others. */
 import type { ServerDuplexStream, UntypedServiceImplementation } from '@grpc/grpc-js'
 import type { ServingConfiguration } from '@hickoryspoke/configuration/serving-configuration'
-import type { DispatchHello, DispatchMessage, EntryMessage, LeaderNotice, UpstreamUpdate } from '@hickoryspoke/protocol/generated/dispatch'
+import type { DispatchHello, DispatchMessage, EntryMessage, LeaderNotice, Suspicion, UpstreamUpdate } from '@hickoryspoke/protocol/generated/dispatch'
 import { mayActAs } from '@hickoryspoke/protocol/peer-identity'
 import { repeatEvery, type Clock } from '@hickoryspoke/runtime/clock'
 import { describeError } from '@hickoryspoke/runtime/failure'
@@ -11,6 +11,7 @@
 import type { PoolView } from './pool-dispatcher.ts'
 import type { BudgetTerms } from './request-budget.ts'
 import { ServingHistory } from './serving-history.ts'
+import { SuspicionNews } from './suspicion-news.ts'
 import type { HeldUpstream, UpstreamRegistry } from './upstream-registry.ts'
 
 type AttendCall = ServerDuplexStream<EntryMessage, DispatchMessage>
@@ -50,6 +51,7 @@
 export class DispatchService {
   private readonly attendances = new Map<string, Attendance>()
   private readonly history = ServingHistory.create()
+  private readonly suspicions: SuspicionNews
   private dispatcher: Dispatcher | undefined
   private askers: { readonly attendance: Attendance, readonly question: number }[] = []
   private confirming = false
@@ -57,6 +59,7 @@
   private termsNumber: number | undefined
 
   private constructor (private readonly parts: DispatchServiceParts) {
+    this.suspicions = SuspicionNews.create(parts.clock)
     parts.registry.onChange((changed) => this.spreadUpstreams(changed))
   }
 
@@ -73,6 +76,7 @@
     await repeatEvery(this.parts.clock, QUEUE_TICK_MILLISECONDS, signal, () => {
       this.followLeadership()
       this.dispatcher?.tick()
+      this.spreadSuspicions()
     })
   }
 
@@ -91,6 +95,11 @@
     return this.dispatcher?.isInUse(upstream) ?? true
   }
 
+  /** Remembers what the leader suspects, in case this process leads next. */
+  takeSuspicions (suspicions: readonly Suspicion[]): void {
+    this.suspicions.hear(suspicions)
+  }
+
   /** Puts a configuration in force at the entries. */
   publish (configuration: ServingConfiguration): void {
     this.history.add(configuration)
@@ -111,7 +120,9 @@
     rates.setTerms((name) => this.customerTerms(name))
     registry.refresh()
     this.dispatcher = Dispatcher.create({ clock, logger, registry, rates, budget })
-    logger.info('dispatcher began', { upstreams: registry.present().length, configuration: this.history.newest?.number ?? 0 })
+    const { heard } = this.suspicions
+    if (heard !== undefined) this.dispatcher.adopt(heard.suspicions, heard.at)
+    logger.info('dispatcher began', { suspected: heard?.suspicions.length ?? 0, upstreams: registry.present().length, configuration: this.history.newest?.number ?? 0 })
   }
 
   private layDown (): void {
@@ -232,6 +243,13 @@
     for (const attendance of this.attendances.values()) this.sendUpstreams(attendance, update)
   }
 
+  private spreadSuspicions (): void {
+    const { dispatcher } = this
+    const suspicions = dispatcher === undefined ? undefined : this.suspicions.next(() => dispatcher.suspicions())
+    if (suspicions === undefined) return
+    for (const { call } of this.attendances.values()) call.write({ body: { $case: 'suspicions', value: { suspicions } } })
+  }
+
   private sendUpstreams (attendance: Attendance, update: UpstreamUpdate): void {
     attendance.call.write({ body: { $case: 'upstreams', value: update } })
   }
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -1,7 +1,7 @@
 /** Chooses an upstream for every request of the fleet, with all requests in flight and all evidence in one place. */
 import {
   DenialReason, PlacementOutcome,
-  type DispatchMessage, type PlacementEnd, type PlacementQuestion, type RunningRequest
+  type DispatchMessage, type PlacementEnd, type PlacementQuestion, type RunningRequest, type Suspicion
 } from '@hickoryspoke/protocol/generated/dispatch'
 import type { Clock } from '@hickoryspoke/runtime/clock'
 import type { Logger } from '@hickoryspoke/telemetry/logger'
@@ -9,8 +9,9 @@
 import type { AdmissionReport, CustomerRates } from './customer-rates.ts'
 import { logDenial, logEvidence } from './dispatcher-log.ts'
 import { OVERDUE_FACTOR, Placements, type EndedPlacement } from './placements.ts'
-import { PoolDispatcher, type Asker, type ChoiceTerms, type PoolView } from './pool-dispatcher.ts'
-import { RequestBudget, type BudgetTerms } from './request-budget.ts'
+import type { Asker, ChoiceTerms, PoolDispatcher, PoolView } from './pool-dispatcher.ts'
+import { PoolSet } from './pool-set.ts'
+import type { BudgetTerms } from './request-budget.ts'
 import { lateSlackOf, slackOf } from './request-slack.ts'
 import type { HeldUpstream, UpstreamRegistry } from './upstream-registry.ts'
 import type { WaitingQuestion } from './waiting-line.ts'
@@ -43,8 +44,7 @@
 
 /** The dispatcher of one leader. */
 export class Dispatcher {
-  private readonly pools = new Map<string, PoolDispatcher>()
-  private readonly budgets = new Map<string, RequestBudget>()
+  private readonly pools: PoolSet
   private readonly crashes = CrashRegister.create()
   private readonly placements: Placements
   private readonly waiting = new Map<string, WaitingQuestion>()
@@ -53,8 +53,9 @@
 
   private constructor (private readonly parts: DispatcherParts) {
     this.beganAt = parts.clock.monotonicMilliseconds()
+    this.pools = PoolSet.create(parts.clock, parts.budget)
     this.placements = Placements.create(parts.clock, ({ poolName }) => this.drain(poolName))
-    for (const upstream of parts.registry.present()) this.update(upstream)
+    for (const upstream of parts.registry.present()) this.pools.update(upstream)
   }
 
   static create (parts: DispatcherParts): Dispatcher {
@@ -63,7 +64,7 @@
 
   /** Takes changes of the announced upstreams. */
   updateAll (changed: readonly HeldUpstream[]): void {
-    const pools = new Set(changed.map((upstream) => this.update(upstream)))
+    const pools = new Set(changed.map((upstream) => this.pools.update(upstream)))
     for (const pool of pools) this.drain(pool)
   }
 
@@ -89,7 +90,7 @@
     const now = this.parts.clock.monotonicMilliseconds()
     const refusal = this.admit(question, now)
     if (refusal !== undefined) return this.deny(attendant, question, refusal.reason, refusal.retryAfter)
-    const pool = this.poolOf(question.pool)
+    const pool = this.pools.pool(question.pool)
     const upstream = pool.choose(question, attendant, now, this.termsOf(question, pool, 0, now))
     if (upstream !== undefined) return this.place(attendant, question, upstream)
     if (!this.isYoung(now) && !pool.hasEligible(question, attendant, now)) return this.denyUnplaced(attendant, question, DenialReason.DENIAL_REASON_NO_UPSTREAM)
@@ -109,9 +110,7 @@
 
   /** Places what waits for an upstream whose time to be avoided is over. */
   tick (): void {
-    for (const [name, pool] of this.pools) {
-      if (pool.line.length > 0) this.drain(name)
-    }
+    for (const name of this.pools.waitingPools()) this.drain(name)
   }
 
   /** Ends all that waits; the entries ask elsewhere. */
@@ -122,14 +121,26 @@
 
   /** All pools as they are now. */
   views (): PoolView[] {
-    const now = this.parts.clock.monotonicMilliseconds()
-    return [...this.pools].map(([name, pool]) => pool.view(name, now))
+    return this.pools.views(this.parts.clock.monotonicMilliseconds())
+  }
+
+  /** Upstreams that probably fail now. */
+  suspicions (): Suspicion[] {
+    return this.pools.suspicions(this.parts.clock.monotonicMilliseconds())
+  }
+
+  /** Takes over what an earlier dispatcher believed at a moment in monotonic milliseconds. */
+  adopt (suspicions: readonly Suspicion[], at: number): void {
+    for (const { instance, probability } of suspicions) {
+      const pool = this.parts.registry.find(instance)?.announced.pool
+      if (pool !== undefined) this.pools.pool(pool).standingOf(instance).adopt(probability, at)
+    }
   }
 
   /** Whether the upstream answers requests. */
   isInUse (upstream: HeldUpstream): boolean {
     const { pool, instance } = upstream.announced
-    return this.poolOf(pool).standingOf(instance).isInUse(this.parts.clock.monotonicMilliseconds())
+    return this.pools.pool(pool).standingOf(instance).isInUse(this.parts.clock.monotonicMilliseconds())
   }
 
   /** Just after a change of leader not all upstreams may have been announced here. */
@@ -137,20 +148,11 @@
     return now - this.beganAt < YOUNG_MILLISECONDS
   }
 
-  private update (upstream: HeldUpstream): string {
-    const { pool, instance } = upstream.announced
-    for (const [name, other] of this.pools) {
-      if (name !== pool && other.standings.has(instance)) other.update({ ...upstream, announced: { ...upstream.announced, gone: true } })
-    }
-    this.poolOf(pool).update(upstream)
-    return pool
-  }
-
   private admit (question: PlacementQuestion, now: number): { reason: DenialReason, retryAfter: number } | undefined {
     if (question.fingerprint !== 0 && this.crashes.isHeldBack(question.fingerprint, now)) {
       return { reason: DenialReason.DENIAL_REASON_CRASHING, retryAfter: SHORTEST_RETRY_MILLISECONDS }
     }
-    const budget = this.budgetOf(question.pool)
+    const budget = this.pools.budget(question.pool)
     if (question.attempt > 0) {
       return budget.takeRepeat(now) ? undefined : { reason: DenialReason.DENIAL_REASON_BUDGET, retryAfter: SHORTEST_RETRY_MILLISECONDS }
     }
@@ -190,7 +192,7 @@
   /** What can no longer be answered in time waits behind the rest, and is refused where the rest would take too long. */
   private becomeLate (poolName: string, waiting: WaitingQuestion, giveUp: () => void): void {
     const now = this.parts.clock.monotonicMilliseconds()
-    const pool = this.poolOf(poolName)
+    const pool = this.pools.pool(poolName)
     if (!pool.line.becomeLate(waiting)) return
     this.drain(poolName)
     if (pool.expectedWait(Infinity, now) > lateSlackOf(waiting.question, pool) - (now - waiting.since)) giveUp()
@@ -198,7 +200,7 @@
 
   private forgetWaiting (key: string): boolean {
     const waiting = this.waiting.get(key)
-    if (waiting === undefined || !this.poolOf(waiting.question.pool).line.withdraw(waiting)) return false
+    if (waiting === undefined || !this.pools.pool(waiting.question.pool).line.withdraw(waiting)) return false
     waiting.resolve(undefined)
     return true
   }
@@ -207,14 +209,14 @@
     const { instance, address } = upstream.announced
     const key = keyOf(attendant.entry, question.ticket)
     this.release(key)
-    const pool = this.poolOf(question.pool)
+    const pool = this.pools.pool(question.pool)
     this.placements.add({ key, entry: attendant.entry, instance, pool, poolName: question.pool, question })
     attendant.send({ body: { $case: 'placement', value: { ticket: question.ticket, instance, address } } })
   }
 
   private inheritOne (key: string, entry: string, instance: string): void {
     const poolName = this.parts.registry.find(instance)?.announced.pool ?? ''
-    this.placements.add({ key, entry, instance, pool: this.poolOf(poolName), poolName, question: undefined })
+    this.placements.add({ key, entry, instance, pool: this.pools.pool(poolName), poolName, question: undefined })
   }
 
   private release (key: string): void {
@@ -225,7 +227,7 @@
   private learn (attendant: Attendant, poolName: string, end: PlacementEnd, placed: EndedPlacement | undefined): void {
     const now = this.parts.clock.monotonicMilliseconds()
     const question = placed?.question
-    const pool = this.poolOf(poolName)
+    const pool = this.pools.pool(poolName)
     const standing = pool.standingOf(end.instance)
     const before = standing.standing(now)
     const outcome = isEarlyTimeout(end, pool) ? PlacementOutcome.PLACEMENT_OUTCOME_CANCELLED : end.outcome
@@ -254,7 +256,7 @@
 
   private termsOf (question: PlacementQuestion, pool: PoolDispatcher, waitedMilliseconds: number, now: number): ChoiceTerms {
     return {
-      mayProbe: question.mayRepeat && this.budgetOf(question.pool).allowsRepeat(now),
+      mayProbe: question.mayRepeat && this.pools.budget(question.pool).allowsRepeat(now),
       slackMilliseconds: slackOf(question, pool) - waitedMilliseconds,
       lateSlackMilliseconds: lateSlackOf(question, pool) - waitedMilliseconds
     }
@@ -262,12 +264,12 @@
 
   private drain (poolName: string): void {
     const now = this.parts.clock.monotonicMilliseconds()
-    const pool = this.poolOf(poolName)
+    const pool = this.pools.pool(poolName)
     pool.drainQueue(now, (waiting) => this.termsOf(waiting.question, pool, now - waiting.since, now))
   }
 
   private denyUnplaced (attendant: Attendant, question: PlacementQuestion, reason: DenialReason, retryAfter = SHORTEST_RETRY_MILLISECONDS): void {
-    this.poolOf(question.pool).unserved.count(true, this.parts.clock.monotonicMilliseconds())
+    this.pools.pool(question.pool).unserved.count(true, this.parts.clock.monotonicMilliseconds())
     if (question.attempt === 0 && question.customer !== '') this.parts.rates.giveBack(question.customer)
     this.deny(attendant, question, reason, Math.max(SHORTEST_RETRY_MILLISECONDS, retryAfter))
   }
@@ -275,25 +277,9 @@
   private deny (attendant: Attendant, question: PlacementQuestion, reason: DenialReason, retryAfter: number): void {
     const value = { ticket: question.ticket, reason, retryAfterMilliseconds: Math.ceil(retryAfter) }
     attendant.send({ body: { $case: 'denial', value } })
-    const view = this.poolOf(question.pool).view(question.pool, this.parts.clock.monotonicMilliseconds())
+    const view = this.pools.pool(question.pool).view(question.pool, this.parts.clock.monotonicMilliseconds())
     logDenial(this.parts.logger, attendant.entry, question, value, view)
   }
-
-  private poolOf (name: string): PoolDispatcher {
-    const known = this.pools.get(name)
-    if (known !== undefined) return known
-    const created = PoolDispatcher.create(this.parts.clock)
-    this.pools.set(name, created)
-    return created
-  }
-
-  private budgetOf (name: string): RequestBudget {
-    const known = this.budgets.get(name)
-    if (known !== undefined) return known
-    const created = RequestBudget.create(this.parts.budget)
-    this.budgets.set(name, created)
-    return created
-  }
 }
 
 /** A request whose own time was short says nothing about its upstream. */
--- a/packages/dispatch/src/failure-belief.ts
+++ b/packages/dispatch/src/failure-belief.ts
@@ -58,6 +58,13 @@
     return probability
   }
 
+  /** Takes over what another process believes. */
+  adopt (probability: number, now: number): void {
+    this.last = probability
+    this.lastAt = now
+    this.asked = { at: Number.NaN, probability: 0 }
+  }
+
   /** Learns from one request; `sound` are the shares at sound upstreams of the pool. */
   observe (evidence: Evidence, sound: EvidenceShares, now: number): void {
     const before = this.probability(now)
--- a/packages/dispatch/src/instance-standing.ts
+++ b/packages/dispatch/src/instance-standing.ts
@@ -123,6 +123,11 @@
     this.observe(EVIDENCE.overdue, now)
   }
 
+  /** Takes over what the dispatcher believes, unless an answer came since. */
+  adopt (probability: number, now: number): void {
+    if (this.answeredAt < now) this.belief.adopt(probability, now)
+  }
+
   /** Takes note of the load that the upstream reported. */
   noteLoad (load: UpstreamLoad, now: number): void {
     if (load.slots > 0 && load.running >= load.slots && load.waiting > 0) this.markFull(now)
--- a/packages/dispatch/src/local-placer.ts
+++ b/packages/dispatch/src/local-placer.ts
@@ -1,5 +1,5 @@
 /** Chooses upstreams with what one entry knows by itself, while no dispatcher can be reached. */
-import { PlacementOutcome, type PlacementEnd, type PlacementQuestion } from '@hickoryspoke/protocol/generated/dispatch'
+import { PlacementOutcome, type PlacementEnd, type PlacementQuestion, type Suspicion } from '@hickoryspoke/protocol/generated/dispatch'
 import type { Clock } from '@hickoryspoke/runtime/clock'
 import { pickOne, type RandomSource } from '@hickoryspoke/runtime/random'
 import { CustomerRates, type AdmissionReport, type RateTerms } from './customer-rates.ts'
@@ -89,6 +89,12 @@
     return chosen
   }
 
+  /** Takes over which upstreams the dispatcher suspects. */
+  takeSuspicions (suspicions: readonly Suspicion[]): void {
+    const now = this.parts.clock.monotonicMilliseconds()
+    for (const { instance, probability } of suspicions) this.standingOf(instance).adopt(probability, now)
+  }
+
   /** Learns from the end of any request of this entry. `local` says that it was placed here. */
   learn (instance: string, end: PlacementEnd, local: boolean): void {
     const standing = this.standingOf(instance)
--- a/packages/dispatch/src/pool-dispatcher.ts
+++ b/packages/dispatch/src/pool-dispatcher.ts
@@ -1,7 +1,7 @@
 /** Places the requests of one pool on its upstreams, and keeps those that wait in the order of their urgency. */
-import type { PlacementQuestion } from '@hickoryspoke/protocol/generated/dispatch'
+import type { PlacementQuestion, Suspicion } from '@hickoryspoke/protocol/generated/dispatch'
 import type { Clock } from '@hickoryspoke/runtime/clock'
-import { InstanceStanding, type Standing } from './instance-standing.ts'
+import { InstanceStanding, STANDING, type Standing } from './instance-standing.ts'
 import { KindTimes } from './kind-times.ts'
 import { SoundShares } from './sound-shares.ts'
 import { UnservedShare } from './unserved-share.ts'
@@ -91,6 +91,12 @@
     return { name, inFlight, waiting: this.line.length, standings }
   }
 
+  /** Upstreams that probably fail now. */
+  suspicions (now: number): Suspicion[] {
+    const suspects = this.serving.filter(({ standing }) => standing.standing(now) === STANDING.suspect)
+    return suspects.map(({ upstream, standing }) => ({ instance: upstream.announced.instance, probability: standing.failureProbability(now) }))
+  }
+
   standingOf (instance: string): InstanceStanding {
     const known = this.standings.get(instance)
     if (known !== undefined) return known
--- /dev/null
+++ b/packages/dispatch/src/tests/suspicion-news.test.ts
@@ -0,0 +1,38 @@
+import { PlacementOutcome } from '@hickoryspoke/protocol/generated/dispatch'
+import { FakeClock } from '@hickoryspoke/testing/fake-clock'
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { SuspicionNews } from '../suspicion-news.ts'
+import { announcement, createDispatcher, question, recordingEntry } from './fixture.ts'
+
+const UPSTREAMS = ['a', 'bb', 'ccc'].map((instance) => announcement({ instance, slots: 8 }))
+
+test('a list is told when other upstreams are suspected than before, and not more often than once a second', () => {
+  const clock = FakeClock.create()
+  const news = SuspicionNews.create(clock)
+  const suspect = (instance: string) => ({ instance, probability: 0.9 })
+  assert.equal(news.next(() => [suspect('a')]), [suspect('a')])
+  assert.is(news.next(() => [suspect('bb')]), undefined)
+  clock.advance(1_000)
+  assert.is(news.next(() => [suspect('a')]), undefined)
+  assert.equal(news.next(() => []), [])
+})
+
+test('the next dispatcher avoids what the one before it suspected', () => {
+  const first = createDispatcher(UPSTREAMS)
+  const entry = recordingEntry('one')
+  first.dispatcher.ask(entry, question(1))
+  const failing = entry.answerTo(1)
+  first.dispatcher.end(entry, { ticket: 1, outcome: PlacementOutcome.PLACEMENT_OUTCOME_BROKEN, milliseconds: 5, load: undefined, instance: '' })
+  const suspicions = first.dispatcher.suspicions()
+  assert.equal(suspicions.map(({ instance }) => instance), [failing])
+
+  const next = createDispatcher(UPSTREAMS)
+  next.dispatcher.adopt(suspicions, 0)
+  for (let ticket = 2; ticket <= 10; ticket += 1) {
+    next.dispatcher.ask(entry, question(ticket))
+    assert.is.not(entry.answerTo(ticket), failing)
+  }
+})
+
+test.run()
--- a/packages/entry/src/dispatched-entry.ts
+++ b/packages/entry/src/dispatched-entry.ts
@@ -108,6 +108,7 @@
         denied: (denial) => this.desk.takeDenial(denial),
         configured: (update) => this.takeConfiguration(update),
         upstreamsChanged: (update) => this.registry.merge(update.upstreams),
+        suspected: (suspicions) => this.placer.takeSuspicions(suspicions),
         attended: () => this.desk.attended(),
         lost: () => this.lost(),
         asked: (question) => this.inForce.noteQuestion(question),
