--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -14,6 +14,7 @@
 import type { BudgetTerms } from './request-budget.ts'
 import { lateSlackOf, slackOf } from './request-slack.ts'
 import type { HeldUpstream, UpstreamRegistry } from './upstream-registry.ts'
+import type { Choice } from './upstream-choice.ts'
 import type { WaitingQuestion } from './waiting-line.ts'
 
 /** One entry that attends, and the way to it. */
@@ -91,8 +92,8 @@
     const refusal = this.admit(question, now)
     if (refusal !== undefined) return this.deny(attendant, question, refusal.reason, refusal.retryAfter)
     const pool = this.pools.pool(question.pool)
-    const upstream = pool.choose(question, attendant, now, this.termsOf(question, pool, 0, now))
-    if (upstream !== undefined) return this.place(attendant, question, upstream)
+    const choice = pool.choose(question, attendant, now, this.termsOf(question, pool, 0, now))
+    if (choice !== undefined) return this.place(attendant, question, choice)
     if (!this.isYoung(now) && !pool.hasEligible(question, attendant, now)) return this.denyUnplaced(attendant, question, DenialReason.DENIAL_REASON_NO_UPSTREAM)
     this.wait(attendant, question, pool, now)
   }
@@ -178,10 +179,10 @@
       question,
       asker: attendant,
       since: now,
-      resolve: (upstream) => {
+      resolve: (choice) => {
         for (const timer of timers) timer.cancel()
         this.waiting.delete(key)
-        if (upstream !== undefined) this.place(attendant, question, upstream)
+        if (choice !== undefined) this.place(attendant, question, choice)
       }
     }
     if (slack < longest) timers.push(clock.schedule(Math.max(0, slack), () => this.becomeLate(question.pool, waiting, giveUp)))
@@ -205,18 +206,18 @@
     return true
   }
 
-  private place (attendant: Attendant, question: PlacementQuestion, upstream: HeldUpstream): void {
+  private place (attendant: Attendant, question: PlacementQuestion, { upstream, isForced }: Choice): void {
     const { instance, address } = upstream.announced
     const key = keyOf(attendant.entry, question.ticket)
     this.release(key)
     const pool = this.pools.pool(question.pool)
-    this.placements.add({ key, entry: attendant.entry, instance, pool, poolName: question.pool, question })
+    this.placements.add({ key, entry: attendant.entry, instance, pool, poolName: question.pool, question, isForced })
     attendant.send({ body: { $case: 'placement', value: { ticket: question.ticket, instance, address } } })
   }
 
   private inheritOne (key: string, entry: string, instance: string): void {
     const poolName = this.parts.registry.find(instance)?.announced.pool ?? ''
-    this.placements.add({ key, entry, instance, pool: this.pools.pool(poolName), poolName, question: undefined })
+    this.placements.add({ key, entry, instance, pool: this.pools.pool(poolName), poolName, question: undefined, isForced: false })
   }
 
   private release (key: string): void {
@@ -231,7 +232,7 @@
     const standing = pool.standingOf(end.instance)
     const before = standing.standing(now)
     const outcome = isEarlyTimeout(end, pool) ? PlacementOutcome.PLACEMENT_OUTCOME_CANCELLED : end.outcome
-    pool.unserved.count(LOST_OUTCOMES.has(outcome), now)
+    if (placed?.isForced !== true) pool.unserved.count(LOST_OUTCOMES.has(outcome) && question?.mayRepeat !== true, now)
     standing.record({
       outcome,
       entry: attendant.entry,
--- a/packages/dispatch/src/placements.ts
+++ b/packages/dispatch/src/placements.ts
@@ -13,6 +13,8 @@
   readonly placedAt: number
   /** Undefined for a request that an earlier dispatcher or the entry placed. */
   readonly question: PlacementQuestion | undefined
+  /** It was placed only so that the upstream is not left out. */
+  readonly isForced: boolean
 }
 
 /** What a placement is made of. */
--- a/packages/dispatch/src/pool-dispatcher.ts
+++ b/packages/dispatch/src/pool-dispatcher.ts
@@ -5,7 +5,7 @@
 import { KindTimes } from './kind-times.ts'
 import { SoundShares } from './sound-shares.ts'
 import { UnservedShare } from './unserved-share.ts'
-import { chooseUpstream, successOf, type Candidate } from './upstream-choice.ts'
+import { chooseUpstream, successOf, type Candidate, type Choice } from './upstream-choice.ts'
 import type { HeldUpstream } from './upstream-registry.ts'
 import { WaitingLine, type WaitingQuestion } from './waiting-line.ts'
 
@@ -111,19 +111,18 @@
   }
 
   /** An upstream with a free slot, or undefined when the request is better kept waiting. */
-  choose (question: PlacementQuestion, asker: Asker, now: number, terms: ChoiceTerms): HeldUpstream | undefined {
+  choose (question: PlacementQuestion, asker: Asker, now: number, terms: ChoiceTerms): Choice | undefined {
     const free = this.serving.filter((candidate) => {
       return !candidate.standing.isFull(candidate.upstream.announced.slots, now) && isEligible(candidate, question, asker, now)
     })
     if (free.length === 0) return undefined
-    const chosen = chooseUpstream(free, {
+    return chooseUpstream(free, {
       now,
       zone: asker.zone,
       mayProbe: terms.mayProbe && question.attempt === 0,
       isStressed: this.unserved.isStressed(now),
       leastSuccess: this.leastHope(question.priority, terms, now) * this.stateAt(now).bestSuccess
     })
-    return chosen?.upstream
   }
 
   /** What was worked out for the whole pool no longer holds, as after a failure. */
@@ -150,14 +149,14 @@
   private drainPart (part: readonly WaitingQuestion[], now: number, termsOf: (waiting: WaitingQuestion) => ChoiceTerms): void {
     let vain = 0
     for (const waiting of part) {
-      const upstream = this.choose(waiting.question, waiting.asker, now, termsOf(waiting))
-      if (upstream === undefined) {
+      const choice = this.choose(waiting.question, waiting.asker, now, termsOf(waiting))
+      if (choice === undefined) {
         vain += 1
         if (vain >= VAIN_TRIES) return
         continue
       }
       this.line.withdraw(waiting)
-      waiting.resolve(upstream)
+      waiting.resolve(choice)
     }
   }
 
--- a/packages/dispatch/src/upstream-choice.ts
+++ b/packages/dispatch/src/upstream-choice.ts
@@ -37,7 +37,7 @@
 /** A suspect upstream is probed this often. */
 const PROBE_MILLISECONDS = 2_000
 /** Under stress no upstream is without requests for longer than this. */
-const LEFT_OUT_MILLISECONDS = 1_000
+const LEFT_OUT_MILLISECONDS = 1_500
 /** Between two requests to a suspect upstream when nothing better is free. */
 const RETRIAL_MILLISECONDS = 200
 
@@ -47,8 +47,15 @@
 /** Rules in their order; a candidate of an earlier one is always taken before one of a later. */
 const RULES: readonly Rule[] = [newcomerCost, probeCost, leftOutCost, usualCost]
 
+/** What was chosen. */
+export interface Choice {
+  readonly upstream: HeldUpstream
+  /** Only so that it is not left out; a failure there is no sign of more trouble. */
+  readonly isForced: boolean
+}
+
 /** One of the candidates, all with a free slot; undefined when the request is better kept waiting. */
-export function chooseUpstream (candidates: readonly Candidate[], context: ChoiceContext): Candidate | undefined {
+export function chooseUpstream (candidates: readonly Candidate[], context: ChoiceContext): Choice | undefined {
   let best: Candidate | undefined
   let bestRule = RULES.length - 1
   let bestCost = Infinity
@@ -63,7 +70,7 @@
       break
     }
   }
-  return best
+  return best === undefined ? undefined : { upstream: best.upstream, isForced: RULES[bestRule] === leftOutCost }
 }
 
 /** Probability that the upstream answers. */
--- a/packages/dispatch/src/waiting-line.ts
+++ b/packages/dispatch/src/waiting-line.ts
@@ -1,14 +1,14 @@
 /** Questions that wait for a free upstream: those that can still be answered in time first, each by urgency and age. */
 import type { PlacementQuestion } from '@hickoryspoke/protocol/generated/dispatch'
 import type { Asker } from './pool-dispatcher.ts'
-import type { HeldUpstream } from './upstream-registry.ts'
+import type { Choice } from './upstream-choice.ts'
 
 /** A question that waits for a free upstream; times are monotonic milliseconds. */
 export interface WaitingQuestion {
   readonly question: PlacementQuestion
   readonly asker: Asker
   readonly since: number
-  readonly resolve: (upstream: HeldUpstream | undefined) => void
+  readonly resolve: (choice: Choice | undefined) => void
 }
 
 /** What waits in one pool. */
