--- a/packages/bench/src/measure-dispatch.ts
+++ b/packages/bench/src/measure-dispatch.ts
@@ -30,6 +30,7 @@
   { name: 'bookings, a third of the slots in use', upstreams: 18, slots: 4, kinds: [BOOKING], gray: RESETS },
   { name: 'reads and charges, half of the slots', upstreams: 8, slots: 4, kinds: [READ, CHARGE], gray: RESETS },
   { name: 'charges, a fifth of the slots', upstreams: 8, slots: 4, kinds: [CHARGE], gray: RESETS },
+  { name: 'charges, three upstreams', upstreams: 3, slots: 6, kinds: [CHARGE], gray: RESETS },
   { name: 'reads alone', upstreams: 8, slots: 4, kinds: [READ], gray: RESETS },
   { name: 'bookings, all shed half', upstreams: 18, slots: 4, kinds: [BOOKING], gray: SHEDDING },
   { name: 'reads and charges, bursts over the slots', upstreams: 8, slots: 4, kinds: [READ, CHARGE], gray: NEVER, load: (at) => at % 10_000 < 4_000 ? 2.6 : 1 },
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -270,13 +270,13 @@
   }
 
   private denyUnplaced (attendant: Attendant, question: PlacementQuestion, reason: DenialReason, retryAfter = SHORTEST_RETRY_MILLISECONDS): void {
-    this.pools.pool(question.pool).unserved.count(true, this.parts.clock.monotonicMilliseconds())
     if (question.attempt === 0 && question.customer !== '') this.parts.rates.giveBack(question.customer)
     this.deny(attendant, question, reason, Math.max(SHORTEST_RETRY_MILLISECONDS, retryAfter))
   }
 
   private deny (attendant: Attendant, question: PlacementQuestion, reason: DenialReason, retryAfter: number): void {
     const value = { ticket: question.ticket, reason, retryAfterMilliseconds: Math.ceil(retryAfter) }
+    this.pools.pool(question.pool).unserved.count(true, this.parts.clock.monotonicMilliseconds())
     attendant.send({ body: { $case: 'denial', value } })
     const view = this.pools.pool(question.pool).view(question.pool, this.parts.clock.monotonicMilliseconds())
     logDenial(this.parts.logger, attendant.entry, question, value, view)
--- a/packages/dispatch/src/failure-belief.ts
+++ b/packages/dispatch/src/failure-belief.ts
@@ -22,7 +22,7 @@
 
 /** An upstream may fail in one of several ways, so no end of a request is rare. */
 export const FAILING_SHARES: EvidenceShares = {
-  answered: 0.25, serverError: 0.25, broken: 0.4, overdue: 0.3, refused: 0.2, unreachable: 0.3
+  answered: 0.18, serverError: 0.25, broken: 0.4, overdue: 0.3, refused: 0.2, unreachable: 0.3
 }
 
 /** Part of the time that an upstream of which nothing is known spends failing. */
@@ -30,7 +30,7 @@
 const EPISODE_MILLISECONDS = 7_000
 /** Without evidence the probability returns to the usual one with this time constant. */
 const RETURN_MILLISECONDS = EPISODE_MILLISECONDS * (1 - USUAL_PROBABILITY)
-const HIGHEST_PROBABILITY = 0.98
+const HIGHEST_PROBABILITY = 0.95
 const LOWEST_PROBABILITY = 0.01
 
 /** A two-state hidden Markov model of one upstream. */
--- a/packages/dispatch/src/instance-standing.ts
+++ b/packages/dispatch/src/instance-standing.ts
@@ -90,6 +90,11 @@
     return now - this.placedAt
   }
 
+  /** Milliseconds since a request failed here. */
+  sinceFailed (now: number): number {
+    return now - this.failedAt
+  }
+
   isFull (slots: number, now: number): boolean {
     return this.inFlight >= slots || now < this.fullUntil
   }
--- a/packages/dispatch/src/pool-dispatcher.ts
+++ b/packages/dispatch/src/pool-dispatcher.ts
@@ -42,8 +42,8 @@
 /** What holds of the whole pool for a short time. */
 interface PoolState {
   readonly at: number
-  /** Slots of all upstreams, each by the probability that it is sound. */
-  readonly soundSlots: number
+  /** Slots of all upstreams, each by its probability of an answer. */
+  readonly answeringSlots: number
   /** Probability of an answer of the best upstream, free or not. */
   readonly bestSuccess: number
 }
@@ -62,7 +62,7 @@
   private readonly upstreams = new Map<string, Candidate>()
   /** Upstreams that may get requests. */
   private serving: readonly Candidate[] = []
-  private state: PoolState = { at: -Infinity, soundSlots: 0, bestSuccess: 0 }
+  private state: PoolState = { at: -Infinity, answeringSlots: 0, bestSuccess: 0 }
 
   private constructor (private readonly clock: Clock) {}
 
@@ -137,8 +137,8 @@
 
   /** Milliseconds that a question of this urgency would wait now for an upstream that answers. */
   expectedWait (priority: number, now: number): number {
-    const { soundSlots } = this.stateAt(now)
-    return soundSlots === 0 ? 0 : (this.line.ahead(priority) + 1) * this.times.meanMilliseconds() / soundSlots
+    const { answeringSlots } = this.stateAt(now)
+    return answeringSlots === 0 ? 0 : (this.line.ahead(priority) + 1) * this.times.meanMilliseconds() / answeringSlots
   }
 
   /** Places what waits as far as upstreams are free. */
@@ -169,13 +169,14 @@
 
   private stateAt (now: number): PoolState {
     if (now - this.state.at < STATE_MILLISECONDS) return this.state
-    let soundSlots = 0
+    let answeringSlots = 0
     let bestSuccess = 0
     for (const { upstream, standing } of this.serving) {
-      soundSlots += upstream.announced.slots * (1 - standing.failureProbability(now))
-      bestSuccess = Math.max(bestSuccess, successOf(standing, now))
+      const success = successOf(standing, now)
+      answeringSlots += upstream.announced.slots * success
+      bestSuccess = Math.max(bestSuccess, success)
     }
-    this.state = { at: now, soundSlots, bestSuccess }
+    this.state = { at: now, answeringSlots, bestSuccess }
     return this.state
   }
 }
--- a/packages/dispatch/src/sound-shares.ts
+++ b/packages/dispatch/src/sound-shares.ts
@@ -7,6 +7,9 @@
 /** Older requests fade, so that the shares follow the pool. */
 const MEMORY_REQUESTS = 600
 
+/** What happens at all upstreams alike is no sign of failure, so suspect ones count as well. */
+const LEAST_WEIGHT = 0.2
+
 /** Shares of one pool. */
 export class SoundShares {
   private requests = PRIOR_REQUESTS
@@ -23,10 +26,11 @@
 
   /** Counts the end of a request at an upstream that was sound with this probability. */
   count (evidence: Evidence, soundProbability: number): void {
-    const kept = 1 - soundProbability / MEMORY_REQUESTS
-    this.requests = this.requests * kept + soundProbability
+    const weight = Math.max(LEAST_WEIGHT, soundProbability)
+    const kept = 1 - weight / MEMORY_REQUESTS
+    this.requests = this.requests * kept + weight
     for (const each of Object.values(EVIDENCE)) this.counts[each] *= kept
-    this.counts[evidence] += soundProbability
+    this.counts[evidence] += weight
   }
 
   /** The shares now; none is below a fifth of its first guess. */
--- a/packages/dispatch/src/unserved-share.ts
+++ b/packages/dispatch/src/unserved-share.ts
@@ -1,4 +1,4 @@
-/** The share of a pool's requests that were not served lately. */
+/** The share of a pool's requests that were not served lately, whether they failed or were refused. */
 
 interface WindowPart {
   readonly beganAt: number
@@ -7,8 +7,8 @@
 }
 
 const PART_MILLISECONDS = 100
-const WINDOW_MILLISECONDS = 1_500
-const STRESSED_SHARE = 0.09
+const WINDOW_MILLISECONDS = 2_000
+const STRESSED_SHARE = 0.08
 /** Below this many a share says little. */
 const FEWEST_UNSERVED = 4
 
--- a/packages/dispatch/src/upstream-choice.ts
+++ b/packages/dispatch/src/upstream-choice.ts
@@ -38,7 +38,9 @@
 const PROBE_MILLISECONDS = 2_000
 /** Under stress no upstream is without requests for longer than this. */
 const LEFT_OUT_MILLISECONDS = 1_500
-/** Between two requests to a suspect upstream when nothing better is free. */
+/** As long after its last failure for a suspect one. */
+const LEFT_OUT_SUSPECT_MILLISECONDS = 3_000
+/** Between two requests to an upstream that certainly fails, when nothing better is free. */
 const RETRIAL_MILLISECONDS = 200
 
 /** The cost of a candidate under a rule; undefined when the rule does not take it. */
@@ -92,7 +94,9 @@
 
 /** While many requests are not served, no upstream may be left out: suspicion may be wrong. */
 function leftOutCost ({ standing }: Candidate, { now, isStressed }: ChoiceContext): number | undefined {
-  return isStressed && standing.sincePlaced(now) >= LEFT_OUT_MILLISECONDS ? standing.failureProbability(now) : undefined
+  if (!isStressed || standing.sincePlaced(now) < LEFT_OUT_MILLISECONDS) return undefined
+  if (standing.standing(now) === STANDING.suspect && standing.sinceFailed(now) < LEFT_OUT_SUSPECT_MILLISECONDS) return undefined
+  return standing.failureProbability(now)
 }
 
 function usualCost (candidate: Candidate, context: ChoiceContext): number | undefined {
@@ -104,7 +108,7 @@
 
 /** A suspect upstream fails fast and so always has free slots; it must not draw all that waits. */
 function isTriedEnough ({ standing }: Candidate, now: number): boolean {
-  return standing.standing(now) === STANDING.suspect && standing.sincePlaced(now) < RETRIAL_MILLISECONDS
+  return standing.standing(now) === STANDING.suspect && standing.sincePlaced(now) < RETRIAL_MILLISECONDS * standing.failureProbability(now) ** 2
 }
 
 function placeCost ({ upstream, standing }: Candidate, { now, zone }: ChoiceContext): number {
