--- a/packages/replication/src/replica-link.ts
+++ b/packages/replication/src/replica-link.ts
@@ -12,9 +12,11 @@
 
 const MAXIMUM_WAITING_MESSAGES = 256
 const FIRST_BACKOFF_MILLISECONDS = 50
-const LONGEST_BACKOFF_MILLISECONDS = 1_000
-const KEEPALIVE_INTERVAL_MILLISECONDS = 2_000
-const KEEPALIVE_TIMEOUT_MILLISECONDS = 2_000
+const LONGEST_BACKOFF_MILLISECONDS = 400
+/** A connection that was begun while the network was cut waits for its next retransmission long after the cut has healed. */
+const OPENING_MILLISECONDS = 1_000
+const KEEPALIVE_INTERVAL_MILLISECONDS = 1_000
+const KEEPALIVE_TIMEOUT_MILLISECONDS = 1_000
 
 type ReplicaCall = ClientDuplexStream<ReplicaMessage, ReplicaMessage>
 
@@ -75,21 +77,26 @@
     const client = this.connect()
     const call = client.exchange()
     const state = { open: false, over: false }
-    call.on('metadata', () => { state.open = true })
-    for (const event of ['error', 'end', 'status']) {
-      call.on(event, () => {
-        state.over = true
-        this.notify?.()
-      })
+    const finish = (): void => {
+      state.over = true
+      this.notify?.()
     }
+    const opening = this.options.clock.schedule(OPENING_MILLISECONDS, finish)
+    call.on('metadata', () => {
+      state.open = true
+      opening.cancel()
+    })
+    for (const event of ['error', 'end', 'status']) call.on(event, finish)
     call.on('drain', () => this.notify?.())
     call.resume()
     while (!this.stopping.signal.aborted && !state.over) {
       this.writeQueued(call)
       await this.untilNotified()
     }
+    opening.cancel()
     if (this.stopping.signal.aborted) this.writeQueued(call)
-    call.end()
+    if (state.open) call.end()
+    else call.cancel()
     client.close()
     return state.open
   }
