Most upstreams have requests at all times, by the floor of the settings

So while all is well, too, upstreams without requests for 1.6 s get one until 0.85 of the pool is used (half of what the floor lets be without); suspect ones only under stress.

--- a/packages/bench/src/dispatch-site.ts
+++ b/packages/bench/src/dispatch-site.ts
@@ -57,6 +57,7 @@
 const ERROR_SHARE = 0.012
 const TICK_MILLISECONDS = 50
 const BUDGET = { ratio: 0.2, slack: 60, windowMilliseconds: 10_000 }
+const FLOOR_SHARE = 0.7
 const ENTRIES = 40
 
 /** Plays one scenario for a while. */
@@ -72,7 +73,12 @@
 
   private constructor (private readonly scenario: DispatchScenario, private readonly random: SeededRandom) {
     this.dispatcher = Dispatcher.create({
-      clock: this.clock, logger: silentLogger(), registry: this.registry, rates: CustomerRates.createUnspent(), budget: BUDGET
+      clock: this.clock,
+      logger: silentLogger(),
+      registry: this.registry,
+      rates: CustomerRates.createUnspent(),
+      budget: BUDGET,
+      floorShare: FLOOR_SHARE
     })
     this.registry.onChange((changed) => this.dispatcher.updateAll(changed))
     for (let index = 0; index < scenario.upstreams; index += 1) this.addUpstream(`upstream-${index}`, index)
--- a/packages/bench/src/tests/dispatched-fleet.ts
+++ b/packages/bench/src/tests/dispatched-fleet.ts
@@ -102,6 +102,7 @@
       minimumVoters: this.addresses.length,
       firstOfFleet,
       budget: { ratio: 0.2, slack: 10, windowMilliseconds: 10_000 },
+      floorShare: 0.7,
       overage: { windowMilliseconds: 5_000, share: 0.1, requests: 20 },
       silentUpstreamMilliseconds: 60_000
     }, { ...parts, decode: (document) => Ok(JSON.parse(document.content.toString()) as ServingConfiguration) })
--- a/packages/control/src/dispatching-control.ts
+++ b/packages/control/src/dispatching-control.ts
@@ -39,6 +39,8 @@
   readonly firstOfFleet: boolean
   readonly budget: BudgetTerms
   readonly overage: OverageTerms
+  /** Part of a pool's sound upstreams that must have requests. */
+  readonly floorShare: number
   /** An upstream that is not announced for this long and does not answer requests is taken out. */
   readonly silentUpstreamMilliseconds: number
 }
@@ -87,6 +89,7 @@
       registry: this.registry,
       budget: settings.budget,
       overage: settings.overage,
+      floorShare: settings.floorShare,
       startsUnspent: () => settings.firstOfFleet && state.document === undefined,
       control: {
         isLeader: () => this.isLeader,
--- a/packages/dispatch/src/dispatch-service.ts
+++ b/packages/dispatch/src/dispatch-service.ts
@@ -33,6 +33,8 @@
   readonly registry: UpstreamRegistry
   readonly budget: BudgetTerms
   readonly overage: OverageTerms
+  /** Part of a pool's sound upstreams that must have requests. */
+  readonly floorShare: number
   /** Whether certainly no earlier dispatcher spent any customer's burst. */
   readonly startsUnspent: () => boolean
 }
@@ -115,11 +117,11 @@
   }
 
   private begin (): void {
-    const { clock, logger, registry, budget, overage } = this.parts
+    const { clock, logger, registry, budget, overage, floorShare } = this.parts
     const rates = this.parts.startsUnspent() ? CustomerRates.createUnspent() : CustomerRates.createAfterOther(overage)
     rates.setTerms((name) => this.customerTerms(name))
     registry.refresh()
-    this.dispatcher = Dispatcher.create({ clock, logger, registry, rates, budget })
+    this.dispatcher = Dispatcher.create({ clock, logger, registry, rates, budget, floorShare })
     const { heard } = this.suspicions
     if (heard !== undefined) this.dispatcher.adopt(heard.suspicions, heard.at)
     logger.info('dispatcher began', { suspected: heard?.suspicions.length ?? 0, upstreams: registry.present().length, configuration: this.history.newest?.number ?? 0 })
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -29,6 +29,8 @@
   readonly registry: UpstreamRegistry
   readonly rates: CustomerRates
   readonly budget: BudgetTerms
+  /** Part of a pool's sound upstreams that must have requests. */
+  readonly floorShare: number
 }
 
 /** What an entry brings from an earlier dispatcher, or from a time without one. */
@@ -54,7 +56,7 @@
 
   private constructor (private readonly parts: DispatcherParts) {
     this.beganAt = parts.clock.monotonicMilliseconds()
-    this.pools = PoolSet.create(parts.clock, parts.budget)
+    this.pools = PoolSet.create(parts.clock, parts.budget, parts.floorShare)
     this.placements = Placements.create(parts.clock, ({ poolName }) => this.drain(poolName))
     for (const upstream of parts.registry.present()) this.pools.update(upstream)
   }
--- a/packages/dispatch/src/pool-dispatcher.ts
+++ b/packages/dispatch/src/pool-dispatcher.ts
@@ -5,7 +5,7 @@
 import { KindTimes } from './kind-times.ts'
 import { SoundShares } from './sound-shares.ts'
 import { UnservedShare } from './unserved-share.ts'
-import { chooseUpstream, successOf, type Candidate, type Choice } from './upstream-choice.ts'
+import { chooseUpstream, LEFT_OUT_MILLISECONDS, successOf, type Candidate, type Choice } from './upstream-choice.ts'
 import type { HeldUpstream } from './upstream-registry.ts'
 import { WaitingLine, type WaitingQuestion } from './waiting-line.ts'
 
@@ -36,6 +36,8 @@
 
 /** An upstream of which nothing is known is always good enough. */
 const HIGHEST_LEAST_HOPE = 0.88
+/** Of the upstreams that the floor lets be without requests only this part is, as not all of the others need be sound. */
+const LEFT_OUT_SHARE = 0.5
 /** What a late answer is worth, in parts of one in time. */
 const LATE_VALUE = 0.55
 
@@ -44,6 +46,8 @@
   readonly at: number
   /** Slots of all upstreams, each by its probability of an answer. */
   readonly answeringSlots: number
+  /** Part of the upstreams that got a request lately. */
+  readonly usedShare: number
   /** Probability of an answer of the best upstream, free or not. */
   readonly bestSuccess: number
 }
@@ -62,12 +66,13 @@
   private readonly upstreams = new Map<string, Candidate>()
   /** Upstreams that may get requests. */
   private serving: readonly Candidate[] = []
-  private state: PoolState = { at: -Infinity, answeringSlots: 0, bestSuccess: 0 }
+  private state: PoolState = { at: -Infinity, answeringSlots: 0, bestSuccess: 0, usedShare: 0 }
 
-  private constructor (private readonly clock: Clock) {}
+  private constructor (private readonly clock: Clock, private readonly leastUsedShare: number) {}
 
-  static create (clock: Clock): PoolDispatcher {
-    return new PoolDispatcher(clock)
+  /** `floorShare` is the part of the sound upstreams that must have requests; 0 for none. */
+  static create (clock: Clock, floorShare: number): PoolDispatcher {
+    return new PoolDispatcher(clock, floorShare === 0 ? 0 : 1 - (1 - floorShare) * LEFT_OUT_SHARE)
   }
 
   /** Takes note of an upstream that is new, changed or gone. */
@@ -116,11 +121,13 @@
       return !candidate.standing.isFull(candidate.upstream.announced.slots, now) && isEligible(candidate, question, asker, now)
     })
     if (free.length === 0) return undefined
+    const isStressed = this.unserved.isStressed(now)
     return chooseUpstream(free, {
       now,
       zone: asker.zone,
       mayProbe: terms.mayProbe && question.attempt === 0,
-      isStressed: this.unserved.isStressed(now),
+      isSpreading: isStressed || this.stateAt(now).usedShare < this.leastUsedShare,
+      isStressed,
       leastSuccess: this.leastHope(question.priority, terms, now) * this.stateAt(now).bestSuccess
     })
   }
@@ -171,12 +178,14 @@
     if (now - this.state.at < STATE_MILLISECONDS) return this.state
     let answeringSlots = 0
     let bestSuccess = 0
+    let used = 0
     for (const { upstream, standing } of this.serving) {
       const success = successOf(standing, now)
       answeringSlots += upstream.announced.slots * success
       bestSuccess = Math.max(bestSuccess, success)
+      if (standing.sincePlaced(now) < LEFT_OUT_MILLISECONDS) used += 1
     }
-    this.state = { at: now, answeringSlots, bestSuccess }
+    this.state = { at: now, answeringSlots, bestSuccess, usedShare: used / Math.max(1, this.serving.length) }
     return this.state
   }
 }
--- a/packages/dispatch/src/pool-set.ts
+++ b/packages/dispatch/src/pool-set.ts
@@ -10,16 +10,17 @@
   private readonly pools = new Map<string, PoolDispatcher>()
   private readonly budgets = new Map<string, RequestBudget>()
 
-  private constructor (private readonly clock: Clock, private readonly budgetTerms: BudgetTerms) {}
+  private constructor (private readonly clock: Clock, private readonly budgetTerms: BudgetTerms, private readonly floorShare: number) {}
 
-  static create (clock: Clock, budgetTerms: BudgetTerms): PoolSet {
-    return new PoolSet(clock, budgetTerms)
+  /** `floorShare` is the part of a pool's sound upstreams that must have requests. */
+  static create (clock: Clock, budgetTerms: BudgetTerms, floorShare: number): PoolSet {
+    return new PoolSet(clock, budgetTerms, floorShare)
   }
 
   pool (name: string): PoolDispatcher {
     const known = this.pools.get(name)
     if (known !== undefined) return known
-    const created = PoolDispatcher.create(this.clock)
+    const created = PoolDispatcher.create(this.clock, this.floorShare)
     this.pools.set(name, created)
     return created
   }
--- a/packages/dispatch/src/tests/dispatcher.test.ts
+++ b/packages/dispatch/src/tests/dispatcher.test.ts
@@ -144,6 +144,21 @@
   }
 })
 
+test('with nothing wrong, most upstreams have requests within any 2 s although fewer could carry them', () => {
+  const instances = Array.from({ length: 10 }, (_, index) => `instance-${index}`)
+  const { dispatcher, clock } = createDispatcher(instances.map((instance, index) => announcement({ instance, slots: 8, address: `10.0.0.${index}:80` })), 1_000, 0.7)
+  const entry = recordingEntry('one')
+  const lastPlaced = new Map<string, number>()
+  for (let ticket = 1; ticket <= 400; ticket += 1) {
+    clock.advance(20)
+    dispatcher.ask(entry, question(ticket))
+    lastPlaced.set(entry.answerTo(ticket) as string, clock.monotonicMilliseconds())
+    dispatcher.end(entry, end(ticket, PlacementOutcome.PLACEMENT_OUTCOME_ANSWERED, 10))
+    const used = [...lastPlaced.values()].filter((at) => clock.monotonicMilliseconds() - at < 2_000).length
+    if (ticket > 150) assert.ok(used >= 8, `${used} at ticket ${ticket}`)
+  }
+})
+
 test('refusals by rate count as stress', () => {
   const instances = ['a', 'bb', 'ccc']
   const { dispatcher, clock } = createDispatcher(instances.map((instance) => announcement({ instance, slots: 8 })), 5)
--- a/packages/dispatch/src/tests/fixture.ts
+++ b/packages/dispatch/src/tests/fixture.ts
@@ -66,14 +66,14 @@
 }
 
 /** A dispatcher before the given upstreams. */
-export function createDispatcher (upstreams: readonly AnnouncedUpstream[], rate = 1_000) {
+export function createDispatcher (upstreams: readonly AnnouncedUpstream[], rate = 1_000, floorShare = 0) {
   const clock = FakeClock.create()
   const registry = UpstreamRegistry.create(clock)
   const rates = CustomerRates.createUnspent()
   rates.setTerms(() => ({ rate, burst: rate }))
   for (const upstream of upstreams) registry.announce(upstream)
   const budget = { ratio: 0.2, slack: 10, windowMilliseconds: 10_000 }
-  const dispatcher = Dispatcher.create({ clock, logger: silentLogger(), registry, rates, budget })
+  const dispatcher = Dispatcher.create({ clock, logger: silentLogger(), registry, rates, budget, floorShare })
   registry.onChange((changed) => dispatcher.updateAll(changed))
   return { clock, registry, dispatcher }
 }
--- a/packages/dispatch/src/upstream-choice.ts
+++ b/packages/dispatch/src/upstream-choice.ts
@@ -16,6 +16,8 @@
   readonly zone: string
   /** A failure of this request costs only a repeat. */
   readonly mayProbe: boolean
+  /** Upstreams without requests are to get some. */
+  readonly isSpreading: boolean
   /** Many requests of the pool are not served. */
   readonly isStressed: boolean
   /** Least probability of an answer for which the request is sent now rather than kept waiting. */
@@ -36,8 +38,8 @@
 const NEWCOMER_MILLISECONDS = 1_000
 /** A suspect upstream is probed this often. */
 const PROBE_MILLISECONDS = 2_000
-/** Under stress no upstream is without requests for longer than this. */
-const LEFT_OUT_MILLISECONDS = 1_500
+/** An upstream counts as left out when it got nothing for this time. */
+export const LEFT_OUT_MILLISECONDS = 1_600
 /** As long after its last failure for a suspect one. */
 const LEFT_OUT_SUSPECT_MILLISECONDS = 3_000
 /** Between two requests to an upstream that certainly fails, when nothing better is free. */
@@ -92,10 +94,11 @@
   return since >= PROBE_MILLISECONDS ? -since : undefined
 }
 
-/** While many requests are not served, no upstream may be left out: suspicion may be wrong. */
-function leftOutCost ({ standing }: Candidate, { now, isStressed }: ChoiceContext): number | undefined {
-  if (!isStressed || standing.sincePlaced(now) < LEFT_OUT_MILLISECONDS) return undefined
-  if (standing.standing(now) === STANDING.suspect && standing.sinceFailed(now) < LEFT_OUT_SUSPECT_MILLISECONDS) return undefined
+/** Few sound upstreams may be without requests; none at all while many requests are not served, as suspicion may be wrong. */
+function leftOutCost ({ standing }: Candidate, { now, isSpreading, isStressed }: ChoiceContext): number | undefined {
+  if (!isSpreading || standing.sincePlaced(now) < LEFT_OUT_MILLISECONDS) return undefined
+  const isSuspect = standing.standing(now) === STANDING.suspect
+  if (isSuspect && (!isStressed || standing.sinceFailed(now) < LEFT_OUT_SUSPECT_MILLISECONDS)) return undefined
   return standing.failureProbability(now)
 }
 
