Where no upstream of a pool is sound, suspect ones are tried as quickly as their slots allow

The pause is there so that a failing upstream does not draw what waits for a better one; where there is none it is 60 ms instead of 200.

--- a/packages/dispatch/src/pool-dispatcher.ts
+++ b/packages/dispatch/src/pool-dispatcher.ts
@@ -46,6 +46,7 @@
   readonly at: number
   /** Slots of all upstreams, each by its probability of an answer. */
   readonly answeringSlots: number
+  readonly hasSound: boolean
   /** Part of the upstreams that got a request lately. */
   readonly usedShare: number
   /** Probability of an answer of the best upstream, free or not. */
@@ -66,7 +67,7 @@
   private readonly upstreams = new Map<string, Candidate>()
   /** Upstreams that may get requests. */
   private serving: readonly Candidate[] = []
-  private state: PoolState = { at: -Infinity, answeringSlots: 0, bestSuccess: 0, usedShare: 0 }
+  private state: PoolState = { at: -Infinity, answeringSlots: 0, hasSound: false, bestSuccess: 0, usedShare: 0 }
 
   private constructor (private readonly clock: Clock, private readonly leastUsedShare: number) {}
 
@@ -128,6 +129,7 @@
       mayProbe: terms.mayProbe && question.attempt === 0,
       isSpreading: isStressed || this.stateAt(now).usedShare < this.leastUsedShare,
       isStressed,
+      hasSound: this.stateAt(now).hasSound,
       leastSuccess: this.leastHope(question.priority, terms, now) * this.stateAt(now).bestSuccess
     })
   }
@@ -179,13 +181,15 @@
     let answeringSlots = 0
     let bestSuccess = 0
     let used = 0
+    let hasSound = false
     for (const { upstream, standing } of this.serving) {
       const success = successOf(standing, now)
       answeringSlots += upstream.announced.slots * success
       bestSuccess = Math.max(bestSuccess, success)
+      if (standing.standing(now) === STANDING.sound) hasSound = true
       if (standing.sincePlaced(now) < LEFT_OUT_MILLISECONDS) used += 1
     }
-    this.state = { at: now, answeringSlots, bestSuccess, usedShare: used / Math.max(1, this.serving.length) }
+    this.state = { at: now, answeringSlots, hasSound, bestSuccess, usedShare: used / Math.max(1, this.serving.length) }
     return this.state
   }
 }
--- a/packages/dispatch/src/upstream-choice.ts
+++ b/packages/dispatch/src/upstream-choice.ts
@@ -20,6 +20,8 @@
   readonly isSpreading: boolean
   /** Many requests of the pool are not served. */
   readonly isStressed: boolean
+  /** Some upstream of the pool, free or not, is not suspect. */
+  readonly hasSound: boolean
   /** Least probability of an answer for which the request is sent now rather than kept waiting. */
   readonly leastSuccess: number
 }
@@ -44,6 +46,8 @@
 const LEFT_OUT_SUSPECT_MILLISECONDS = 3_000
 /** Between two requests to an upstream that certainly fails, when nothing better is free. */
 const RETRIAL_MILLISECONDS = 200
+/** The same where there is no better upstream to wait for. */
+const RETRIAL_WITHOUT_SOUND_MILLISECONDS = 60
 
 /** The cost of a candidate under a rule; undefined when the rule does not take it. */
 type Rule = (candidate: Candidate, context: ChoiceContext) => number | undefined
@@ -105,13 +109,15 @@
 function usualCost (candidate: Candidate, context: ChoiceContext): number | undefined {
   const { now, leastSuccess } = context
   const success = successOf(candidate.standing, now)
-  if (success < leastSuccess || isTriedEnough(candidate, now)) return undefined
+  if (success < leastSuccess || isTriedEnough(candidate, context)) return undefined
   return 1 - success + placeCost(candidate, context)
 }
 
 /** A suspect upstream fails fast and so always has free slots; it must not draw all that waits. */
-function isTriedEnough ({ standing }: Candidate, now: number): boolean {
-  return standing.standing(now) === STANDING.suspect && standing.sincePlaced(now) < RETRIAL_MILLISECONDS * standing.failureProbability(now) ** 2
+function isTriedEnough ({ standing }: Candidate, { now, hasSound }: ChoiceContext): boolean {
+  if (standing.standing(now) !== STANDING.suspect) return false
+  const longest = hasSound ? RETRIAL_MILLISECONDS : RETRIAL_WITHOUT_SOUND_MILLISECONDS
+  return standing.sincePlaced(now) < longest * standing.failureProbability(now) ** 2
 }
 
 function placeCost ({ upstream, standing }: Candidate, { now, zone }: ChoiceContext): number {
