--- a/packages/configuration/src/program.ts
+++ b/packages/configuration/src/program.ts
@@ -1,3 +1,4 @@
+import { sleep, type Clock } from '@hickoryspoke/runtime/clock'
 import type { Failure } from '@hickoryspoke/runtime/failure'
 import { InvalidInput, formatIssue } from '@hickoryspoke/runtime/failure'
 import type { Result } from 'ts-results-es'
@@ -71,6 +72,15 @@
     .parseAsync()
 }
 
+/** Stops a program, and resolves after a time in milliseconds even where the stop does not end; tells whether it ended. */
+export async function stopWithin (program: RunningProgram, clock: Clock, limitMilliseconds: number): Promise<boolean> {
+  const timeLimit = new AbortController()
+  const ended = program.stop().then(() => true)
+  const stopped = await Promise.race([ended, sleep(clock, limitMilliseconds, timeLimit.signal).then(() => false)])
+  timeLimit.abort()
+  return stopped
+}
+
 /** The first signal stops gracefully; the second ends at once. */
 export function stopOnSignal (name: string, program: RunningProgram): void {
   let stopping = false
