An entry applies a difference only to the configuration that it was made from

Now such an update is an error, and the entry attends anew with the number that it holds. The test fails on the code before.

--- a/packages/dispatch/src/configuration-in-force.ts
+++ b/packages/dispatch/src/configuration-in-force.ts
@@ -1,9 +1,9 @@
 /** The configuration that an entry serves from, and until when it is known to be the one in force. */
-import { applyServingDifference, decodeWhole, type UpdateUnusable } from '@hickoryspoke/configuration/serving-codec'
+import { applyServingDifference, decodeWhole, UpdateUnusable } from '@hickoryspoke/configuration/serving-codec'
 import type { ServingConfiguration } from '@hickoryspoke/configuration/serving-configuration'
 import type { ServingUpdate } from '@hickoryspoke/protocol/generated/dispatch'
 import type { Clock } from '@hickoryspoke/runtime/clock'
-import { Ok, type Result } from 'ts-results-es'
+import { Err, Ok, type Result } from 'ts-results-es'
 
 interface Moment {
   readonly monotonic: number
@@ -46,8 +46,7 @@
   /** Takes a whole configuration or a difference; numbers never go back. */
   take (update: ServingUpdate): Result<boolean, UpdateUnusable> {
     if (update.number <= this.number) return Ok(false)
-    const from = this.held
-    const decoded = update.baseNumber === 0 || from === undefined ? decodeWhole(update.content) : applyServingDifference(from, update.content)
+    const decoded = this.decode(update)
     return decoded.map((configuration) => {
       this.held = configuration
       for (const listener of this.listeners) listener(configuration)
@@ -55,6 +54,12 @@
     })
   }
 
+  private decode ({ baseNumber, content }: ServingUpdate): Result<ServingConfiguration, UpdateUnusable> {
+    if (baseNumber === 0) return decodeWhole(content)
+    if (this.held?.number !== baseNumber) return Err(UpdateUnusable.create(`a difference to number ${baseNumber}, but ${this.number} is held`))
+    return applyServingDifference(this.held, content)
+  }
+
   /** Remembers when a question for the number in force was asked. */
   noteQuestion (question: number): void {
     this.asked.set(question, this.now())
--- a/packages/dispatch/src/dispatch-link.ts
+++ b/packages/dispatch/src/dispatch-link.ts
@@ -89,6 +89,11 @@
     return true
   }
 
+  /** Attends anew, so that the leader learns what is held here. */
+  restart (): void {
+    if (this.stream !== undefined) this.stream.isOver = true
+  }
+
   /** Asks for the number in force. */
   askNumber (): void {
     this.questions += 1
--- a/packages/dispatch/src/tests/configuration-in-force.test.ts
+++ b/packages/dispatch/src/tests/configuration-in-force.test.ts
@@ -32,6 +32,15 @@
   assert.equal(inForce.configuration, second)
 })
 
+test('a difference to another configuration than the one held changes nothing', () => {
+  const { inForce } = createInForce()
+  const held = configuration(1, ['a', 'b'])
+  inForce.take({ number: 1, baseNumber: 0, content: encodeWhole(held) })
+  const content = encodeServingDifference(configuration(2, ['b']), configuration(3, ['c']))
+  assert.is(inForce.take({ number: 3, baseNumber: 2, content }).isErr(), true)
+  assert.equal(inForce.configuration, held)
+})
+
 test('bytes that cannot be read change nothing', () => {
   const { inForce } = createInForce()
   assert.is(inForce.take({ number: 2, baseNumber: 0, content: Buffer.from('nonsense') }).isErr(), true)
--- a/packages/entry/src/dispatched-entry.ts
+++ b/packages/entry/src/dispatched-entry.ts
@@ -189,7 +189,9 @@
 
   private takeConfiguration (update: ServingUpdate): void {
     const taken = this.inForce.take(update)
-    if (taken.isErr()) this.parts.logger.error('configuration could not be read', { number: update.number, reason: taken.error.message })
+    if (taken.isOk()) return
+    this.parts.logger.error('configuration could not be read', { number: update.number, reason: taken.error.message })
+    this.link.restart()
   }
 
   private lost (): void {
