--- a/packages/configuration/src/serving-configuration.ts
+++ b/packages/configuration/src/serving-configuration.ts
@@ -81,6 +81,7 @@
     if (route.host === '') fault('empty_host', 'the host is empty')
     if (!route.prefix.startsWith('/') || !route.prefix.endsWith('/')) fault('bad_prefix', 'the prefix must begin and end with a slash')
     if (places.has(place)) fault('duplicate_route', 'another route has this host and prefix')
+    if (route.timeoutMilliseconds <= 0) fault('no_timeout', 'the timeout must be above 0')
     if (route.shares.length === 0) fault('no_pool', 'the route names no pool')
     places.add(place)
     for (const share of route.shares) {
