Control: a line a second on the load of the process, and the time a change took

On the grown sites changes were committed late after a change of leader, and nothing in the logs told whether the leader was busy, waiting for its disk or cut off. 'control load' names processor time, the longest delay of the event loop, messages handled and time spent by kind (confirmations of leadership included), entries, requests waiting and the age of the oldest. Processes that do not lead write it only when their event loop was delayed. 'document proposed' says how long the commit took.

--- a/packages/control/src/control-api.ts
+++ b/packages/control/src/control-api.ts
@@ -37,13 +37,19 @@
 
   /** Publishes a valid document. Done means that it, or one with a higher number, survives the loss of a minority of replicas. */
   async publish (document: PublishedDocument): Promise<ControlApiAnswer> {
-    const { control, logger } = this.options
+    const { control, clock, logger } = this.options
     const redirection = this.redirectUnlessLeader<undefined>()
     if (redirection !== undefined) return redirection
     if (this.isForming()) return { kind: 'unavailable', reason: 'the control VMs are still forming' }
     if (document.number <= (control.held?.number ?? 0)) return { kind: 'done', value: undefined }
+    const receivedAt = clock.monotonicMilliseconds()
     const published = await control.publish(document)
-    logger.info('document proposed', { number: document.number, bytes: document.content.length, outcome: published.isOk() ? 'accepted' : published.error.code })
+    logger.info('document proposed', {
+      number: document.number,
+      bytes: document.content.length,
+      milliseconds: Math.round(clock.monotonicMilliseconds() - receivedAt),
+      outcome: published.isOk() ? 'accepted' : published.error.code
+    })
     return published.isOk() ? { kind: 'done', value: undefined } : { kind: 'unavailable', reason: published.error.code }
   }
 
--- a/packages/control/src/dispatching-control.ts
+++ b/packages/control/src/dispatching-control.ts
@@ -21,6 +21,7 @@
 import type { Metrics } from '@hickoryspoke/telemetry/metrics'
 import { Ok, type Result } from 'ts-results-es'
 import { createControlMetrics } from './dispatching-control-metrics.ts'
+import { reportLoad } from './load-report.ts'
 import { logReplicaEvent } from './replica-event-log.ts'
 
 /** Settings of the process. Addresses are IP:PORT of inner ports. */
@@ -222,7 +223,9 @@
     const { signal } = this.stopping
     void this.service.run(signal)
     void this.mirror.run(signal)
-    void repeatEvery(this.options.clock, EXPIRY_CHECK_MILLISECONDS, signal, () => this.expireUpstreams())
+    const { clock, logger } = this.options
+    void reportLoad({ clock, logger, metrics: this.metrics, service: this.service, isLeader: () => this.isLeader }, signal)
+    void repeatEvery(clock, EXPIRY_CHECK_MILLISECONDS, signal, () => this.expireUpstreams())
   }
 
   private expireUpstreams (): void {
--- a/packages/dispatch/src/dispatch-service.ts
+++ b/packages/dispatch/src/dispatch-service.ts
@@ -11,6 +11,7 @@
 import type { PoolSnapshot } from './pool-dispatcher.ts'
 import type { FleetRetryBudgetSettings } from './fleet-retry-budget.ts'
 import { ConfigurationHistory } from './configuration-history.ts'
+import { MessageLoad } from './message-load.ts'
 import { SuspicionSync } from './suspicion-sync.ts'
 import type { RegisteredUpstream, UpstreamRegistry } from './upstream-registry.ts'
 
@@ -54,6 +55,7 @@
   private readonly sessions = new Map<string, ClientSession>()
   private readonly history = ConfigurationHistory.create()
   private readonly suspicions: SuspicionSync
+  private readonly load = MessageLoad.create()
   private dispatcher: Dispatcher | undefined
   private numberRequests: { readonly session: ClientSession, readonly question: number }[] = []
   private isConfirming = false
@@ -88,6 +90,16 @@
     return [...this.sessions.values()].filter((session) => !session.mirror).length
   }
 
+  /** Numbers of messages and milliseconds spent on them since the previous call, by kind, as fields for a log line. */
+  readLoad (): Record<string, number> {
+    const fields: Record<string, number> = {}
+    for (const [kind, { count, milliseconds }] of this.load.read()) {
+      fields[`${kind}Messages`] = count
+      fields[`${kind}Milliseconds`] = Math.round(milliseconds)
+    }
+    return fields
+  }
+
   /** Snapshots of the dispatcher's pools; empty where it does not run. */
   pools (): PoolSnapshot[] {
     return this.dispatcher?.snapshots() ?? []
@@ -148,8 +160,10 @@
   private acceptStream (call: DispatchCall): void {
     let session: ClientSession | undefined
     call.on('data', (message: EntryMessage) => {
+      const beganAt = this.options.clock.monotonicMilliseconds()
       if (session === undefined) session = this.openSession(call, message)
       else this.handleMessage(session, message)
+      this.load.record(message.body?.$case ?? 'empty', this.options.clock.monotonicMilliseconds() - beganAt)
     })
     const end = (): void => {
       if (session !== undefined) this.removeSession(session)
@@ -227,7 +241,9 @@
     while (this.numberRequests.length > 0) {
       const pending = this.numberRequests
       this.numberRequests = []
+      const askedAt = this.options.clock.monotonicMilliseconds()
       const number = await this.options.control.confirmNumber()
+      this.load.record('confirmation', this.options.clock.monotonicMilliseconds() - askedAt)
       if (number === undefined) break
       for (const { session, question } of pending) session.call.write({ body: { $case: 'number', value: { question, number, entries: this.entries } } })
     }
--- a/packages/dispatch/src/pool-dispatcher.ts
+++ b/packages/dispatch/src/pool-dispatcher.ts
@@ -14,6 +14,8 @@
   readonly name: string
   readonly inFlight: number
   readonly waiting: number
+  /** When the oldest waiting request began to wait, in monotonic milliseconds; Infinity for none. */
+  readonly waitingSince: number
   /** Number of upstreams by standing. */
   readonly standings: Readonly<Record<Standing, number>>
 }
@@ -95,7 +97,7 @@
       standings[standing.standing(now)] += 1
       inFlight += standing.inFlight
     }
-    return { name, inFlight, waiting: this.line.length, standings }
+    return { name, inFlight, waiting: this.line.length, waitingSince: this.line.oldest, standings }
   }
 
   /** Suspect upstreams, with their probability of failure. */
--- a/packages/dispatch/src/waiting-queue.ts
+++ b/packages/dispatch/src/waiting-queue.ts
@@ -26,6 +26,11 @@
     return this.onTime.length + this.late.length
   }
 
+  /** When the oldest request began to wait; Infinity for none. */
+  get oldest (): number {
+    return Math.min(Infinity, ...this.onTime.map(({ since }) => since), ...this.late.map(({ since }) => since))
+  }
+
   /** Copies of the two groups: requests that can be answered in time, and those that can only be answered late. */
   groups (): readonly WaitingQuestion[][] {
     return [[...this.onTime], [...this.late]]
