Acknowledge configurations and departures only when no entry can act on older news

Callers saw requests handled by an older configuration, and sent to upstreams that had said they leave, after the acknowledgement (CONFIG, DRAIN).

Cause: a configuration was acknowledged when it was committed, a departure when it was written to the open streams. An entry that was attaching again, or that placed requests from its own view, used the older news while its last confirmation was valid: 3.5 s, where the terms allow 2 s after an acknowledgement. A new leader did not know what its predecessor had acknowledged.

Now the leader gives configurations and departures a revision; entries confirm it once applied. An acknowledgement waits until every entry has confirmed, or has been without a confirmation of its view for so long that the view expires within the bound (2.0 s at the terms of these sites). A new leader waits as long before its first acknowledgement, and a departure is acknowledged after a read barrier, so that a deposed leader cannot do it. An entry gives back a placement on an upstream that it knows to be leaving.

Ruled out: shortening the validity of a view to the bound, which would refuse requests in each change of leader. The dispatch service is split: news, broadcasts of upstreams and confirmations of the number in force.

--- a/packages/bench/src/tests/acknowledged-news.test.ts
+++ b/packages/bench/src/tests/acknowledged-news.test.ts
@@ -5,6 +5,9 @@
 import * as assert from 'uvu/assert'
 import { DispatchedFleet, fleetConfiguration, waitFor } from './dispatched-fleet.ts'
 
+/** So long that no view expires while a test runs. */
+const FRESH_MILLISECONDS = 600_000
+
 type Body = NonNullable<DispatchMessage['body']>
 
 /** A stream of an entry that answers only when the test says so. */
@@ -30,6 +33,12 @@
     return await waitFor(() => this.received.find(isWanted))
   }
 
+  /** Confirms everything that was received so far. */
+  confirmAll (): void {
+    const revisions = this.received.map(({ value }) => 'revision' in value ? value.revision : 0)
+    this.call.write({ body: { $case: 'confirmation', value: { revision: Math.max(...revisions) } } })
+  }
+
   close (): void {
     this.call.cancel()
     this.client.close()
@@ -38,7 +47,7 @@
 
 // Guards against requests that reach an upstream after its departure was acknowledged, from an entry that had not heard of it (DRAIN).
 test('a departure is not acknowledged while an entry has not confirmed that it knows', async () => {
-  const fleet = await DispatchedFleet.create(3, 0)
+  const fleet = await DispatchedFleet.create(3, 0, FRESH_MILLISECONDS)
   const entry = await SilentEntry.attach((await fleet.leader()).address)
   try {
     await fleet.announce('i-1', '127.0.0.1:9')
@@ -46,25 +55,27 @@
     const departure = fleet.announce('i-1', '127.0.0.1:9', { draining: true, sequence: 2 }).then(() => { isAcknowledged = true })
     await entry.receives((body) => body.$case === 'upstreams' && body.value.upstreams.some(({ draining }) => draining))
     assert.not.ok(isAcknowledged)
-    entry.close()
+    entry.confirmAll()
     await departure
   } finally {
+    entry.close()
     await fleet.stop()
   }
 })
 
 // Guards against requests handled by an older configuration after a newer one was acknowledged (CONFIG).
 test('a configuration is not acknowledged while an entry has not confirmed that it holds it', async () => {
-  const fleet = await DispatchedFleet.create(3, 0)
+  const fleet = await DispatchedFleet.create(3, 0, FRESH_MILLISECONDS)
   const entry = await SilentEntry.attach((await fleet.leader()).address)
   try {
     let isAcknowledged = false
     const change = fleet.publish(fleetConfiguration(3, [{ prefix: '/lots/' }])).then(() => { isAcknowledged = true })
     await entry.receives((body) => body.$case === 'configuration' && body.value.number === 3)
     assert.not.ok(isAcknowledged)
-    entry.close()
+    entry.confirmAll()
     await change
   } finally {
+    entry.close()
     await fleet.stop()
   }
 })
--- a/packages/bench/src/tests/dispatched-fleet.ts
+++ b/packages/bench/src/tests/dispatched-fleet.ts
@@ -42,11 +42,11 @@
   readonly entries: { readonly entry: DispatchedEntry, readonly url: string, readonly readiness: string }[] = []
   private readonly folders: string[] = []
 
-  private constructor (private readonly addresses: readonly string[]) {}
+  private constructor (private readonly addresses: readonly string[], private readonly freshMilliseconds: number) {}
 
-  /** Starts the given numbers of control nodes and entries and waits for a leader. */
-  static async create (controls: number, entries: number): Promise<DispatchedFleet> {
-    const fleet = new DispatchedFleet(await findFreeAddresses(controls))
+  /** Starts the given numbers of control nodes and entries and waits for a leader. Views of entries expire after `freshMilliseconds`. */
+  static async create (controls: number, entries: number, freshMilliseconds = 3_500): Promise<DispatchedFleet> {
+    const fleet = new DispatchedFleet(await findFreeAddresses(controls), freshMilliseconds)
     await Promise.all(fleet.addresses.map(async (address) => await fleet.startControl(address, true)))
     for (let number = 1; number <= entries; number += 1) await fleet.startEntry(`entry-${number}`)
     await fleet.leader()
@@ -69,7 +69,7 @@
 
   async announce (instance: string, address: string, changes: { draining?: boolean, sequence?: number } = {}): Promise<void> {
     await waitFor(async () => {
-      const answer = (await this.leader()).desk.announce({
+      const answer = await (await this.leader()).desk.announce({
         instance, pool: 'ledger', address, zone: 'zone-a', slots: 2, draining: false, warmupMilliseconds: 0, born: 1, sequence: 1, version: '', gone: false, ...changes
       })
       return answer.kind === 'done' ? true : undefined
@@ -103,6 +103,8 @@
       firstOfFleet,
       budget: { ratio: 0.2, slack: 10, windowMilliseconds: 10_000 },
       floorShare: 0.7,
+      freshMilliseconds: this.freshMilliseconds,
+      applyMilliseconds: 2_000,
       overage: { windowMilliseconds: 5_000, share: 0.1, requests: 20 },
       silentUpstreamMilliseconds: 60_000
     }, { ...parts, decode: (document) => Ok(JSON.parse(document.content.toString()) as ServingConfiguration) })
@@ -126,7 +128,7 @@
       callers,
       readiness,
       readinessPath: '/ready',
-      freshMilliseconds: 3_500,
+      freshMilliseconds: this.freshMilliseconds,
       rateWindowMilliseconds: 5_000,
       stopMilliseconds: 3_200,
       seeds: () => this.addresses
--- a/packages/control/src/control-api.ts
+++ b/packages/control/src/control-api.ts
@@ -35,13 +35,16 @@
     return new ControlApi(options)
   }
 
-  /** Publishes a valid document. Done means that it, or one with a higher number, survives the loss of a minority of replicas. */
+  /**
+   * Publishes a valid document. Done means that it, or one with a higher number, survives the loss of a minority of replicas,
+   * and that no entry acts on an older one for longer than the settings allow after an acknowledgement.
+   */
   async publish (document: PublishedDocument): Promise<ControlApiAnswer> {
     const { control, clock, logger } = this.options
     const redirection = this.redirectUnlessLeader<undefined>()
     if (redirection !== undefined) return redirection
     if (this.isForming()) return { kind: 'unavailable', reason: 'the control VMs are still forming' }
-    if (document.number <= (control.held?.number ?? 0)) return { kind: 'done', value: undefined }
+    if (document.number <= (control.held?.number ?? 0)) return await this.confirmDocument(document.number)
     const receivedAt = clock.monotonicMilliseconds()
     const published = await control.publish(document)
     logger.info('document proposed', {
@@ -50,7 +53,7 @@
       milliseconds: Math.round(clock.monotonicMilliseconds() - receivedAt),
       outcome: published.isOk() ? 'accepted' : published.error.code
     })
-    return published.isOk() ? { kind: 'done', value: undefined } : { kind: 'unavailable', reason: published.error.code }
+    return published.isOk() ? await this.confirmDocument(document.number) : { kind: 'unavailable', reason: published.error.code }
   }
 
   /** Reads the newest document. */
@@ -61,21 +64,40 @@
     return document.isOk() ? { kind: 'done', value: document.value } : { kind: 'unavailable', reason: document.error.code }
   }
 
-  /** Applies an announcement. Done means that no reachable entry sends new requests to an upstream that is leaving. */
-  announce (announced: AnnouncedUpstream): ControlApiAnswer {
-    return this.redirectUnlessLeader<undefined>() ?? this.recordAnnouncement(announced)
+  /** Applies an announcement. Done means that no entry sends requests to an upstream that is leaving for longer than the settings allow. */
+  async announce (announced: AnnouncedUpstream): Promise<ControlApiAnswer> {
+    const redirection = this.redirectUnlessLeader<undefined>()
+    if (redirection !== undefined) return redirection
+    this.recordAnnouncement(announced)
+    return announced.draining ? await this.confirmDeparture(announced.instance) : { kind: 'done', value: undefined }
   }
 
-  /** Removes an upstream that leaves. */
-  leave (instance: string, born: number | undefined): ControlApiAnswer {
+  /** Removes an upstream that leaves. Done means the same as for an announcement. */
+  async leave (instance: string, born: number | undefined): Promise<ControlApiAnswer> {
     const redirection = this.redirectUnlessLeader<undefined>()
     if (redirection !== undefined) return redirection
     this.options.control.registry.leave(instance, born)
     this.options.logger.info('upstream left', { upstream: instance })
-    return { kind: 'done', value: undefined }
+    return await this.confirmDeparture(instance)
+  }
+
+  private async confirmDocument (number: number): Promise<ControlApiAnswer> {
+    return await this.confirmNews('document', number, async () => await this.options.control.isDocumentKnown())
+  }
+
+  private async confirmDeparture (instance: string): Promise<ControlApiAnswer> {
+    return await this.confirmNews('departure', instance, async () => await this.options.control.isDepartureKnown(instance))
+  }
+
+  private async confirmNews (kind: string, subject: string | number, isKnown: () => Promise<boolean>): Promise<ControlApiAnswer> {
+    const { clock, logger } = this.options
+    const receivedAt = clock.monotonicMilliseconds()
+    const known = await isKnown()
+    logger.info(known ? 'news acknowledged' : 'news not acknowledged', { kind, subject, milliseconds: Math.round(clock.monotonicMilliseconds() - receivedAt) })
+    return known ? { kind: 'done', value: undefined } : { kind: 'unavailable', reason: 'not_confirmed' }
   }
 
-  private recordAnnouncement (announced: AnnouncedUpstream): ControlApiAnswer {
+  private recordAnnouncement (announced: AnnouncedUpstream): void {
     const { registry } = this.options.control
     const previous = registry.find(announced.instance)?.announced
     const isApplied = registry.announce(announced)
@@ -84,7 +106,6 @@
         upstream: announced.instance, pool: announced.pool, address: announced.address, draining: announced.draining, sequence: announced.sequence
       })
     }
-    return { kind: 'done', value: undefined }
   }
 
   private isForming (): boolean {
--- a/packages/control/src/dispatching-control.ts
+++ b/packages/control/src/dispatching-control.ts
@@ -42,6 +42,10 @@
   readonly overage: OverageAllowance
   /** Share of a pool's sound upstreams that must receive requests; 0 for none. */
   readonly floorShare: number
+  /** How long an entry may serve after its view was last confirmed. */
+  readonly freshMilliseconds: number
+  /** Time after an acknowledgement within which all entries must act on what was acknowledged. */
+  readonly applyMilliseconds: number
   /** An upstream without announcements for this long is removed, unless it answers requests. */
   readonly silentUpstreamMilliseconds: number
 }
@@ -63,6 +67,8 @@
 const RETIRE_MILLISECONDS = 8_000
 const PROPOSAL_TIMEOUT_MILLISECONDS = 2_500
 const SHUTDOWN_MILLISECONDS = 300
+/** A request that was placed just before the entry's view expired reaches its upstream within this time. */
+const PLACED_REQUEST_MILLISECONDS = 500
 /** An upstream that answers requests is kept this many times as long without announcements. */
 const IN_USE_FACTOR = 4
 
@@ -91,6 +97,7 @@
       budget: settings.budget,
       overage: settings.overage,
       floorShare: settings.floorShare,
+      newsLimitMilliseconds: Math.max(0, settings.freshMilliseconds - settings.applyMilliseconds + PLACED_REQUEST_MILLISECONDS),
       startsWithFullBursts: () => settings.firstOfFleet && state.document === undefined,
       control: {
         isLeader: () => this.isLeader,
@@ -192,6 +199,18 @@
     return answer.map(() => undefined)
   }
 
+  /** Resolves once the newest document may be acknowledged, with false when this process does not lead until then. */
+  async isDocumentKnown (): Promise<boolean> {
+    this.service.updateLeadership()
+    return await this.service.isConfigurationKnown()
+  }
+
+  /** The same for the departure of an upstream. */
+  async isDepartureKnown (instance: string): Promise<boolean> {
+    this.service.updateLeadership()
+    return await this.service.isDepartureKnown(instance) && await this.confirmNumber() !== undefined
+  }
+
   /** Reads the newest document, as of some moment after the call. */
   async read (): Promise<Result<PublishedDocument | undefined, ReplicationFailure>> {
     const barrier = await this.replica.readBarrier()
--- a/packages/dispatch/src/active-configuration.ts
+++ b/packages/dispatch/src/active-configuration.ts
@@ -1,9 +1,9 @@
 /** The configuration that an entry serves from, and how recently the leader confirmed it as the newest. */
 import { applyServingDifference, decodeServingConfiguration, UpdateUnusable } from '@hickoryspoke/configuration/serving-codec'
 import type { ServingConfiguration } from '@hickoryspoke/configuration/serving-configuration'
-import type { ServingUpdate } from '@hickoryspoke/protocol/generated/dispatch'
 import type { Clock } from '@hickoryspoke/runtime/clock'
 import { Err, Ok, type Result } from 'ts-results-es'
+import type { ConfigurationUpdate } from './configuration-history.ts'
 
 /** Both clocks, read at the same moment. */
 interface ClockReading {
@@ -47,7 +47,7 @@
   }
 
   /** Applies a whole configuration or a difference. Returns false for an update that is not newer, and ignores it. */
-  applyUpdate (update: ServingUpdate): Result<boolean, UpdateUnusable> {
+  applyUpdate (update: ConfigurationUpdate): Result<boolean, UpdateUnusable> {
     if (update.number <= this.number) return Ok(false)
     const decoded = this.decode(update)
     return decoded.map((configuration) => {
@@ -57,7 +57,7 @@
     })
   }
 
-  private decode ({ baseNumber, content }: ServingUpdate): Result<ServingConfiguration, UpdateUnusable> {
+  private decode ({ baseNumber, content }: ConfigurationUpdate): Result<ServingConfiguration, UpdateUnusable> {
     if (baseNumber === 0) return decodeServingConfiguration(content)
     if (this.held?.number !== baseNumber) return Err(UpdateUnusable.create(`the difference is based on configuration ${baseNumber}, but ${this.number} is held`))
     return applyServingDifference(this.held, content)
--- /dev/null
+++ b/packages/dispatch/src/client-session.ts
@@ -0,0 +1,16 @@
+/** A stream to the dispatch service whose client has identified itself. */
+import type { ServerDuplexStream } from '@grpc/grpc-js'
+import type { DispatchMessage, EntryMessage } from '@hickoryspoke/protocol/generated/dispatch'
+import type { EntryConnection } from './dispatcher.ts'
+
+/** The server's side of a stream. */
+export type DispatchCall = ServerDuplexStream<EntryMessage, DispatchMessage>
+
+/** State of one client. */
+export interface ClientSession {
+  readonly call: DispatchCall
+  readonly connection: EntryConnection
+  /** Whether the client is a control VM that only mirrors the upstreams. */
+  readonly mirror: boolean
+  heldNumber: number
+}
--- a/packages/dispatch/src/configuration-history.ts
+++ b/packages/dispatch/src/configuration-history.ts
@@ -3,12 +3,15 @@
 import type { ServingConfiguration } from '@hickoryspoke/configuration/serving-configuration'
 import type { ServingUpdate } from '@hickoryspoke/protocol/generated/dispatch'
 
+/** An update without the revision that is to be confirmed, which depends on when it is sent. */
+export type ConfigurationUpdate = Omit<ServingUpdate, 'revision'>
+
 const KEPT_CONFIGURATIONS = 8
 
 /** Recent configurations, and cached updates from each to the newest. */
 export class ConfigurationHistory {
   private readonly recent: ServingConfiguration[] = []
-  private readonly cachedUpdates = new Map<number, ServingUpdate>()
+  private readonly cachedUpdates = new Map<number, ConfigurationUpdate>()
 
   static create (): ConfigurationHistory {
     return new ConfigurationHistory()
@@ -27,7 +30,7 @@
   }
 
   /** Update from a held configuration number to the newest configuration; undefined when the held one is current. */
-  updateFrom (heldNumber: number): ServingUpdate | undefined {
+  updateFrom (heldNumber: number): ConfigurationUpdate | undefined {
     const newest = this.newest
     if (newest === undefined || heldNumber >= newest.number) return undefined
     const base = this.recent.find((configuration) => configuration.number === heldNumber)
--- a/packages/dispatch/src/dispatch-service.ts
+++ b/packages/dispatch/src/dispatch-service.ts
@@ -1,22 +1,24 @@
 /** The gRPC service `Dispatch`: serves streams on the leading control VM, and redirects clients to the leader on the others. */
-import type { ServerDuplexStream, UntypedServiceImplementation } from '@grpc/grpc-js'
+import type { UntypedServiceImplementation } from '@grpc/grpc-js'
 import type { ServingConfiguration } from '@hickoryspoke/configuration/serving-configuration'
-import type { DispatchHello, DispatchMessage, EntryMessage, LeaderNotice, Suspicion, UpstreamUpdate } from '@hickoryspoke/protocol/generated/dispatch'
+import type { DispatchHello, EntryMessage, LeaderNotice, Suspicion } from '@hickoryspoke/protocol/generated/dispatch'
 import { mayActAs } from '@hickoryspoke/protocol/peer-identity'
 import { repeatEvery, type Clock } from '@hickoryspoke/runtime/clock'
 import { describeError } from '@hickoryspoke/runtime/failure'
 import type { Logger } from '@hickoryspoke/telemetry/logger'
+import type { ClientSession, DispatchCall } from './client-session.ts'
 import { CustomerRateLimiter, type OverageAllowance, type RateLimit } from './customer-rate-limiter.ts'
 import { Dispatcher, type EntryConnection } from './dispatcher.ts'
 import type { PoolSnapshot } from './pool-dispatcher.ts'
 import type { FleetRetryBudgetSettings } from './fleet-retry-budget.ts'
 import { ConfigurationHistory } from './configuration-history.ts'
 import { MessageLoad } from './message-load.ts'
+import { NewsDelivery, type DeliveryProgress } from './news-delivery.ts'
+import { NumberConfirmations } from './number-confirmations.ts'
 import { SuspicionSync } from './suspicion-sync.ts'
+import { UpstreamBroadcast } from './upstream-broadcast.ts'
 import type { RegisteredUpstream, UpstreamRegistry } from './upstream-registry.ts'
 
-type DispatchCall = ServerDuplexStream<EntryMessage, DispatchMessage>
-
 /** The state of the replicated log that the service needs. Addresses are IP:PORT of inner ports. */
 export interface ClusterView {
   isLeader (): boolean
@@ -38,16 +40,19 @@
   readonly floorShare: number
   /** Whether it is certain that no earlier dispatcher spent any customer's burst. */
   readonly startsWithFullBursts: () => boolean
+  /** How long after its last confirmation an entry that has not confirmed news is waited for, in milliseconds. */
+  readonly newsLimitMilliseconds: number
 }
 
 const QUEUE_TICK_MILLISECONDS = 50
 
-/** A stream whose client has identified itself with a hello. */
-interface ClientSession {
-  readonly call: DispatchCall
-  readonly connection: EntryConnection
-  readonly mirror: boolean
-  heldNumber: number
+/** What exists only while this process leads. */
+interface LeaderState {
+  readonly dispatcher: Dispatcher
+  readonly news: NewsDelivery
+  readonly upstreams: UpstreamBroadcast
+  /** Revision of the newest configuration. */
+  configurationRevision: number
 }
 
 /** Serves the streams of entries and of the other control VMs, and runs the dispatcher while this process leads. */
@@ -56,16 +61,20 @@
   private readonly history = ConfigurationHistory.create()
   private readonly suspicions: SuspicionSync
   private readonly load = MessageLoad.create()
-  private dispatcher: Dispatcher | undefined
-  private numberRequests: { readonly session: ClientSession, readonly question: number }[] = []
-  private isConfirming = false
+  private readonly numbers: NumberConfirmations
+  private leading: LeaderState | undefined
   /** Rate limits by customer, from the configuration with the number below. */
   private terms = new Map<string, RateLimit>()
   private termsConfigurationNumber: number | undefined
 
   private constructor (private readonly options: DispatchServiceOptions) {
     this.suspicions = SuspicionSync.create(options.clock)
-    options.registry.onChange((changed) => this.broadcastUpstreams(changed))
+    this.numbers = NumberConfirmations.create({
+      confirmNumber: () => this.confirmNumber(),
+      entries: () => this.entries,
+      answering: (session) => this.leading?.news.confirmView(session.connection.entry)
+    })
+    options.registry.onChange((changed) => this.receiveChanges(changed))
   }
 
   static create (options: DispatchServiceOptions): DispatchService {
@@ -80,7 +89,8 @@
   async run (signal: AbortSignal): Promise<void> {
     await repeatEvery(this.options.clock, QUEUE_TICK_MILLISECONDS, signal, () => {
       this.updateLeadership()
-      this.dispatcher?.tick()
+      this.leading?.dispatcher.tick()
+      this.leading?.news.check()
       this.broadcastSuspicions()
     })
   }
@@ -102,12 +112,12 @@
 
   /** Snapshots of the dispatcher's pools; empty where it does not run. */
   pools (): PoolSnapshot[] {
-    return this.dispatcher?.snapshots() ?? []
+    return this.leading?.dispatcher.snapshots() ?? []
   }
 
   /** Whether an upstream is answering requests; true while no dispatcher runs here. */
   isInUse (upstream: RegisteredUpstream): boolean {
-    return this.dispatcher?.isInUse(upstream) ?? true
+    return this.leading?.dispatcher.isInUse(upstream) ?? true
   }
 
   /** Stores the leader's suspicions, in case this process becomes the next leader. */
@@ -115,34 +125,55 @@
     this.suspicions.receive(suspicions)
   }
 
+  /** What acknowledgements wait for; undefined while this process does not lead. */
+  get delivery (): DeliveryProgress | undefined {
+    return this.leading?.news.progress
+  }
+
+  /** Whether no entry can act on an older configuration for longer than an acknowledgement allows; false when this process does not lead. */
+  async isConfigurationKnown (): Promise<boolean> {
+    return await this.leading?.news.whenKnown(this.leading.configurationRevision) ?? false
+  }
+
+  /** The same for the departure of an upstream. */
+  async isDepartureKnown (instance: string): Promise<boolean> {
+    return await this.leading?.news.whenKnown(this.leading.upstreams.departureRevision(instance)) ?? false
+  }
+
   /** Sends a new configuration to the entries. */
   publish (configuration: ServingConfiguration): void {
     this.history.add(configuration)
+    if (this.leading !== undefined) this.leading.configurationRevision = this.leading.news.add()
     for (const session of this.sessions.values()) this.sendConfiguration(session)
   }
 
   /** Starts or stops the dispatcher when leadership was gained or lost. */
   updateLeadership (): void {
     const isLeader = this.options.control.isLeader()
-    if (isLeader === (this.dispatcher !== undefined)) return
+    if (isLeader === (this.leading !== undefined)) return
     if (isLeader) this.startDispatcher()
     else this.stopDispatcher()
   }
 
   private startDispatcher (): void {
-    const { clock, logger, registry, budget, overage, floorShare } = this.options
-    const rates = this.options.startsWithFullBursts() ? CustomerRateLimiter.createWithFullBursts() : CustomerRateLimiter.createAfterPredecessor(overage)
+    const { clock, logger, registry, budget, overage, floorShare, newsLimitMilliseconds } = this.options
+    const isFirst = this.options.startsWithFullBursts()
+    const rates = isFirst ? CustomerRateLimiter.createWithFullBursts() : CustomerRateLimiter.createAfterPredecessor(overage)
     rates.setLimits((name) => this.rateLimitOf(name))
     registry.refresh()
-    this.dispatcher = Dispatcher.create({ clock, logger, registry, rates, budget, floorShare })
+    const dispatcher = Dispatcher.create({ clock, logger, registry, rates, budget, floorShare })
+    const news = NewsDelivery.create(clock, newsLimitMilliseconds, !isFirst)
+    const upstreams = UpstreamBroadcast.create(registry, news, () => this.sessions.values())
+    this.leading = { dispatcher, news, upstreams, configurationRevision: news.add() }
     const { received } = this.suspicions
-    if (received !== undefined) this.dispatcher.adoptSuspicions(received.suspicions, received.at)
+    if (received !== undefined) dispatcher.adoptSuspicions(received.suspicions, received.at)
     logger.info('dispatcher began', { suspected: received?.suspicions.length ?? 0, upstreams: registry.present().length, configuration: this.history.newest?.number ?? 0 })
   }
 
   private stopDispatcher (): void {
-    this.dispatcher?.close()
-    this.dispatcher = undefined
+    this.leading?.dispatcher.close()
+    this.leading?.news.close()
+    this.leading = undefined
     this.options.logger.info('dispatcher ended', { entries: this.entries })
     for (const session of this.sessions.values()) this.redirectToLeader(session.call)
     this.sessions.clear()
@@ -169,7 +200,10 @@
       if (session !== undefined) this.removeSession(session)
       call.end()
     }
-    call.on('end', end)
+    call.on('end', () => {
+      if (session !== undefined) this.leading?.news.forget(session.connection.entry)
+      end()
+    })
     call.on('cancelled', end)
     call.on('error', (error) => {
       this.options.logger.info('dispatch stream failed', { entry: session?.connection.entry, reason: describeError(error) })
@@ -181,7 +215,7 @@
   private openSession (call: DispatchCall, message: EntryMessage): ClientSession | undefined {
     const hello = message.body?.$case === 'hello' ? message.body.value : undefined
     this.updateLeadership()
-    if (hello === undefined || !mayActAs(call, hello.name) || this.dispatcher === undefined) {
+    if (hello === undefined || !mayActAs(call, hello.name) || this.leading === undefined) {
       this.redirectToLeader(call)
       return undefined
     }
@@ -189,8 +223,8 @@
     const session = this.registerSession(call, hello)
     call.write({ body: { $case: 'leader', value: this.notice(true) } })
     this.sendConfiguration(session)
-    this.sendUpstreams(session, { whole: true, upstreams: this.options.registry.announcements() })
-    if (!session.mirror) this.dispatcher.restoreEntry(session.connection, hello)
+    this.leading.upstreams.sendAll(session)
+    if (!session.mirror) this.leading.dispatcher.restoreEntry(session.connection, hello)
     return session
   }
 
@@ -199,6 +233,7 @@
     const session = { call, connection, mirror: hello.mirror, heldNumber: hello.configurationNumber }
     this.sessions.get(hello.name)?.call.end()
     this.sessions.set(hello.name, session)
+    if (!hello.mirror) this.leading?.news.attach(hello.name)
     this.options.logger.info('dispatch session opened', { entry: hello.name, zone: hello.zone, configuration: hello.configurationNumber, running: hello.running.length })
     return session
   }
@@ -222,59 +257,40 @@
 
   private handleMessage (session: ClientSession, message: EntryMessage): void {
     const { body } = message
-    if (this.dispatcher === undefined || body === undefined) return
+    if (this.leading === undefined || body === undefined) return
     switch (body.$case) {
-      case 'question': return this.dispatcher.ask(session.connection, body.value)
-      case 'end': return this.dispatcher.end(session.connection, body.value)
-      case 'number': return this.queueNumberRequest(session, body.value.question)
+      case 'question': return this.leading.dispatcher.ask(session.connection, body.value)
+      case 'end': return this.leading.dispatcher.end(session.connection, body.value)
+      case 'number': return this.numbers.ask(session, body.value.question)
+      case 'confirmation': return this.leading.news.confirmNews(session.connection.entry, body.value.revision)
     }
   }
 
-  private queueNumberRequest (session: ClientSession, question: number): void {
-    this.numberRequests.push({ session, question })
-    if (!this.isConfirming) void this.answerNumberRequests()
-  }
-
-  /** Confirms leadership once for all questions that arrived before the confirmation began. */
-  private async answerNumberRequests (): Promise<void> {
-    this.isConfirming = true
-    while (this.numberRequests.length > 0) {
-      const pending = this.numberRequests
-      this.numberRequests = []
-      const askedAt = this.options.clock.monotonicMilliseconds()
-      const number = await this.options.control.confirmNumber()
-      this.load.record('confirmation', this.options.clock.monotonicMilliseconds() - askedAt)
-      if (number === undefined) break
-      for (const { session, question } of pending) session.call.write({ body: { $case: 'number', value: { question, number, entries: this.entries } } })
-    }
-    this.isConfirming = false
+  private async confirmNumber (): Promise<number | undefined> {
+    const { clock, control } = this.options
+    const askedAt = clock.monotonicMilliseconds()
+    const number = await control.confirmNumber()
+    this.load.record('leadership', clock.monotonicMilliseconds() - askedAt)
+    return number
   }
 
   private sendConfiguration (session: ClientSession): void {
     const update = this.history.updateFrom(session.heldNumber)
     if (update === undefined || session.mirror) return
     session.heldNumber = update.number
-    session.call.write({ body: { $case: 'configuration', value: update } })
+    const revision = this.leading?.news.newestRevision ?? 0
+    session.call.write({ body: { $case: 'configuration', value: { ...update, revision } } })
   }
 
-  private broadcastUpstreams (changed: readonly RegisteredUpstream[]): void {
-    this.dispatcher?.updateUpstreams(changed)
-    const update = { whole: false, upstreams: this.announcements(changed) }
-    for (const session of this.sessions.values()) this.sendUpstreams(session, update)
+  private receiveChanges (changed: readonly RegisteredUpstream[]): void {
+    this.leading?.dispatcher.updateUpstreams(changed)
+    this.leading?.upstreams.send(changed)
   }
 
   private broadcastSuspicions (): void {
-    const { dispatcher } = this
+    const dispatcher = this.leading?.dispatcher
     const suspicions = dispatcher === undefined ? undefined : this.suspicions.nextUpdate(() => dispatcher.suspicions())
     if (suspicions === undefined) return
     for (const { call } of this.sessions.values()) call.write({ body: { $case: 'suspicions', value: { suspicions } } })
   }
-
-  private sendUpstreams (session: ClientSession, update: UpstreamUpdate): void {
-    session.call.write({ body: { $case: 'upstreams', value: update } })
-  }
-
-  private announcements (held: readonly RegisteredUpstream[]): UpstreamUpdate['upstreams'] {
-    return held.map((upstream) => upstream.announced)
-  }
 }
--- a/packages/dispatch/src/leader-connection.ts
+++ b/packages/dispatch/src/leader-connection.ts
@@ -58,6 +58,8 @@
 const RECONNECT_DELAY_MILLISECONDS = 40
 const IDLE_CHECK_MILLISECONDS = 200
 
+type MessageBody = Exclude<NonNullable<DispatchMessage['body']>, { readonly $case: 'leader' }>
+
 interface Stream {
   readonly call: ClientDuplexStream<EntryMessage, DispatchMessage>
   lastReceivedAt: number
@@ -172,9 +174,15 @@
     const { body } = message
     if (stream.isClosed || body === undefined) return
     stream.lastReceivedAt = this.options.clock.monotonicMilliseconds()
+    if (body.$case === 'leader') return this.handleLeaderNotice(stream, body.value)
+    this.deliver(body)
+    const revision = 'revision' in body.value ? body.value.revision : 0
+    if (revision > 0 && !stream.isClosed) this.send({ body: { $case: 'confirmation', value: { revision } } })
+  }
+
+  private deliver (body: MessageBody): void {
     const { listener } = this.options
     switch (body.$case) {
-      case 'leader': return this.handleLeaderNotice(stream, body.value)
       case 'placement': return listener.placed(body.value)
       case 'denial': return listener.denied(body.value)
       case 'configuration': return listener.configured(body.value)
--- /dev/null
+++ b/packages/dispatch/src/number-confirmations.ts
@@ -0,0 +1,53 @@
+/** Answers entries that ask for the number of the configuration in force. One confirmation of leadership serves all questions that wait. */
+import type { ClientSession } from './client-session.ts'
+
+/** Dependencies of `NumberConfirmations`. */
+export interface NumberConfirmationsOptions {
+  /** Number of the newest configuration, once leadership is confirmed; undefined when it cannot be confirmed. */
+  readonly confirmNumber: () => Promise<number | undefined>
+  /** Number of entries that are connected. */
+  readonly entries: () => number
+  /** Called before the answer is sent. */
+  readonly answering: (session: ClientSession) => void
+}
+
+interface NumberRequest {
+  readonly session: ClientSession
+  readonly question: number
+}
+
+/** Questions that wait for an answer. */
+export class NumberConfirmations {
+  private requests: NumberRequest[] = []
+  private isRunning = false
+
+  private constructor (private readonly options: NumberConfirmationsOptions) {}
+
+  static create (options: NumberConfirmationsOptions): NumberConfirmations {
+    return new NumberConfirmations(options)
+  }
+
+  ask (session: ClientSession, question: number): void {
+    this.requests.push({ session, question })
+    if (!this.isRunning) void this.answerAll()
+  }
+
+  private async answerAll (): Promise<void> {
+    this.isRunning = true
+    while (this.requests.length > 0) {
+      const pending = this.requests
+      this.requests = []
+      const number = await this.options.confirmNumber()
+      if (number !== undefined) this.answer(pending, number)
+    }
+    this.isRunning = false
+  }
+
+  private answer (pending: readonly NumberRequest[], number: number): void {
+    const entries = this.options.entries()
+    for (const { session, question } of pending) {
+      this.options.answering(session)
+      session.call.write({ body: { $case: 'number', value: { question, number, entries } } })
+    }
+  }
+}
--- a/packages/dispatch/src/placement-client.ts
+++ b/packages/dispatch/src/placement-client.ts
@@ -31,6 +31,8 @@
 export interface PlacementClientOptions {
   readonly clock: Clock
   readonly placer: LocalPlacer
+  /** Whether this entry knows that the upstream is leaving. A dispatcher that just began to lead may not know it yet. */
+  readonly isLeaving: (instance: string) => boolean
   /** Sends a question to the dispatcher; false when none can be reached. */
   readonly ask: (question: PlacementQuestion) => boolean
   /** Sends the end of a placement to the dispatcher; false when none can be reached. */
@@ -107,8 +109,14 @@
   async place (question: PlacementQuestion, signal: AbortSignal): Promise<Result<PlacedRequest, PlacementDenied>> {
     const { clock } = this.options
     const until = clock.monotonicMilliseconds() + question.patienceMilliseconds
+    const leaving: string[] = []
     while (!signal.aborted && clock.monotonicMilliseconds() < until) {
-      const reply = await this.askDispatcher(question, signal)
+      const reply = await this.askDispatcher(excludeLeaving(question, leaving), signal)
+      if (reply?.isOk() === true && this.options.isLeaving(reply.value.instance)) {
+        leaving.push(reply.value.instance)
+        this.sendOrKeepEnd(unusedPlacementEnd(reply.value.ticket, reply.value.instance))
+        continue
+      }
       if (reply !== undefined) return reply.map((placement) => this.acceptPlacement(question, placement))
       if (this.withoutDispatcherMilliseconds >= LOCAL_FALLBACK_MILLISECONDS) return this.placeLocally(question)
       await sleep(clock, RETRY_INTERVAL_MILLISECONDS, signal)
@@ -174,6 +182,12 @@
   }
 }
 
+/** The question without the upstreams that are leaving. Once one was given back, the first question has charged the customer's rate. */
+function excludeLeaving (question: PlacementQuestion, leaving: readonly string[]): PlacementQuestion {
+  if (leaving.length === 0) return question
+  return { ...question, excluded: [...question.excluded, ...leaving], charged: true }
+}
+
 /** The end of a placement or question that is not used. */
 function unusedPlacementEnd (ticket: number, instance: string): PlacementEnd {
   return { ticket, outcome: PlacementOutcome.PLACEMENT_OUTCOME_CANCELLED, milliseconds: 0, load: undefined, instance }
--- a/packages/dispatch/src/tests/placement-client.test.ts
+++ b/packages/dispatch/src/tests/placement-client.test.ts
@@ -19,6 +19,7 @@
   const client = PlacementClient.create({
     clock,
     placer,
+    isLeaving: (instance) => registry.isLeaving(instance),
     ask: (value) => {
       if (state.reachable) asked.push(value)
       return state.reachable
@@ -29,7 +30,7 @@
     }
   })
   client.connected()
-  return { clock, client, asked, ended, state, placer }
+  return { clock, client, asked, ended, state, placer, registry }
 }
 
 const neverAborted = new AbortController().signal
@@ -45,6 +46,20 @@
   assert.is(ended[0]?.instance, 'a')
 })
 
+// Guards against requests that a dispatcher, just elected, places on an upstream whose departure its predecessor acknowledged (DRAIN).
+test('a placement on an upstream that the entry knows to be leaving is given back and asked again', async () => {
+  const { client, asked, ended, registry } = createClient()
+  registry.announce(announcement({ instance: 'a', draining: true, sequence: 2 }))
+  const placing = client.place(question(1), neverAborted)
+  client.receivePlacement({ ticket: 1, instance: 'a', address: '10.0.0.1:80' })
+  await flushPromises()
+  assert.equal(ended.map(({ instance, outcome }) => ({ instance, outcome })), [{ instance: 'a', outcome: PlacementOutcome.PLACEMENT_OUTCOME_CANCELLED }])
+  assert.equal(asked[1]?.excluded, ['a'])
+  assert.is(asked[1]?.charged, true, 'the customer\'s rate was charged with the first question')
+  client.receivePlacement({ ticket: 1, instance: 'bb', address: '10.0.0.2:80' })
+  assert.is((await placing).unwrap().instance, 'bb')
+})
+
 test('without a dispatcher the entry places requests by itself after a short wait', async () => {
   const { clock, client, state } = createClient()
   state.reachable = false
--- a/packages/dispatch/src/upstream-registry.ts
+++ b/packages/dispatch/src/upstream-registry.ts
@@ -50,6 +50,12 @@
     return this.byInstance.get(instance)
   }
 
+  /** Whether the upstream said that it leaves, or has left. */
+  isLeaving (instance: string): boolean {
+    const announced = this.find(instance)?.announced
+    return announced !== undefined && (announced.draining || announced.gone)
+  }
+
   /** Applies an announcement; false when a newer one is known for the instance or its address. */
   announce (announced: AnnouncedUpstream): boolean {
     const known = this.byInstance.get(announced.instance)
--- a/packages/entry/src/dispatched-entry.ts
+++ b/packages/entry/src/dispatched-entry.ts
@@ -85,6 +85,7 @@
     this.desk = PlacementClient.create({
       clock,
       placer: this.placer,
+      isLeaving: (instance) => this.registry.isLeaving(instance),
       ask: (value) => this.link.send({ body: { $case: 'question', value } }),
       sendEnd: (value) => this.link.send({ body: { $case: 'end', value } })
     })
