Entries give a busy leader time, and attach again more and more slowly

Callers got 503 for ten seconds and more after all control VMs of a grown site lost power, and changes and reads were answered late (CONFIG).

Cause: an entry gave up a stream whose first message took longer than 500 ms, and began another one 40 ms later. A leader with 127 entries and 0.4 of a core could not serve them that fast, so it spent its time on connections that were given up.

A control VM that accepted the connection now has 2.5 s for its first message; one that did not, 500 ms as before. Attempts that reach no leader are delayed up to 640 ms, at random.

--- a/packages/dispatch/src/leader-connection.ts
+++ b/packages/dispatch/src/leader-connection.ts
@@ -1,5 +1,5 @@
 /** The client side of the `Dispatch` stream, from an entry or a non-leading control VM to the leader's dispatcher. */
-import type { ClientDuplexStream } from '@grpc/grpc-js'
+import { connectivityState, type ClientDuplexStream } from '@grpc/grpc-js'
 import {
   DispatchClient,
   type AnnouncedUpstream, type Denial, type DispatchMessage, type EntryMessage, type LeaderNotice, type NumberAnswer, type Placement, type RunningRequest,
@@ -54,8 +54,17 @@
 /** Interval at which the leader is asked for the newest configuration number; its answers also show that it is alive. */
 const QUESTION_INTERVAL_MILLISECONDS = 250
 const SILENCE_TIMEOUT_MILLISECONDS = 650
-const FIRST_MESSAGE_TIMEOUT_MILLISECONDS = 500
+/** Time within which a control VM must accept a connection. */
+const CONNECT_TIMEOUT_MILLISECONDS = 500
+/**
+ * Time within which a control VM that accepted a connection must send its first message. Long, because giving up and
+ * beginning again costs a busy leader more than the answer does.
+ */
+const FIRST_MESSAGE_TIMEOUT_MILLISECONDS = 2_500
+const FIRST_MESSAGE_CHECK_MILLISECONDS = 50
+/** Delay after the first attempt that did not reach a leader; doubles with each further one. */
 const RECONNECT_DELAY_MILLISECONDS = 40
+const MAXIMUM_RECONNECT_DELAY_MILLISECONDS = 640
 const IDLE_CHECK_MILLISECONDS = 200
 
 type MessageBody = Exclude<NonNullable<DispatchMessage['body']>, { readonly $case: 'leader' }>
@@ -74,6 +83,8 @@
   private controlAddresses = new Set<string>()
   private lastQuestion = 0
   private lastAddress = ''
+  /** Consecutive attempts that did not reach a leader, nor a control VM that named one. */
+  private failedAttempts = 0
 
   private constructor (private readonly options: LeaderConnectionOptions) {}
 
@@ -109,10 +120,16 @@
   async run (signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       if (this.options.wanted()) await this.connectTo(this.nextAddress(), signal)
-      await sleep(this.options.clock, this.options.wanted() ? RECONNECT_DELAY_MILLISECONDS : IDLE_CHECK_MILLISECONDS, signal)
+      await sleep(this.options.clock, this.options.wanted() ? this.reconnectDelay() : IDLE_CHECK_MILLISECONDS, signal)
     }
   }
 
+  /** Grows with the attempts that failed, and is random, so that entries that lost a leader together do not overload the next one. */
+  private reconnectDelay (): number {
+    const longest = Math.min(MAXIMUM_RECONNECT_DELAY_MILLISECONDS, RECONNECT_DELAY_MILLISECONDS * 2 ** this.failedAttempts)
+    return longest * (1 + this.options.random.next()) / 2
+  }
+
   /** The leader named by the last control VM, unless just tried; otherwise a random control VM, if possible not the last one tried. */
   private nextAddress (): string {
     const { leader } = this
@@ -130,6 +147,7 @@
     const call = client.attend()
     const stream: Stream = { call, lastReceivedAt: clock.monotonicMilliseconds(), isClosed: false, isServing: false }
     this.stream = stream
+    this.failedAttempts += 1
     const closed = new Promise<void>((resolve) => {
       const finish = (): void => {
         stream.isClosed = true
@@ -143,15 +161,16 @@
       signal.addEventListener('abort', finish, { once: true })
     })
     call.write({ body: { $case: 'hello', value: { name, zone, mirror, configurationNumber: held(), running: running(), upstreams: knownUpstreams(), ...admissionReport() } } })
-    await Promise.race([closed, this.waitForSilence(stream)])
+    const isAccepted = (): boolean => client.getChannel().getConnectivityState(false) === connectivityState.READY
+    await Promise.race([closed, this.waitForSilence(stream, isAccepted)])
     this.end(stream, address)
     client.close()
   }
 
   /** Asks for the newest number at intervals; resolves when the stream is closed, silent for too long, or not served by the leader. */
-  private async waitForSilence (stream: Stream): Promise<void> {
+  private async waitForSilence (stream: Stream, isAccepted: () => boolean): Promise<void> {
     const { clock } = this.options
-    await sleep(clock, FIRST_MESSAGE_TIMEOUT_MILLISECONDS)
+    await this.waitForFirstMessage(stream, isAccepted)
     while (!stream.isClosed && stream.isServing) {
       if (clock.monotonicMilliseconds() - stream.lastReceivedAt > SILENCE_TIMEOUT_MILLISECONDS) return
       this.requestNumber()
@@ -159,6 +178,16 @@
     }
   }
 
+  private async waitForFirstMessage (stream: Stream, isAccepted: () => boolean): Promise<void> {
+    const { clock } = this.options
+    const beganAt = clock.monotonicMilliseconds()
+    while (!stream.isClosed && !stream.isServing) {
+      await sleep(clock, FIRST_MESSAGE_CHECK_MILLISECONDS)
+      const waited = clock.monotonicMilliseconds() - beganAt
+      if (waited >= FIRST_MESSAGE_TIMEOUT_MILLISECONDS || (waited >= CONNECT_TIMEOUT_MILLISECONDS && !isAccepted())) return
+    }
+  }
+
   private end (stream: Stream, address: string): void {
     const wasServing = stream.isServing
     const silent = !stream.isClosed
@@ -195,6 +224,7 @@
   private handleLeaderNotice (stream: Stream, notice: LeaderNotice): void {
     this.controlAddresses = new Set(notice.control)
     this.leader = notice.serving ? '' : notice.leader
+    if (notice.serving || notice.leader !== '') this.failedAttempts = 0
     if (!notice.serving || stream.isServing) return
     stream.isServing = true
     this.options.logger.info('leader attended', { control: notice.leader })
--- /dev/null
+++ b/packages/dispatch/src/tests/leader-connection.test.ts
@@ -0,0 +1,96 @@
+import { Server, type ServerDuplexStream } from '@grpc/grpc-js'
+import { DispatchService, type DispatchMessage, type EntryMessage } from '@hickoryspoke/protocol/generated/dispatch'
+import { InnerCredentials } from '@hickoryspoke/protocol/inner-credentials'
+import { SeededRandom } from '@hickoryspoke/runtime/random'
+import { silentLogger } from '@hickoryspoke/telemetry/logger'
+import { FakeClock, flushPromises } from '@hickoryspoke/testing/fake-clock'
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { LeaderConnection, type LeaderConnectionListener } from '../leader-connection.ts'
+
+type Call = ServerDuplexStream<EntryMessage, DispatchMessage>
+
+const CREDENTIALS = InnerCredentials.create({ kind: 'plain_text' })
+const ignore = (): void => {}
+const LISTENER: LeaderConnectionListener = {
+  placed: ignore,
+  denied: ignore,
+  configured: ignore,
+  upstreamsChanged: ignore,
+  suspected: ignore,
+  connected: ignore,
+  lost: ignore,
+  questionSent: ignore,
+  confirmed: ignore
+}
+
+/** A control VM that answers only when the test says so, and a connection to it in simulated time. */
+async function createConnection () {
+  const clock = FakeClock.create()
+  const calls: Call[] = []
+  const messages: EntryMessage[] = []
+  const server = new Server()
+  server.addService(DispatchService, {
+    attend: (call: Call) => {
+      calls.push(call)
+      call.on('data', (message: EntryMessage) => messages.push(message))
+      call.on('error', ignore)
+    }
+  })
+  const port = (await CREDENTIALS.bind(server, '127.0.0.1:0')).unwrap()
+  const stopping = new AbortController()
+  const connection = LeaderConnection.create({
+    name: 'entry',
+    zone: 'zone-a',
+    mirror: false,
+    seeds: () => [`127.0.0.1:${port}`],
+    credentials: CREDENTIALS,
+    clock,
+    random: SeededRandom.create(1),
+    logger: silentLogger(),
+    listener: LISTENER,
+    held: () => 0,
+    running: () => [],
+    knownUpstreams: () => [],
+    admissionReport: () => ({ admitted: [], fleetShare: 0 }),
+    wanted: () => true
+  })
+  void connection.run(stopping.signal)
+  const stop = (): void => {
+    stopping.abort()
+    server.forceShutdown()
+  }
+  return { clock, calls, messages, connection, stop }
+}
+
+async function waitUntil (isMet: () => boolean): Promise<void> {
+  while (!isMet()) await flushPromises()
+}
+
+// Guards against entries that give up a busy leader and begin again, until connections are all that the leader handles (CONFIG).
+test('a control VM that accepted the connection is given time for its first message', async () => {
+  const { clock, calls, messages, connection, stop } = await createConnection()
+  await waitUntil(() => messages.length === 1)
+  let isCancelled = false
+  calls[0]?.on('cancelled', () => { isCancelled = true })
+  await clock.advanceAsync(2_000)
+  calls[0]?.write({ body: { $case: 'leader', value: { leader: 'here', control: [], serving: true } } })
+  await waitUntil(() => connection.isConnected || isCancelled)
+  assert.ok(connection.isConnected)
+  assert.is(calls.length, 1)
+  stop()
+})
+
+test('a control VM that stays silent is given up', async () => {
+  const { clock, calls, messages, stop } = await createConnection()
+  await waitUntil(() => messages.length === 1)
+  let isCancelled = false
+  calls[0]?.on('cancelled', () => { isCancelled = true })
+  await clock.advanceAsync(2_600)
+  await waitUntil(() => isCancelled)
+  await clock.advanceAsync(200)
+  await waitUntil(() => calls.length === 2)
+  stop()
+})
+
+test.run()
