Confirm the number in force for many entries at once, and ask for it less often

Cause: each of 127 entries asked the leader four times a second for the number of the configuration in force, and the leader confirmed its leadership as often as it could, 100 to 133 times a second, with ten messages each.

Questions are now collected for 40 ms before leadership is confirmed once for all of them, and an entry asks once a second, or after 250 ms without any message from the leader, which it needs to notice that the leader is gone. A confirmation is valid for 3.5 s as before. The test of number-confirmations gave 508 confirmations for 508 questions on the code before, 26 at most now.

--- a/packages/dispatch/src/dispatch-service.ts
+++ b/packages/dispatch/src/dispatch-service.ts
@@ -70,6 +70,7 @@
   private constructor (private readonly options: DispatchServiceOptions) {
     this.suspicions = SuspicionSync.create(options.clock)
     this.numbers = NumberConfirmations.create({
+      clock: options.clock,
       confirmNumber: () => this.confirmNumber(),
       entries: () => this.entries,
       answering: (session) => this.leading?.news.confirmView(session.connection.entry)
--- a/packages/dispatch/src/leader-connection.ts
+++ b/packages/dispatch/src/leader-connection.ts
@@ -51,8 +51,11 @@
   readonly wanted: () => boolean
 }
 
-/** Interval at which the leader is asked for the newest configuration number; its answers also show that it is alive. */
-const QUESTION_INTERVAL_MILLISECONDS = 250
+/** The leader is asked for the newest configuration number at least this often. */
+const QUESTION_INTERVAL_MILLISECONDS = 1_000
+/** After this time without a message it is asked sooner, since the answer also shows that it is alive. */
+const QUIET_QUESTION_MILLISECONDS = 250
+const QUESTION_CHECK_MILLISECONDS = 50
 const SILENCE_TIMEOUT_MILLISECONDS = 650
 /** Time within which a control VM must accept a connection. */
 const CONNECT_TIMEOUT_MILLISECONDS = 500
@@ -82,6 +85,7 @@
   private leader = ''
   private controlAddresses = new Set<string>()
   private lastQuestion = 0
+  private lastQuestionAt = -Infinity
   private lastAddress = ''
   /** Consecutive attempts that did not reach a leader, nor a control VM that named one. */
   private failedAttempts = 0
@@ -112,6 +116,7 @@
   /** Asks the leader for the newest configuration number. */
   requestNumber (): void {
     this.lastQuestion += 1
+    this.lastQuestionAt = this.options.clock.monotonicMilliseconds()
     this.options.listener.questionSent(this.lastQuestion)
     this.send({ body: { $case: 'number', value: { question: this.lastQuestion } } })
   }
@@ -173,11 +178,18 @@
     await this.waitForFirstMessage(stream, isAccepted)
     while (!stream.isClosed && stream.isServing) {
       if (clock.monotonicMilliseconds() - stream.lastReceivedAt > SILENCE_TIMEOUT_MILLISECONDS) return
-      this.requestNumber()
-      await sleep(clock, QUESTION_INTERVAL_MILLISECONDS)
+      if (this.isQuestionDue(stream)) this.requestNumber()
+      await sleep(clock, QUESTION_CHECK_MILLISECONDS)
     }
   }
 
+  private isQuestionDue (stream: Stream): boolean {
+    const now = this.options.clock.monotonicMilliseconds()
+    const sinceQuestion = now - this.lastQuestionAt
+    const isQuiet = now - stream.lastReceivedAt >= QUIET_QUESTION_MILLISECONDS
+    return sinceQuestion >= QUESTION_INTERVAL_MILLISECONDS || (isQuiet && sinceQuestion >= QUIET_QUESTION_MILLISECONDS)
+  }
+
   private async waitForFirstMessage (stream: Stream, isAccepted: () => boolean): Promise<void> {
     const { clock } = this.options
     const beganAt = clock.monotonicMilliseconds()
--- a/packages/dispatch/src/number-confirmations.ts
+++ b/packages/dispatch/src/number-confirmations.ts
@@ -1,8 +1,10 @@
 /** Answers entries that ask for the number of the configuration in force. One confirmation of leadership serves all questions that wait. */
+import { sleep, type Clock } from '@hickoryspoke/runtime/clock'
 import type { ClientSession } from './client-session.ts'
 
 /** Dependencies of `NumberConfirmations`. */
 export interface NumberConfirmationsOptions {
+  readonly clock: Clock
   /** Number of the newest configuration, once leadership is confirmed; undefined when it cannot be confirmed. */
   readonly confirmNumber: () => Promise<number | undefined>
   /** Number of entries that are connected. */
@@ -16,6 +18,9 @@
   readonly question: number
 }
 
+/** Collects questions for this long, so that the cost of confirmations does not grow with the number of entries. */
+const COLLECT_MILLISECONDS = 40
+
 /** Questions that wait for an answer. */
 export class NumberConfirmations {
   private requests: NumberRequest[] = []
@@ -35,6 +40,7 @@
   private async answerAll (): Promise<void> {
     this.isRunning = true
     while (this.requests.length > 0) {
+      await sleep(this.options.clock, COLLECT_MILLISECONDS)
       const pending = this.requests
       this.requests = []
       const number = await this.options.confirmNumber()
--- /dev/null
+++ b/packages/dispatch/src/tests/number-confirmations.test.ts
@@ -0,0 +1,36 @@
+import type { DispatchMessage } from '@hickoryspoke/protocol/generated/dispatch'
+import { FakeClock } from '@hickoryspoke/testing/fake-clock'
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import type { ClientSession } from '../client-session.ts'
+import { NumberConfirmations } from '../number-confirmations.ts'
+import { recordingEntry } from './fixture.ts'
+
+const ENTRIES = 127
+const QUESTIONS_EACH = 4
+const RUN_MILLISECONDS = 1_000
+
+// Guards against a leader that spends its processor time on confirming its leadership, so that changes wait (CONFIG).
+test('the number of confirmations does not grow with the number of entries, and every question is answered', async () => {
+  const clock = FakeClock.create()
+  let confirmations = 0
+  const answered: DispatchMessage[] = []
+  const numbers = NumberConfirmations.create({
+    clock,
+    confirmNumber: async () => {
+      confirmations += 1
+      return 7
+    },
+    entries: () => ENTRIES,
+    answering: () => {}
+  })
+  const call = { write: (message: DispatchMessage) => { answered.push(message) } }
+  const session = { call, connection: recordingEntry('one'), mirror: false, heldNumber: 7 } as unknown as ClientSession
+  const questions = ENTRIES * QUESTIONS_EACH
+  for (let question = 0; question < questions; question += 1) clock.schedule(question * RUN_MILLISECONDS / questions, () => numbers.ask(session, question))
+  await clock.advanceAsync(RUN_MILLISECONDS + 100)
+  assert.is(answered.length, questions)
+  assert.ok(confirmations <= 26, `${confirmations} confirmations`)
+})
+
+test.run()
