Exchange lists of upstreams only where the views of a leader and an entry differ

Cause, beside the streams that were given up: each of 127 entries began its stream with all 282 upstreams and was sent all of them in return, and a leader that had been restarted broadcast what it learned from the first entry one upstream at a time.

A hello now carries a digest of what matters to requests. With the same view nothing is sent. A leader whose view differs asks two entries at a time for their lists, merges each as one change, and compares the digests of the others again. An entry that stops ends its stream regularly, so that no acknowledgement waits for it.

--- a/packages/control/src/dispatching-control.ts
+++ b/packages/control/src/dispatching-control.ts
@@ -118,6 +118,7 @@
       held: () => 0,
       running: () => [],
       knownUpstreams: () => this.registry.announcements(),
+      upstreamDigest: () => this.registry.digest(),
       admissionReport: () => ({ admitted: [], fleetShare: 0 }),
       wanted: () => !this.isLeader,
       listener: {
--- a/packages/dispatch/src/client-session.ts
+++ b/packages/dispatch/src/client-session.ts
@@ -13,4 +13,6 @@
   /** Whether the client is a control VM that only mirrors the upstreams. */
   readonly mirror: boolean
   heldNumber: number
+  /** Digest of the upstreams that the client knew before it was sent any; undefined once its view may have changed since. */
+  upstreamDigest: string | undefined
 }
--- a/packages/dispatch/src/dispatch-service.ts
+++ b/packages/dispatch/src/dispatch-service.ts
@@ -220,18 +220,18 @@
       this.redirectToLeader(call)
       return undefined
     }
-    this.options.registry.merge(hello.upstreams)
     const session = this.registerSession(call, hello)
     call.write({ body: { $case: 'leader', value: this.notice(true) } })
     this.sendConfiguration(session)
-    this.leading.upstreams.sendAll(session)
+    this.leading.upstreams.welcome(session)
     if (!session.mirror) this.leading.dispatcher.restoreEntry(session.connection, hello)
     return session
   }
 
   private registerSession (call: DispatchCall, hello: DispatchHello): ClientSession {
     const connection: EntryConnection = { entry: hello.name, zone: hello.zone, send: (message) => { call.write(message) } }
-    const session = { call, connection, mirror: hello.mirror, heldNumber: hello.configurationNumber }
+    const { mirror, configurationNumber: heldNumber, upstreamDigest } = hello
+    const session: ClientSession = { call, connection, mirror, heldNumber, upstreamDigest }
     this.sessions.get(hello.name)?.call.end()
     this.sessions.set(hello.name, session)
     if (!hello.mirror) this.leading?.news.attach(hello.name)
@@ -243,6 +243,7 @@
     const { entry } = session.connection
     if (this.sessions.get(entry) !== session) return
     this.sessions.delete(entry)
+    this.leading?.upstreams.remove(session)
     this.options.logger.info('dispatch session closed', { entry })
   }
 
@@ -263,6 +264,7 @@
       case 'question': return this.leading.dispatcher.ask(session.connection, body.value)
       case 'end': return this.leading.dispatcher.end(session.connection, body.value)
       case 'number': return this.numbers.ask(session, body.value.question)
+      case 'known': return this.leading.upstreams.receiveKnown(session, body.value.upstreams)
       case 'confirmation': return this.leading.news.confirmNews(session.connection.entry, body.value.revision)
     }
   }
--- a/packages/dispatch/src/leader-connection.ts
+++ b/packages/dispatch/src/leader-connection.ts
@@ -45,6 +45,8 @@
   readonly held: () => number
   readonly running: () => RunningRequest[]
   readonly knownUpstreams: () => AnnouncedUpstream[]
+  /** Digest of the known upstreams; empty for none. */
+  readonly upstreamDigest: () => string
   /** What this process admitted within the last window. */
   readonly admissionReport: () => AdmissionReport
   /** Whether to look for a leader now. */
@@ -146,7 +148,7 @@
   }
 
   private async connectTo (address: string, signal: AbortSignal): Promise<void> {
-    const { clock, credentials, name, zone, mirror, held, running, knownUpstreams, admissionReport } = this.options
+    const { clock, credentials, name, zone, mirror, held, running, upstreamDigest, admissionReport } = this.options
     this.lastAddress = address
     const client = new DispatchClient(address, credentials.forChannel(), { ...credentials.channelOptions(address), 'grpc.use_local_subchannel_pool': 1 })
     const call = client.attend()
@@ -165,10 +167,11 @@
       call.on('status', finish)
       signal.addEventListener('abort', finish, { once: true })
     })
-    call.write({ body: { $case: 'hello', value: { name, zone, mirror, configurationNumber: held(), running: running(), upstreams: knownUpstreams(), ...admissionReport() } } })
+    const hello = { name, zone, mirror, configurationNumber: held(), running: running(), upstreamDigest: upstreamDigest(), ...admissionReport() }
+    call.write({ body: { $case: 'hello', value: hello } })
     const isAccepted = (): boolean => client.getChannel().getConnectivityState(false) === connectivityState.READY
     await Promise.race([closed, this.waitForSilence(stream, isAccepted)])
-    this.end(stream, address)
+    this.end(stream, address, signal.aborted)
     client.close()
   }
 
@@ -200,12 +203,14 @@
     }
   }
 
-  private end (stream: Stream, address: string): void {
+  /** Ends a stream. One that ends because this process stops is ended regularly, so that the leader need not wait for its confirmations. */
+  private end (stream: Stream, address: string, isStopping: boolean): void {
     const wasServing = stream.isServing
     const silent = !stream.isClosed
     stream.isClosed = true
     stream.call.on('error', () => {})
-    stream.call.cancel()
+    if (isStopping) stream.call.end()
+    else stream.call.cancel()
     if (!wasServing) return
     this.options.logger.warn('leader lost', { control: address, silent, silentMilliseconds: Math.round(this.options.clock.monotonicMilliseconds() - stream.lastReceivedAt) })
     this.options.listener.lost()
@@ -230,9 +235,14 @@
       case 'upstreams': return listener.upstreamsChanged(body.value)
       case 'suspicions': return listener.suspected(body.value.suspicions)
       case 'number': return listener.confirmed(body.value)
+      case 'upstreamQuery': return this.sendKnownUpstreams()
     }
   }
 
+  private sendKnownUpstreams (): void {
+    this.send({ body: { $case: 'known', value: { whole: true, upstreams: this.options.knownUpstreams(), revision: 0 } } })
+  }
+
   private handleLeaderNotice (stream: Stream, notice: LeaderNotice): void {
     this.controlAddresses = new Set(notice.control)
     this.leader = notice.serving ? '' : notice.leader
--- a/packages/dispatch/src/tests/leader-connection.test.ts
+++ b/packages/dispatch/src/tests/leader-connection.test.ts
@@ -52,6 +52,7 @@
     held: () => 0,
     running: () => [],
     knownUpstreams: () => [],
+    upstreamDigest: () => '',
     admissionReport: () => ({ admitted: [], fleetShare: 0 }),
     wanted: () => true
   })
--- a/packages/dispatch/src/tests/number-confirmations.test.ts
+++ b/packages/dispatch/src/tests/number-confirmations.test.ts
@@ -25,7 +25,7 @@
     answering: () => {}
   })
   const call = { write: (message: DispatchMessage) => { answered.push(message) } }
-  const session = { call, connection: recordingEntry('one'), mirror: false, heldNumber: 7 } as unknown as ClientSession
+  const session = { call, connection: recordingEntry('one'), mirror: false, heldNumber: 7, upstreamDigest: '' } as unknown as ClientSession
   const questions = ENTRIES * QUESTIONS_EACH
   for (let question = 0; question < questions; question += 1) clock.schedule(question * RUN_MILLISECONDS / questions, () => numbers.ask(session, question))
   await clock.advanceAsync(RUN_MILLISECONDS + 100)
--- /dev/null
+++ b/packages/dispatch/src/tests/upstream-broadcast.test.ts
@@ -0,0 +1,97 @@
+import type { AnnouncedUpstream, DispatchMessage } from '@hickoryspoke/protocol/generated/dispatch'
+import { FakeClock } from '@hickoryspoke/testing/fake-clock'
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import type { ClientSession } from '../client-session.ts'
+import { NewsDelivery } from '../news-delivery.ts'
+import { UpstreamBroadcast } from '../upstream-broadcast.ts'
+import { UpstreamRegistry } from '../upstream-registry.ts'
+import { announcement, recordingEntry } from './fixture.ts'
+
+const LIMIT_MILLISECONDS = 2_000
+const UPSTREAMS = Array.from({ length: 282 }, (_, index) => announcement({ instance: `i-${index}`, address: `10.0.0.1:${index}` }))
+
+function createLeader (known: readonly AnnouncedUpstream[]) {
+  const clock = FakeClock.create()
+  const registry = UpstreamRegistry.create(clock)
+  registry.merge(known)
+  const sessions: ClientSession[] = []
+  const broadcast = UpstreamBroadcast.create(registry, NewsDelivery.create(clock, LIMIT_MILLISECONDS, false), () => sessions)
+  registry.onChange((changed) => broadcast.send(changed))
+  const attach = (upstreamDigest: string) => {
+    const sent: DispatchMessage[] = []
+    const call = { write: (message: DispatchMessage) => { sent.push(message) } }
+    const session = { call, connection: recordingEntry(`entry-${sessions.length}`), mirror: false, heldNumber: 0, upstreamDigest } as unknown as ClientSession
+    sessions.push(session)
+    broadcast.welcome(session)
+    return { session, sent }
+  }
+  return { registry, broadcast, attach }
+}
+
+function digestOf (upstreams: readonly AnnouncedUpstream[]): string {
+  const registry = UpstreamRegistry.create(FakeClock.create())
+  registry.merge(upstreams)
+  return registry.digest()
+}
+
+function sentUpstreams (sent: readonly DispatchMessage[]): AnnouncedUpstream[] {
+  return sent.flatMap(({ body }) => body?.$case === 'upstreams' ? body.value.upstreams : [])
+}
+
+const isQuery = ({ body }: DispatchMessage): boolean => body?.$case === 'upstreamQuery'
+
+// Guards against a leader that is busy with lists of upstreams while entries attach to it after a change of leader (CONFIG).
+test('an entry with the same view is sent no list', () => {
+  const { attach } = createLeader(UPSTREAMS)
+  const { sent } = attach(digestOf([...UPSTREAMS].reverse()))
+  assert.is(sentUpstreams(sent).length, 0)
+  assert.not.ok(sent.some(isQuery))
+})
+
+test('an entry without a view is sent all upstreams', () => {
+  const { attach } = createLeader(UPSTREAMS)
+  const { sent } = attach('')
+  assert.is(sentUpstreams(sent).length, UPSTREAMS.length)
+  assert.not.ok(sent.some(isQuery))
+})
+
+test('a restarted leader asks two of many entries, and sends the others nothing that they know', () => {
+  const { registry, broadcast, attach } = createLeader([])
+  const entries = Array.from({ length: 127 }, () => attach(digestOf(UPSTREAMS)))
+  const asked = entries.filter(({ sent }) => sent.some(isQuery))
+  assert.is(asked.length, 2)
+  for (const { session } of asked) broadcast.receiveKnown(session, UPSTREAMS)
+  assert.is(registry.present().length, UPSTREAMS.length)
+  assert.is(entries.filter(({ sent }) => sent.some(isQuery)).length, 2)
+  assert.is(entries.flatMap(({ sent }) => sentUpstreams(sent)).length, 0)
+})
+
+test('an entry that knows other upstreams than the rest is asked once the first ones have answered, and news reaches all others', () => {
+  const { broadcast, attach } = createLeader([])
+  const first = attach(digestOf(UPSTREAMS))
+  const second = attach(digestOf(UPSTREAMS))
+  const extra = announcement({ instance: 'i-new', address: '10.0.0.1:9000' })
+  const other = attach(digestOf([...UPSTREAMS, extra]))
+  broadcast.receiveKnown(first.session, UPSTREAMS)
+  assert.ok(other.sent.some(isQuery))
+  broadcast.receiveKnown(other.session, [...UPSTREAMS, extra])
+  assert.equal(sentUpstreams(second.sent).map(({ instance }) => instance), ['i-new'])
+})
+
+test('an entry that is gone before it answers leaves its place to the next', () => {
+  const { broadcast, attach } = createLeader([])
+  const entries = Array.from({ length: 3 }, () => attach(digestOf(UPSTREAMS)))
+  assert.not.ok(entries[2]?.sent.some(isQuery))
+  broadcast.remove(entries[0]?.session as ClientSession)
+  assert.ok(entries[2]?.sent.some(isQuery))
+})
+
+test('the digest changes with what matters to requests, and not with repeated announcements', () => {
+  const before = digestOf([announcement({ instance: 'a' })])
+  assert.is(digestOf([announcement({ instance: 'a', sequence: 9 })]), before)
+  assert.is.not(digestOf([announcement({ instance: 'a', draining: true })]), before)
+  assert.is.not(digestOf([announcement({ instance: 'a', born: 2_000 })]), before)
+})
+
+test.run()
--- a/packages/dispatch/src/upstream-broadcast.ts
+++ b/packages/dispatch/src/upstream-broadcast.ts
@@ -6,9 +6,14 @@
 
 /** Departures beyond this number are forgotten, oldest first; they would be announced as news again. */
 const MAXIMUM_DEPARTURES = 10_000
+const MAXIMUM_QUERIES = 2
 
 /** Changes of one leadership. */
 export class UpstreamBroadcast {
+  /** Clients that may know upstreams which are not known here. */
+  private readonly differing = new Set<ClientSession>()
+  /** Clients that were asked for the upstreams that they know. */
+  private readonly queried = new Set<ClientSession>()
   /** Revision of the news that an upstream is leaving, by instance. */
   private readonly departures = new Map<string, number>()
 
@@ -22,10 +27,31 @@
     return new UpstreamBroadcast(registry, news, sessions)
   }
 
-  /** Sends a client all upstreams, and asks it to confirm what it was sent so far. */
-  sendAll (session: ClientSession): void {
-    const value = { whole: true, upstreams: this.registry.announcements(), revision: this.news.newestRevision }
-    session.call.write({ body: { $case: 'upstreams', value } })
+  /**
+   * Brings a new client up to date, and asks it to confirm what it was sent so far. A client with the same view is sent no
+   * list. One that knows upstreams while its view differs may be asked for them, as all control VMs may have been restarted.
+   */
+  welcome (session: ClientSession): void {
+    const { upstreamDigest } = session
+    const isSame = upstreamDigest === this.registry.digest()
+    if (isSame) this.write(session, [])
+    else this.sendAll(session)
+    if (!isSame && upstreamDigest !== '') this.differing.add(session)
+    this.queryDiffering()
+  }
+
+  /** Merges what a client knows. Those that knew the same need not be asked, nor sent it. */
+  receiveKnown (session: ClientSession, known: readonly AnnouncedUpstream[]): void {
+    this.queried.delete(session)
+    this.registry.merge(known)
+    this.queryDiffering()
+  }
+
+  /** Forgets a client that is gone. */
+  remove (session: ClientSession): void {
+    this.differing.delete(session)
+    this.queried.delete(session)
+    this.queryDiffering()
   }
 
   /** Sends changes to all clients. */
@@ -35,8 +61,13 @@
     for (const { instance } of announced) this.departures.delete(instance)
     const revision = departed.length > 0 ? this.news.add() : 0
     for (const { instance } of departed) this.recordDeparture(instance, revision)
-    const value = { whole: false, upstreams: announced, revision }
-    for (const { call } of this.sessions()) call.write({ body: { $case: 'upstreams', value } })
+    const digest = this.registry.digest()
+    for (const session of this.sessions()) {
+      const isSame = session.upstreamDigest === digest
+      this.write(session, isSame ? [] : announced, revision)
+      if (isSame) this.differing.delete(session)
+      else session.upstreamDigest = undefined
+    }
   }
 
   /** Revision of the news that an upstream is leaving; sends it again if this leadership has not sent it yet. */
@@ -48,6 +79,27 @@
     return this.departures.get(instance) ?? this.news.newestRevision
   }
 
+  private sendAll (session: ClientSession): void {
+    const upstreams = this.registry.announcements()
+    session.call.write({ body: { $case: 'upstreams', value: { whole: true, upstreams, revision: this.news.newestRevision } } })
+    if (upstreams.length > 0) session.upstreamDigest = undefined
+  }
+
+  private write (session: ClientSession, upstreams: AnnouncedUpstream[], revision = this.news.newestRevision): void {
+    if (upstreams.length === 0 && revision === 0) return
+    session.call.write({ body: { $case: 'upstreams', value: { whole: false, upstreams, revision } } })
+  }
+
+  /** Asks a few clients at a time, since most know the same. */
+  private queryDiffering (): void {
+    for (const session of this.differing) {
+      if (this.queried.size >= MAXIMUM_QUERIES) return
+      this.differing.delete(session)
+      this.queried.add(session)
+      session.call.write({ body: { $case: 'upstreamQuery', value: {} } })
+    }
+  }
+
   private recordDeparture (instance: string, revision: number): void {
     this.departures.set(instance, revision)
     if (this.departures.size > MAXIMUM_DEPARTURES) this.departures.delete(this.departures.keys().next().value as string)
--- a/packages/dispatch/src/upstream-registry.ts
+++ b/packages/dispatch/src/upstream-registry.ts
@@ -1,4 +1,5 @@
 /** Registry of announced upstreams. Start times and sequence numbers order announcements, so that late or repeated ones change nothing. */
+import { createHash } from 'node:crypto'
 import type { AnnouncedUpstream } from '@hickoryspoke/protocol/generated/dispatch'
 import type { Clock } from '@hickoryspoke/runtime/clock'
 
@@ -20,6 +21,7 @@
   private readonly byInstance = new Map<string, RegisteredUpstream>()
   private readonly byAddress = new Map<string, string>()
   private readonly listeners = new Set<RegistryListener>()
+  private cachedDigest: string | undefined
 
   private constructor (private readonly clock: Clock) {}
 
@@ -46,6 +48,12 @@
     return this.all().map((held) => held.announced)
   }
 
+  /** Digest of what matters to requests in the announcements of all upstreams that have not left; empty when there are none. */
+  digest (): string {
+    this.cachedDigest ??= digestOf(this.present().map((held) => held.announced))
+    return this.cachedDigest
+  }
+
   find (instance: string): RegisteredUpstream | undefined {
     return this.byInstance.get(instance)
   }
@@ -58,14 +66,10 @@
 
   /** Applies an announcement; false when a newer one is known for the instance or its address. */
   announce (announced: AnnouncedUpstream): boolean {
-    const known = this.byInstance.get(announced.instance)
-    if (known !== undefined && !isNewer(announced, known.announced)) return false
-    const changed: RegisteredUpstream[] = []
-    if (!announced.gone && !this.claimAddress(announced, changed)) return false
-    const held = this.store(announced)
-    if (known === undefined || differs(known.announced, announced)) changed.push(held)
-    if (changed.length > 0) this.notifyListeners(changed)
-    return true
+    const changed = new Map<string, RegisteredUpstream>()
+    const isApplied = this.apply(announced, changed)
+    if (changed.size > 0) this.notifyListeners([...changed.values()])
+    return isApplied
   }
 
   /** Marks an upstream as left, also an unknown one; ignored when `born` is older than the known start of the instance. */
@@ -79,7 +83,9 @@
 
   /** Applies the announcements known to another process; upstreams that it does not list are kept. */
   merge (list: readonly AnnouncedUpstream[]): void {
-    for (const announced of list) this.announce(announced)
+    const changed = new Map<string, RegisteredUpstream>()
+    for (const announced of list) this.apply(announced, changed)
+    if (changed.size > 0) this.notifyListeners([...changed.values()])
   }
 
   /** Marks silent upstreams as left where `canExpire` allows it, and returns them. Also deletes old tombstones. */
@@ -103,12 +109,22 @@
     }
   }
 
+  /** Applies an announcement and adds the upstreams that changed to `changed`; false when a newer one is known. */
+  private apply (announced: AnnouncedUpstream, changed: Map<string, RegisteredUpstream>): boolean {
+    const known = this.byInstance.get(announced.instance)
+    if (known !== undefined && !isNewer(announced, known.announced)) return false
+    if (!announced.gone && !this.claimAddress(announced, changed)) return false
+    const held = this.store(announced)
+    if (known === undefined || differs(known.announced, announced)) changed.set(announced.instance, held)
+    return true
+  }
+
   /** Assigns the address to the instance that started last, and marks an earlier owner as left; false when a later one owns it. */
-  private claimAddress (announced: AnnouncedUpstream, changed: RegisteredUpstream[]): boolean {
+  private claimAddress (announced: AnnouncedUpstream, changed: Map<string, RegisteredUpstream>): boolean {
     const owner = this.byInstance.get(this.byAddress.get(announced.address) ?? '')
     if (owner !== undefined && owner.announced.instance !== announced.instance && !owner.announced.gone) {
       if (owner.announced.born > announced.born) return false
-      changed.push(this.store({ ...owner.announced, gone: true }))
+      changed.set(owner.announced.instance, this.store({ ...owner.announced, gone: true }))
     }
     this.byAddress.set(announced.address, announced.instance)
     return true
@@ -118,6 +134,7 @@
     const now = this.clock.monotonicMilliseconds()
     const held = { announced, warmupEndsAt: now + announced.warmupMilliseconds, heardAt: now }
     this.byInstance.set(announced.instance, held)
+    this.cachedDigest = undefined
     return held
   }
 
@@ -132,6 +149,12 @@
   }
 }
 
+function digestOf (announced: readonly AnnouncedUpstream[]): string {
+  if (announced.length === 0) return ''
+  const lines = announced.map(({ instance, pool, address, slots, draining, born }) => [instance, pool, address, slots, draining, born].join(' '))
+  return createHash('sha256').update(lines.sort().join('\n')).digest('base64')
+}
+
 function isNewer (candidate: AnnouncedUpstream, known: AnnouncedUpstream): boolean {
   if (candidate.born !== known.born) return candidate.born > known.born
   if (known.gone && !candidate.gone && candidate.draining) return false
--- a/packages/entry/src/dispatched-entry.ts
+++ b/packages/entry/src/dispatched-entry.ts
@@ -101,6 +101,7 @@
       held: () => this.inForce.number,
       running: () => this.desk.running(),
       knownUpstreams: () => this.registry.announcements(),
+      upstreamDigest: () => this.registry.digest(),
       admissionReport: () => this.placer.report(this.entries),
       wanted: () => true,
       listener: {
