Choose from a part of a large pool, and offer a freed slot without examining the others

Cause: each placement examined all upstreams of its pool, and each end of a request did so for up to eight waiting ones.

In pools of more than 32 upstreams a request is offered 32 free ones at a time, in turn, and all if none of these will do.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -3,7 +3,7 @@
   DenialReason, PlacementOutcome,
   type DispatchMessage, type PlacementEnd, type PlacementQuestion, type RunningRequest, type Suspicion
 } from '@hickoryspoke/protocol/generated/dispatch'
-import type { Clock } from '@hickoryspoke/runtime/clock'
+import type { Clock, Timer } from '@hickoryspoke/runtime/clock'
 import type { Logger } from '@hickoryspoke/telemetry/logger'
 import { CrashTracker } from './crash-tracker.ts'
 import type { AdmissionReport, CustomerRateLimiter } from './customer-rate-limiter.ts'
@@ -58,7 +58,7 @@
   private constructor (private readonly options: DispatcherOptions) {
     this.startedAt = options.clock.monotonicMilliseconds()
     this.pools = PoolSet.create(options.clock, options.budget, options.floorShare)
-    this.placements = Placements.create(options.clock, ({ poolName }) => this.drain(poolName))
+    this.placements = Placements.create(options.clock, ({ poolName, instance }) => this.drainTo(poolName, instance))
     for (const upstream of options.registry.present()) this.pools.update(upstream)
   }
 
@@ -111,7 +111,7 @@
     const instance = placed?.instance ?? end.instance
     const poolName = this.options.registry.find(instance)?.announced.pool
     if (poolName !== undefined) this.recordEnd(connection, poolName, { ...end, instance }, placed)
-    if (placed !== undefined) this.drain(placed.poolName)
+    if (placed !== undefined) this.drainTo(placed.poolName, instance)
   }
 
   /** Tries the queues again, since an upstream may become acceptable as time passes. */
@@ -177,10 +177,10 @@
     const { clock } = this.options
     const slack = slackOf(question, pool)
     const giveUp = (): void => {
-      this.drain(question.pool)
+      this.tryPlace(question.pool, waiting)
       if (this.cancelWaiting(key)) this.refundAndDeny(connection, question, DenialReason.DENIAL_REASON_OVERLOADED, expected)
     }
-    const timers = [clock.schedule(maximumWait, giveUp)]
+    const timers: Timer[] = []
     const waiting: WaitingQuestion = {
       question,
       asker: connection,
@@ -191,6 +191,7 @@
         if (choice !== undefined) this.place(connection, question, choice)
       }
     }
+    timers.push(clock.schedule(maximumWait, giveUp))
     if (slack < maximumWait) timers.push(clock.schedule(Math.max(0, slack), () => this.handleLate(question.pool, waiting, giveUp)))
     this.waiting.set(key, waiting)
     pool.line.add(waiting)
@@ -201,10 +202,16 @@
     const now = this.options.clock.monotonicMilliseconds()
     const pool = this.pools.pool(poolName)
     if (!pool.line.moveToLate(waiting)) return
-    this.drain(poolName)
+    this.tryPlace(poolName, waiting)
     if (pool.expectedWait(Infinity, now) > lateSlackOf(waiting.question, pool) - (now - waiting.since)) giveUp()
   }
 
+  private tryPlace (poolName: string, waiting: WaitingQuestion): void {
+    const now = this.options.clock.monotonicMilliseconds()
+    const pool = this.pools.pool(poolName)
+    if (pool.line.isWaiting(waiting)) pool.tryPlace(waiting, now, this.constraintsOf(waiting.question, pool, now - waiting.since, now))
+  }
+
   private cancelWaiting (key: string): boolean {
     const waiting = this.waiting.get(key)
     if (waiting === undefined || !this.pools.pool(waiting.question.pool).line.withdraw(waiting)) return false
@@ -228,7 +235,7 @@
 
   private release (key: string): void {
     const placed = this.placements.remove(key)
-    if (placed !== undefined) this.drain(placed.poolName)
+    if (placed !== undefined) this.drainTo(placed.poolName, placed.instance)
   }
 
   private recordEnd (connection: EntryConnection, poolName: string, end: PlacementEnd, placed: EndedPlacement | undefined): void {
@@ -275,6 +282,14 @@
     pool.drainQueue(now, (waiting) => this.constraintsOf(waiting.question, pool, now - waiting.since, now))
   }
 
+  /** Offers an upstream that may have become free to the waiting requests. `tick` offers the others of a large pool. */
+  private drainTo (poolName: string, instance: string): void {
+    const now = this.options.clock.monotonicMilliseconds()
+    const pool = this.pools.pool(poolName)
+    if (pool.line.length === 0) return
+    pool.drainTo(instance, now, (waiting) => this.constraintsOf(waiting.question, pool, now - waiting.since, now))
+  }
+
   /** Denies an admitted request and returns the token that it took from its customer's rate limit. */
   private refundAndDeny (connection: EntryConnection, question: PlacementQuestion, reason: DenialReason, retryAfter = MINIMUM_RETRY_AFTER_MILLISECONDS): void {
     if (question.attempt === 0 && question.customer !== '') this.options.rates.refund(question.customer)
--- a/packages/dispatch/src/pool-dispatcher.ts
+++ b/packages/dispatch/src/pool-dispatcher.ts
@@ -5,7 +5,7 @@
 import { ResponseTimes } from './response-times.ts'
 import { SoundShares } from './sound-shares.ts'
 import { UnservedShare } from './unserved-share.ts'
-import { chooseUpstream, IDLE_MILLISECONDS, successProbability, type Candidate, type UpstreamChoice } from './upstream-choice.ts'
+import { chooseUpstream, IDLE_MILLISECONDS, successProbability, type Candidate, type ChoiceContext, type UpstreamChoice } from './upstream-choice.ts'
 import type { RegisteredUpstream } from './upstream-registry.ts'
 import { WaitingQueue, type WaitingQuestion } from './waiting-queue.ts'
 
@@ -57,6 +57,8 @@
 }
 
 const STATE_CACHE_MILLISECONDS = 10
+/** Free upstreams that a request is offered at once; larger pools are examined in turn. */
+const SAMPLE_UPSTREAMS = 32
 /** A group of waiting requests is no longer drained after this many could not be placed. */
 const MAXIMUM_FAILED_TRIES = 4
 
@@ -70,6 +72,8 @@
   private readonly upstreams = new Map<string, Candidate>()
   /** Upstreams that accept new requests. */
   private serving: readonly Candidate[] = []
+  /** Where the examination of the upstreams stopped last. */
+  private nextExamined = -1
   private state: PoolState = { at: -Infinity, effectiveSlots: 0, hasSound: false, bestSuccess: 0, activeShare: 0 }
 
   private constructor (private readonly clock: Clock, private readonly minimumActiveShare: number) {}
@@ -120,14 +124,47 @@
     return this.responseTimes.usualMilliseconds(question.route) || this.responseTimes.meanMilliseconds()
   }
 
-  /** Chooses an upstream with a free slot; undefined when the request should wait. */
+  /** Chooses an upstream with a free slot; undefined when the request should wait. Looks at some of a large pool only, unless none of them will do. */
   choose (question: PlacementQuestion, asker: RequestingEntry, now: number, terms: ChoiceConstraints): UpstreamChoice | undefined {
-    const free = this.serving.filter((candidate) => {
-      return !candidate.standing.isFull(candidate.upstream.announced.slots, now) && isEligible(candidate, question, asker, now)
-    })
-    if (free.length === 0) return undefined
+    const context = this.contextOf(question, asker, now, terms)
+    if (this.isSmall) this.nextExamined = -1
+    for (let examined = 0; examined < this.serving.length;) {
+      const sample = this.nextFree(question, asker, now, this.serving.length - examined)
+      examined += sample.examined
+      const choice = sample.free.length === 0 ? undefined : chooseUpstream(sample.free, context)
+      if (choice !== undefined) return choice
+    }
+    return undefined
+  }
+
+  /** Whether all upstreams fit into one sample. */
+  private get isSmall (): boolean {
+    return this.serving.length <= SAMPLE_UPSTREAMS
+  }
+
+  /** Chooses one upstream, which may just have become free, for a waiting request; undefined when the request should wait on. */
+  private chooseOnly (instance: string, { question, asker }: WaitingQuestion, now: number, terms: ChoiceConstraints): UpstreamChoice | undefined {
+    const candidate = this.upstreams.get(instance)
+    if (candidate === undefined || candidate.upstream.announced.draining || !isFree(candidate, question, asker, now)) return undefined
+    return chooseUpstream([candidate], this.contextOf(question, asker, now, terms))
+  }
+
+  /** The next free upstreams after those of the previous call, up to the size of a sample, out of at most `limit`. */
+  private nextFree (question: PlacementQuestion, asker: RequestingEntry, now: number, limit: number): { free: Candidate[], examined: number } {
+    const free: Candidate[] = []
+    let examined = 0
+    while (examined < limit && free.length < SAMPLE_UPSTREAMS) {
+      this.nextExamined = (this.nextExamined + 1) % this.serving.length
+      examined += 1
+      const candidate = this.serving[this.nextExamined] as Candidate
+      if (isFree(candidate, question, asker, now)) free.push(candidate)
+    }
+    return { free, examined }
+  }
+
+  private contextOf (question: PlacementQuestion, asker: RequestingEntry, now: number, terms: ChoiceConstraints): ChoiceContext {
     const isStressed = this.unserved.isStressed(now)
-    return chooseUpstream(free, {
+    return {
       now,
       zone: asker.zone,
       mayProbe: terms.mayProbe && question.attempt === 0,
@@ -135,7 +172,7 @@
       isStressed,
       hasSound: this.stateAt(now).hasSound,
       minimumSuccess: this.successThreshold(question.priority, terms, now) * this.stateAt(now).bestSuccess
-    })
+    }
   }
 
   /** Discards the cached pool state, as after a failure. */
@@ -156,23 +193,39 @@
 
   /** Places waiting requests while suitable upstreams are free. */
   drainQueue (now: number, constraintsOf: (waiting: WaitingQuestion) => ChoiceConstraints): void {
-    for (const part of this.line.groups()) this.drainGroup(part, now, constraintsOf)
+    this.drainWith((waiting) => this.choose(waiting.question, waiting.asker, now, constraintsOf(waiting)))
+  }
+
+  /** Places one waiting request if a suitable upstream is free. */
+  tryPlace (waiting: WaitingQuestion, now: number, constraints: ChoiceConstraints): void {
+    const choice = this.choose(waiting.question, waiting.asker, now, constraints)
+    if (choice !== undefined) this.placeWaiting(waiting, choice)
+  }
+
+  /** Places waiting requests after one upstream may have become free. In a large pool, only that one is offered. */
+  drainTo (instance: string, now: number, constraintsOf: (waiting: WaitingQuestion) => ChoiceConstraints): void {
+    if (this.isSmall) return this.drainQueue(now, constraintsOf)
+    this.drainWith((waiting) => this.chooseOnly(instance, waiting, now, constraintsOf(waiting)))
   }
 
-  private drainGroup (part: readonly WaitingQuestion[], now: number, constraintsOf: (waiting: WaitingQuestion) => ChoiceConstraints): void {
-    let failedTries = 0
-    for (const waiting of part) {
-      const choice = this.choose(waiting.question, waiting.asker, now, constraintsOf(waiting))
-      if (choice === undefined) {
-        failedTries += 1
-        if (failedTries >= MAXIMUM_FAILED_TRIES) return
-        continue
+  private drainWith (choose: (waiting: WaitingQuestion) => UpstreamChoice | undefined): void {
+    for (const group of this.line.groups()) {
+      let failedTries = 0
+      while (failedTries < MAXIMUM_FAILED_TRIES) {
+        const waiting = group[failedTries]
+        if (waiting === undefined) break
+        const choice = choose(waiting)
+        if (choice === undefined) failedTries += 1
+        else this.placeWaiting(waiting, choice)
       }
-      this.line.withdraw(waiting)
-      waiting.resolve(choice)
     }
   }
 
+  private placeWaiting (waiting: WaitingQuestion, choice: UpstreamChoice): void {
+    this.line.withdraw(waiting)
+    waiting.resolve(choice)
+  }
+
   /** Required probability of success, relative to the best upstream; it falls as waiting for a better one uses up the request's slack. */
   private successThreshold (priority: number, { slackMilliseconds, lateSlackMilliseconds }: ChoiceConstraints, now: number): number {
     if (lateSlackMilliseconds <= 0) return 0
@@ -198,6 +251,10 @@
   }
 }
 
+function isFree (candidate: Candidate, question: PlacementQuestion, asker: RequestingEntry, now: number): boolean {
+  return !candidate.standing.isFull(candidate.upstream.announced.slots, now) && isEligible(candidate, question, asker, now)
+}
+
 function isEligible ({ upstream, standing }: Candidate, question: PlacementQuestion, asker: RequestingEntry, now: number): boolean {
   return !question.excluded.includes(upstream.announced.instance) && standing.isReachableFrom(asker.entry, now)
 }
