A control VM that knows no other one keeps running

A fleet of one control VM ended at its start with 'Channel target must be a string': its connection that mirrors the leader picked an address from an empty list. The connection now waits until an address is known.

--- a/packages/dispatch/src/leader-connection.ts
+++ b/packages/dispatch/src/leader-connection.ts
@@ -126,7 +126,8 @@
   /** Connects to the leader, and reconnects when the stream ends, until the signal aborts. */
   async run (signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      if (this.options.wanted()) await this.connectTo(this.nextAddress(), signal)
+      const address = this.options.wanted() ? this.nextAddress() : undefined
+      if (address !== undefined) await this.connectTo(address, signal)
       await sleep(this.options.clock, this.options.wanted() ? this.reconnectDelay() : IDLE_CHECK_MILLISECONDS, signal)
     }
   }
@@ -137,12 +138,13 @@
     return longest * (1 + this.options.random.next()) / 2
   }
 
-  /** The leader named by the last control VM, unless just tried; otherwise a random control VM, if possible not the last one tried. */
-  private nextAddress (): string {
+  /** The leader named by the last control VM, unless just tried; otherwise a random control VM, if possible not the last one tried. Undefined when none is known. */
+  private nextAddress (): string | undefined {
     const { leader } = this
     this.leader = ''
     if (leader !== '' && leader !== this.lastAddress) return leader
     const candidates = [...new Set([...this.options.seeds(), ...this.controlAddresses])].filter((address) => address !== this.options.name)
+    if (candidates.length === 0) return undefined
     const others = candidates.filter((address) => address !== this.lastAddress)
     return pickOne(this.options.random, others.length > 0 ? others : candidates)
   }
--- a/packages/dispatch/src/tests/leader-connection.test.ts
+++ b/packages/dispatch/src/tests/leader-connection.test.ts
@@ -25,7 +25,7 @@
 }
 
 /** A control VM that answers only when the test says so, and a connection to it in simulated time. */
-async function createConnection () {
+async function createConnection (isSeedKnown = true) {
   const clock = FakeClock.create()
   const calls: Call[] = []
   const messages: EntryMessage[] = []
@@ -43,7 +43,7 @@
     name: 'entry',
     zone: 'zone-a',
     mirror: false,
-    seeds: () => [`127.0.0.1:${port}`],
+    seeds: () => isSeedKnown ? [`127.0.0.1:${port}`] : [],
     credentials: CREDENTIALS,
     clock,
     random: SeededRandom.create(1),
@@ -56,12 +56,12 @@
     admissionReport: () => ({ admitted: [], fleetShare: 0 }),
     wanted: () => true
   })
-  void connection.run(stopping.signal)
+  const running = connection.run(stopping.signal)
   const stop = (): void => {
     stopping.abort()
     server.forceShutdown()
   }
-  return { clock, calls, messages, connection, stop }
+  return { clock, calls, messages, connection, running, stop }
 }
 
 async function waitUntil (isMet: () => boolean): Promise<void> {
@@ -94,4 +94,14 @@
   stop()
 })
 
+// Guards against a control VM without others that ends at its start.
+test('without any known control VM it waits for one', async () => {
+  const { clock, calls, running, stop } = await createConnection(false)
+  await clock.advanceAsync(2_000)
+  assert.is(calls.length, 0)
+  stop()
+  await clock.advanceAsync(1_000)
+  await running
+})
+
 test.run()
