--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -209,7 +209,8 @@
   private tryPlace (poolName: string, waiting: WaitingQuestion): void {
     const now = this.options.clock.monotonicMilliseconds()
     const pool = this.pools.pool(poolName)
-    if (pool.line.isWaiting(waiting)) pool.tryPlace(waiting, now, this.constraintsOf(waiting.question, pool, now - waiting.since, now))
+    if (!pool.line.isWaiting(waiting)) return
+    pool.tryPlace(waiting, now, (each) => this.constraintsOf(each.question, pool, now - each.since, now))
   }
 
   private cancelWaiting (key: string): boolean {
--- a/packages/dispatch/src/leader-connection.ts
+++ b/packages/dispatch/src/leader-connection.ts
@@ -138,7 +138,10 @@
     return longest * (1 + this.options.random.next()) / 2
   }
 
-  /** The leader named by the last control VM, unless just tried; otherwise a random control VM, if possible not the last one tried. Undefined when none is known. */
+  /**
+   * The leader named by the last control VM, unless just tried; otherwise a random control VM, if possible not the
+   * last one tried. Undefined when none is known.
+   */
   private nextAddress (): string | undefined {
     const { leader } = this
     this.leader = ''
--- a/packages/dispatch/src/pool-dispatcher.ts
+++ b/packages/dispatch/src/pool-dispatcher.ts
@@ -196,9 +196,10 @@
     this.drainWith((waiting) => this.choose(waiting.question, waiting.asker, now, constraintsOf(waiting)))
   }
 
-  /** Places one waiting request if a suitable upstream is free. */
-  tryPlace (waiting: WaitingQuestion, now: number, constraints: ChoiceConstraints): void {
-    const choice = this.choose(waiting.question, waiting.asker, now, constraints)
+  /** Places a waiting request whose time is running out, if a suitable upstream is free. In a small pool, the requests before it go first. */
+  tryPlace (waiting: WaitingQuestion, now: number, constraintsOf: (waiting: WaitingQuestion) => ChoiceConstraints): void {
+    if (this.isSmall) return this.drainQueue(now, constraintsOf)
+    const choice = this.choose(waiting.question, waiting.asker, now, constraintsOf(waiting))
     if (choice !== undefined) this.placeWaiting(waiting, choice)
   }
 
