Names: requester, connection and placement client in place of asker, attendant and desk

Words that a newcomer asked about, in dispatch, request, entry and the simulation of bench. No change of behaviour.

--- a/packages/bench/src/dispatch-simulation.ts
+++ b/packages/bench/src/dispatch-simulation.ts
@@ -1,5 +1,6 @@
 /** Simulates a dispatcher, its entries and upstreams with episodes of gray failure, in simulated time. */
-import { Dispatcher, type EntryConnection } from '@hickoryspoke/dispatch/dispatcher'
+import { Dispatcher } from '@hickoryspoke/dispatch/dispatcher'
+import type { EntryConnection } from '@hickoryspoke/dispatch/entry-connection'
 import { CustomerRateLimiter } from '@hickoryspoke/dispatch/customer-rate-limiter'
 import { UpstreamRegistry } from '@hickoryspoke/dispatch/upstream-registry'
 import { PlacementOutcome, type DispatchMessage, type PlacementQuestion } from '@hickoryspoke/protocol/generated/dispatch'
@@ -122,10 +123,10 @@
 
   private addEntry (entry: string, zone: string): void {
     const send = (message: DispatchMessage): void => {
-      this.clock.schedule(ONE_WAY_MILLISECONDS, () => this.receive(attendant, message))
+      this.clock.schedule(ONE_WAY_MILLISECONDS, () => this.receive(connection, message))
     }
-    const attendant: EntryConnection = { entry, zone, send }
-    this.entries.push(attendant)
+    const connection: EntryConnection = { entry, zone, send }
+    this.entries.push(connection)
   }
 
   private scheduleArrival (kind: RequestKind, until: number): void {
@@ -154,26 +155,26 @@
       route: kind.name,
       charged: false
     }
-    const attendant = this.entries[this.lastTicket % ENTRIES] as EntryConnection
+    const connection = this.entries[this.lastTicket % ENTRIES] as EntryConnection
     const running = { kind, arrivedAt: this.clock.monotonicMilliseconds(), question, attempt: 0 }
-    this.running.set(`${attendant.entry}/${question.ticket}`, running)
-    this.ask(attendant, running)
+    this.running.set(`${connection.entry}/${question.ticket}`, running)
+    this.ask(connection, running)
   }
 
-  private ask (attendant: EntryConnection, { question }: RunningRequest): void {
-    this.clock.schedule(ONE_WAY_MILLISECONDS, () => this.dispatcher.ask(attendant, question))
+  private ask (connection: EntryConnection, { question }: RunningRequest): void {
+    this.clock.schedule(ONE_WAY_MILLISECONDS, () => this.dispatcher.ask(connection, question))
   }
 
-  private receive (attendant: EntryConnection, { body }: DispatchMessage): void {
+  private receive (connection: EntryConnection, { body }: DispatchMessage): void {
     if (body?.$case === 'denial') {
-      this.running.delete(`${attendant.entry}/${body.value.ticket}`)
+      this.running.delete(`${connection.entry}/${body.value.ticket}`)
       this.counts.refused += 1
     }
-    if (body?.$case === 'placement') this.sendToUpstream(attendant, body.value.ticket, body.value.instance)
+    if (body?.$case === 'placement') this.sendToUpstream(connection, body.value.ticket, body.value.instance)
   }
 
-  private sendToUpstream (attendant: EntryConnection, ticket: number, instance: string): void {
-    const running = this.running.get(`${attendant.entry}/${ticket}`)
+  private sendToUpstream (connection: EntryConnection, ticket: number, instance: string): void {
+    const running = this.running.get(`${connection.entry}/${ticket}`)
     if (running === undefined) return
     const { kind, arrivedAt } = running
     const sentAt = this.clock.monotonicMilliseconds()
@@ -185,13 +186,13 @@
         ? PlacementOutcome.PLACEMENT_OUTCOME_SERVER_ERROR
         : result
       this.clock.schedule(ONE_WAY_MILLISECONDS, () => {
-        this.dispatcher.end(attendant, { ticket, outcome, milliseconds, load: undefined, instance })
+        this.dispatcher.end(connection, { ticket, outcome, milliseconds, load: undefined, instance })
       })
-      this.finish(attendant, running, instance, outcome)
+      this.finish(connection, running, instance, outcome)
     })
   }
 
-  private finish (attendant: EntryConnection, running: RunningRequest, instance: string, outcome: PlacementOutcome): void {
+  private finish (connection: EntryConnection, running: RunningRequest, instance: string, outcome: PlacementOutcome): void {
     const { kind, question, arrivedAt } = running
     const elapsed = this.clock.monotonicMilliseconds() - arrivedAt
     const isNotRun = outcome === PlacementOutcome.PLACEMENT_OUTCOME_REFUSED
@@ -208,10 +209,10 @@
           charged: true
         }
       }
-      this.running.set(`${attendant.entry}/${question.ticket}`, retry)
-      return this.ask(attendant, retry)
+      this.running.set(`${connection.entry}/${question.ticket}`, retry)
+      return this.ask(connection, retry)
     }
-    this.running.delete(`${attendant.entry}/${question.ticket}`)
+    this.running.delete(`${connection.entry}/${question.ticket}`)
     if (outcome === PlacementOutcome.PLACEMENT_OUTCOME_ANSWERED) {
       if (elapsed <= kind.targetMilliseconds) this.counts.inTime += 1
       else this.counts.late += 1
--- a/packages/bench/src/tests/dispatched-fleet.test.ts
+++ b/packages/bench/src/tests/dispatched-fleet.test.ts
@@ -42,7 +42,7 @@
     const leader = await fleet.leader()
     assert.is.not(leader.address, lost.address)
     const read = await waitFor(async () => {
-      const answer = await leader.desk.read()
+      const answer = await leader.api.read()
       return answer.kind === 'done' ? answer.value : undefined
     })
     assert.is(read.number, 5)
@@ -62,11 +62,11 @@
     await fleet.publish(fleetConfiguration(5, [{ prefix: '/new/' }]))
     await fleet.publish(fleetConfiguration(4, [{ prefix: '/old/' }]))
     const leader = await fleet.leader()
-    const read = await leader.desk.read()
+    const read = await leader.api.read()
     assert.is(read.kind === 'done' ? read.value?.number : undefined, 5)
     const follower = fleet.controls.find(({ control }) => !control.isLeader)
     await waitFor(() => follower?.control.leader === leader.address ? true : undefined)
-    assert.equal(await follower?.desk.read(), { kind: 'elsewhere', leader: leader.address })
+    assert.equal(await follower?.api.read(), { kind: 'elsewhere', leader: leader.address })
   } finally {
     await fleet.stop()
   }
--- a/packages/bench/src/tests/dispatched-fleet.ts
+++ b/packages/bench/src/tests/dispatched-fleet.ts
@@ -33,7 +33,7 @@
 export interface FleetControl {
   readonly address: string
   readonly control: DispatchingControl
-  readonly desk: ControlApi
+  readonly api: ControlApi
 }
 
 /** Control nodes with a dispatcher and entries that use it, all in this process on loopback. */
@@ -62,14 +62,14 @@
   async publish (configuration: ServingConfiguration): Promise<void> {
     const document = { number: configuration.number, content: Buffer.from(JSON.stringify(configuration)) }
     await waitFor(async () => {
-      const answer = await (await this.leader()).desk.publish(document)
+      const answer = await (await this.leader()).api.publish(document)
       return answer.kind === 'done' ? true : undefined
     })
   }
 
   async announce (instance: string, address: string, changes: { draining?: boolean, sequence?: number } = {}): Promise<void> {
     await waitFor(async () => {
-      const answer = await (await this.leader()).desk.announce({
+      const answer = await (await this.leader()).api.announce({
         instance, pool: 'ledger', address, zone: 'zone-a', slots: 2, draining: false, warmupMilliseconds: 0, born: 1, sequence: 1, version: '', gone: false, ...changes
       })
       return answer.kind === 'done' ? true : undefined
@@ -109,7 +109,7 @@
       silentUpstreamMilliseconds: 60_000
     }, { ...parts, decode: (document) => Ok(JSON.parse(document.content.toString()) as ServingConfiguration) })
     const control = started.unwrap()
-    const fleetControl = { address, control, desk: ControlApi.create({ control, ...parts, requiredVoters: this.addresses.length }) }
+    const fleetControl = { address, control, api: ControlApi.create({ control, ...parts, requiredVoters: this.addresses.length }) }
     this.controls.push(fleetControl)
     return fleetControl
   }
--- a/packages/dispatch/src/client-session.ts
+++ b/packages/dispatch/src/client-session.ts
@@ -1,7 +1,7 @@
 /** A stream to the dispatch service whose client has identified itself. */
 import type { ServerDuplexStream } from '@grpc/grpc-js'
 import type { DispatchMessage, EntryMessage } from '@hickoryspoke/protocol/generated/dispatch'
-import type { EntryConnection } from './dispatcher.ts'
+import type { EntryConnection } from './entry-connection.ts'
 
 /** The server's side of a stream. */
 export type DispatchCall = ServerDuplexStream<EntryMessage, DispatchMessage>
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -1,15 +1,16 @@
 /** The fleet's central dispatcher: it chooses an upstream for every request, knowing all requests in flight and all evidence of failures. */
 import {
   DenialReason, PlacementOutcome,
-  type DispatchMessage, type PlacementEnd, type PlacementQuestion, type RunningRequest, type Suspicion
+  type PlacementEnd, type PlacementQuestion, type Suspicion
 } from '@hickoryspoke/protocol/generated/dispatch'
 import type { Clock, Timer } from '@hickoryspoke/runtime/clock'
 import type { Logger } from '@hickoryspoke/telemetry/logger'
 import { CrashTracker } from './crash-tracker.ts'
-import type { AdmissionReport, CustomerRateLimiter } from './customer-rate-limiter.ts'
+import type { CustomerRateLimiter } from './customer-rate-limiter.ts'
 import { logDenial, logEvidence } from './dispatcher-log.ts'
+import type { EntryConnection, EntryHandover } from './entry-connection.ts'
 import { OVERDUE_FACTOR, Placements, type EndedPlacement } from './placements.ts'
-import type { RequestingEntry, ChoiceConstraints, PoolDispatcher, PoolSnapshot } from './pool-dispatcher.ts'
+import type { ChoiceConstraints, PoolDispatcher, PoolSnapshot } from './pool-dispatcher.ts'
 import { PoolSet } from './pool-set.ts'
 import type { FleetRetryBudgetSettings } from './fleet-retry-budget.ts'
 import { lateSlackOf, slackOf } from './request-slack.ts'
@@ -17,11 +18,6 @@
 import type { UpstreamChoice } from './upstream-choice.ts'
 import type { WaitingQuestion } from './waiting-queue.ts'
 
-/** A connected entry, with a way to send to it. */
-export interface EntryConnection extends RequestingEntry {
-  send (message: DispatchMessage): void
-}
-
 /** Dependencies and settings of a `Dispatcher`. */
 export interface DispatcherOptions {
   readonly clock: Clock
@@ -33,11 +29,6 @@
   readonly floorShare: number
 }
 
-/** Requests that an earlier dispatcher or the entry itself placed or admitted, reported when the entry connects. */
-export interface EntryHandover extends AdmissionReport {
-  readonly running: readonly RunningRequest[]
-}
-
 const MINIMUM_RETRY_AFTER_MILLISECONDS = 200
 /** Just after a change of leader, some upstreams may not have been announced to the new one yet. */
 const STARTUP_MILLISECONDS = 3_000
@@ -81,7 +72,7 @@
       if (!runningKeys.has(key)) this.release(key)
     }
     for (const [key, waiting] of this.waiting) {
-      if (waiting.asker.entry === connection.entry) this.cancelWaiting(key)
+      if (waiting.requester.entry === connection.entry) this.cancelWaiting(key)
     }
     for (const request of running) {
       const key = placementKey(connection.entry, request.ticket)
@@ -183,7 +174,7 @@
     const timers: Timer[] = []
     const waiting: WaitingQuestion = {
       question,
-      asker: connection,
+      requester: connection,
       since: now,
       resolve: (choice) => {
         for (const timer of timers) timer.cancel()
--- a/packages/dispatch/src/pool-dispatcher.ts
+++ b/packages/dispatch/src/pool-dispatcher.ts
@@ -125,11 +125,11 @@
   }
 
   /** Chooses an upstream with a free slot; undefined when the request should wait. Looks at some of a large pool only, unless none of them will do. */
-  choose (question: PlacementQuestion, asker: RequestingEntry, now: number, terms: ChoiceConstraints): UpstreamChoice | undefined {
-    const context = this.contextOf(question, asker, now, terms)
+  choose (question: PlacementQuestion, requester: RequestingEntry, now: number, terms: ChoiceConstraints): UpstreamChoice | undefined {
+    const context = this.contextOf(question, requester, now, terms)
     if (this.isSmall) this.nextExamined = -1
     for (let examined = 0; examined < this.serving.length;) {
-      const sample = this.nextFree(question, asker, now, this.serving.length - examined)
+      const sample = this.nextFree(question, requester, now, this.serving.length - examined)
       examined += sample.examined
       const choice = sample.free.length === 0 ? undefined : chooseUpstream(sample.free, context)
       if (choice !== undefined) return choice
@@ -143,30 +143,30 @@
   }
 
   /** Chooses one upstream, which may just have become free, for a waiting request; undefined when the request should wait on. */
-  private chooseOnly (instance: string, { question, asker }: WaitingQuestion, now: number, terms: ChoiceConstraints): UpstreamChoice | undefined {
+  private chooseOnly (instance: string, { question, requester }: WaitingQuestion, now: number, terms: ChoiceConstraints): UpstreamChoice | undefined {
     const candidate = this.upstreams.get(instance)
-    if (candidate === undefined || candidate.upstream.announced.draining || !isFree(candidate, question, asker, now)) return undefined
-    return chooseUpstream([candidate], this.contextOf(question, asker, now, terms))
+    if (candidate === undefined || candidate.upstream.announced.draining || !isFree(candidate, question, requester, now)) return undefined
+    return chooseUpstream([candidate], this.contextOf(question, requester, now, terms))
   }
 
   /** The next free upstreams after those of the previous call, up to the size of a sample, out of at most `limit`. */
-  private nextFree (question: PlacementQuestion, asker: RequestingEntry, now: number, limit: number): { free: Candidate[], examined: number } {
+  private nextFree (question: PlacementQuestion, requester: RequestingEntry, now: number, limit: number): { free: Candidate[], examined: number } {
     const free: Candidate[] = []
     let examined = 0
     while (examined < limit && free.length < SAMPLE_UPSTREAMS) {
       this.nextExamined = (this.nextExamined + 1) % this.serving.length
       examined += 1
       const candidate = this.serving[this.nextExamined] as Candidate
-      if (isFree(candidate, question, asker, now)) free.push(candidate)
+      if (isFree(candidate, question, requester, now)) free.push(candidate)
     }
     return { free, examined }
   }
 
-  private contextOf (question: PlacementQuestion, asker: RequestingEntry, now: number, terms: ChoiceConstraints): ChoiceContext {
+  private contextOf (question: PlacementQuestion, requester: RequestingEntry, now: number, terms: ChoiceConstraints): ChoiceContext {
     const isStressed = this.unserved.isStressed(now)
     return {
       now,
-      zone: asker.zone,
+      zone: requester.zone,
       mayProbe: terms.mayProbe && question.attempt === 0,
       isSpreading: isStressed || this.stateAt(now).activeShare < this.minimumActiveShare,
       isStressed,
@@ -181,8 +181,8 @@
   }
 
   /** Whether any upstream, full or not, may take the request. */
-  hasEligibleUpstream (question: PlacementQuestion, asker: RequestingEntry, now: number): boolean {
-    return this.serving.some((candidate) => isEligible(candidate, question, asker, now))
+  hasEligibleUpstream (question: PlacementQuestion, requester: RequestingEntry, now: number): boolean {
+    return this.serving.some((candidate) => isEligible(candidate, question, requester, now))
   }
 
   /** Expected wait of a new request with this priority, in milliseconds. */
@@ -193,13 +193,13 @@
 
   /** Places waiting requests while suitable upstreams are free. */
   drainQueue (now: number, constraintsOf: (waiting: WaitingQuestion) => ChoiceConstraints): void {
-    this.drainWith((waiting) => this.choose(waiting.question, waiting.asker, now, constraintsOf(waiting)))
+    this.drainWith((waiting) => this.choose(waiting.question, waiting.requester, now, constraintsOf(waiting)))
   }
 
   /** Places a waiting request whose time is running out, if a suitable upstream is free. In a small pool, the requests before it go first. */
   tryPlace (waiting: WaitingQuestion, now: number, constraintsOf: (waiting: WaitingQuestion) => ChoiceConstraints): void {
     if (this.isSmall) return this.drainQueue(now, constraintsOf)
-    const choice = this.choose(waiting.question, waiting.asker, now, constraintsOf(waiting))
+    const choice = this.choose(waiting.question, waiting.requester, now, constraintsOf(waiting))
     if (choice !== undefined) this.placeWaiting(waiting, choice)
   }
 
@@ -252,12 +252,12 @@
   }
 }
 
-function isFree (candidate: Candidate, question: PlacementQuestion, asker: RequestingEntry, now: number): boolean {
-  return !candidate.standing.isFull(candidate.upstream.announced.slots, now) && isEligible(candidate, question, asker, now)
+function isFree (candidate: Candidate, question: PlacementQuestion, requester: RequestingEntry, now: number): boolean {
+  return !candidate.standing.isFull(candidate.upstream.announced.slots, now) && isEligible(candidate, question, requester, now)
 }
 
-function isEligible ({ upstream, standing }: Candidate, question: PlacementQuestion, asker: RequestingEntry, now: number): boolean {
-  return !question.excluded.includes(upstream.announced.instance) && standing.isReachableFrom(asker.entry, now)
+function isEligible ({ upstream, standing }: Candidate, question: PlacementQuestion, requester: RequestingEntry, now: number): boolean {
+  return !question.excluded.includes(upstream.announced.instance) && standing.isReachableFrom(requester.entry, now)
 }
 
 /** Share of the slack that is left after a wait, from 1 down to 0. */
--- a/packages/dispatch/src/tests/fixture.ts
+++ b/packages/dispatch/src/tests/fixture.ts
@@ -2,7 +2,8 @@
 import { silentLogger } from '@hickoryspoke/telemetry/logger'
 import { FakeClock } from '@hickoryspoke/testing/fake-clock'
 import { CustomerRateLimiter } from '../customer-rate-limiter.ts'
-import { Dispatcher, type EntryConnection } from '../dispatcher.ts'
+import { Dispatcher } from '../dispatcher.ts'
+import type { EntryConnection } from '../entry-connection.ts'
 import { UpstreamRegistry } from '../upstream-registry.ts'
 
 /** Creates an announcement; `changes` override the defaults. */
--- a/packages/dispatch/src/waiting-queue.ts
+++ b/packages/dispatch/src/waiting-queue.ts
@@ -6,7 +6,7 @@
 /** A placement question that waits for a free upstream. */
 export interface WaitingQuestion {
   readonly question: PlacementQuestion
-  readonly asker: RequestingEntry
+  readonly requester: RequestingEntry
   /** When the wait began, in monotonic milliseconds. */
   readonly since: number
   /** Ends the wait, with undefined when the request is not placed. */
--- a/packages/entry/src/dispatched-entry-metrics.ts
+++ b/packages/entry/src/dispatched-entry-metrics.ts
@@ -8,7 +8,7 @@
 /** Sources of the gauges. */
 export interface DispatchedMetricSources {
   readonly inForce: ActiveConfiguration
-  readonly desk: PlacementClient
+  readonly placementClient: PlacementClient
   readonly inFlight: () => number
   readonly isReady: () => boolean
 }
@@ -37,7 +37,7 @@
       gauge.set(Math.min(MAXIMUM_AGE_SECONDS, sources.inForce.ageMilliseconds() / 1000))
     })
     metrics.gauge('hickoryspoke_without_dispatcher_seconds', 'time without a dispatcher', [], (gauge) => {
-      gauge.set(sources.desk.withoutDispatcherMilliseconds / 1000)
+      gauge.set(sources.placementClient.withoutDispatcherMilliseconds / 1000)
     })
   }
 
--- a/packages/entry/src/dispatched-entry.ts
+++ b/packages/entry/src/dispatched-entry.ts
@@ -64,7 +64,7 @@
   private readonly registry: UpstreamRegistry
   private readonly inForce: ActiveConfiguration
   private readonly placer: LocalPlacer
-  private readonly desk: PlacementClient
+  private readonly placementClient: PlacementClient
   private readonly link: LeaderConnection
   private readonly connections: UpstreamConnections
   private readonly runner: DispatchedRunner
@@ -82,7 +82,7 @@
     this.inForce = ActiveConfiguration.create(clock, settings.freshMilliseconds)
     this.inForce.onChange((configuration) => this.applyConfiguration(configuration))
     this.placer = LocalPlacer.create({ clock, random, registry: this.registry, entry: name, zone, windowMilliseconds: settings.rateWindowMilliseconds })
-    this.desk = PlacementClient.create({
+    this.placementClient = PlacementClient.create({
       clock,
       placer: this.placer,
       isLeaving: (instance) => this.registry.isLeaving(instance),
@@ -99,18 +99,18 @@
       random,
       logger,
       held: () => this.inForce.number,
-      running: () => this.desk.running(),
+      running: () => this.placementClient.running(),
       knownUpstreams: () => this.registry.announcements(),
       upstreamDigest: () => this.registry.digest(),
       admissionReport: () => this.placer.report(this.entries),
       wanted: () => true,
       listener: {
-        placed: (placement) => this.desk.receivePlacement(placement),
-        denied: (denial) => this.desk.receiveDenial(denial),
+        placed: (placement) => this.placementClient.receivePlacement(placement),
+        denied: (denial) => this.placementClient.receiveDenial(denial),
         configured: (update) => this.receiveConfiguration(update),
         upstreamsChanged: (update) => this.registry.merge(update.upstreams),
         suspected: (suspicions) => this.placer.adoptSuspicions(suspicions),
-        connected: () => this.desk.connected(),
+        connected: () => this.placementClient.connected(),
         lost: () => this.lost(),
         questionSent: (question) => this.inForce.recordQuestion(question),
         confirmed: ({ question, number, entries }) => {
@@ -121,9 +121,14 @@
     })
     this.connections = UpstreamConnections.create(clock, { connectTimeoutMilliseconds: CONNECT_TIMEOUT_MILLISECONDS })
     this.runner = DispatchedRunner.create({
-      clock, random, dialect, connections: this.connections, desk: this.desk, inForce: this.inForce, table: () => this.table
+      clock, random, dialect, connections: this.connections, placementClient: this.placementClient, inForce: this.inForce, table: () => this.table
     }, logger, this.entryMetrics)
-    this.entryMetrics.follow({ inForce: this.inForce, desk: this.desk, inFlight: () => this.runner.inFlight, isReady: () => this.isReady })
+    this.entryMetrics.follow({
+      inForce: this.inForce,
+      placementClient: this.placementClient,
+      inFlight: () => this.runner.inFlight,
+      isReady: () => this.isReady
+    })
     const { host, port } = splitAddress(settings.callers)
     this.callers = CallerServer.create({ clock, runner: this.runner, host, port })
     this.readiness = createServer((request, response) => {
@@ -152,7 +157,7 @@
   /** Whether the load balancer should send callers to this entry. */
   get isReady (): boolean {
     if (this.lifecycle.phase !== EntryPhase.Serving || this.table === undefined) return false
-    return this.inForce.isFresh() && this.desk.withoutDispatcherMilliseconds < READY_WITHOUT_DISPATCHER_MILLISECONDS
+    return this.inForce.isFresh() && this.placementClient.withoutDispatcherMilliseconds < READY_WITHOUT_DISPATCHER_MILLISECONDS
   }
 
   /**
@@ -201,6 +206,6 @@
   /** Lets this entry place requests by itself until it has a dispatcher again. */
   private lost (): void {
     this.placer.startStandalone(this.entries, (customer) => this.table?.rateTermsOf(customer))
-    this.desk.lost()
+    this.placementClient.lost()
   }
 }
--- a/packages/request/src/dispatched-attempt.ts
+++ b/packages/request/src/dispatched-attempt.ts
@@ -17,7 +17,7 @@
   readonly clock: Clock
   readonly connections: UpstreamConnections
   readonly dialect: Dialect
-  readonly desk: PlacementClient
+  readonly placementClient: PlacementClient
 }
 
 const FIRST_SERVER_ERROR = 500
@@ -41,8 +41,8 @@
 ])
 
 /** Informs the dispatcher that a placement is not used. */
-export function cancelPlacement (desk: PlacementClient, ticket: number): void {
-  desk.end({ ticket, outcome: PlacementOutcome.PLACEMENT_OUTCOME_CANCELLED, milliseconds: 0, load: undefined, instance: '' })
+export function cancelPlacement (placementClient: PlacementClient, ticket: number): void {
+  placementClient.end({ ticket, outcome: PlacementOutcome.PLACEMENT_OUTCOME_CANCELLED, milliseconds: 0, load: undefined, instance: '' })
 }
 
 /** One attempt to run a request on one upstream. */
@@ -95,7 +95,7 @@
 
   private reportEnd (ticket: number, outcome: PlacementOutcome, load: UpstreamLoad | undefined): void {
     const milliseconds = Math.round(this.options.clock.monotonicMilliseconds() - this.startedAt)
-    this.options.desk.end({ ticket, outcome, milliseconds, load, instance: this.placed.instance })
+    this.options.placementClient.end({ ticket, outcome, milliseconds, load, instance: this.placed.instance })
   }
 }
 
--- a/packages/request/src/dispatched-run.ts
+++ b/packages/request/src/dispatched-run.ts
@@ -25,7 +25,7 @@
   readonly random: RandomSource
   readonly dialect: Dialect
   readonly connections: UpstreamConnections
-  readonly desk: PlacementClient
+  readonly placementClient: PlacementClient
   readonly inForce: ActiveConfiguration
   /** Tables of the current configuration; undefined before the first. */
   readonly table: () => ServingTable | undefined
@@ -162,14 +162,14 @@
   }
 
   private async send (admitted: Admitted): Promise<DispatchedOutcome> {
-    const ticket = this.options.desk.nextTicket()
+    const ticket = this.options.placementClient.nextTicket()
     this.ticket = ticket
     for (;;) {
-      const placed = await this.options.desk.place(this.question(ticket, admitted), this.abortController.signal)
+      const placed = await this.options.placementClient.place(this.question(ticket, admitted), this.abortController.signal)
       if (placed.isErr()) return await this.respondWithLastResult(admitted, this.refusalOfDenial(placed.error))
       const refusedMeanwhile = this.recheck(admitted)
       if (refusedMeanwhile !== undefined) {
-        cancelPlacement(this.options.desk, ticket)
+        cancelPlacement(this.options.placementClient, ticket)
         return await this.respondWithLastResult(admitted, refusedMeanwhile)
       }
       const end = await this.attempt(ticket, admitted, placed.value)
--- a/packages/request/src/dispatched-runner.ts
+++ b/packages/request/src/dispatched-runner.ts
@@ -59,7 +59,7 @@
   }
 
   private log (run: DispatchedRun, end: DispatchedOutcome, milliseconds: number): void {
-    const { inForce, desk } = this.options
+    const { inForce, placementClient } = this.options
     this.logger.info('request ended', {
       request: run.requestId,
       route: run.route?.name,
@@ -74,7 +74,7 @@
       milliseconds: Math.round(milliseconds),
       configuration: inForce.number,
       configurationAge: Math.round(Math.min(inForce.ageMilliseconds(), 999_999)),
-      unattended: Math.round(desk.withoutDispatcherMilliseconds)
+      unattended: Math.round(placementClient.withoutDispatcherMilliseconds)
     })
   }
 }
