An entry whose stream was lost is waited for; one that stops says so

A departure or a configuration was acknowledged as soon as the stream of an unconfirmed entry broke, though that entry goes on from its view until it expires: the end of a stream that was cancelled looked like the regular end of an entry that stops. An entry that stops now says so in a message of its own, and nothing else ends the wait for it.

--- a/packages/bench/src/tests/acknowledged-news.test.ts
+++ b/packages/bench/src/tests/acknowledged-news.test.ts
@@ -80,4 +80,17 @@
   }
 })
 
+test('a departure is not acknowledged because the stream of an entry was lost before it confirmed', async () => {
+  const fleet = await DispatchedFleet.create(3, 0, FRESH_MILLISECONDS)
+  const leader = await fleet.leader()
+  const entry = await SilentEntry.attach(leader.address)
+  await fleet.announce('i-1', '127.0.0.1:9')
+  const departure = fleet.announceTo(leader, 'i-1', '127.0.0.1:9', { draining: true, sequence: 2 })
+  await entry.receives((body) => body.$case === 'upstreams' && body.value.upstreams.some(({ draining }) => draining))
+  entry.close()
+  await waitFor(async () => (await leader.control.metrics.expose()).includes('hickoryspoke_entries 0') ? true : undefined)
+  await fleet.stop()
+  assert.is((await departure).kind, 'unavailable', 'the leader stopped before the view of the entry expired')
+})
+
 test.run()
--- a/packages/bench/src/tests/dispatched-fleet.ts
+++ b/packages/bench/src/tests/dispatched-fleet.ts
@@ -3,7 +3,7 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import type { ServingConfiguration, ServingRoute } from '@hickoryspoke/configuration/serving-configuration'
-import { ControlApi } from '@hickoryspoke/control/control-api'
+import { ControlApi, type ControlApiAnswer } from '@hickoryspoke/control/control-api'
 import { DispatchingControl } from '@hickoryspoke/control/dispatching-control'
 import { DispatchedEntry } from '@hickoryspoke/entry/dispatched-entry'
 import { InnerCredentials } from '@hickoryspoke/protocol/inner-credentials'
@@ -29,6 +29,12 @@
   clock: SystemClock.create(), random: SystemRandom.create(), logger: silentLogger(), credentials: InnerCredentials.create({ kind: 'plain_text' })
 })
 
+/** Fields of an announcement that differ from the defaults. */
+export interface AnnouncementChanges {
+  readonly draining?: boolean
+  readonly sequence?: number
+}
+
 /** A control node with its request interface. */
 export interface FleetControl {
   readonly address: string
@@ -67,15 +73,21 @@
     })
   }
 
-  async announce (instance: string, address: string, changes: { draining?: boolean, sequence?: number } = {}): Promise<void> {
+  /** Sends an announcement to the leader until it is acknowledged. */
+  async announce (instance: string, address: string, changes: AnnouncementChanges = {}): Promise<void> {
     await waitFor(async () => {
-      const answer = await (await this.leader()).api.announce({
-        instance, pool: 'ledger', address, zone: 'zone-a', slots: 2, draining: false, warmupMilliseconds: 0, born: 1, sequence: 1, version: '', gone: false, ...changes
-      })
+      const answer = await this.announceTo(await this.leader(), instance, address, changes)
       return answer.kind === 'done' ? true : undefined
     })
   }
 
+  /** Sends an announcement once. */
+  async announceTo (control: FleetControl, instance: string, address: string, changes: AnnouncementChanges = {}): Promise<ControlApiAnswer> {
+    return await control.api.announce({
+      instance, pool: 'ledger', address, zone: 'zone-a', slots: 2, draining: false, warmupMilliseconds: 0, born: 1, sequence: 1, version: '', gone: false, ...changes
+    })
+  }
+
   /** Waits until every entry is ready. */
   async waitUntilReady (): Promise<void> {
     await waitFor(() => this.entries.every(({ entry }) => entry.isReady) ? true : undefined)
--- a/packages/dispatch/src/dispatch-service.ts
+++ b/packages/dispatch/src/dispatch-service.ts
@@ -202,10 +202,7 @@
       if (session !== undefined) this.removeSession(session)
       call.end()
     }
-    call.on('end', () => {
-      if (session !== undefined) this.leading?.news.forget(session.connection.entry)
-      end()
-    })
+    call.on('end', end)
     call.on('cancelled', end)
     call.on('error', (error) => {
       this.options.logger.info('dispatch stream failed', { entry: session?.connection.entry, reason: describeError(error) })
@@ -265,6 +262,7 @@
       case 'question': return this.leading.dispatcher.ask(session.connection, body.value)
       case 'end': return this.leading.dispatcher.end(session.connection, body.value)
       case 'number': return this.numbers.ask(session, body.value.question)
+      case 'stopped': return this.leading.news.forget(session.connection.entry)
       case 'known': return this.leading.upstreams.receiveKnown(session, body.value.upstreams)
       case 'confirmation': return this.leading.news.confirmNews(session.connection.entry, body.value.revision)
     }
--- a/packages/dispatch/src/leader-connection.ts
+++ b/packages/dispatch/src/leader-connection.ts
@@ -208,13 +208,13 @@
     }
   }
 
-  /** Ends a stream. One that ends because this process stops is ended regularly, so that the leader need not wait for its confirmations. */
+  /** Ends a stream. One that ends because this process stops says so, so that the leader need not wait for its confirmations. */
   private end (stream: Stream, address: string, isStopping: boolean): void {
     const wasServing = stream.isServing
     const silent = !stream.isClosed
     stream.isClosed = true
     stream.call.on('error', () => {})
-    if (isStopping) stream.call.end()
+    if (isStopping) stream.call.end({ body: { $case: 'stopped', value: {} } })
     else stream.call.cancel()
     if (!wasServing) return
     this.options.logger.warn('leader lost', { control: address, silent, silentMilliseconds: Math.round(this.options.clock.monotonicMilliseconds() - stream.lastReceivedAt) })
