--- a/packages/control/src/load-report.ts
+++ b/packages/control/src/load-report.ts
@@ -36,6 +36,8 @@
       longestDelayMilliseconds: Math.round(longestDelay),
       entries: service.entries,
       ...messages,
+      unconfirmedEntries: service.delivery?.unconfirmed ?? 0,
+      waitingAcknowledgements: service.delivery?.waiting ?? 0,
       ...queueFields(service, clock.monotonicMilliseconds())
     })
   })
