--- a/packages/dispatch/src/leader-connection.ts
+++ b/packages/dispatch/src/leader-connection.ts
@@ -79,6 +79,8 @@
   lastReceivedAt: number
   isClosed: boolean
   isServing: boolean
+  /** Whether any message was received. */
+  isAnswered: boolean
 }
 
 /** Finds the leader, keeps one stream to it, and reconnects after failures. */
@@ -157,7 +159,7 @@
     this.lastAddress = address
     const client = new DispatchClient(address, credentials.forChannel(), { ...credentials.channelOptions(address), 'grpc.use_local_subchannel_pool': 1 })
     const call = client.attend()
-    const stream: Stream = { call, lastReceivedAt: clock.monotonicMilliseconds(), isClosed: false, isServing: false }
+    const stream: Stream = { call, lastReceivedAt: clock.monotonicMilliseconds(), isClosed: false, isServing: false, isAnswered: false }
     this.stream = stream
     this.failedAttempts += 1
     const closed = new Promise<void>((resolve) => {
@@ -216,8 +218,10 @@
     stream.call.on('error', () => {})
     if (isStopping) stream.call.end({ body: { $case: 'stopped', value: {} } })
     else stream.call.cancel()
+    const silentMilliseconds = Math.round(this.options.clock.monotonicMilliseconds() - stream.lastReceivedAt)
+    if (!stream.isAnswered) this.options.logger.info('control not reached', { control: address, silent, silentMilliseconds, attempts: this.failedAttempts })
     if (!wasServing) return
-    this.options.logger.warn('leader lost', { control: address, silent, silentMilliseconds: Math.round(this.options.clock.monotonicMilliseconds() - stream.lastReceivedAt) })
+    this.options.logger.warn('leader lost', { control: address, silent, silentMilliseconds })
     this.options.listener.lost()
   }
 
@@ -225,6 +229,7 @@
     const { body } = message
     if (stream.isClosed || body === undefined) return
     stream.lastReceivedAt = this.options.clock.monotonicMilliseconds()
+    stream.isAnswered = true
     if (body.$case === 'leader') return this.handleLeaderNotice(stream, body.value)
     this.deliver(body)
     const revision = 'revision' in body.value ? body.value.revision : 0
