A busy leader is given more time to accept a connection, with each attempt

A leader without processor time does not accept within 500 ms; entries began a new connection every 0.55 s, and the leader spent its time on those.

The time now doubles with each attempt that was not accepted, up to 2 s, until a leader is reached. The first attempt has 500 ms as before, so a leader that is gone costs no more. The new test of leader-connection failed on the code before: a third connection within 1.4 s.

--- a/packages/dispatch/src/leader-connection.ts
+++ b/packages/dispatch/src/leader-connection.ts
@@ -59,8 +59,9 @@
 const QUIET_QUESTION_MILLISECONDS = 250
 const QUESTION_CHECK_MILLISECONDS = 50
 const SILENCE_TIMEOUT_MILLISECONDS = 650
-/** Time within which a control VM must accept a connection. */
+/** Time within which a control VM must accept a connection; doubles with each consecutive attempt that was not accepted, as a leader may be busy. */
 const CONNECT_TIMEOUT_MILLISECONDS = 500
+const MAXIMUM_CONNECT_TIMEOUT_MILLISECONDS = 2_000
 /**
  * Time within which a control VM that accepted a connection must send its first message. Long, because giving up and
  * beginning again costs a busy leader more than the answer does.
@@ -93,6 +94,8 @@
   private lastAddress = ''
   /** Consecutive attempts that did not reach a leader, nor a control VM that named one. */
   private failedAttempts = 0
+  /** Attempts that were not accepted since a leader was last reached. */
+  private unacceptedAttempts = 0
 
   private constructor (private readonly options: LeaderConnectionOptions) {}
 
@@ -206,10 +209,17 @@
     while (!stream.isClosed && !stream.isServing) {
       await sleep(clock, FIRST_MESSAGE_CHECK_MILLISECONDS)
       const waited = clock.monotonicMilliseconds() - beganAt
-      if (waited >= FIRST_MESSAGE_TIMEOUT_MILLISECONDS || (waited >= CONNECT_TIMEOUT_MILLISECONDS && !isAccepted())) return
+      if (waited >= FIRST_MESSAGE_TIMEOUT_MILLISECONDS) return
+      if (waited < this.connectTimeout() || isAccepted()) continue
+      this.unacceptedAttempts += 1
+      return
     }
   }
 
+  private connectTimeout (): number {
+    return Math.min(MAXIMUM_CONNECT_TIMEOUT_MILLISECONDS, CONNECT_TIMEOUT_MILLISECONDS * 2 ** this.unacceptedAttempts)
+  }
+
   /** Ends a stream. One that ends because this process stops says so, so that the leader need not wait for its confirmations. */
   private end (stream: Stream, address: string, isStopping: boolean): void {
     const wasServing = stream.isServing
@@ -259,6 +269,7 @@
     if (notice.serving || notice.leader !== '') this.failedAttempts = 0
     if (!notice.serving || stream.isServing) return
     stream.isServing = true
+    this.unacceptedAttempts = 0
     this.options.logger.info('leader attended', { control: notice.leader })
     this.options.listener.connected()
     this.requestNumber()
--- a/packages/dispatch/src/tests/leader-connection.test.ts
+++ b/packages/dispatch/src/tests/leader-connection.test.ts
@@ -1,3 +1,4 @@
+import { createServer, type AddressInfo, type Socket } from 'node:net'
 import { Server, type ServerDuplexStream } from '@grpc/grpc-js'
 import { DispatchService, type DispatchMessage, type EntryMessage } from '@hickoryspoke/protocol/generated/dispatch'
 import { InnerCredentials } from '@hickoryspoke/protocol/inner-credentials'
@@ -11,6 +12,9 @@
 type Call = ServerDuplexStream<EntryMessage, DispatchMessage>
 
 const CREDENTIALS = InnerCredentials.create({ kind: 'plain_text' })
+/** Real time for a connection on loopback that should not be made. */
+const SETTLE_MILLISECONDS = 50
+
 const ignore = (): void => {}
 const LISTENER: LeaderConnectionListener = {
   placed: ignore,
@@ -38,12 +42,22 @@
     }
   })
   const port = (await CREDENTIALS.bind(server, '127.0.0.1:0')).unwrap()
+  const { connection, running, stop: stopConnection } = connectTo(clock, isSeedKnown ? [`127.0.0.1:${port}`] : [])
+  const stop = (): void => {
+    stopConnection()
+    server.forceShutdown()
+  }
+  return { clock, calls, messages, connection, running, stop }
+}
+
+/** Starts a connection to the control VMs at the given addresses. */
+function connectTo (clock: FakeClock, seeds: readonly string[]) {
   const stopping = new AbortController()
   const connection = LeaderConnection.create({
     name: 'entry',
     zone: 'zone-a',
     mirror: false,
-    seeds: () => isSeedKnown ? [`127.0.0.1:${port}`] : [],
+    seeds: () => seeds,
     credentials: CREDENTIALS,
     clock,
     random: SeededRandom.create(1),
@@ -57,11 +71,7 @@
     wanted: () => true
   })
   const running = connection.run(stopping.signal)
-  const stop = (): void => {
-    stopping.abort()
-    server.forceShutdown()
-  }
-  return { clock, calls, messages, connection, running, stop }
+  return { connection, running, stop: () => stopping.abort() }
 }
 
 async function waitUntil (isMet: () => boolean): Promise<void> {
@@ -94,6 +104,31 @@
   stop()
 })
 
+// Guards against entries that connect to a busy leader twice a second, so that it never serves them (CONFIG).
+test('a control VM that does not accept the connection is given more time with each attempt', async () => {
+  const clock = FakeClock.create()
+  const sockets: Socket[] = []
+  const busy = createServer((socket) => {
+    sockets.push(socket)
+    socket.on('error', ignore)
+  })
+  await new Promise<void>((resolve) => busy.listen(0, '127.0.0.1', resolve))
+  const { running, stop } = connectTo(clock, [`127.0.0.1:${(busy.address() as AddressInfo).port}`])
+  await waitUntil(() => sockets.length === 1)
+  await clock.advanceAsync(700)
+  await waitUntil(() => sockets.length === 2)
+  await clock.advanceAsync(700)
+  await new Promise((resolve) => setTimeout(resolve, SETTLE_MILLISECONDS))
+  assert.is(sockets.length, 2, 'the second attempt is not given up after 500 ms')
+  await clock.advanceAsync(700)
+  await waitUntil(() => sockets.length === 3)
+  stop()
+  await clock.advanceAsync(3_000)
+  await running
+  for (const socket of sockets) socket.destroy()
+  busy.close()
+})
+
 // Guards against a control VM without others that ends at its start.
 test('without any known control VM it waits for one', async () => {
   const { clock, calls, running, stop } = await createConnection(false)
