--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -201,7 +201,7 @@
     const now = this.options.clock.monotonicMilliseconds()
     const pool = this.pools.pool(poolName)
     if (!pool.line.isWaiting(waiting)) return
-    pool.tryPlace(waiting, now, (each) => this.constraintsOf(each.question, pool, now - each.since, now))
+    pool.tryPlace(waiting, now, this.constraintsOfWaiting(pool, now))
   }
 
   private cancelWaiting (key: string): boolean {
@@ -268,10 +268,14 @@
     }
   }
 
+  private constraintsOfWaiting (pool: PoolDispatcher, now: number): (waiting: WaitingQuestion) => ChoiceConstraints {
+    return ({ question, since }) => this.constraintsOf(question, pool, now - since, now)
+  }
+
   private drain (poolName: string): void {
     const now = this.options.clock.monotonicMilliseconds()
     const pool = this.pools.pool(poolName)
-    pool.drainQueue(now, (waiting) => this.constraintsOf(waiting.question, pool, now - waiting.since, now))
+    pool.drainQueue(now, this.constraintsOfWaiting(pool, now))
   }
 
   /** Offers an upstream that may have become free to the waiting requests. `tick` offers the others of a large pool. */
@@ -279,7 +283,7 @@
     const now = this.options.clock.monotonicMilliseconds()
     const pool = this.pools.pool(poolName)
     if (pool.line.length === 0) return
-    pool.drainTo(instance, now, (waiting) => this.constraintsOf(waiting.question, pool, now - waiting.since, now))
+    pool.drainTo(instance, now, this.constraintsOfWaiting(pool, now))
   }
 
   /** Denies an admitted request and returns the token that it took from its customer's rate limit. */
