--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -9,7 +9,7 @@
 import type { CustomerRateLimiter } from './customer-rate-limiter.ts'
 import { logDenial, logEvidence } from './dispatcher-log.ts'
 import type { EntryConnection, EntryHandover } from './entry-connection.ts'
-import { OVERDUE_FACTOR, Placements, type EndedPlacement } from './placements.ts'
+import { isEarlyTimeout, placementKey, Placements, type EndedPlacement } from './placements.ts'
 import type { ChoiceConstraints, PoolDispatcher, PoolSnapshot } from './pool-dispatcher.ts'
 import { PoolSet } from './pool-set.ts'
 import type { FleetRetryBudgetSettings } from './fleet-retry-budget.ts'
@@ -300,12 +300,3 @@
     logDenial(this.options.logger, connection.entry, question, value, snapshot)
   }
 }
-
-/** Whether a request timed out so early that this says nothing about its upstream. */
-function isEarlyTimeout (end: PlacementEnd, pool: PoolDispatcher): boolean {
-  return end.outcome === PlacementOutcome.PLACEMENT_OUTCOME_TIMEOUT && end.milliseconds < OVERDUE_FACTOR * pool.responseTimes.meanMilliseconds()
-}
-
-function placementKey (entry: string, ticket: number): string {
-  return `${entry}/${ticket}`
-}
--- a/packages/dispatch/src/placements.ts
+++ b/packages/dispatch/src/placements.ts
@@ -1,5 +1,5 @@
 /** The dispatcher's record of requests that were placed and have not ended. */
-import type { PlacementQuestion } from '@hickoryspoke/protocol/generated/dispatch'
+import { PlacementOutcome, type PlacementEnd, type PlacementQuestion } from '@hickoryspoke/protocol/generated/dispatch'
 import type { Clock, Timer } from '@hickoryspoke/runtime/clock'
 import type { PoolDispatcher } from './pool-dispatcher.ts'
 
@@ -37,7 +37,7 @@
 /** Placements made by an earlier dispatcher or by the entry expire after this time. */
 const RESTORED_PLACEMENT_MILLISECONDS = 15_000
 /** A request that takes this many times the usual duration counts as evidence of failure. */
-export const OVERDUE_FACTOR = 3
+const OVERDUE_FACTOR = 3
 
 /** Active placements by key, which combines entry and ticket; keeps the in-flight count of each upstream. */
 export class Placements {
@@ -101,3 +101,13 @@
     if (ended !== undefined) this.onExpired(ended)
   }
 }
+
+/** Whether a request timed out so early that this says nothing about its upstream. */
+export function isEarlyTimeout (end: PlacementEnd, pool: PoolDispatcher): boolean {
+  return end.outcome === PlacementOutcome.PLACEMENT_OUTCOME_TIMEOUT && end.milliseconds < OVERDUE_FACTOR * pool.responseTimes.meanMilliseconds()
+}
+
+/** Key of a placement: its entry and ticket. */
+export function placementKey (entry: string, ticket: number): string {
+  return `${entry}/${ticket}`
+}
