A restarted leader asks others for their upstreams when the first ones do not answer

Cause: two entries are asked at a time, and only the end of a stream freed their places; a frozen entry keeps its stream, so with two of them the leader would have learned upstreams from their own announcements alone. The places are now freed after 1 s. The code before has no way to free them, so the new test has no run there.

--- a/packages/dispatch/src/dispatch-service.ts
+++ b/packages/dispatch/src/dispatch-service.ts
@@ -93,6 +93,7 @@
       this.updateLeadership()
       this.leading?.dispatcher.tick()
       this.leading?.news.check()
+      this.leading?.upstreams.check()
       this.broadcastSuspicions()
     })
   }
@@ -165,7 +166,7 @@
     registry.refresh()
     const dispatcher = Dispatcher.create({ clock, logger, registry, rates, budget, floorShare })
     const news = NewsDelivery.create(clock, newsLimitMilliseconds, !isFirst)
-    const upstreams = UpstreamBroadcast.create(registry, news, () => this.sessions.values())
+    const upstreams = UpstreamBroadcast.create(clock, registry, news, () => this.sessions.values())
     this.leading = { dispatcher, news, upstreams, configurationRevision: news.add() }
     const { received } = this.suspicions
     if (received !== undefined) dispatcher.adoptSuspicions(received.suspicions, received.at)
--- a/packages/dispatch/src/tests/upstream-broadcast.test.ts
+++ b/packages/dispatch/src/tests/upstream-broadcast.test.ts
@@ -16,7 +16,7 @@
   const registry = UpstreamRegistry.create(clock)
   registry.merge(known)
   const sessions: ClientSession[] = []
-  const broadcast = UpstreamBroadcast.create(registry, NewsDelivery.create(clock, LIMIT_MILLISECONDS, false), () => sessions)
+  const broadcast = UpstreamBroadcast.create(clock, registry, NewsDelivery.create(clock, LIMIT_MILLISECONDS, false), () => sessions)
   registry.onChange((changed) => broadcast.send(changed))
   const attach = (upstreamDigest: string) => {
     const sent: DispatchMessage[] = []
@@ -26,7 +26,7 @@
     broadcast.welcome(session)
     return { session, sent }
   }
-  return { registry, broadcast, attach }
+  return { clock, registry, broadcast, attach }
 }
 
 function digestOf (upstreams: readonly AnnouncedUpstream[]): string {
@@ -87,6 +87,18 @@
   assert.ok(entries[2]?.sent.some(isQuery))
 })
 
+// Guards against a restarted leader that learns no upstreams, because the entries that it asked are frozen.
+test('entries that do not answer give their place to the next', () => {
+  const { clock, broadcast, attach } = createLeader([])
+  const entries = Array.from({ length: 3 }, () => attach(digestOf(UPSTREAMS)))
+  clock.advance(900)
+  broadcast.check()
+  assert.not.ok(entries[2]?.sent.some(isQuery))
+  clock.advance(100)
+  broadcast.check()
+  assert.ok(entries[2]?.sent.some(isQuery))
+})
+
 test('the digest changes with what matters to requests, and not with repeated announcements', () => {
   const before = digestOf([announcement({ instance: 'a' })])
   assert.is(digestOf([announcement({ instance: 'a', sequence: 9 })]), before)
--- a/packages/dispatch/src/upstream-broadcast.ts
+++ b/packages/dispatch/src/upstream-broadcast.ts
@@ -1,5 +1,6 @@
 /** Sends changes of the announced upstreams to the connected clients, and assigns revisions to departures. */
 import type { AnnouncedUpstream } from '@hickoryspoke/protocol/generated/dispatch'
+import type { Clock } from '@hickoryspoke/runtime/clock'
 import type { ClientSession } from './client-session.ts'
 import type { NewsDelivery } from './news-delivery.ts'
 import type { RegisteredUpstream, UpstreamRegistry } from './upstream-registry.ts'
@@ -7,24 +8,27 @@
 /** Departures beyond this number are forgotten, oldest first; they would be announced as news again. */
 const MAXIMUM_DEPARTURES = 10_000
 const MAXIMUM_QUERIES = 2
+/** A client that has not answered for this time does not keep others from being asked. */
+const QUERY_TIMEOUT_MILLISECONDS = 1_000
 
 /** Changes of one leadership. */
 export class UpstreamBroadcast {
   /** Clients that may know upstreams which are not known here. */
   private readonly differing = new Set<ClientSession>()
-  /** Clients that were asked for the upstreams that they know. */
-  private readonly queried = new Set<ClientSession>()
+  /** Clients that were asked for the upstreams that they know, with the time in monotonic milliseconds. */
+  private readonly queried = new Map<ClientSession, number>()
   /** Revision of the news that an upstream is leaving, by instance. */
   private readonly departures = new Map<string, number>()
 
   private constructor (
+    private readonly clock: Clock,
     private readonly registry: UpstreamRegistry,
     private readonly news: NewsDelivery,
     private readonly sessions: () => Iterable<ClientSession>
   ) {}
 
-  static create (registry: UpstreamRegistry, news: NewsDelivery, sessions: () => Iterable<ClientSession>): UpstreamBroadcast {
-    return new UpstreamBroadcast(registry, news, sessions)
+  static create (clock: Clock, registry: UpstreamRegistry, news: NewsDelivery, sessions: () => Iterable<ClientSession>): UpstreamBroadcast {
+    return new UpstreamBroadcast(clock, registry, news, sessions)
   }
 
   /**
@@ -47,6 +51,15 @@
     this.queryDiffering()
   }
 
+  /** Asks others in place of clients that do not answer. */
+  check (): void {
+    const now = this.clock.monotonicMilliseconds()
+    for (const [session, askedAt] of this.queried) {
+      if (now - askedAt >= QUERY_TIMEOUT_MILLISECONDS) this.queried.delete(session)
+    }
+    this.queryDiffering()
+  }
+
   /** Forgets a client that is gone. */
   remove (session: ClientSession): void {
     this.differing.delete(session)
@@ -95,7 +108,7 @@
     for (const session of this.differing) {
       if (this.queried.size >= MAXIMUM_QUERIES) return
       this.differing.delete(session)
-      this.queried.add(session)
+      this.queried.set(session, this.clock.monotonicMilliseconds())
       session.call.write({ body: { $case: 'upstreamQuery', value: {} } })
     }
   }
