--- a/packages/control/src/load-report.ts
+++ b/packages/control/src/load-report.ts
@@ -38,6 +38,7 @@
       ...messages,
       unconfirmedEntries: service.delivery?.unconfirmed ?? 0,
       waitingAcknowledgements: service.delivery?.waiting ?? 0,
+      pendingQuestions: service.pendingQuestions,
       ...queueFields(service, clock.monotonicMilliseconds())
     })
   })
--- a/packages/dispatch/src/dispatch-service.ts
+++ b/packages/dispatch/src/dispatch-service.ts
@@ -1,4 +1,5 @@
 /** The gRPC service `Dispatch`: serves streams on the leading control VM, and redirects clients to the leader on the others. */
+import type { EventEmitter } from 'node:events'
 import type { UntypedServiceImplementation } from '@grpc/grpc-js'
 import type { ServingConfiguration } from '@hickoryspoke/configuration/serving-configuration'
 import type { DispatchHello, EntryMessage, LeaderNotice } from '@hickoryspoke/protocol/generated/dispatch'
@@ -17,6 +18,7 @@
 import { MessageLoad } from './message-load.ts'
 import { NewsDelivery, type DeliveryProgress } from './news-delivery.ts'
 import { NumberConfirmations } from './number-confirmations.ts'
+import { PlacementInbox } from './placement-inbox.ts'
 import { RelayDirectory } from './relay-directory.ts'
 import { UpstreamBroadcast } from './upstream-broadcast.ts'
 import type { RegisteredUpstream, UpstreamRegistry } from './upstream-registry.ts'
@@ -46,6 +48,9 @@
   readonly newsLimitMilliseconds: number
 }
 
+/** A message that is not about a placement. */
+type ControlBody = Exclude<NonNullable<EntryMessage['body']>, { readonly $case: 'question' | 'end' }>
+
 const QUEUE_TICK_MILLISECONDS = 50
 
 /** What exists only while this process leads. */
@@ -65,6 +70,7 @@
   readonly handover: HandoverLists
   private readonly load = MessageLoad.create()
   private readonly numbers: NumberConfirmations
+  private readonly inbox: PlacementInbox
   private leading: LeaderState | undefined
   /** Rate limits by customer, from the configuration with the number below. */
   private terms = new Map<string, RateLimit>()
@@ -80,6 +86,14 @@
       answering: (session) => this.leading?.news.confirmView(session.connection.entry),
       unanswered: (questions) => options.logger.warn('leadership not confirmed', { questions })
     })
+    this.inbox = PlacementInbox.create({
+      clock: options.clock,
+      listener: {
+        question: (session, question) => this.measure('question', () => this.leading?.dispatcher.ask(session.connection, question)),
+        end: (session, end) => this.measure('end', () => this.leading?.dispatcher.end(session.connection, end)),
+        expired: (session, question) => this.measure('expired', () => this.leading?.dispatcher.denyOverdue(session.connection, question))
+      }
+    })
     options.registry.onChange((changed) => this.receiveChanges(changed))
   }
 
@@ -107,6 +121,11 @@
     return [...this.sessions.values()].filter((session) => !session.mirror).length
   }
 
+  /** Questions that have not been looked at yet. */
+  get pendingQuestions (): number {
+    return this.inbox.length
+  }
+
   /** Numbers of messages and milliseconds spent on them since the previous call, by kind, as fields for a log line. */
   readLoad (): Record<string, number> {
     const fields: Record<string, number> = {}
@@ -175,6 +194,7 @@
     this.leading?.dispatcher.close()
     this.leading?.news.close()
     this.leading = undefined
+    this.inbox.clear()
     this.options.logger.info('dispatcher ended', { entries: this.entries })
     for (const session of this.sessions.values()) this.redirectToLeader(session.call)
     this.sessions.clear()
@@ -189,26 +209,34 @@
     return this.terms.get(name)
   }
 
-  private acceptStream (call: DispatchCall): void {
+  /** Serves a stream from its first message on. */
+  acceptStream (call: DispatchCall): void {
     let session: ClientSession | undefined
-    call.on('data', (message: EntryMessage) => {
-      const beganAt = this.options.clock.monotonicMilliseconds()
-      if (session === undefined) session = this.openSession(call, message)
-      else this.handleMessage(session, message)
-      this.load.record(message.body?.$case ?? 'empty', this.options.clock.monotonicMilliseconds() - beganAt)
-    })
     const end = (): void => {
       if (session !== undefined) this.removeSession(session)
       call.end()
     }
-    call.on('end', end)
-    call.on('cancelled', end)
-    call.on('error', (error) => {
+    // Both transports have these events; a gRPC call also reports that the client cancelled it.
+    const events: EventEmitter = call
+    events.on('data', (message: EntryMessage) => {
+      if (session === undefined) session = this.measure('hello', () => this.openSession(call, message))
+      else this.handleMessage(session, message)
+    })
+    events.on('end', end)
+    events.on('cancelled', end)
+    events.on('error', (error) => {
       this.options.logger.info('dispatch stream failed', { entry: session?.connection.entry, reason: describeError(error) })
       end()
     })
   }
 
+  private measure<Value> (kind: string, handle: () => Value): Value {
+    const beganAt = this.options.clock.monotonicMilliseconds()
+    const value = handle()
+    this.load.record(kind, this.options.clock.monotonicMilliseconds() - beganAt)
+    return value
+  }
+
   /** Opens a session for a valid hello on the leader; otherwise redirects the client and returns undefined. */
   private openSession (call: DispatchCall, message: EntryMessage): ClientSession | undefined {
     const hello = message.body?.$case === 'hello' ? message.body.value : undefined
@@ -230,18 +258,26 @@
     const connection: EntryConnection = { entry: hello.name, zone: hello.zone, send: (message) => { call.write(message) } }
     const { mirror, configurationNumber: heldNumber, upstreamDigest, relay } = hello
     const session: ClientSession = { call, connection, mirror, relay, isRelaying: false, heldNumber, upstreamDigest }
-    this.sessions.get(hello.name)?.call.end()
+    this.closeSession(this.sessions.get(hello.name))
     this.sessions.set(hello.name, session)
     if (!hello.mirror) this.leading?.news.attach(hello.name)
     this.options.logger.info('dispatch session opened', { entry: hello.name, zone: hello.zone, configuration: hello.configurationNumber, running: hello.running.length })
     return session
   }
 
+  /** Ends the earlier stream of an entry that opened another one; the entry asks its questions again. */
+  private closeSession (session: ClientSession | undefined): void {
+    if (session === undefined) return
+    this.inbox.removeQuestionsOf(session)
+    session.call.end()
+  }
+
   private removeSession (session: ClientSession): void {
     const { entry } = session.connection
     if (this.sessions.get(entry) !== session) return
     this.sessions.delete(entry)
     this.leading?.upstreams.remove(session)
+    this.inbox.removeQuestionsOf(session)
     this.options.logger.info('dispatch session closed', { entry })
   }
 
@@ -255,18 +291,22 @@
     return { leader: control.leaderAddress(), control: [...control.controlAddresses()], serving }
   }
 
-  private handleMessage (session: ClientSession, message: EntryMessage): void {
-    const { body } = message
+  /** Handles control messages at once; those about placements wait for their turn. */
+  private handleMessage (session: ClientSession, { body }: EntryMessage): void {
     if (this.leading === undefined || body === undefined) return
+    if (body.$case === 'question') return this.inbox.addQuestion(session, body.value)
+    if (body.$case === 'end') return this.inbox.addEnd(session, body.value)
+    this.measure(body.$case, () => this.handleControlMessage(session, body))
+  }
+
+  private handleControlMessage (session: ClientSession, body: ControlBody): void {
     switch (body.$case) {
-      case 'question': return this.leading.dispatcher.ask(session.connection, body.value)
-      case 'end': return this.leading.dispatcher.end(session.connection, body.value)
       case 'number':
         session.isRelaying = body.value.relays
         return this.numbers.ask(session, body.value.question)
-      case 'stopped': return this.leading.news.forget(session.connection.entry)
-      case 'known': return this.leading.upstreams.receiveKnown(session, body.value.upstreams)
-      case 'confirmation': return this.leading.news.confirmNews(session.connection.entry, body.value.revision)
+      case 'stopped': return this.leading?.news.forget(session.connection.entry)
+      case 'known': return this.leading?.upstreams.receiveKnown(session, body.value.upstreams)
+      case 'confirmation': return this.leading?.news.confirmNews(session.connection.entry, body.value.revision)
     }
   }
 
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -32,6 +32,8 @@
 }
 
 const MINIMUM_RETRY_AFTER_MILLISECONDS = 200
+/** After this time, callers that were denied because the dispatcher is overloaded may come back. */
+const OVERLOAD_RETRY_AFTER_MILLISECONDS = 1_000
 /** Just after a change of leader, some upstreams may not have been announced to the new one yet. */
 const STARTUP_MILLISECONDS = 3_000
 /** Outcomes after which a request fails, unless it may be repeated. */
@@ -106,6 +108,11 @@
     this.waiting.add(connection, question)
   }
 
+  /** Denies a question that came in faster than questions can be handled. */
+  denyOverdue (connection: EntryConnection, question: PlacementQuestion): void {
+    this.deny(connection, question, DenialReason.DENIAL_REASON_OVERLOADED, OVERLOAD_RETRY_AFTER_MILLISECONDS)
+  }
+
   /** Records how a placed request ended, or cancels one that waits. */
   end (connection: EntryConnection, end: PlacementEnd): void {
     const key = placementKey(connection.entry, end.ticket)
