--- a/packages/control/src/dispatching-control.ts
+++ b/packages/control/src/dispatching-control.ts
@@ -6,8 +6,10 @@
 import type { OverageAllowance } from '@hickoryspoke/dispatch/customer-rate-limiter'
 import type { FleetRetryBudgetSettings } from '@hickoryspoke/dispatch/fleet-retry-budget'
 import { UpstreamRegistry } from '@hickoryspoke/dispatch/upstream-registry'
-import { DispatchService as DispatchDefinition } from '@hickoryspoke/protocol/generated/dispatch'
+import { DispatchMessage, DispatchService as DispatchDefinition, EntryMessage } from '@hickoryspoke/protocol/generated/dispatch'
+import { FramedConnection } from '@hickoryspoke/protocol/framed-connection'
 import type { InnerCredentials } from '@hickoryspoke/protocol/inner-credentials'
+import { InnerListener } from '@hickoryspoke/protocol/inner-listener'
 import { GrpcReplicaNetwork } from '@hickoryspoke/replication/grpc-replica-network'
 import { encodeDocument, PublishedDocumentState, type PublishedDocument } from '@hickoryspoke/replication/published-document'
 import { Replica } from '@hickoryspoke/replication/replica'
@@ -61,6 +63,8 @@
   readonly decode: (document: PublishedDocument) => Result<ServingConfiguration, Failure>
 }
 
+/** Codecs of the server's side of a framed connection. */
+const SERVER_CODECS = { sent: DispatchMessage, received: EntryMessage }
 const EXPIRY_CHECK_MILLISECONDS = 500
 const ELECTION_TIMEOUT_MILLISECONDS = 600
 const FIRST_ELECTION_MILLISECONDS = 300
@@ -80,6 +84,7 @@
   private readonly service: DispatchService
   private readonly stopping = new AbortController()
   private readonly mirror: LeaderConnection
+  private readonly listener: InnerListener
   private isPublishing = false
   /** What a stop waits for now. */
   private stopStage: 'nothing' | 'replica' | 'streams' = 'nothing'
@@ -143,6 +148,9 @@
     state.onChange(() => this.schedulePublish())
     this.metrics = createControlMetrics(replica, state, this.service)
     server.addService(DispatchDefinition, this.service.handlers())
+    this.listener = InnerListener.create({
+      credentials, grpc: server, framed: (socket) => this.service.acceptStream(FramedConnection.accept(socket, SERVER_CODECS))
+    })
   }
 
   static async start (settings: DispatchingControlSettings, options: DispatchingControlOptions): Promise<Result<DispatchingControl, Failure>> {
@@ -173,7 +181,7 @@
     })
     if (replica.isErr()) return replica
     const control = new DispatchingControl(settings, options, server, replica.value, state)
-    const port = await credentials.bind(server, settings.address)
+    const port = await control.listener.listen(settings.address)
     if (port.isErr()) return port
     control.publishDocument()
     replica.value.start()
@@ -237,6 +245,7 @@
     this.stopStage = 'streams'
     this.service.updateLeadership()
     this.stopping.abort()
+    this.listener.close()
     await shutDownServer(this.server, this.options.clock, SHUTDOWN_MILLISECONDS)
   }
 
--- a/packages/dispatch/src/client-session.ts
+++ b/packages/dispatch/src/client-session.ts
@@ -1,10 +1,14 @@
 /** A stream to the dispatch service whose client has identified itself. */
 import type { ServerDuplexStream } from '@grpc/grpc-js'
+import type { FramedConnection } from '@hickoryspoke/protocol/framed-connection'
 import type { DispatchMessage, EntryMessage } from '@hickoryspoke/protocol/generated/dispatch'
 import type { EntryConnection } from './entry-connection.ts'
 
-/** The server's side of a stream. */
-export type DispatchCall = ServerDuplexStream<EntryMessage, DispatchMessage>
+/** The server's side of a gRPC stream. */
+export type GrpcDispatchCall = ServerDuplexStream<EntryMessage, DispatchMessage>
+
+/** The server's side of a stream, over either transport. */
+export type DispatchCall = GrpcDispatchCall | FramedConnection<DispatchMessage, EntryMessage>
 
 /** State of one client. */
 export interface ClientSession {
--- a/packages/dispatch/src/dispatch-service.ts
+++ b/packages/dispatch/src/dispatch-service.ts
@@ -7,7 +7,7 @@
 import { repeatEvery, type Clock } from '@hickoryspoke/runtime/clock'
 import { describeError } from '@hickoryspoke/runtime/failure'
 import type { Logger } from '@hickoryspoke/telemetry/logger'
-import type { ClientSession, DispatchCall } from './client-session.ts'
+import type { ClientSession, DispatchCall, GrpcDispatchCall } from './client-session.ts'
 import { CustomerRateLimiter, type OverageAllowance, type RateLimit } from './customer-rate-limiter.ts'
 import { Dispatcher } from './dispatcher.ts'
 import type { EntryConnection } from './entry-connection.ts'
@@ -102,7 +102,7 @@
   }
 
   handlers (): UntypedServiceImplementation {
-    return { attend: (call: DispatchCall) => this.acceptStream(call) }
+    return { attend: (call: GrpcDispatchCall) => this.acceptStream(call) }
   }
 
   /** Follows leadership changes, retries waiting requests and broadcasts suspicions and limits until the signal aborts. */
@@ -209,7 +209,7 @@
     return this.terms.get(name)
   }
 
-  /** Serves a stream from its first message on. */
+  /** Serves a stream from its first message on, over either transport. */
   acceptStream (call: DispatchCall): void {
     let session: ClientSession | undefined
     const end = (): void => {
--- a/packages/dispatch/src/leader-connection.ts
+++ b/packages/dispatch/src/leader-connection.ts
@@ -1,15 +1,14 @@
 /** The client side of the `Dispatch` stream, from an entry or a non-leading control VM to the leader's dispatcher. */
-import { connectivityState, type ClientDuplexStream } from '@grpc/grpc-js'
-import {
-  DispatchClient,
-  type AnnouncedUpstream, type Denial, type DispatchMessage, type EntryMessage, type LeaderNotice, type NumberAnswer, type Placement, type RunningRequest,
-  type ServingUpdate, type Suspicion, type UpstreamLimit, type UpstreamUpdate
+import type {
+  AnnouncedUpstream, Denial, DispatchHello, DispatchMessage, EntryMessage, LeaderNotice, NumberAnswer, Placement, RunningRequest, ServingUpdate, Suspicion,
+  UpstreamLimit, UpstreamUpdate
 } from '@hickoryspoke/protocol/generated/dispatch'
 import type { InnerCredentials } from '@hickoryspoke/protocol/inner-credentials'
 import { sleep, type Clock } from '@hickoryspoke/runtime/clock'
 import { pickOne, type RandomSource } from '@hickoryspoke/runtime/random'
 import type { Logger } from '@hickoryspoke/telemetry/logger'
 import type { AdmissionReport } from './customer-rate-limiter.ts'
+import { DispatchStream } from './dispatch-stream.ts'
 
 /** Receives the leader's messages and changes of the connection. */
 export interface LeaderConnectionListener {
@@ -84,7 +83,7 @@
 type MessageBody = Exclude<NonNullable<DispatchMessage['body']>, { readonly $case: 'leader' }>
 
 interface Stream {
-  readonly call: ClientDuplexStream<EntryMessage, DispatchMessage>
+  readonly call: DispatchStream
   lastReceivedAt: number
   isClosed: boolean
   isServing: boolean
@@ -166,37 +165,37 @@
   }
 
   private async connectTo (address: string, signal: AbortSignal): Promise<void> {
-    const { clock, credentials, name, zone, mirror, relay, held, running, upstreamDigest, knownLimits, admissionReport } = this.options
+    const { clock, credentials } = this.options
     this.lastAddress = address
-    const client = new DispatchClient(address, credentials.forChannel(), { ...credentials.channelOptions(address), 'grpc.use_local_subchannel_pool': 1 })
-    const call = client.attend()
-    const stream: Stream = { call, lastReceivedAt: clock.monotonicMilliseconds(), isClosed: false, isServing: false, isAnswered: false }
-    this.stream = stream
     this.failedAttempts += 1
-    const closed = new Promise<void>((resolve) => {
-      const finish = (): void => {
+    let finish = (): void => {}
+    const closed = new Promise<void>((resolve) => { finish = resolve })
+    const call = DispatchStream.open(address, credentials, {
+      received: (message) => this.handleMessage(stream, message),
+      ended: () => {
         stream.isClosed = true
-        signal.removeEventListener('abort', finish)
-        resolve()
+        finish()
       }
-      call.on('data', (message: DispatchMessage) => this.handleMessage(stream, message))
-      call.on('end', finish)
-      call.on('error', finish)
-      call.on('status', finish)
-      signal.addEventListener('abort', finish, { once: true })
     })
-    const known = { configurationNumber: held(), running: running(), upstreamDigest: upstreamDigest(), limits: knownLimits() }
-    call.write({ body: { $case: 'hello', value: { name, zone, mirror, relay, ...known, ...admissionReport() } } })
-    const isAccepted = (): boolean => client.getChannel().getConnectivityState(false) === connectivityState.READY
-    await Promise.race([closed, this.waitForSilence(stream, isAccepted)])
+    const stream: Stream = { call, lastReceivedAt: clock.monotonicMilliseconds(), isClosed: false, isServing: false, isAnswered: false }
+    this.stream = stream
+    signal.addEventListener('abort', finish, { once: true })
+    call.write({ body: { $case: 'hello', value: this.hello() } })
+    await Promise.race([closed, this.waitForSilence(stream)])
+    signal.removeEventListener('abort', finish)
     this.end(stream, address, signal.aborted)
-    client.close()
+  }
+
+  private hello (): DispatchHello {
+    const { name, zone, mirror, relay, held, running, upstreamDigest, knownLimits, admissionReport } = this.options
+    const known = { configurationNumber: held(), running: running(), upstreamDigest: upstreamDigest(), limits: knownLimits() }
+    return { name, zone, mirror, relay, ...known, ...admissionReport() }
   }
 
   /** Asks for the newest number at intervals; resolves when the stream is closed, silent for too long, or not served by the leader. */
-  private async waitForSilence (stream: Stream, isAccepted: () => boolean): Promise<void> {
+  private async waitForSilence (stream: Stream): Promise<void> {
     const { clock } = this.options
-    await this.waitForFirstMessage(stream, isAccepted)
+    await this.waitForFirstMessage(stream)
     while (!stream.isClosed && stream.isServing) {
       if (clock.monotonicMilliseconds() - stream.lastReceivedAt > SILENCE_TIMEOUT_MILLISECONDS) return
       if (this.isQuestionDue(stream)) this.requestNumber()
@@ -211,14 +210,14 @@
     return sinceQuestion >= QUESTION_INTERVAL_MILLISECONDS || (isQuiet && sinceQuestion >= QUIET_QUESTION_MILLISECONDS)
   }
 
-  private async waitForFirstMessage (stream: Stream, isAccepted: () => boolean): Promise<void> {
+  private async waitForFirstMessage (stream: Stream): Promise<void> {
     const { clock } = this.options
     const beganAt = clock.monotonicMilliseconds()
     while (!stream.isClosed && !stream.isServing) {
       await sleep(clock, FIRST_MESSAGE_CHECK_MILLISECONDS)
       const waited = clock.monotonicMilliseconds() - beganAt
       if (waited >= FIRST_MESSAGE_TIMEOUT_MILLISECONDS) return
-      if (waited < this.connectTimeout() || isAccepted()) continue
+      if (waited < this.connectTimeout() || stream.call.isAccepted()) continue
       this.unacceptedAttempts += 1
       return
     }
@@ -233,7 +232,6 @@
     const wasServing = stream.isServing
     const silent = !stream.isClosed
     stream.isClosed = true
-    stream.call.on('error', () => {})
     if (isStopping) stream.call.end({ body: { $case: 'stopped', value: {} } })
     else stream.call.cancel()
     const silentMilliseconds = Math.round(this.options.clock.monotonicMilliseconds() - stream.lastReceivedAt)
