--- a/packages/protocol/src/inner-listener.ts
+++ b/packages/protocol/src/inner-listener.ts
@@ -61,11 +61,12 @@
     socket.on('close', () => this.sockets.delete(socket))
     socket.on('error', giveUp)
     socket.setTimeout(PREFACE_TIMEOUT_MILLISECONDS, giveUp)
+    let first: Buffer = Buffer.alloc(0)
     const readFirst = (): void => {
-      const first = socket.read() as Buffer | null
-      if (first === null) return giveUp()
+      const bytes = socket.read() as Buffer | null
+      if (bytes === null) return giveUp()
+      first = Buffer.concat([first, bytes])
       if (isPartOfPreface(first)) {
-        socket.unshift(first)
         socket.once('readable', readFirst)
         return
       }
