--- a/packages/control/src/control-api.ts
+++ b/packages/control/src/control-api.ts
@@ -66,6 +66,8 @@
 
   /** Applies an announcement. Done means that no entry sends requests to an upstream that is leaving for longer than the settings allow. */
   async announce (announced: AnnouncedUpstream): Promise<ControlApiAnswer> {
+    const { control } = this.options
+    if (!control.isLeader && control.announcements.accept(announced)) return { kind: 'done', value: undefined }
     const redirection = this.redirectUnlessLeader<undefined>()
     if (redirection !== undefined) return redirection
     this.recordAnnouncement(announced)
--- a/packages/control/src/dispatching-control.ts
+++ b/packages/control/src/dispatching-control.ts
@@ -22,6 +22,7 @@
 import type { Logger } from '@hickoryspoke/telemetry/logger'
 import type { Metrics } from '@hickoryspoke/telemetry/metrics'
 import { Ok, type Result } from 'ts-results-es'
+import { AnnouncementRelay } from './announcement-relay.ts'
 import { createControlMetrics } from './dispatching-control-metrics.ts'
 import { reportLoad } from './load-report.ts'
 import { logReplicaEvent } from './replica-event-log.ts'
@@ -81,6 +82,8 @@
 export class DispatchingControl {
   readonly registry: UpstreamRegistry
   readonly metrics: Metrics
+  /** Announcements accepted here while another process leads. */
+  readonly announcements: AnnouncementRelay
   private readonly service: DispatchService
   private readonly stopping = new AbortController()
   private readonly mirror: LeaderConnection
@@ -145,6 +148,7 @@
         confirmed: () => {}
       }
     })
+    this.announcements = AnnouncementRelay.create(this.registry, this.mirror)
     state.onChange(() => this.schedulePublish())
     this.metrics = createControlMetrics(replica, state, this.service)
     server.addService(DispatchDefinition, this.service.handlers())
@@ -259,6 +263,7 @@
     void this.service.run(signal)
     void this.mirror.run(signal)
     const { clock, logger } = this.options
+    void this.announcements.run(clock, signal)
     void reportLoad({ clock, logger, metrics: this.metrics, service: this.service, isLeader: () => this.isLeader }, signal)
     void repeatEvery(clock, EXPIRY_CHECK_MILLISECONDS, signal, () => this.expireUpstreams())
   }
--- a/packages/dispatch/src/dispatch-service.ts
+++ b/packages/dispatch/src/dispatch-service.ts
@@ -305,7 +305,7 @@
         session.isRelaying = body.value.relays
         return this.numbers.ask(session, body.value.question)
       case 'stopped': return this.leading?.news.forget(session.connection.entry)
-      case 'known': return this.leading?.upstreams.receiveKnown(session, body.value.upstreams)
+      case 'known': return this.leading?.upstreams.receiveKnown(session, body.value)
       case 'confirmation': return this.leading?.news.confirmNews(session.connection.entry, body.value.revision)
     }
   }
--- a/packages/dispatch/src/upstream-broadcast.ts
+++ b/packages/dispatch/src/upstream-broadcast.ts
@@ -1,5 +1,5 @@
 /** Sends changes of the announced upstreams to the connected clients, and assigns revisions to departures. */
-import type { AnnouncedUpstream } from '@hickoryspoke/protocol/generated/dispatch'
+import type { AnnouncedUpstream, UpstreamUpdate } from '@hickoryspoke/protocol/generated/dispatch'
 import type { Clock } from '@hickoryspoke/runtime/clock'
 import type { ClientSession } from './client-session.ts'
 import type { NewsDelivery } from './news-delivery.ts'
@@ -44,10 +44,11 @@
     this.queryDiffering()
   }
 
-  /** Merges what a client knows. Those that knew the same need not be asked, nor sent it. */
-  receiveKnown (session: ClientSession, known: readonly AnnouncedUpstream[]): void {
+  /** Merges what a client knows, or some upstreams that it heard. Those that knew the same need not be asked, nor sent it. */
+  receiveKnown (session: ClientSession, { whole, upstreams }: UpstreamUpdate): void {
+    this.registry.merge(upstreams)
+    if (!whole) return
     this.queried.delete(session)
-    this.registry.merge(known)
     this.queryDiffering()
   }
 
--- a/packages/dispatch/src/upstream-registry.ts
+++ b/packages/dispatch/src/upstream-registry.ts
@@ -69,6 +69,12 @@
     return announced !== undefined && (announced.draining || announced.gone)
   }
 
+  /** Whether an announcement only says again what is known of an upstream that has not left. */
+  isRenewal (announced: AnnouncedUpstream): boolean {
+    const known = this.find(announced.instance)?.announced
+    return known !== undefined && !known.gone && !differs(known, announced) && isNewer(announced, known)
+  }
+
   /** Applies an announcement; false when a newer one is known for the instance or its address. */
   announce (announced: AnnouncedUpstream): boolean {
     const changed = new Map<string, RegisteredUpstream>()
