An announced upstream is checked once, and one odd element of a list spoils no other

Callers saw: after one announcement with 2^32 slots, all requests of all entries got 503 once their views had expired; after one that left at the greatest sequence number, entries never followed the list again; after one with a port out of range, the entry that was to use it ended (LOST).

Cause: the adapter checked the form of a heartbeat and not its range, and what it let in went into the list that all entries and control VMs read. The encoder throws at numbers beyond 32 bits and the decoder at those beyond 2^53, which ends the stream, and the next one as well.

Now checkAnnounced says what values are possible, and the registry, through which all readers take announcements in, passes over the others and logs them in at most one line in 10 s; the adapter answers them with 400. A list carries each announcement as bytes (the same on the wire), so that one that cannot be decoded is passed over by itself. A sequence number leaves room for departures, which stop at the greatest safe number. The check of addresses is the same on the product's own path.

Two fixtures and the simulation used ports and octets that cannot be; they name possible ones now.

--- a/packages/bench/src/dispatch-simulation.ts
+++ b/packages/bench/src/dispatch-simulation.ts
@@ -109,7 +109,7 @@
     this.registry.announce({
       instance,
       pool: 'pool',
-      address: `10.0.0.${index}:80`,
+      address: `10.0.${index >> 8}.${index & 255}:80`,
       zone: `zone-${index % 4}`,
       slots,
       draining: false,
--- a/packages/bench/src/tests/acknowledged-news.test.ts
+++ b/packages/bench/src/tests/acknowledged-news.test.ts
@@ -1,5 +1,5 @@
 import type { ClientDuplexStream } from '@grpc/grpc-js'
-import { DispatchClient, type DispatchMessage, type EntryMessage } from '@hickoryspoke/protocol/generated/dispatch'
+import { AnnouncedUpstream, DispatchClient, type DispatchMessage, type EntryMessage } from '@hickoryspoke/protocol/generated/dispatch'
 import { InnerCredentials } from '@hickoryspoke/protocol/inner-credentials'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
@@ -53,7 +53,7 @@
     await fleet.announce('i-1', '127.0.0.1:9')
     let isAcknowledged = false
     const departure = fleet.announce('i-1', '127.0.0.1:9', { draining: true, sequence: 2 }).then(() => { isAcknowledged = true })
-    await entry.receives((body) => body.$case === 'upstreams' && body.value.upstreams.some(({ draining }) => draining))
+    await entry.receives((body) => body.$case === 'upstreams' && body.value.upstreams.some((element) => AnnouncedUpstream.decode(element).draining))
     assert.not.ok(isAcknowledged)
     entry.confirmAll()
     await departure
@@ -86,7 +86,7 @@
   const entry = await SilentEntry.attach(leader.address)
   await fleet.announce('i-1', '127.0.0.1:9')
   const departure = fleet.announceTo(leader, 'i-1', '127.0.0.1:9', { draining: true, sequence: 2 })
-  await entry.receives((body) => body.$case === 'upstreams' && body.value.upstreams.some(({ draining }) => draining))
+  await entry.receives((body) => body.$case === 'upstreams' && body.value.upstreams.some((element) => AnnouncedUpstream.decode(element).draining))
   entry.close()
   await waitFor(async () => (await leader.control.metrics.expose()).includes('hickoryspoke_entries 0') ? true : undefined)
   await fleet.stop()
--- a/packages/control/src/dispatching-control.ts
+++ b/packages/control/src/dispatching-control.ts
@@ -92,7 +92,7 @@
     private readonly state: PublishedDocumentState
   ) {
     const { clock, random, logger, credentials } = options
-    this.registry = UpstreamRegistry.create(clock)
+    this.registry = UpstreamRegistry.create(clock, logger)
     this.service = DispatchService.create({
       clock,
       logger,
@@ -122,7 +122,7 @@
       logger,
       held: () => 0,
       running: () => [],
-      knownUpstreams: () => this.registry.announcements(),
+      knownUpstreams: () => this.registry.encodedAnnouncements(),
       upstreamDigest: () => this.registry.digest(),
       knownLimits: () => [],
       admissionReport: () => ({ admitted: [], fleetShare: 0 }),
@@ -131,7 +131,7 @@
         placed: () => {},
         denied: () => {},
         configured: () => {},
-        upstreamsChanged: (update) => this.registry.merge(update.upstreams),
+        upstreamsChanged: (update) => this.registry.mergeEncoded(update.upstreams),
         suspected: (suspicions) => this.service.handover.receiveSuspicions(suspicions),
         limited: (limits) => this.service.handover.receiveLimits(limits),
         connected: () => {},
--- a/packages/dispatch/src/leader-connection.ts
+++ b/packages/dispatch/src/leader-connection.ts
@@ -2,7 +2,7 @@
 import { connectivityState, type ClientDuplexStream } from '@grpc/grpc-js'
 import {
   DispatchClient,
-  type AnnouncedUpstream, type Denial, type DispatchMessage, type EntryMessage, type LeaderNotice, type NumberAnswer, type Placement, type RunningRequest,
+  type Denial, type DispatchMessage, type EntryMessage, type LeaderNotice, type NumberAnswer, type Placement, type RunningRequest,
   type ServingUpdate, type Suspicion, type UpstreamLimit, type UpstreamUpdate
 } from '@hickoryspoke/protocol/generated/dispatch'
 import type { InnerCredentials } from '@hickoryspoke/protocol/inner-credentials'
@@ -50,7 +50,7 @@
   /** Number of the configuration held; 0 for none. */
   readonly held: () => number
   readonly running: () => RunningRequest[]
-  readonly knownUpstreams: () => AnnouncedUpstream[]
+  readonly knownUpstreams: () => Buffer[]
   /** Digest of the known upstreams; empty for none. */
   readonly upstreamDigest: () => string
   /** Limits of upstreams that this process knows of. */
--- a/packages/dispatch/src/tests/fixture.ts
+++ b/packages/dispatch/src/tests/fixture.ts
@@ -10,7 +10,7 @@
 export function announcement (changes: Partial<AnnouncedUpstream> & { instance: string }): AnnouncedUpstream {
   return {
     pool: 'ledger',
-    address: `10.0.0.1:${changes.instance.length + 8000}${changes.instance.charCodeAt(changes.instance.length - 1)}`,
+    address: `10.0.${changes.instance.length}.${changes.instance.charCodeAt(changes.instance.length - 1)}:8000`,
     zone: 'zone-a',
     slots: 2,
     draining: false,
--- a/packages/dispatch/src/tests/large-pool.test.ts
+++ b/packages/dispatch/src/tests/large-pool.test.ts
@@ -25,7 +25,7 @@
 }
 
 function createLargePool () {
-  const upstreams = Array.from({ length: UPSTREAMS }, (_, index) => announcement({ instance: `i-${index}`, address: `10.0.0.1:${index}`, slots: SLOTS }))
+  const upstreams = Array.from({ length: UPSTREAMS }, (_, index) => announcement({ instance: `i-${index}`, address: `10.0.0.1:${8_000 + index}`, slots: SLOTS }))
   return { ...createDispatcher(upstreams), entry: recordingEntry('one') }
 }
 
--- a/packages/dispatch/src/tests/odd-announcements.test.ts
+++ b/packages/dispatch/src/tests/odd-announcements.test.ts
@@ -1,6 +1,7 @@
 /** Lists of upstreams from another writer, with one element that cannot be right or read. */
 import { BinaryWriter } from '@bufbuild/protobuf/wire'
 import { AnnouncedUpstream, DispatchMessage } from '@hickoryspoke/protocol/generated/dispatch'
+import { Logger } from '@hickoryspoke/telemetry/logger'
 import { FakeClock } from '@hickoryspoke/testing/fake-clock'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
@@ -55,7 +56,7 @@
 
 function read (registry: UpstreamRegistry, bytes: Uint8Array): void {
   const { body } = DispatchMessage.decode(bytes)
-  if (body?.$case === 'upstreams') registry.merge(body.value.upstreams)
+  if (body?.$case === 'upstreams') registry.mergeEncoded(body.value.upstreams)
 }
 
 // Guards against a reader of the list that fails at one odd element, so that its stream ends or it uses what cannot be right (LOST).
@@ -79,4 +80,38 @@
   assert.equal(follower.present().map(({ announced }) => announced), SOUND)
 })
 
+// Guards against a log that fills up because an odd announcement is repeated.
+test('odd announcements are logged in few and short lines', () => {
+  const lines: string[] = []
+  const clock = FakeClock.create()
+  const registry = UpstreamRegistry.create(clock, Logger.create('test', 'debug', (line) => lines.push(line)))
+  for (let second = 0; second < 25; second += 1) {
+    for (const element of Object.values(ODD_ELEMENTS)) read(registry, messageOf([element]))
+    registry.announce(announcement({ instance: 'i'.repeat(1_000_000) }))
+    clock.advance(1_000)
+  }
+  assert.is(lines.length, 3)
+  assert.ok(lines.every((line) => line.length < 1_000))
+})
+
+// Guards against an upstream that is kept out because another writer announced its address with a start time in the future.
+test('an odd start time that is possible holds an address only until its writer is silent', () => {
+  const clock = FakeClock.create()
+  const registry = UpstreamRegistry.create(clock)
+  const sound = announcement({ instance: 'sound', address: '10.0.0.1:80', born: 1_000 })
+  registry.announce(announcement({ instance: 'odd', address: '10.0.0.1:80', born: 2 ** 41 }))
+  assert.is(registry.announce(sound), false)
+  clock.advance(10_000)
+  registry.expire(5_000, () => true)
+  assert.is(registry.announce(sound), true)
+  assert.equal(registry.present().map(({ announced }) => announced.instance), ['sound'])
+})
+
+test('the departure of an upstream with an odd name is passed over', () => {
+  const registry = UpstreamRegistry.create(FakeClock.create())
+  registry.leave('i-1\r\nX-Tenant: other', undefined)
+  registry.leave('i-1', 2 ** 53)
+  assert.equal(registry.all(), [])
+})
+
 test.run()
--- a/packages/dispatch/src/tests/upstream-broadcast.test.ts
+++ b/packages/dispatch/src/tests/upstream-broadcast.test.ts
@@ -1,7 +1,8 @@
-import type { AnnouncedUpstream, DispatchMessage } from '@hickoryspoke/protocol/generated/dispatch'
+import { AnnouncedUpstream, type DispatchMessage } from '@hickoryspoke/protocol/generated/dispatch'
 import { FakeClock } from '@hickoryspoke/testing/fake-clock'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
+import { encodeAnnounced } from '../announced-upstream.ts'
 import type { ClientSession } from '../client-session.ts'
 import { NewsDelivery } from '../news-delivery.ts'
 import { UpstreamBroadcast } from '../upstream-broadcast.ts'
@@ -9,7 +10,7 @@
 import { announcement, recordingEntry } from './fixture.ts'
 
 const LIMIT_MILLISECONDS = 2_000
-const UPSTREAMS = Array.from({ length: 282 }, (_, index) => announcement({ instance: `i-${index}`, address: `10.0.0.1:${index}` }))
+const UPSTREAMS = Array.from({ length: 282 }, (_, index) => announcement({ instance: `i-${index}`, address: `10.0.0.1:${8_000 + index}` }))
 
 function createLeader (known: readonly AnnouncedUpstream[]) {
   const clock = FakeClock.create()
@@ -36,7 +37,7 @@
 }
 
 function sentUpstreams (sent: readonly DispatchMessage[]): AnnouncedUpstream[] {
-  return sent.flatMap(({ body }) => body?.$case === 'upstreams' ? body.value.upstreams : [])
+  return sent.flatMap(({ body }) => body?.$case === 'upstreams' ? body.value.upstreams.map((element) => AnnouncedUpstream.decode(element)) : [])
 }
 
 const isQuery = ({ body }: DispatchMessage): boolean => body?.$case === 'upstreamQuery'
@@ -61,7 +62,7 @@
   const entries = Array.from({ length: 127 }, () => attach(digestOf(UPSTREAMS)))
   const asked = entries.filter(({ sent }) => sent.some(isQuery))
   assert.is(asked.length, 2)
-  for (const { session } of asked) broadcast.receiveKnown(session, UPSTREAMS)
+  for (const { session } of asked) broadcast.receiveKnown(session, encodeAnnounced(UPSTREAMS))
   assert.is(registry.present().length, UPSTREAMS.length)
   assert.is(entries.filter(({ sent }) => sent.some(isQuery)).length, 2)
   assert.is(entries.flatMap(({ sent }) => sentUpstreams(sent)).length, 0)
@@ -73,9 +74,9 @@
   const second = attach(digestOf(UPSTREAMS))
   const extra = announcement({ instance: 'i-new', address: '10.0.0.1:9000' })
   const other = attach(digestOf([...UPSTREAMS, extra]))
-  broadcast.receiveKnown(first.session, UPSTREAMS)
+  broadcast.receiveKnown(first.session, encodeAnnounced(UPSTREAMS))
   assert.ok(other.sent.some(isQuery))
-  broadcast.receiveKnown(other.session, [...UPSTREAMS, extra])
+  broadcast.receiveKnown(other.session, encodeAnnounced([...UPSTREAMS, extra]))
   assert.equal(sentUpstreams(second.sent).map(({ instance }) => instance), ['i-new'])
 })
 
--- a/packages/dispatch/src/upstream-broadcast.ts
+++ b/packages/dispatch/src/upstream-broadcast.ts
@@ -1,6 +1,7 @@
 /** Sends changes of the announced upstreams to the connected clients, and assigns revisions to departures. */
 import type { AnnouncedUpstream } from '@hickoryspoke/protocol/generated/dispatch'
 import type { Clock } from '@hickoryspoke/runtime/clock'
+import { encodeAnnounced } from './announced-upstream.ts'
 import type { ClientSession } from './client-session.ts'
 import type { NewsDelivery } from './news-delivery.ts'
 import type { RegisteredUpstream, UpstreamRegistry } from './upstream-registry.ts'
@@ -45,9 +46,9 @@
   }
 
   /** Merges what a client knows. Those that knew the same need not be asked, nor sent it. */
-  receiveKnown (session: ClientSession, known: readonly AnnouncedUpstream[]): void {
+  receiveKnown (session: ClientSession, known: readonly Uint8Array[]): void {
     this.queried.delete(session)
-    this.registry.merge(known)
+    this.registry.mergeEncoded(known)
     this.queryDiffering()
   }
 
@@ -75,9 +76,10 @@
     const revision = departed.length > 0 ? this.news.add() : 0
     for (const { instance } of departed) this.recordDeparture(instance, revision)
     const digest = this.registry.digest()
+    const encoded = encodeAnnounced(announced)
     for (const session of this.sessions()) {
       const isSame = session.upstreamDigest === digest
-      this.write(session, isSame ? [] : announced, revision)
+      this.write(session, isSame ? [] : encoded, revision)
       if (isSame) this.differing.delete(session)
       else session.upstreamDigest = undefined
     }
@@ -93,12 +95,12 @@
   }
 
   private sendAll (session: ClientSession): void {
-    const upstreams = this.registry.announcements()
+    const upstreams = this.registry.encodedAnnouncements()
     session.call.write({ body: { $case: 'upstreams', value: { whole: true, upstreams, revision: this.news.newestRevision } } })
     if (upstreams.length > 0) session.upstreamDigest = undefined
   }
 
-  private write (session: ClientSession, upstreams: AnnouncedUpstream[], revision = this.news.newestRevision): void {
+  private write (session: ClientSession, upstreams: Buffer[], revision = this.news.newestRevision): void {
     if (upstreams.length === 0 && revision === 0) return
     session.call.write({ body: { $case: 'upstreams', value: { whole: false, upstreams, revision } } })
   }
--- a/packages/dispatch/src/upstream-registry.ts
+++ b/packages/dispatch/src/upstream-registry.ts
@@ -2,6 +2,9 @@
 import { createHash } from 'node:crypto'
 import type { AnnouncedUpstream } from '@hickoryspoke/protocol/generated/dispatch'
 import type { Clock } from '@hickoryspoke/runtime/clock'
+import { silentLogger, type Logger } from '@hickoryspoke/telemetry/logger'
+import { checkAnnounced, createTombstone, decodeAnnounced, encodeAnnounced } from './announced-upstream.ts'
+import { OddAnnouncementLog } from './odd-announcement-log.ts'
 
 /** An announced upstream. Times are monotonic milliseconds of this process. */
 export interface RegisteredUpstream {
@@ -23,10 +26,10 @@
   private readonly listeners = new Set<RegistryListener>()
   private cachedDigest: string | undefined
 
-  private constructor (private readonly clock: Clock) {}
+  private constructor (private readonly clock: Clock, private readonly odd: OddAnnouncementLog) {}
 
-  static create (clock: Clock): UpstreamRegistry {
-    return new UpstreamRegistry(clock)
+  static create (clock: Clock, logger: Logger = silentLogger()): UpstreamRegistry {
+    return new UpstreamRegistry(clock, OddAnnouncementLog.create(clock, logger))
   }
 
   onChange (listener: RegistryListener): void {
@@ -48,6 +51,11 @@
     return this.all().map((held) => held.announced)
   }
 
+  /** The same, encoded for a list. */
+  encodedAnnouncements (): Buffer[] {
+    return encodeAnnounced(this.announcements())
+  }
+
   /** Digest of what matters to requests in the announcements of all upstreams that have not left; empty when there are none. */
   digest (): string {
     this.cachedDigest ??= digestOf(this.present().map((held) => held.announced))
@@ -69,7 +77,7 @@
     return announced !== undefined && (announced.draining || announced.gone)
   }
 
-  /** Applies an announcement; false when a newer one is known for the instance or its address. */
+  /** Applies an announcement; false when its values cannot be right, or a newer one is known for the instance or its address. */
   announce (announced: AnnouncedUpstream): boolean {
     const changed = new Map<string, RegisteredUpstream>()
     const isApplied = this.apply(announced, changed)
@@ -82,7 +90,9 @@
     const known = this.byInstance.get(instance)?.announced
     if (known !== undefined && born !== undefined && born < known.born) return
     const announced = known ?? createTombstone(instance, born ?? 0)
-    const held = this.store({ ...announced, gone: true, sequence: announced.sequence + 1 })
+    const departed = { ...announced, gone: true, sequence: Math.min(announced.sequence + 1, Number.MAX_SAFE_INTEGER) }
+    if (!this.isSound(departed)) return
+    const held = this.store(departed)
     this.notifyListeners([held])
   }
 
@@ -93,6 +103,17 @@
     if (changed.size > 0) this.notifyListeners([...changed.values()])
   }
 
+  /** Applies the elements of a list from another process; those that cannot be read or right are passed over. */
+  mergeEncoded (list: readonly Uint8Array[]): void {
+    const readable: AnnouncedUpstream[] = []
+    for (const element of list) {
+      const decoded = decodeAnnounced(element)
+      if (decoded.isOk()) readable.push(decoded.value)
+      else this.odd.record('', decoded.error)
+    }
+    this.merge(readable)
+  }
+
   /** Marks silent upstreams as left where `canExpire` allows it, and returns them. Also deletes old tombstones. */
   expire (silentMilliseconds: number, canExpire: (held: RegisteredUpstream) => boolean): RegisteredUpstream[] {
     const now = this.clock.monotonicMilliseconds()
@@ -114,8 +135,9 @@
     }
   }
 
-  /** Applies an announcement and adds the upstreams that changed to `changed`; false when a newer one is known. */
+  /** Applies an announcement and adds the upstreams that changed to `changed`; false when it is odd or a newer one is known. */
   private apply (announced: AnnouncedUpstream, changed: Map<string, RegisteredUpstream>): boolean {
+    if (!this.isSound(announced)) return false
     const known = this.byInstance.get(announced.instance)
     if (known !== undefined && !isNewer(announced, known.announced)) return false
     if (!announced.gone && !this.claimAddress(announced, changed)) return false
@@ -124,6 +146,13 @@
     return true
   }
 
+  /** Whether the values can be right; logs it otherwise. */
+  private isSound (announced: AnnouncedUpstream): boolean {
+    const checked = checkAnnounced(announced)
+    if (checked.isErr()) this.odd.record(announced.instance, checked.error)
+    return checked.isOk()
+  }
+
   /** Assigns the address to the instance that started last, and marks an earlier owner as left; false when a later one owns it. */
   private claimAddress (announced: AnnouncedUpstream, changed: Map<string, RegisteredUpstream>): boolean {
     const owner = this.byInstance.get(this.byAddress.get(announced.address) ?? '')
@@ -170,9 +199,3 @@
   return left.born !== right.born || left.address !== right.address || left.draining !== right.draining || left.gone !== right.gone ||
     left.slots !== right.slots || left.pool !== right.pool
 }
-
-function createTombstone (instance: string, born: number): AnnouncedUpstream {
-  return {
-    instance, pool: '', address: '', zone: '', slots: 0, draining: true, warmupMilliseconds: 0, born, sequence: 0, version: '', gone: true
-  }
-}
--- a/packages/entry/src/dispatched-entry.ts
+++ b/packages/entry/src/dispatched-entry.ts
@@ -82,7 +82,7 @@
     const { clock, random, logger, credentials, dialect } = options
     const { name, zone } = settings
     this.lifecycle = EntryLifecycle.create((phase) => logger.info('phase changed', { phase }))
-    this.registry = UpstreamRegistry.create(clock)
+    this.registry = UpstreamRegistry.create(clock, logger)
     this.inForce = ActiveConfiguration.create(clock, settings.freshMilliseconds)
     this.inForce.onChange((configuration) => this.applyConfiguration(configuration))
     this.placer = LocalPlacer.create({ clock, random, registry: this.registry, entry: name, zone, windowMilliseconds: settings.rateWindowMilliseconds })
@@ -106,7 +106,7 @@
       logger,
       held: () => this.inForce.number,
       running: () => this.placementClient.running(),
-      knownUpstreams: () => this.registry.announcements(),
+      knownUpstreams: () => this.registry.encodedAnnouncements(),
       upstreamDigest: () => this.registry.digest(),
       knownLimits: () => this.placer.statedLimits(),
       admissionReport: () => this.placer.report(this.entries),
@@ -115,7 +115,7 @@
         placed: (placement) => this.placementClient.receivePlacement(placement),
         denied: (denial) => this.placementClient.receiveDenial(denial),
         configured: (update) => this.receiveConfiguration(update),
-        upstreamsChanged: (update) => this.registry.merge(update.upstreams),
+        upstreamsChanged: (update) => this.registry.mergeEncoded(update.upstreams),
         suspected: (suspicions) => this.placer.adoptSuspicions(suspicions),
         limited: (limits) => this.placer.adoptLimits(limits),
         connected: () => this.placementClient.connected(),
--- a/packages/membership/src/announcement.ts
+++ b/packages/membership/src/announcement.ts
@@ -1,4 +1,5 @@
 import { timingSafeEqual } from 'node:crypto'
+import { isAddress } from '@hickoryspoke/runtime/address'
 import { Failure, type Issue } from '@hickoryspoke/runtime/failure'
 import { sha256Digest } from '@hickoryspoke/runtime/hashing'
 import { Err, Ok, type Result } from 'ts-results-es'
@@ -76,7 +77,3 @@
   if (equal && token !== undefined && announceDigest !== undefined) return Ok.EMPTY
   return Err(AnnouncementRefused.create(RefusalReason.WrongToken, 'the announcement token is not that of the pool'))
 }
-
-function isAddress (text: string): boolean {
-  return URL.canParse(`http://${text}`) && /^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-f:.]+\]):\d{1,5}$/i.test(text) && /:[1-9]\d*$/.test(text)
-}
--- a/packages/membership/src/tests/announcement-registry.test.ts
+++ b/packages/membership/src/tests/announcement-registry.test.ts
@@ -15,6 +15,13 @@
 const REFUSALS = [
   { name: 'a field is missing', changes: { slots: undefined }, code: 'invalid_announcement' },
   { name: 'the address is a name', changes: { address: 'ledger.local:80' }, code: 'invalid_announcement' },
+  { name: 'a port out of range', changes: { address: '10.0.0.1:65536' }, code: 'invalid_announcement' },
+  { name: 'port 0', changes: { address: '10.0.0.1:0' }, code: 'invalid_announcement' },
+  { name: 'an octet out of range', changes: { address: '10.0.0.256:80' }, code: 'invalid_announcement' },
+  { name: 'slots beyond 32 bits', changes: { slots: 2 ** 32 }, code: 'invalid_announcement' },
+  { name: 'an incarnation beyond the safe numbers', changes: { incarnation: 2 ** 53 }, code: 'invalid_announcement' },
+  { name: 'a pool of thousands of characters', changes: { pool: 'p'.repeat(4_000) }, code: 'invalid_announcement' },
+  { name: 'arrays within arrays', changes: { zone: JSON.parse('['.repeat(2_000) + ']'.repeat(2_000)) }, code: 'invalid_announcement' },
   { name: 'an unknown field', changes: { weight: 3 }, code: 'invalid_announcement' },
   { name: 'an older incarnation', changes: { incarnation: 0 }, code: 'stale_incarnation' },
   { name: 'the same incarnation with other slots', changes: { slots: 9 }, code: 'address_claimed' },
