A connection to an impossible address fails instead of ending the process

Callers saw: the entry ended (ERR_SOCKET_BAD_PORT, an unhandled rejection) and with it all its requests (LOST), when it was to connect to an upstream with a port out of range.

Cause: net.connect throws at such a port, inside a promise on whose rejection nobody had counted. The connector now refuses a port that cannot be, and the race of connections takes a way to connect that throws for one that failed, so that the request goes on to another upstream.

--- a/packages/request/src/connection-race.ts
+++ b/packages/request/src/connection-race.ts
@@ -1,5 +1,6 @@
 /** Tries several ways to connect, the next one when the last has failed or takes long, and uses the first connection that is made. */
 import type { Clock, Timer } from '@hickoryspoke/runtime/clock'
+import { describeError } from '@hickoryspoke/runtime/failure'
 import { Err } from 'ts-results-es'
 import { ConnectFailure, type ConnectResult } from './connector.ts'
 
@@ -51,7 +52,8 @@
     const attempt = this.options.attempts[this.started]
     if (attempt === undefined) return
     this.started += 1
-    void attempt.connect(this.losers.signal).then((result) => this.receive(result))
+    const fail = (thrown: unknown): void => this.receive(Err(ConnectFailure.create('connect_refused', describeError(thrown))))
+    void attempt.connect(this.losers.signal).then((result) => this.receive(result), fail)
     const following = this.options.attempts[this.started]
     if (following !== undefined) this.nextStart = this.options.clock.schedule(following.startAfterMilliseconds, () => this.startNext())
   }
--- a/packages/request/src/connector.ts
+++ b/packages/request/src/connector.ts
@@ -1,6 +1,6 @@
 /** Opens the TCP connections to upstreams. */
 import { connect, type Socket } from 'node:net'
-import { splitAddress } from '@hickoryspoke/runtime/address'
+import { isPort, splitAddress } from '@hickoryspoke/runtime/address'
 import type { Clock } from '@hickoryspoke/runtime/clock'
 import { Failure } from '@hickoryspoke/runtime/failure'
 import { Err, Ok, type Result } from 'ts-results-es'
@@ -52,6 +52,7 @@
   connect (address: string, signal: AbortSignal): Promise<ConnectResult> {
     if (signal.aborted) return Promise.resolve(Err(abortedFailure()))
     const { host, port } = splitAddress(address)
+    if (!isPort(port)) return Promise.resolve(Err(ConnectFailure.create('connect_refused', 'the address has no possible port')))
     return new Promise((resolve) => {
       const socket = connect({ host: host.replace(/^\[|\]$/g, ''), port, noDelay: true })
       const finish = (result: ConnectResult): void => {
