An upstream that states an infinite limit is still used

Callers lost an upstream: one whose limit has so many digits that it reads as infinite got no request for as long as it said so (0 of a test's requests, 254 for each other upstream). Found by looking for the cause of the odd announcements elsewhere.

Cause: infinity times an elapsed time of 0 is no number, and a bucket of that many tokens never allows a request. Such a limit, also one from a list of another process, now tells nothing. Evidence (npm test upstream-limit): the two new tests failed before (0 and 254), 16 of 16 pass now.

--- a/packages/dispatch/src/request-limit.ts
+++ b/packages/dispatch/src/request-limit.ts
@@ -33,9 +33,10 @@
 
   /**
    * Records what a response states; true if the limit changed. Only the response to a request that was placed after the
-   * limit was last stated can show that it no longer holds, as responses arrive in any order.
+   * limit was last stated can show that it no longer holds, as responses arrive in any order. An infinite limit tells nothing.
    */
   record ({ requestsPerSecond }: StatedLimit, placedAt: number, now: number): boolean {
+    if (!isPossible(requestsPerSecond)) return false
     if (requestsPerSecond === undefined && placedAt < this.statedAt) return false
     if (requestsPerSecond !== undefined) this.statedAt = now
     const isChanged = requestsPerSecond !== this.rate
@@ -45,7 +46,7 @@
 
   /** Takes over what another process knows. */
   adopt (requestsPerSecond: number | undefined, now: number): void {
-    if (requestsPerSecond !== this.rate) this.setRate(requestsPerSecond, now)
+    if (isPossible(requestsPerSecond) && requestsPerSecond !== this.rate) this.setRate(requestsPerSecond, now)
   }
 
   /** Changes the part of the limit that this process may use. */
@@ -90,3 +91,7 @@
     return Math.max(MINIMUM_REQUESTS_PER_SECOND, this.rate ?? 0) * this.part.share / 1_000
   }
 }
+
+function isPossible (requestsPerSecond: number | undefined): boolean {
+  return requestsPerSecond === undefined || Number.isFinite(requestsPerSecond)
+}
--- a/packages/dispatch/src/tests/upstream-limit.test.ts
+++ b/packages/dispatch/src/tests/upstream-limit.test.ts
@@ -177,4 +177,13 @@
   assert.equal(placer.statedLimits(), LIMITS)
 })
 
+// Guards against an upstream that is never used again because it states a limit that no number holds (SHORT).
+for (const limit of [Infinity, NaN]) {
+  test(`an upstream that states a limit of ${limit} is used like the others`, () => {
+    const { sentAt } = drive(['limited', 'one', 'two'], (instance) => instance === 'limited' ? limit : undefined)
+    const later = (instance: string): number => sentAt.get(instance)?.filter((time) => time >= GRACE_MILLISECONDS).length ?? 0
+    assert.ok(later('limited') >= 0.5 * later('one'), `${later('limited')} and ${later('one')}`)
+  })
+}
+
 test.run()
