--- a/packages/control/src/announcement-relay.ts
+++ b/packages/control/src/announcement-relay.ts
@@ -2,6 +2,7 @@
  * Lets a control VM that does not lead accept the announcements of upstreams that change nothing, so that the leader
  * need not answer each of them. It reports to the leader in batches which upstreams were heard.
  */
+import { encodeAnnounced } from '@hickoryspoke/dispatch/announced-upstream'
 import type { UpstreamRegistry } from '@hickoryspoke/dispatch/upstream-registry'
 import type { AnnouncedUpstream, EntryMessage } from '@hickoryspoke/protocol/generated/dispatch'
 import { repeatEvery, type Clock } from '@hickoryspoke/runtime/clock'
@@ -42,7 +43,7 @@
   /** Keeps what cannot be sent now; a later announcement of an upstream replaces an earlier one. */
   private report (): void {
     if (this.heard.size === 0) return
-    const upstreams = [...this.heard.values()]
+    const upstreams = encodeAnnounced([...this.heard.values()])
     if (this.link.send({ body: { $case: 'known', value: { whole: false, upstreams, revision: 0 } } })) this.heard.clear()
   }
 }
--- a/packages/control/src/tests/announcement-relay.test.ts
+++ b/packages/control/src/tests/announcement-relay.test.ts
@@ -1,4 +1,4 @@
-import type { AnnouncedUpstream, EntryMessage } from '@hickoryspoke/protocol/generated/dispatch'
+import { AnnouncedUpstream, type EntryMessage } from '@hickoryspoke/protocol/generated/dispatch'
 import { UpstreamRegistry } from '@hickoryspoke/dispatch/upstream-registry'
 import { FakeClock } from '@hickoryspoke/testing/fake-clock'
 import { test } from 'uvu'
@@ -9,6 +9,11 @@
   instance: 'i-1', pool: 'ledger', address: '10.0.0.1:80', zone: 'zone-a', slots: 4, draining: false, warmupMilliseconds: 0, born: 1_000, sequence: 1, version: 'v1', gone: false
 }
 
+function describe (element: Uint8Array): string {
+  const { instance, sequence } = AnnouncedUpstream.decode(element)
+  return `${instance}/${sequence}`
+}
+
 /** A control VM that mirrors a leader which knows one upstream. */
 function createRelay () {
   const clock = FakeClock.create()
@@ -25,7 +30,7 @@
   const relay = AnnouncementRelay.create(registry, link)
   const stopping = new AbortController()
   void relay.run(clock, stopping.signal)
-  const reported = (): string[] => sent.flatMap(({ body }) => body?.$case === 'known' ? body.value.upstreams.map(({ instance, sequence }) => `${instance}/${sequence}`) : [])
+  const reported = (): string[] => sent.flatMap(({ body }) => body?.$case === 'known' ? body.value.upstreams.map(describe) : [])
   return { clock, relay, registry, link, reported, stop: () => stopping.abort() }
 }
 
--- a/packages/dispatch/src/leader-connection.ts
+++ b/packages/dispatch/src/leader-connection.ts
@@ -1,6 +1,6 @@
 /** The client side of the `Dispatch` stream, from an entry or a non-leading control VM to the leader's dispatcher. */
 import type {
-  AnnouncedUpstream, Denial, DispatchHello, DispatchMessage, EntryMessage, LeaderNotice, NumberAnswer, Placement, RunningRequest, ServingUpdate, Suspicion,
+  Denial, DispatchHello, DispatchMessage, EntryMessage, LeaderNotice, NumberAnswer, Placement, RunningRequest, ServingUpdate, Suspicion,
   UpstreamLimit, UpstreamUpdate
 } from '@hickoryspoke/protocol/generated/dispatch'
 import type { InnerCredentials } from '@hickoryspoke/protocol/inner-credentials'
@@ -49,7 +49,7 @@
   /** Number of the configuration held; 0 for none. */
   readonly held: () => number
   readonly running: () => RunningRequest[]
-  readonly knownUpstreams: () => AnnouncedUpstream[]
+  readonly knownUpstreams: () => Buffer[]
   /** Digest of the known upstreams; empty for none. */
   readonly upstreamDigest: () => string
   /** Limits of upstreams that this process knows of. */
