Protocol: the end of a placement can carry that an upstream wants no requests

An optional field of PlacementEnd and of the decoded response; nothing sets or reads it yet. Old builds skip the field, and its absence means what it meant before, so old and new builds work side by side. The request that used a placement does not fill the field: the placement client adds what the entry knows by then.

--- a/packages/bench/src/dispatch-simulation.ts
+++ b/packages/bench/src/dispatch-simulation.ts
@@ -186,7 +186,7 @@
         ? PlacementOutcome.PLACEMENT_OUTCOME_SERVER_ERROR
         : result
       this.clock.schedule(ONE_WAY_MILLISECONDS, () => {
-        this.dispatcher.end(connection, { ticket, outcome, milliseconds, load: undefined, statedLimit: undefined, instance })
+        this.dispatcher.end(connection, { ticket, outcome, milliseconds, load: undefined, statedLimit: undefined, notice: undefined, instance })
       })
       this.finish(connection, running, instance, outcome)
     })
--- a/packages/bench/src/tests/dispatched-fleet.ts
+++ b/packages/bench/src/tests/dispatched-fleet.ts
@@ -22,7 +22,7 @@
 const TEST_DIALECT: Dialect = {
   readCaller: (headers) => ({ requestId: headerValue(headers, 'request') ?? '', key: headerValue(headers, 'key'), patienceMilliseconds: undefined }),
   upstreamHeaders: (_, facts) => ['host', 'upstream', 'instance', facts.instance, 'customer', facts.customer],
-  readAnswer: (_, headers) => ({ notRun: headerValue(headers, 'not-run') !== undefined, misdirected: false, genuine: true, load: undefined, statedLimit: undefined }),
+  readAnswer: (_, headers) => ({ notRun: headerValue(headers, 'not-run') !== undefined, misdirected: false, genuine: true, load: undefined, statedLimit: undefined, notice: undefined }),
   responseHeaders: callerResponseHeaders
 }
 
--- a/packages/dispatch/src/local-placer.ts
+++ b/packages/dispatch/src/local-placer.ts
@@ -112,7 +112,7 @@
   }
 
   /** Records the outcome of any request of this entry; `local` means that this placer chose its upstream. */
-  recordEnd (instance: string, end: PlacementEnd, local: boolean): void {
+  recordEnd (instance: string, end: Omit<PlacementEnd, 'notice'>, local: boolean): void {
     const standing = this.standingOf(instance)
     if (local) standing.inFlight = Math.max(0, standing.inFlight - 1)
     if (end.outcome === PlacementOutcome.PLACEMENT_OUTCOME_MISDIRECTED) this.options.registry.leave(instance, undefined)
--- a/packages/dispatch/src/placement-client.ts
+++ b/packages/dispatch/src/placement-client.ts
@@ -39,6 +39,9 @@
   readonly sendEnd: (end: PlacementEnd) => boolean
 }
 
+/** The end of a placement, as reported by the request that used it. */
+export type ReportedEnd = Omit<PlacementEnd, 'notice'>
+
 /** A placement or a denial; undefined when the question was cancelled or the dispatcher was lost. */
 type Reply = Result<Placement, PlacementDenied> | undefined
 
@@ -54,7 +57,7 @@
 export class PlacementClient {
   private readonly waiting = new Map<number, (reply: Reply) => void>()
   private readonly placed = new Map<number, PlacedRequest>()
-  private readonly unsentEnds: PlacementEnd[] = []
+  private readonly unsentEnds: ReportedEnd[] = []
   private lastTicket = 0
   /** When the dispatcher was lost; undefined while there is one. */
   private lostAt: number | undefined
@@ -125,7 +128,7 @@
   }
 
   /** Ends a placement and reports its outcome to the local placer and to the dispatcher. */
-  end (end: PlacementEnd): void {
+  end (end: ReportedEnd): void {
     const placed = this.placed.get(end.ticket)
     if (placed === undefined) return
     this.placed.delete(end.ticket)
@@ -134,8 +137,8 @@
     this.sendOrKeepEnd(endWithInstance)
   }
 
-  private sendOrKeepEnd (end: PlacementEnd): void {
-    if (this.options.sendEnd(end)) return
+  private sendOrKeepEnd (end: ReportedEnd): void {
+    if (this.options.sendEnd({ ...end, notice: undefined })) return
     this.unsentEnds.push(end)
     if (this.unsentEnds.length > MAXIMUM_UNSENT_ENDS) this.unsentEnds.shift()
   }
@@ -189,6 +192,6 @@
 }
 
 /** The end of a placement or question that is not used. */
-function unusedPlacementEnd (ticket: number, instance: string): PlacementEnd {
+function unusedPlacementEnd (ticket: number, instance: string): ReportedEnd {
   return { ticket, outcome: PlacementOutcome.PLACEMENT_OUTCOME_CANCELLED, milliseconds: 0, load: undefined, statedLimit: undefined, instance }
 }
--- a/packages/dispatch/src/tests/dispatcher-list.test.ts
+++ b/packages/dispatch/src/tests/dispatcher-list.test.ts
@@ -23,7 +23,7 @@
   const entry = recordingEntry('one')
   first.dispatcher.ask(entry, question(1))
   const failing = entry.answerTo(1)
-  first.dispatcher.end(entry, { ticket: 1, outcome: PlacementOutcome.PLACEMENT_OUTCOME_BROKEN, milliseconds: 5, load: undefined, statedLimit: undefined, instance: '' })
+  first.dispatcher.end(entry, { ticket: 1, outcome: PlacementOutcome.PLACEMENT_OUTCOME_BROKEN, milliseconds: 5, load: undefined, statedLimit: undefined, notice: undefined, instance: '' })
   const suspicions = first.dispatcher.suspicions()
   assert.equal(suspicions.map(({ instance }) => instance), [failing])
 
--- a/packages/dispatch/src/tests/dispatcher.test.ts
+++ b/packages/dispatch/src/tests/dispatcher.test.ts
@@ -5,7 +5,7 @@
 
 const NOTHING_ADMITTED = { limits: [], admitted: [], fleetShare: 0 }
 
-const end = (ticket: number, outcome: PlacementOutcome, milliseconds = 100) => ({ ticket, outcome, milliseconds, load: undefined, statedLimit: undefined, instance: '' })
+const end = (ticket: number, outcome: PlacementOutcome, milliseconds = 100) => ({ ticket, outcome, milliseconds, load: undefined, statedLimit: undefined, notice: undefined, instance: '' })
 
 test('requests of different entries never share a slot, and a waiting one is placed when a slot is freed', () => {
   const { dispatcher } = createDispatcher([announcement({ instance: 'a', slots: 1 }), announcement({ instance: 'bb', slots: 1 })])
--- a/packages/dispatch/src/tests/large-pool.test.ts
+++ b/packages/dispatch/src/tests/large-pool.test.ts
@@ -41,7 +41,7 @@
   const { dispatcher, entry } = createLargePool()
   const slots = UPSTREAMS * SLOTS
   for (let ticket = 1; ticket <= slots + WAITING; ticket += 1) dispatcher.ask(entry, question(ticket))
-  const end = { ticket: 5, outcome: PlacementOutcome.PLACEMENT_OUTCOME_ANSWERED, milliseconds: 100, load: undefined, statedLimit: undefined, instance: '' }
+  const end = { ticket: 5, outcome: PlacementOutcome.PLACEMENT_OUTCOME_ANSWERED, milliseconds: 100, load: undefined, statedLimit: undefined, notice: undefined, instance: '' }
   const examined = countExaminations(() => dispatcher.end(entry, end))
   assert.is(entry.answerTo(slots + 1), entry.answerTo(5))
   assert.ok(examined <= 20, `${examined} examinations`)
--- a/packages/dispatch/src/tests/overdue-requests.test.ts
+++ b/packages/dispatch/src/tests/overdue-requests.test.ts
@@ -4,7 +4,7 @@
 import { announcement, createDispatcher, question, recordingEntry } from './fixture.ts'
 
 const end = (ticket: number, milliseconds: number) => {
-  return { ticket, outcome: PlacementOutcome.PLACEMENT_OUTCOME_ANSWERED, milliseconds, load: undefined, statedLimit: undefined, instance: '' }
+  return { ticket, outcome: PlacementOutcome.PLACEMENT_OUTCOME_ANSWERED, milliseconds, load: undefined, statedLimit: undefined, notice: undefined, instance: '' }
 }
 const UPSTREAMS = Array.from({ length: 6 }, (_, index) => announcement({ instance: `instance-${index}`, slots: 8, address: `10.0.0.${index}:80` }))
 const STEP_MILLISECONDS = 20
--- a/packages/dispatch/src/tests/suspect-upstreams.test.ts
+++ b/packages/dispatch/src/tests/suspect-upstreams.test.ts
@@ -3,7 +3,7 @@
 import * as assert from 'uvu/assert'
 import { announcement, createDispatcher, question, recordingEntry, type RecordingEntry } from './fixture.ts'
 
-const end = (ticket: number, outcome: PlacementOutcome, milliseconds = 100) => ({ ticket, outcome, milliseconds, load: undefined, statedLimit: undefined, instance: '' })
+const end = (ticket: number, outcome: PlacementOutcome, milliseconds = 100) => ({ ticket, outcome, milliseconds, load: undefined, statedLimit: undefined, notice: undefined, instance: '' })
 
 test('while all upstreams are equally suspect, their slots are still used', () => {
   const instances = Array.from({ length: 3 }, (_, index) => `instance-${index}`)
--- a/packages/dispatch/src/tests/upstream-limit.test.ts
+++ b/packages/dispatch/src/tests/upstream-limit.test.ts
@@ -33,7 +33,8 @@
     outcome: PlacementOutcome.PLACEMENT_OUTCOME_ANSWERED,
     milliseconds: ANSWER_MILLISECONDS,
     load: undefined,
-    statedLimit: { requestsPerSecond }
+    statedLimit: { requestsPerSecond },
+    notice: undefined
   }
 }
 
--- a/packages/entry/src/tests/planned-stop.test.ts
+++ b/packages/entry/src/tests/planned-stop.test.ts
@@ -64,7 +64,7 @@
 const DIALECT: Dialect = {
   readCaller: () => ({ requestId: '', key: undefined, patienceMilliseconds: undefined }),
   upstreamHeaders: () => [],
-  readAnswer: () => ({ notRun: false, misdirected: false, genuine: true, load: undefined, statedLimit: undefined }),
+  readAnswer: () => ({ notRun: false, misdirected: false, genuine: true, load: undefined, statedLimit: undefined, notice: undefined }),
   responseHeaders: callerResponseHeaders
 }
 const ROUTE = {
--- a/packages/request/src/dialect.ts
+++ b/packages/request/src/dialect.ts
@@ -1,5 +1,5 @@
 /** Abstraction over the headers of a deployment, whose names and formats vary. */
-import type { StatedLimit, UpstreamLoad } from '@hickoryspoke/protocol/generated/dispatch'
+import type { StatedLimit, UpstreamLoad, UpstreamNotice } from '@hickoryspoke/protocol/generated/dispatch'
 import type { RawHeaders } from './header-filter.ts'
 
 /** Metadata in the headers of a caller's request. */
@@ -30,6 +30,8 @@
   readonly load: UpstreamLoad | undefined
   /** Whether the upstream limits the requests that it accepts; undefined if the response does not tell. */
   readonly statedLimit: StatedLimit | undefined
+  /** Whether the upstream wants no further requests, from all entries or from this one; undefined if it accepts them. */
+  readonly notice: UpstreamNotice | undefined
 }
 
 /** Reads and writes the headers that a deployment uses towards callers and upstreams. */
