Red: an upstream that says that it leaves, or asks for a pause, gets further requests (DRAIN, BUDGET)

An upstream that leaves says so in its responses, and one that rejects a request may ask its entry for a pause; nothing reads either.

--- a/packages/bench/src/tests/dispatched-fleet.ts
+++ b/packages/bench/src/tests/dispatched-fleet.ts
@@ -18,11 +18,22 @@
 const WAIT_TIMEOUT_MILLISECONDS = 20_000
 const POLL_MILLISECONDS = 25
 
-/** Header names in these tests: `request`, `key`, `instance` and `not-run`. */
+/** Header names in these tests: `request`, `key`, `instance`, `not-run`, `leaving` and `unavailable-milliseconds`. */
 const TEST_DIALECT: Dialect = {
   readCaller: (headers) => ({ requestId: headerValue(headers, 'request') ?? '', key: headerValue(headers, 'key'), patienceMilliseconds: undefined }),
   upstreamHeaders: (_, facts) => ['host', 'upstream', 'instance', facts.instance, 'customer', facts.customer],
-  readAnswer: (_, headers) => ({ notRun: headerValue(headers, 'not-run') !== undefined, misdirected: false, genuine: true, load: undefined, statedLimit: undefined, notice: undefined }),
+  readAnswer: (_, headers) => ({
+    notRun: headerValue(headers, 'not-run') !== undefined,
+    misdirected: false,
+    genuine: true,
+    load: undefined,
+    statedLimit: undefined,
+    notice: {
+      leaving: headerValue(headers, 'leaving') !== undefined,
+      unavailableMilliseconds: Number(headerValue(headers, 'unavailable-milliseconds') ?? 0),
+      born: undefined
+    }
+  }),
   responseHeaders: callerResponseHeaders
 }
 
