Upstreams that say that they leave, or ask for a pause, get no more requests (DRAIN, BUDGET)

Cause: as with the limits that upstreams state, the adapter dropped what they say, so no way to an upstream could know it.

An entry records a notice as soon as it has read the head, since a long response may end much later, and sends that upstream nothing: it does not choose it itself, and gives a placement there back, whatever the dispatcher knows. The entry decides by itself, so a lost, new or older leader makes no difference. Each end of a placement, also of one that is given back, carries what the entry knows by then, so the dispatcher stops placing there: for all entries if the upstream leaves, for this entry if it asked for a pause. A later start of the upstream under the same name ends its notices; what it said before its announcement arrived stays. The upstream's own announcement and its acknowledgement are untouched.

--- a/packages/bench/src/tests/upstream-notices.test.ts
+++ b/packages/bench/src/tests/upstream-notices.test.ts
@@ -6,6 +6,8 @@
 const REQUESTS = 10
 /** Requests after which every upstream of a small pool has received one. */
 const MAXIMUM_FIRST_REQUESTS = 50
+/** More than an entry buffers before it passes a response on. */
+const LONG_RESPONSE_BYTES = 200_000
 const REJECTION = 'HTTP/1.1 503 Service Unavailable\r\nnot-run: 1\r\nunavailable-milliseconds: 600000\r\nContent-Length: 0\r\n\r\n'
 
 async function sendRequests (url: string, count: number): Promise<number[]> {
@@ -43,4 +45,26 @@
   }
 }
 
+// Guards against a departure that is known only when the response that announces it has ended, long after the caller saw it (DRAIN).
+test('an upstream that says that it leaves in a response which is still running gets no more requests', async () => {
+  const fleet = await DispatchedFleet.create(1, 1)
+  const upstream = await RawUpstream.create((socket) => {
+    socket.write(`HTTP/1.1 200 OK\r\nleaving: 1\r\nContent-Length: ${LONG_RESPONSE_BYTES + 1}\r\n\r\n${'x'.repeat(LONG_RESPONSE_BYTES)}`)
+  })
+  const url = fleet.entries[0]?.url ?? ''
+  const caller = new AbortController()
+  try {
+    await fleet.publish(fleetConfiguration(1, [{}]))
+    await fleet.announce('i-0', upstream.address)
+    await fleet.waitUntilReady()
+    assert.is((await fetch(url, { method: 'POST', body: 'x', signal: caller.signal })).status, 200)
+    assert.equal(await sendRequests(url, 2), [503, 503])
+    assert.is(upstream.requests.length, 1)
+  } finally {
+    caller.abort()
+    await fleet.stop()
+    await upstream.close()
+  }
+})
+
 test.run()
--- a/packages/dispatch/src/dispatcher-log.ts
+++ b/packages/dispatch/src/dispatcher-log.ts
@@ -1,5 +1,5 @@
 /** Log lines of the dispatcher's decisions, with the state they were based on. */
-import { PlacementOutcome, type PlacementEnd } from '@hickoryspoke/protocol/generated/dispatch'
+import { PlacementOutcome, type PlacementEnd, type UpstreamNotice } from '@hickoryspoke/protocol/generated/dispatch'
 import type { Logger } from '@hickoryspoke/telemetry/logger'
 import type { InstanceStanding } from './instance-standing.ts'
 import type { ActivePlacement } from './placements.ts'
@@ -30,6 +30,11 @@
   })
 }
 
+/** Logs that an upstream told an entry that it wants no requests. */
+export function logNotice (logger: Logger, entry: string, pool: string, upstream: string, { leaving, unavailableMilliseconds }: UpstreamNotice): void {
+  logger.info('an upstream wants no requests', { upstream, pool, entry, leaving, unavailableMilliseconds })
+}
+
 function standingFields (standing: InstanceStanding, now: number): Record<string, unknown> {
   return {
     standing: standing.standing(now),
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -1,14 +1,14 @@
 /** The fleet's central dispatcher: it chooses an upstream for every request, knowing all requests in flight and all evidence of failures. */
 import {
   DenialReason, PlacementOutcome,
-  type PlacementEnd, type PlacementQuestion, type Suspicion, type UpstreamLimit
+  type PlacementEnd, type PlacementQuestion, type Suspicion, type UpstreamLimit, type UpstreamNotice
 } from '@hickoryspoke/protocol/generated/dispatch'
 import type { Clock } from '@hickoryspoke/runtime/clock'
 import type { Logger } from '@hickoryspoke/telemetry/logger'
 import { CrashTracker } from './crash-tracker.ts'
 import type { CustomerRateLimiter } from './customer-rate-limiter.ts'
 import { DenialLog } from './denial-log.ts'
-import { logEvidence, logLimit, logOverdue } from './dispatcher-log.ts'
+import { logEvidence, logLimit, logNotice, logOverdue } from './dispatcher-log.ts'
 import type { EntryConnection, EntryHandover } from './entry-connection.ts'
 import { isEarlyTimeout, placementKey, Placements, type ActivePlacement, type EndedPlacement } from './placements.ts'
 import type { PoolDispatcher, PoolSnapshot } from './pool-dispatcher.ts'
@@ -211,6 +211,7 @@
     const placedAt = placed?.placedAt ?? now - end.milliseconds
     const isLimitChanged = end.statedLimit !== undefined && standing.limit.record(end.statedLimit, placedAt, now)
     if (isLimitChanged) logLimit(this.options.logger, connection.entry, poolName, end, standing)
+    if (end.notice !== undefined) this.recordNotice(connection.entry, end.instance, end.notice, now)
     standing.record({
       outcome,
       entry: connection.entry,
@@ -226,6 +227,17 @@
     if (before !== standing.standing(now) || FAILED_OUTCOMES.has(end.outcome)) logEvidence(this.options.logger, connection.entry, poolName, end, standing, now)
   }
 
+  /** Stops placing requests on an upstream that told an entry that it wants none. */
+  private recordNotice (entry: string, instance: string, notice: UpstreamNotice, now: number): void {
+    const upstream = this.options.registry.find(instance)
+    if (upstream === undefined) return
+    const { pool, born } = upstream.announced
+    const isNews = this.pools.pool(pool).standingOf(instance).availability.record({ ...notice, born: notice.born ?? born }, entry, now)
+    if (!isNews) return
+    this.pools.update(upstream)
+    logNotice(this.options.logger, entry, pool, instance, notice)
+  }
+
   /** Counts a request that takes long as evidence of failure, before it ends. */
   private recordOverdue (placement: ActivePlacement): void {
     const now = this.options.clock.monotonicMilliseconds()
--- a/packages/dispatch/src/instance-standing.ts
+++ b/packages/dispatch/src/instance-standing.ts
@@ -3,6 +3,7 @@
 import { EVIDENCE, FailureEstimate, type Evidence } from './failure-estimate.ts'
 import type { RequestLimit } from './request-limit.ts'
 import type { SoundShares } from './sound-shares.ts'
+import { StatedAvailability } from './stated-availability.ts'
 
 /** Whether an upstream is trusted. */
 export const STANDING = {
@@ -56,6 +57,8 @@
   slowness = 1
   /** Total number of requests placed on the upstream. */
   placed = 0
+  /** Whether it wants requests, as it said in its responses. */
+  readonly availability = StatedAvailability.create()
   private placedAt = -Infinity
   private failedAt = -Infinity
   private answeredAt = -Infinity
@@ -102,8 +105,9 @@
     return this.inFlight >= slots || now < this.fullUntil || !this.limit.allows(now)
   }
 
+  /** Whether the entry can connect to it, and was not asked for a pause. */
   isReachableFrom (entry: string, now: number): boolean {
-    return now >= (this.unreachableUntil.get(entry) ?? -Infinity)
+    return now >= (this.unreachableUntil.get(entry) ?? -Infinity) && this.availability.unavailableMilliseconds(entry, now) === 0
   }
 
   /** Counts a request that is placed here. */
--- a/packages/dispatch/src/local-placer.ts
+++ b/packages/dispatch/src/local-placer.ts
@@ -1,5 +1,8 @@
 /** Places requests with the knowledge of a single entry, while no dispatcher can be reached. */
-import { PlacementOutcome, type PlacementEnd, type PlacementQuestion, type Suspicion, type UpstreamLimit } from '@hickoryspoke/protocol/generated/dispatch'
+import {
+  PlacementOutcome,
+  type PlacementEnd, type PlacementQuestion, type Suspicion, type UpstreamLimit, type UpstreamNotice
+} from '@hickoryspoke/protocol/generated/dispatch'
 import type { Clock } from '@hickoryspoke/runtime/clock'
 import { pickOne, type RandomSource } from '@hickoryspoke/runtime/random'
 import { CustomerRateLimiter, type AdmissionReport, type RateLimit } from './customer-rate-limiter.ts'
@@ -32,6 +35,7 @@
   private constructor (private readonly options: LocalPlacerOptions) {
     this.limits = UpstreamLimits.create(options.clock)
     this.recentAdmissions = RecentAdmissions.create(options.clock.monotonicMilliseconds(), options.windowMilliseconds)
+    options.registry.onChange((changed) => this.forgetEarlierStarts(changed))
   }
 
   static create (options: LocalPlacerOptions): LocalPlacer {
@@ -82,7 +86,8 @@
     const now = this.options.clock.monotonicMilliseconds()
     const eligible = this.options.registry.present().filter(({ announced }) => {
       return announced.pool === question.pool && !announced.draining && !question.excluded.includes(announced.instance) &&
-        this.standingOf(announced.instance).isReachableFrom(this.options.entry, now) && this.limits.of(announced.instance).allows(now)
+        !this.isUnwanted(announced.instance) && this.standingOf(announced.instance).isReachableFrom(this.options.entry, now) &&
+        this.limits.of(announced.instance).allows(now)
     })
     const sound = eligible.filter(({ announced }) => this.standingOf(announced.instance).standing(now) === STANDING.sound)
     const usable = sound.length > 0 ? sound : eligible
@@ -111,6 +116,22 @@
     this.limits.replace(limits)
   }
 
+  /** Records that an upstream told this entry that it wants no requests. */
+  recordNotice (instance: string, notice: UpstreamNotice): void {
+    const born = notice.born ?? this.options.registry.find(instance)?.announced.born
+    this.standingOf(instance).availability.record({ ...notice, born }, this.options.entry, this.options.clock.monotonicMilliseconds())
+  }
+
+  /** What an upstream told this entry; undefined if it accepts requests as far as this entry knows. */
+  noticeOf (instance: string): UpstreamNotice | undefined {
+    return this.standings.get(instance)?.availability.noticeFor(this.options.entry, this.options.clock.monotonicMilliseconds())
+  }
+
+  /** Whether an upstream told this entry that it leaves, or asked it for a pause that is not over. */
+  isUnwanted (instance: string): boolean {
+    return this.noticeOf(instance) !== undefined
+  }
+
   /** Records the outcome of any request of this entry; `local` means that this placer chose its upstream. */
   recordEnd (instance: string, end: Omit<PlacementEnd, 'notice'>, local: boolean): void {
     const standing = this.standingOf(instance)
@@ -122,6 +143,11 @@
     standing.record({ outcome, entry: this.options.entry, placedAt: now - milliseconds, milliseconds, usualMilliseconds: 0, wasOverdue: false }, now)
   }
 
+  /** An upstream that has started again accepts requests, whatever it said before. */
+  private forgetEarlierStarts (changed: readonly RegisteredUpstream[]): void {
+    for (const { announced } of changed) this.standings.get(announced.instance)?.availability.recordStart(announced.born)
+  }
+
   private load ({ announced }: RegisteredUpstream): number {
     return this.standingOf(announced.instance).inFlight / Math.max(1, announced.slots)
   }
--- a/packages/dispatch/src/placement-client.ts
+++ b/packages/dispatch/src/placement-client.ts
@@ -1,7 +1,7 @@
 /** The entry's side of placing requests: asks the dispatcher, and falls back to a local placer while there is none. */
 import {
   DenialReason, PlacementOutcome,
-  type Denial, type Placement, type PlacementEnd, type PlacementQuestion, type RunningRequest
+  type Denial, type Placement, type PlacementEnd, type PlacementQuestion, type RunningRequest, type UpstreamNotice
 } from '@hickoryspoke/protocol/generated/dispatch'
 import { sleep, type Clock } from '@hickoryspoke/runtime/clock'
 import { Failure } from '@hickoryspoke/runtime/failure'
@@ -112,11 +112,11 @@
   async place (question: PlacementQuestion, signal: AbortSignal): Promise<Result<PlacedRequest, PlacementDenied>> {
     const { clock } = this.options
     const until = clock.monotonicMilliseconds() + question.patienceMilliseconds
-    const leaving: string[] = []
+    const unwanted: string[] = []
     while (!signal.aborted && clock.monotonicMilliseconds() < until) {
-      const reply = await this.askDispatcher(excludeLeaving(question, leaving), signal)
-      if (reply?.isOk() === true && this.options.isLeaving(reply.value.instance)) {
-        leaving.push(reply.value.instance)
+      const reply = await this.askDispatcher(excludeUnwanted(question, unwanted), signal)
+      if (reply?.isOk() === true && this.isUnwanted(reply.value.instance)) {
+        unwanted.push(reply.value.instance)
         this.sendOrKeepEnd(unusedPlacementEnd(reply.value.ticket, reply.value.instance))
         continue
       }
@@ -127,6 +127,11 @@
     return Err(PlacementDenied.create(DenialReason.DENIAL_REASON_OVERLOADED, RETRY_AFTER_MILLISECONDS))
   }
 
+  /** Records what the head of a response says. The end of a long response may come much later. */
+  recordNotice (instance: string, notice: UpstreamNotice): void {
+    this.options.placer.recordNotice(instance, notice)
+  }
+
   /** Ends a placement and reports its outcome to the local placer and to the dispatcher. */
   end (end: ReportedEnd): void {
     const placed = this.placed.get(end.ticket)
@@ -137,8 +142,13 @@
     this.sendOrKeepEnd(endWithInstance)
   }
 
+  /** Whether this entry knows that the upstream wants no requests. A dispatcher may not know it yet. */
+  private isUnwanted (instance: string): boolean {
+    return this.options.isLeaving(instance) || this.options.placer.isUnwanted(instance)
+  }
+
   private sendOrKeepEnd (end: ReportedEnd): void {
-    if (this.options.sendEnd({ ...end, notice: undefined })) return
+    if (this.options.sendEnd({ ...end, notice: this.options.placer.noticeOf(end.instance) })) return
     this.unsentEnds.push(end)
     if (this.unsentEnds.length > MAXIMUM_UNSENT_ENDS) this.unsentEnds.shift()
   }
@@ -185,10 +195,10 @@
   }
 }
 
-/** The question without the upstreams that are leaving. Once one was given back, the first question has charged the customer's rate. */
-function excludeLeaving (question: PlacementQuestion, leaving: readonly string[]): PlacementQuestion {
-  if (leaving.length === 0) return question
-  return { ...question, excluded: [...question.excluded, ...leaving], charged: true }
+/** The question without the upstreams that want no requests. Once one was given back, the first question has charged the customer's rate. */
+function excludeUnwanted (question: PlacementQuestion, unwanted: readonly string[]): PlacementQuestion {
+  if (unwanted.length === 0) return question
+  return { ...question, excluded: [...question.excluded, ...unwanted], charged: true }
 }
 
 /** The end of a placement or question that is not used. */
--- a/packages/dispatch/src/pool-dispatcher.ts
+++ b/packages/dispatch/src/pool-dispatcher.ts
@@ -88,11 +88,12 @@
 
   /** Adds, updates or removes an upstream. */
   update (upstream: RegisteredUpstream): void {
-    const { instance, gone } = upstream.announced
+    const { instance, gone, born } = upstream.announced
     const standing = this.standingOf(instance)
+    standing.availability.recordStart(born)
     if (gone) this.upstreams.delete(instance)
     else this.upstreams.set(instance, { upstream, standing })
-    this.serving = [...this.upstreams.values()].filter((candidate) => !candidate.upstream.announced.draining)
+    this.serving = [...this.upstreams.values()].filter((candidate) => !isLeaving(candidate))
     this.invalidateState()
   }
 
@@ -150,7 +151,7 @@
   /** Chooses one upstream, which may just have become free, for a waiting request; undefined when the request should wait on. */
   private chooseOnly (instance: string, { question, requester }: WaitingQuestion, now: number, terms: ChoiceConstraints): UpstreamChoice | undefined {
     const candidate = this.upstreams.get(instance)
-    if (candidate === undefined || candidate.upstream.announced.draining || !isFree(candidate, question, requester, now)) return undefined
+    if (candidate === undefined || isLeaving(candidate) || !isFree(candidate, question, requester, now)) return undefined
     return chooseUpstream([candidate], this.contextOf(question, requester, now, terms))
   }
 
@@ -265,6 +266,11 @@
   }
 }
 
+/** Whether it announced that it leaves, or said so in a response. */
+function isLeaving ({ upstream, standing }: Candidate): boolean {
+  return upstream.announced.draining || standing.availability.isLeaving
+}
+
 function isFree (candidate: Candidate, question: PlacementQuestion, requester: RequestingEntry, now: number): boolean {
   return !candidate.standing.isFull(candidate.upstream.announced.slots, now) && isEligible(candidate, question, requester, now)
 }
--- a/packages/dispatch/src/tests/placement-client.test.ts
+++ b/packages/dispatch/src/tests/placement-client.test.ts
@@ -60,6 +60,85 @@
   assert.is((await placing).unwrap().instance, 'bb')
 })
 
+const LEAVING = { leaving: true, unavailableMilliseconds: 0, born: undefined }
+const UNAVAILABLE = { leaving: false, unavailableMilliseconds: 2_000, born: undefined }
+const BORN = 1_000
+
+// Guards against requests that a dispatcher, which does not know it yet, places on an upstream that told this entry that it wants none (DRAIN, BUDGET).
+for (const [name, notice] of [['leaves', LEAVING], ['is unavailable', UNAVAILABLE]] as const) {
+  test(`a placement on an upstream that told the entry that it ${name} is given back with that notice and asked again`, async () => {
+    const { clock, client, asked, ended } = createClient()
+    client.recordNotice('a', notice)
+    clock.advance(100)
+    const placing = client.place(question(1), neverAborted)
+    client.receivePlacement({ ticket: 1, instance: 'a', address: '10.0.0.1:80' })
+    await flushPromises()
+    const unavailableMilliseconds = Math.max(0, notice.unavailableMilliseconds - 100)
+    assert.is(ended[0]?.outcome, PlacementOutcome.PLACEMENT_OUTCOME_CANCELLED)
+    assert.equal(ended[0]?.notice, { ...notice, unavailableMilliseconds, born: BORN })
+    assert.equal(asked[1]?.excluded, ['a'])
+    client.receivePlacement({ ticket: 1, instance: 'bb', address: '10.0.0.2:80' })
+    assert.is((await placing).unwrap().instance, 'bb')
+  })
+}
+
+test('an upstream that asked for a pause is used when it is over', async () => {
+  const { clock, client } = createClient()
+  client.recordNotice('a', UNAVAILABLE)
+  clock.advance(2_000)
+  const placing = client.place(question(1), neverAborted)
+  client.receivePlacement({ ticket: 1, instance: 'a', address: '10.0.0.1:80' })
+  assert.is((await placing).unwrap().instance, 'a')
+})
+
+// Guards against requests that an entry without a dispatcher places on an upstream that told it that it wants none (DRAIN, BUDGET).
+test('without a dispatcher an entry places nothing on an upstream that told it that it leaves, until it has started anew', async () => {
+  const { clock, client, state, placer, registry } = createClient()
+  state.reachable = false
+  client.recordNotice('a', LEAVING)
+  client.lost()
+  clock.advance(300)
+  assert.is((await client.place(question(1), neverAborted)).unwrapErr().reason, DenialReason.DENIAL_REASON_NO_UPSTREAM)
+  registry.announce(announcement({ instance: 'a', sequence: 2 }))
+  assert.is(placer.choose(question(2)), undefined, 'a further announcement of the same start changes nothing')
+  registry.announce(announcement({ instance: 'a', born: BORN + 1 }))
+  assert.is(placer.choose(question(3))?.announced.instance, 'a')
+})
+
+test('without a dispatcher an entry places nothing on an upstream that asked it for a pause, until it is over', () => {
+  const { clock, client, placer } = createClient()
+  client.recordNotice('a', UNAVAILABLE)
+  client.recordNotice('a', { ...UNAVAILABLE, unavailableMilliseconds: 500 })
+  clock.advance(1_999)
+  assert.is(placer.choose(question(1)), undefined, 'a shorter pause does not end a longer one')
+  clock.advance(1)
+  assert.is(placer.choose(question(2))?.announced.instance, 'a')
+})
+
+// Guards against a departure that is forgotten because the upstream's announcement arrives after its response (DRAIN).
+test('an upstream that told the entry that it leaves before its announcement arrived is not used', () => {
+  const { client, placer, registry } = createClient()
+  client.recordNotice('bb', LEAVING)
+  registry.announce(announcement({ instance: 'bb' }))
+  const chosen = new Set(Array.from({ length: 20 }, (_, ticket) => placer.choose(question(ticket))?.announced.instance))
+  assert.equal([...chosen], ['a'])
+})
+
+test('the next dispatcher learns with a kept end what the upstream said, and how long it still wants no requests', async () => {
+  const { clock, client, ended, state } = createClient()
+  const placing = client.place(question(1), neverAborted)
+  client.receivePlacement({ ticket: 1, instance: 'a', address: '10.0.0.1:80' })
+  await placing
+  state.reachable = false
+  client.lost()
+  client.recordNotice('a', UNAVAILABLE)
+  client.end({ ticket: 1, outcome: PlacementOutcome.PLACEMENT_OUTCOME_REFUSED, milliseconds: 5, load: undefined, statedLimit: undefined, instance: '' })
+  clock.advance(1_500)
+  state.reachable = true
+  client.connected()
+  assert.equal(ended[0]?.notice, { leaving: false, unavailableMilliseconds: 500, born: BORN })
+})
+
 test('without a dispatcher the entry places requests by itself after a short wait', async () => {
   const { clock, client, state } = createClient()
   state.reachable = false
--- a/packages/request/src/dispatched-attempt.ts
+++ b/packages/request/src/dispatched-attempt.ts
@@ -75,6 +75,7 @@
     const answer = head.value
     const metadata = dialect.readAnswer(answer.status, answer.headers, this.caller)
     this.metadata = metadata
+    if (metadata.notice !== undefined) this.options.placementClient.recordNotice(this.placed.instance, metadata.notice)
     const headFailure = failureOfHead(answer, metadata)
     if (headFailure !== undefined) {
       answer.abort(AttemptFailure.create('hedge_lost', 'the response is not used'))
