Red: a relay connects others to an upstream that wants no requests from its entry (DRAIN, BUDGET)

An entry that was told that an upstream leaves, or wants a pause, still connects other entries to it, so their requests come from this entry.

--- a/packages/dispatch/src/upstream-registry.ts
+++ b/packages/dispatch/src/upstream-registry.ts
@@ -58,9 +58,14 @@
     return this.byInstance.get(instance)
   }
 
+  /** The last upstream that announced this IP:PORT; empty if there is none. */
+  instanceAt (address: string): string {
+    return this.byAddress.get(address) ?? ''
+  }
+
   /** Whether an upstream that has not left announced this IP:PORT. */
   isPresent (address: string): boolean {
-    return this.find(this.byAddress.get(address) ?? '')?.announced.gone === false
+    return this.find(this.instanceAt(address))?.announced.gone === false
   }
 
   /** Whether the upstream said that it leaves, or has left. */
--- a/packages/entry/src/connection-relay.ts
+++ b/packages/entry/src/connection-relay.ts
@@ -16,6 +16,8 @@
   readonly connector: Connector
   /** Whether an upstream announced this IP:PORT; other destinations are refused. */
   readonly isUpstream: (address: string) => boolean
+  /** Whether the upstream at this IP:PORT told this entry that it wants no requests. */
+  readonly isUnwanted: (address: string) => boolean
   /** Whether this entry reaches upstreams itself. */
   readonly isReaching: () => boolean
 }
--- a/packages/entry/src/dispatched-entry.ts
+++ b/packages/entry/src/dispatched-entry.ts
@@ -128,7 +128,13 @@
         }
       }
     })
-    this.upstreams = UpstreamAccess.create({ clock, logger, connector: options.connector, isUpstream: (address) => this.registry.isPresent(address) })
+    this.upstreams = UpstreamAccess.create({
+      clock,
+      logger,
+      connector: options.connector,
+      isUpstream: (address) => this.registry.isPresent(address),
+      isUnwanted: (address) => this.placer.isUnwanted(this.registry.instanceAt(address))
+    })
     this.runner = DispatchedRunner.create({
       clock, random, dialect, connections: this.upstreams.connections, placementClient: this.placementClient, inForce: this.inForce, table: () => this.table
     }, logger, this.entryMetrics)
--- a/packages/entry/src/tests/connection-relay.test.ts
+++ b/packages/entry/src/tests/connection-relay.test.ts
@@ -24,14 +24,21 @@
   readonly upstream: RawUpstream
 }
 
+interface RelayChanges {
+  readonly connector?: Connector
+  readonly isReaching?: boolean
+  readonly isUnwanted?: boolean
+}
+
 /** Runs a check with a relay and one upstream that it knows. */
-async function withRelay (script: UpstreamScript, check: (fixture: Fixture) => Promise<void>, changes: { connector?: Connector, isReaching?: boolean } = {}) {
+async function withRelay (script: UpstreamScript, check: (fixture: Fixture) => Promise<void>, changes: RelayChanges = {}) {
   const upstream = await RawUpstream.create(script)
   const relay = ConnectionRelay.create({
     clock,
     logger: silentLogger(),
     connector: changes.connector ?? DirectConnector.create(clock, CONNECT_TIMEOUT_MILLISECONDS),
     isUpstream: (address) => address === upstream.address,
+    isUnwanted: () => changes.isUnwanted ?? false,
     isReaching: () => changes.isReaching ?? true
   })
   const address = await freeAddress()
@@ -115,6 +122,14 @@
   await withRelay(() => {}, async (fixture) => assert.is(await failureOf(fixture), 'upstream_unreachable'), { connector })
 })
 
+// Guards against requests of other entries that reach an upstream from an entry which was told that it wants none (DRAIN, BUDGET).
+test('a relay does not connect to an upstream that told its entry that it wants no requests', async () => {
+  await withRelay(() => {}, async (fixture) => {
+    assert.is(await failureOf(fixture), 'upstream_unreachable')
+    assert.is(fixture.upstream.connections, 0)
+  }, { isUnwanted: true })
+})
+
 test('a relay that is not there is unavailable', async () => {
   assert.is((await connectThroughRelay(await freeAddress(), '127.0.0.1:1', neverAborted)).unwrapErr().code, 'relay_unavailable')
 })
--- a/packages/entry/src/upstream-access.ts
+++ b/packages/entry/src/upstream-access.ts
@@ -16,6 +16,8 @@
   readonly connector?: Connector
   /** Whether an upstream announced this IP:PORT. */
   readonly isUpstream: (address: string) => boolean
+  /** Whether the upstream at this IP:PORT told this entry that it wants no requests. */
+  readonly isUnwanted: (address: string) => boolean
 }
 
 const CONNECT_TIMEOUT_MILLISECONDS = 400
@@ -31,7 +33,7 @@
   private relays: readonly string[] = []
 
   private constructor (private readonly options: UpstreamAccessOptions) {
-    const { clock, logger, isUpstream } = options
+    const { clock, logger, isUpstream, isUnwanted } = options
     this.links = UpstreamLinks.create(clock, logger)
     this.connector = RelayedConnector.create({
       clock,
@@ -43,7 +45,7 @@
     })
     this.connections = UpstreamConnections.create(clock, {}, this.connector)
     this.relay = ConnectionRelay.create({
-      clock, logger, connector: this.directConnector(RELAY_CONNECT_TIMEOUT_MILLISECONDS), isUpstream, isReaching: () => !this.isCutOff
+      clock, logger, connector: this.directConnector(RELAY_CONNECT_TIMEOUT_MILLISECONDS), isUpstream, isUnwanted, isReaching: () => !this.isCutOff
     })
   }
 
