A relay does not connect others to an upstream that wants no requests from its entry (DRAIN, BUDGET)

An entry that was told that an upstream leaves, or wants a pause, still connected other entries to it (red test: connection-relay), since only the entry's own placements looked at what it was told. It now answers as if it could not connect, so the other entry tries another relay or another upstream; nothing has been sent by then.

--- a/packages/entry/src/connection-relay.ts
+++ b/packages/entry/src/connection-relay.ts
@@ -79,6 +79,7 @@
     socket.on('error', () => {})
     if (!this.options.isUpstream(address)) return refuse(socket, 403)
     if (!this.isAvailable) return refuse(socket, 503)
+    if (this.options.isUnwanted(address)) return refuse(socket, UPSTREAM_UNREACHABLE_STATUS)
     const aborted = new AbortController()
     const abort = (): void => aborted.abort()
     socket.once('close', abort)
--- a/packages/request/src/relay-client.ts
+++ b/packages/request/src/relay-client.ts
@@ -5,7 +5,7 @@
 import { Err, Ok } from 'ts-results-es'
 import { ConnectFailure, type ConnectResult } from './connector.ts'
 
-/** Status with which a relay states that it could not connect to the upstream either. */
+/** Status with which a relay states that it cannot, or must not, connect to the upstream either. */
 export const UPSTREAM_UNREACHABLE_STATUS = 502
 const CONNECTED_STATUS = 200
 
