--- a/packages/dispatch/src/placement-client.ts
+++ b/packages/dispatch/src/placement-client.ts
@@ -1,7 +1,7 @@
 /** The entry's side of placing requests: asks the dispatcher, and falls back to a local placer while there is none. */
 import {
   DenialReason, PlacementOutcome,
-  type Denial, type Placement, type PlacementEnd, type PlacementQuestion, type RunningRequest
+  type Denial, type Placement, type PlacementEnd, type PlacementQuestion, type RunningRequest, type UpstreamNotice
 } from '@hickoryspoke/protocol/generated/dispatch'
 import { sleep, type Clock } from '@hickoryspoke/runtime/clock'
 import { Failure } from '@hickoryspoke/runtime/failure'
@@ -39,6 +39,9 @@
   readonly sendEnd: (end: PlacementEnd) => boolean
 }
 
+/** The end of a placement, as reported by the request that used it. */
+export type ReportedEnd = Omit<PlacementEnd, 'notice'>
+
 /** A placement or a denial; undefined when the question was cancelled or the dispatcher was lost. */
 type Reply = Result<Placement, PlacementDenied> | undefined
 
@@ -54,7 +57,7 @@
 export class PlacementClient {
   private readonly waiting = new Map<number, (reply: Reply) => void>()
   private readonly placed = new Map<number, PlacedRequest>()
-  private readonly unsentEnds: PlacementEnd[] = []
+  private readonly unsentEnds: ReportedEnd[] = []
   private lastTicket = 0
   /** When the dispatcher was lost; undefined while there is one. */
   private lostAt: number | undefined
@@ -109,11 +112,11 @@
   async place (question: PlacementQuestion, signal: AbortSignal): Promise<Result<PlacedRequest, PlacementDenied>> {
     const { clock } = this.options
     const until = clock.monotonicMilliseconds() + question.patienceMilliseconds
-    const leaving: string[] = []
+    const unwanted: string[] = []
     while (!signal.aborted && clock.monotonicMilliseconds() < until) {
-      const reply = await this.askDispatcher(excludeLeaving(question, leaving), signal)
-      if (reply?.isOk() === true && this.options.isLeaving(reply.value.instance)) {
-        leaving.push(reply.value.instance)
+      const reply = await this.askDispatcher(excludeUnwanted(question, unwanted), signal)
+      if (reply?.isOk() === true && this.isUnwanted(reply.value.instance)) {
+        unwanted.push(reply.value.instance)
         this.sendOrKeepEnd(unusedPlacementEnd(reply.value.ticket, reply.value.instance))
         continue
       }
@@ -124,8 +127,13 @@
     return Err(PlacementDenied.create(DenialReason.DENIAL_REASON_OVERLOADED, RETRY_AFTER_MILLISECONDS))
   }
 
+  /** Records what the head of a response says. The end of a long response may come much later. */
+  recordNotice (instance: string, notice: UpstreamNotice): void {
+    this.options.placer.recordNotice(instance, notice)
+  }
+
   /** Ends a placement and reports its outcome to the local placer and to the dispatcher. */
-  end (end: PlacementEnd): void {
+  end (end: ReportedEnd): void {
     const placed = this.placed.get(end.ticket)
     if (placed === undefined) return
     this.placed.delete(end.ticket)
@@ -134,8 +142,13 @@
     this.sendOrKeepEnd(endWithInstance)
   }
 
-  private sendOrKeepEnd (end: PlacementEnd): void {
-    if (this.options.sendEnd(end)) return
+  /** Whether this entry knows that the upstream wants no requests. A dispatcher may not know it yet. */
+  private isUnwanted (instance: string): boolean {
+    return this.options.isLeaving(instance) || this.options.placer.isUnwanted(instance)
+  }
+
+  private sendOrKeepEnd (end: ReportedEnd): void {
+    if (this.options.sendEnd({ ...end, notice: this.options.placer.noticeOf(end.instance) })) return
     this.unsentEnds.push(end)
     if (this.unsentEnds.length > MAXIMUM_UNSENT_ENDS) this.unsentEnds.shift()
   }
@@ -182,13 +195,13 @@
   }
 }
 
-/** The question without the upstreams that are leaving. Once one was given back, the first question has charged the customer's rate. */
-function excludeLeaving (question: PlacementQuestion, leaving: readonly string[]): PlacementQuestion {
-  if (leaving.length === 0) return question
-  return { ...question, excluded: [...question.excluded, ...leaving], charged: true }
+/** The question without the upstreams that want no requests. Once one was given back, the first question has charged the customer's rate. */
+function excludeUnwanted (question: PlacementQuestion, unwanted: readonly string[]): PlacementQuestion {
+  if (unwanted.length === 0) return question
+  return { ...question, excluded: [...question.excluded, ...unwanted], charged: true }
 }
 
 /** The end of a placement or question that is not used. */
-function unusedPlacementEnd (ticket: number, instance: string): PlacementEnd {
+function unusedPlacementEnd (ticket: number, instance: string): ReportedEnd {
   return { ticket, outcome: PlacementOutcome.PLACEMENT_OUTCOME_CANCELLED, milliseconds: 0, load: undefined, statedLimit: undefined, instance }
 }
--- a/packages/entry/src/connection-relay.ts
+++ b/packages/entry/src/connection-relay.ts
@@ -16,6 +16,8 @@
   readonly connector: Connector
   /** Whether an upstream announced this IP:PORT; other destinations are refused. */
   readonly isUpstream: (address: string) => boolean
+  /** Whether the upstream at this IP:PORT told this entry that it wants no requests. */
+  readonly isUnwanted: (address: string) => boolean
   /** Whether this entry reaches upstreams itself. */
   readonly isReaching: () => boolean
 }
@@ -77,6 +79,7 @@
     socket.on('error', () => {})
     if (!this.options.isUpstream(address)) return refuse(socket, 403)
     if (!this.isAvailable) return refuse(socket, 503)
+    if (this.options.isUnwanted(address)) return refuse(socket, UPSTREAM_UNREACHABLE_STATUS)
     const aborted = new AbortController()
     const abort = (): void => aborted.abort()
     socket.once('close', abort)
