--- a/packages/dispatch/src/placement-inbox.ts
+++ b/packages/dispatch/src/placement-inbox.ts
@@ -34,8 +34,8 @@
   readonly end: PlacementEnd
 }
 
-/** Time in a turn of the event loop that is spent on placements. */
-const SLICE_MILLISECONDS = 5
+/** Time in a turn of the event loop that is spent on ends, and again on questions, so that neither starves. */
+const SLICE_MILLISECONDS = 3
 /** A question is handled within this time or not at all. Short, since the caller's time runs, and a longer wait serves nobody more. */
 const MAXIMUM_WAIT_MILLISECONDS = 200
 
@@ -98,11 +98,11 @@
     })
   }
 
-  /** Handles messages for one slice. */
+  /** Handles messages for one slice of each kind. */
   private work (): void {
-    const until = this.options.clock.monotonicMilliseconds() + SLICE_MILLISECONDS
-    this.handleEnds(until)
-    this.handleQuestions(until)
+    const { clock } = this.options
+    this.handleEnds(clock.monotonicMilliseconds() + SLICE_MILLISECONDS)
+    this.handleQuestions(clock.monotonicMilliseconds() + SLICE_MILLISECONDS)
     if (this.ends.length > 0 || this.questions.size > 0) this.schedule()
   }
 
