--- a/packages/dispatch/src/client-session.ts
+++ b/packages/dispatch/src/client-session.ts
@@ -21,6 +21,8 @@
   /** Whether it said that it does so now. */
   isRelaying: boolean
   heldNumber: number
+  /** When its last message arrived, in monotonic milliseconds. */
+  heardAt: number
   /** Digest of the upstreams that the client knew before it was sent any; undefined once its view may have changed since. */
   upstreamDigest: string | undefined
 }
--- a/packages/dispatch/src/dispatch-service.ts
+++ b/packages/dispatch/src/dispatch-service.ts
@@ -52,6 +52,8 @@
 type ControlBody = Exclude<NonNullable<EntryMessage['body']>, { readonly $case: 'question' | 'end' }>
 
 const QUEUE_TICK_MILLISECONDS = 50
+/** Clients ask for the number in force at least once a second. */
+const SILENT_SESSION_MILLISECONDS = 5_000
 
 /** What exists only while this process leads. */
 interface LeaderState {
@@ -113,6 +115,7 @@
       this.leading?.news.check()
       this.leading?.upstreams.check()
       this.broadcastLists()
+      this.closeSilentSessions()
     })
   }
 
@@ -221,6 +224,7 @@
     events.on('data', (message: EntryMessage) => {
       if (session === undefined) session = this.measure('hello', () => this.openSession(call, message))
       else this.handleMessage(session, message)
+      if (session !== undefined) session.heardAt = this.options.clock.monotonicMilliseconds()
     })
     events.on('end', end)
     events.on('cancelled', end)
@@ -257,7 +261,8 @@
   private registerSession (call: DispatchCall, hello: DispatchHello): ClientSession {
     const connection: EntryConnection = { entry: hello.name, zone: hello.zone, send: (message) => { call.write(message) } }
     const { mirror, configurationNumber: heldNumber, upstreamDigest, relay } = hello
-    const session: ClientSession = { call, connection, mirror, relay, isRelaying: false, heldNumber, upstreamDigest }
+    const heardAt = this.options.clock.monotonicMilliseconds()
+    const session: ClientSession = { call, connection, mirror, relay, isRelaying: false, heldNumber, heardAt, upstreamDigest }
     this.closeSession(this.sessions.get(hello.name))
     this.sessions.set(hello.name, session)
     if (!hello.mirror) this.leading?.news.attach(hello.name)
@@ -272,6 +277,16 @@
     session.call.end()
   }
 
+  /** Ends the streams of clients that were lost without closing them. */
+  private closeSilentSessions (): void {
+    const heardSince = this.options.clock.monotonicMilliseconds() - SILENT_SESSION_MILLISECONDS
+    for (const session of this.sessions.values()) {
+      if (session.heardAt >= heardSince) continue
+      this.removeSession(session)
+      session.call.destroy()
+    }
+  }
+
   private removeSession (session: ClientSession): void {
     const { entry } = session.connection
     if (this.sessions.get(entry) !== session) return
--- a/packages/dispatch/src/dispatch-stream.ts
+++ b/packages/dispatch/src/dispatch-stream.ts
@@ -87,7 +87,7 @@
     return {
       write: (message) => connection.write(message),
       end: (last) => connection.end(last),
-      cancel: () => connection.cancel(),
+      cancel: () => connection.destroy(),
       isAccepted: () => connection.isAccepted
     }
   }
--- a/packages/dispatch/src/tests/overloaded-leader.test.ts
+++ b/packages/dispatch/src/tests/overloaded-leader.test.ts
@@ -45,6 +45,7 @@
   }
 
   end (): void {}
+  destroy (): void {}
 
   receive (body: Body): void {
     this.emit('data', { body })
--- a/packages/protocol/src/framed-connection.ts
+++ b/packages/protocol/src/framed-connection.ts
@@ -116,7 +116,7 @@
   }
 
   /** Closes the connection at once. */
-  cancel (): void {
+  destroy (): void {
     this.socket.destroy()
   }
 
--- a/packages/protocol/src/tests/framed-connection.test.ts
+++ b/packages/protocol/src/tests/framed-connection.test.ts
@@ -72,7 +72,7 @@
   connections[0]?.write(QUERY)
   await until(() => replies.length === 1)
   assert.ok(client.isAccepted)
-  client.cancel()
+  client.destroy()
   close()
 })
 
