--- a/packages/bench/src/measure-dispatch-queue.ts
+++ b/packages/bench/src/measure-dispatch-queue.ts
@@ -1,4 +1,4 @@
-/** Measures the processor time of the dispatcher for a question, an end and a tick, against the number of waiting requests and the share of upstreams that shed. */
+/** Measures the processor time of the dispatcher for a question, an end and a tick, against the number of waiting requests and refusals. */
 import { CustomerRateLimiter } from '@hickoryspoke/dispatch/customer-rate-limiter'
 import { Dispatcher } from '@hickoryspoke/dispatch/dispatcher'
 import type { EntryConnection } from '@hickoryspoke/dispatch/entry-connection'
@@ -41,6 +41,9 @@
 const WARMUP_MILLISECONDS = 2_500
 const RUN_MILLISECONDS = 2_500
 const TICK_MILLISECONDS = 50
+/** Calls of one step are measured together, since the measurement has a cost of its own. */
+const STEP_MILLISECONDS = 10
+const MAXIMUM_ARRIVALS = 100
 const REFUSAL_MILLISECONDS = 5
 const SCENARIOS: readonly QueueScenario[] = [
   { name: 'none waiting', waiting: 0, refusedShare: 0 },
@@ -56,11 +59,13 @@
   private calls = 0
   private microseconds = 0
 
-  measure (task: () => void): void {
+  /** Runs a number of calls. */
+  measure (calls: number, task: () => void): void {
+    if (calls === 0) return
     const began = process.cpuUsage()
     task()
     const { user, system } = process.cpuUsage(began)
-    this.calls += 1
+    this.calls += calls
     this.microseconds += user + system
   }
 
@@ -104,32 +109,53 @@
   }
 
   private advance (milliseconds: number): void {
-    for (let step = 0; step < milliseconds; step += 1) {
-      this.costs.timers.measure(() => this.clock.step())
+    for (let step = 0; step < milliseconds; step += STEP_MILLISECONDS) {
+      this.costs.timers.measure(STEP_MILLISECONDS, () => this.clock.advance(STEP_MILLISECONDS))
       const now = this.clock.monotonicMilliseconds()
-      for (const end of this.ends.get(now) ?? []) end()
+      const ends = this.ends.get(now) ?? []
       this.ends.delete(now)
-      if (now % TICK_MILLISECONDS === 0) this.costs.tick.measure(() => this.dispatcher.tick())
-      for (const kind of KINDS) this.arrive(kind)
+      this.costs.end.measure(ends.length, () => ends.forEach((end) => end()))
+      if (now % TICK_MILLISECONDS === 0) this.costs.tick.measure(1, () => this.dispatcher.tick())
+      const questions = this.arrivals()
+      this.costs.question.measure(questions.length, () => questions.forEach((question) => this.ask(question)))
     }
   }
 
-  private arrive (kind: Kind): void {
-    if (this.random.next() < kind.ratePerSecond / 1_000) this.ask(kind)
-    if (kind.pool !== LARGEST_POOL || this.scenario.waiting === 0) return
-    for (let tries = 0; tries < 100 && this.waiting < this.scenario.waiting; tries += 1) this.ask(kind)
+  private arrivals (): PlacementQuestion[] {
+    const kinds = KINDS.flatMap((kind) => Array.from({ length: this.arrivalsOf(kind) }, () => kind))
+    return kinds.map((kind) => this.createQuestion(kind))
   }
 
-  private ask (kind: Kind): void {
+  private arrivalsOf (kind: Kind): number {
+    const usual = Math.floor(kind.ratePerSecond * STEP_MILLISECONDS / 1_000 + this.random.next())
+    if (kind.pool !== LARGEST_POOL || this.scenario.waiting === 0) return usual
+    return Math.max(usual, Math.min(MAXIMUM_ARRIVALS, this.scenario.waiting - this.waiting))
+  }
+
+  private createQuestion (kind: Kind): PlacementQuestion {
     this.lastTicket += 1
     const { pool, targetMilliseconds, patienceMilliseconds, priority, mayRepeat } = kind
-    const question: PlacementQuestion = {
-      ticket: this.lastTicket, pool, customer: `customer-${this.lastTicket % 88}`, priority, mayRepeat, targetMilliseconds, patienceMilliseconds,
-      excluded: [], attempt: 0, fingerprint: this.lastTicket, route: `${pool}-${priority}`, charged: false
-    }
-    this.asked.set(question.ticket, kind)
+    const ticket = this.lastTicket
+    this.asked.set(ticket, kind)
     if (pool === LARGEST_POOL) this.waiting += 1
-    this.costs.question.measure(() => this.dispatcher.ask(this.entries[question.ticket % ENTRIES] as EntryConnection, question))
+    return {
+      ticket,
+      pool,
+      customer: `customer-${ticket % 88}`,
+      priority,
+      mayRepeat,
+      targetMilliseconds,
+      patienceMilliseconds,
+      excluded: [],
+      attempt: 0,
+      fingerprint: ticket,
+      route: `${pool}-${priority}`,
+      charged: false
+    }
+  }
+
+  private ask (question: PlacementQuestion): void {
+    this.dispatcher.ask(this.entries[question.ticket % ENTRIES] as EntryConnection, question)
   }
 
   private receive (connection: EntryConnection, { body }: DispatchMessage): void {
@@ -146,13 +172,11 @@
     const isRefused = this.random.next() < this.scenario.refusedShare
     const milliseconds = isRefused ? REFUSAL_MILLISECONDS : Math.ceil(kind.workMilliseconds * (0.3 - 0.7 * Math.log(1 - this.random.next())))
     const outcome = isRefused ? PlacementOutcome.PLACEMENT_OUTCOME_REFUSED : PlacementOutcome.PLACEMENT_OUTCOME_ANSWERED
-    const at = this.clock.monotonicMilliseconds() + milliseconds + 1
+    const at = Math.ceil((this.clock.monotonicMilliseconds() + milliseconds + 1) / STEP_MILLISECONDS) * STEP_MILLISECONDS
     const ends = this.ends.get(at) ?? []
     this.ends.set(at, ends)
     ends.push(() => {
-      this.costs.end.measure(() => {
-        this.dispatcher.end(connection, { ticket, outcome, milliseconds, load: undefined, statedLimit: undefined, instance })
-      })
+      this.dispatcher.end(connection, { ticket, outcome, milliseconds, load: undefined, statedLimit: undefined, instance })
     })
   }
 
@@ -199,4 +223,4 @@
   ]
 }
 
-const NOTES = ['Simulated time; processor time of the process, without messages between processes. Includes about a microsecond each for the measurement.']
+const NOTES = ['Simulated time; processor time of the process, without messages between processes.']
