Dispatcher: a question and an end allocate less

Callers saw too little served (SHORT): placements use up the leading control VM. Each look at an upstream allocated a cached estimate, each question an array of free upstreams, each end two sets of shares from lists of entries, and each wait for a retry summed up its window.

Estimates are kept in two fields, the sample of free upstreams is kept, shares are one literal, the window of retries keeps its sums, and the context of a choice is put together only when an upstream is free.

--- a/packages/dispatch/src/failure-estimate.ts
+++ b/packages/dispatch/src/failure-estimate.ts
@@ -39,7 +39,9 @@
   private last = PRIOR_PROBABILITY
   private lastAt: number
   /** The latest result of `probability`, which is called many times for the same moment. */
-  private cached = { at: Number.NaN, probability: 0 }
+  private cachedProbability = Number.NaN
+  /** When it was computed; not a number after a change. */
+  private cachedAt = Number.NaN
 
   private constructor (now: number) {
     this.lastAt = now
@@ -52,18 +54,18 @@
 
   /** Probability that the upstream is failing now. */
   probability (now: number): number {
-    if (this.cached.at === now) return this.cached.probability
+    if (this.cachedAt === now) return this.cachedProbability
     const decay = Math.exp(-Math.max(0, now - this.lastAt) / DECAY_MILLISECONDS)
-    const probability = PRIOR_PROBABILITY + (this.last - PRIOR_PROBABILITY) * decay
-    this.cached = { at: now, probability }
-    return probability
+    this.cachedProbability = PRIOR_PROBABILITY + (this.last - PRIOR_PROBABILITY) * decay
+    this.cachedAt = now
+    return this.cachedProbability
   }
 
   /** Replaces the estimate with that of another process. */
   adopt (probability: number, now: number): void {
     this.last = probability
     this.lastAt = now
-    this.cached = { at: Number.NaN, probability: 0 }
+    this.cachedAt = Number.NaN
   }
 
   /** Updates the estimate with evidence from one request; `sound` holds the shares at sound upstreams of the pool. */
@@ -73,6 +75,6 @@
     const probability = failing / (failing + (1 - before) * sound[evidence])
     this.last = Math.min(MAXIMUM_PROBABILITY, Math.max(MINIMUM_PROBABILITY, probability))
     this.lastAt = Math.max(this.lastAt, now)
-    this.cached = { at: Number.NaN, probability: 0 }
+    this.cachedAt = Number.NaN
   }
 }
--- a/packages/dispatch/src/fleet-retry-budget.ts
+++ b/packages/dispatch/src/fleet-retry-budget.ts
@@ -20,6 +20,9 @@
 /** Counts the requests and retries of one pool. */
 export class FleetRetryBudget {
   private readonly parts: WindowPart[] = []
+  /** Sums over the parts. */
+  private requests = 0
+  private retries = 0
 
   private constructor (private readonly terms: FleetRetryBudgetSettings) {}
 
@@ -29,28 +32,36 @@
 
   recordRequest (now: number): void {
     this.current(now).requests += 1
+    this.requests += 1
   }
 
   /** Takes one retry from the budget; false when it is spent. */
   tryTakeRetry (now: number): boolean {
     if (!this.allowsRetry(now)) return false
     this.current(now).retries += 1
+    this.retries += 1
     return true
   }
 
   allowsRetry (now: number): boolean {
-    this.current(now)
-    const requests = this.parts.reduce((sum, part) => sum + part.requests, 0)
-    const retries = this.parts.reduce((sum, part) => sum + part.retries, 0)
-    return retries + 1 <= this.terms.ratio * requests + USABLE_SLACK_SHARE * this.terms.slack
+    this.evictExpired(now)
+    return this.retries + 1 <= this.terms.ratio * this.requests + USABLE_SLACK_SHARE * this.terms.slack
   }
 
   private current (now: number): WindowPart {
-    while (this.parts.length > 0 && (this.parts[0] as WindowPart).beganAt <= now - this.terms.windowMilliseconds) this.parts.shift()
+    this.evictExpired(now)
     const last = this.parts.at(-1)
     if (last !== undefined && now < last.beganAt + this.terms.windowMilliseconds / PARTS_PER_WINDOW) return last
     const part = { beganAt: now, requests: 0, retries: 0 }
     this.parts.push(part)
     return part
   }
+
+  private evictExpired (now: number): void {
+    for (let first = this.parts[0]; first !== undefined && first.beganAt <= now - this.terms.windowMilliseconds; first = this.parts[0]) {
+      this.parts.shift()
+      this.requests -= first.requests
+      this.retries -= first.retries
+    }
+  }
 }
--- a/packages/dispatch/src/pool-dispatcher.ts
+++ b/packages/dispatch/src/pool-dispatcher.ts
@@ -77,6 +77,8 @@
   private serving: readonly Candidate[] = []
   /** Where the examination of the upstreams stopped last. */
   private nextExamined = -1
+  /** The free upstreams among which a request is placed; kept, as it is filled for each request. */
+  private readonly sample: Candidate[] = []
   private state: PoolState = { at: -Infinity, effectiveSlots: 0, hasSound: false, bestSuccess: 0, activeShare: 0 }
 
   private constructor (private readonly clock: Clock, private readonly limits: UpstreamLimits, private readonly minimumActiveShare: number) {}
@@ -131,12 +133,13 @@
 
   /** Chooses an upstream with a free slot; undefined when the request should wait. Looks at some of a large pool only, unless none of them will do. */
   choose (question: PlacementQuestion, requester: RequestingEntry, now: number, terms: ChoiceConstraints): UpstreamChoice | undefined {
-    const context = this.contextOf(question, requester, now, terms)
+    let context: ChoiceContext | undefined
     if (this.isSmall) this.nextExamined = -1
     for (let examined = 0; examined < this.serving.length;) {
-      const sample = this.nextFree(question, requester, now, this.serving.length - examined)
-      examined += sample.examined
-      const choice = sample.free.length === 0 ? undefined : chooseUpstream(sample.free, context)
+      examined += this.sampleFree(question, requester, now, this.serving.length - examined)
+      if (this.sample.length === 0) continue
+      context ??= this.contextOf(question, requester, now, terms)
+      const choice = chooseUpstream(this.sample, context)
       if (choice !== undefined) return choice
     }
     return undefined
@@ -154,29 +157,30 @@
     return chooseUpstream([candidate], this.contextOf(question, requester, now, terms))
   }
 
-  /** The next free upstreams after those of the previous call, up to the size of a sample, out of at most `limit`. */
-  private nextFree (question: PlacementQuestion, requester: RequestingEntry, now: number, limit: number): { free: Candidate[], examined: number } {
-    const free: Candidate[] = []
+  /** Fills `sample` with the next free upstreams after those of the previous call, out of at most `limit`; returns how many were examined. */
+  private sampleFree (question: PlacementQuestion, requester: RequestingEntry, now: number, limit: number): number {
+    this.sample.length = 0
     let examined = 0
-    while (examined < limit && free.length < SAMPLE_UPSTREAMS) {
+    while (examined < limit && this.sample.length < SAMPLE_UPSTREAMS) {
       this.nextExamined = (this.nextExamined + 1) % this.serving.length
       examined += 1
       const candidate = this.serving[this.nextExamined] as Candidate
-      if (isFree(candidate, question, requester, now)) free.push(candidate)
+      if (isFree(candidate, question, requester, now)) this.sample.push(candidate)
     }
-    return { free, examined }
+    return examined
   }
 
   private contextOf (question: PlacementQuestion, requester: RequestingEntry, now: number, terms: ChoiceConstraints): ChoiceContext {
     const isStressed = this.unserved.isStressed(now)
+    const { activeShare, hasSound, bestSuccess } = this.stateAt(now)
     return {
       now,
       zone: requester.zone,
       mayProbe: terms.mayProbe && question.attempt === 0,
-      isSpreading: isStressed || this.stateAt(now).activeShare < this.minimumActiveShare,
+      isSpreading: isStressed || activeShare < this.minimumActiveShare,
       isStressed,
-      hasSound: this.stateAt(now).hasSound,
-      minimumSuccess: this.successThreshold(question.priority, terms, now) * this.stateAt(now).bestSuccess
+      hasSound,
+      minimumSuccess: this.successThreshold(question.priority, terms, now) * bestSuccess
     }
   }
 
--- a/packages/dispatch/src/sound-shares.ts
+++ b/packages/dispatch/src/sound-shares.ts
@@ -9,6 +9,7 @@
 
 /** Suspect upstreams count with at least this weight: evidence that is common at all upstreams alike is no sign that one of them fails. */
 const MINIMUM_WEIGHT = 0.2
+const ALL_EVIDENCE: readonly Evidence[] = Object.values(EVIDENCE)
 
 /** Evidence shares at the sound upstreams of one pool. */
 export class SoundShares {
@@ -16,7 +17,7 @@
   private readonly counts: Record<Evidence, number>
 
   private constructor () {
-    const priorCounts = Object.values(EVIDENCE).map((evidence) => [evidence, PRIOR_SHARES[evidence] * PRIOR_REQUESTS])
+    const priorCounts = ALL_EVIDENCE.map((evidence) => [evidence, PRIOR_SHARES[evidence] * PRIOR_REQUESTS])
     this.counts = Object.fromEntries(priorCounts) as Record<Evidence, number>
   }
 
@@ -29,15 +30,23 @@
     const weight = Math.max(MINIMUM_WEIGHT, soundProbability)
     const kept = 1 - weight / DECAY_REQUESTS
     this.requests = this.requests * kept + weight
-    for (const each of Object.values(EVIDENCE)) this.counts[each] *= kept
+    for (const each of ALL_EVIDENCE) this.counts[each] *= kept
     this.counts[evidence] += weight
   }
 
   /** The current shares; none falls below a fifth of its prior. */
   get shares (): EvidenceShares {
-    const shares = Object.values(EVIDENCE).map((evidence) => {
-      return [evidence, Math.max(PRIOR_SHARES[evidence] / 5, this.counts[evidence] / this.requests)]
-    })
-    return Object.fromEntries(shares) as Record<Evidence, number>
+    return {
+      answered: this.shareOf(EVIDENCE.answered),
+      serverError: this.shareOf(EVIDENCE.serverError),
+      broken: this.shareOf(EVIDENCE.broken),
+      overdue: this.shareOf(EVIDENCE.overdue),
+      refused: this.shareOf(EVIDENCE.refused),
+      unreachable: this.shareOf(EVIDENCE.unreachable)
+    }
+  }
+
+  private shareOf (evidence: Evidence): number {
+    return Math.max(PRIOR_SHARES[evidence] / 5, this.counts[evidence] / this.requests)
   }
 }
--- a/packages/dispatch/src/upstream-choice.ts
+++ b/packages/dispatch/src/upstream-choice.ts
@@ -94,7 +94,7 @@
 
 /** Sends requests that may be repeated to suspect upstreams, to detect when they have recovered. */
 function probeCost ({ standing }: Candidate, { now, mayProbe }: ChoiceContext): number | undefined {
-  if (!mayProbe || standing.standing(now) !== STANDING.suspect || standing.inFlight > 0) return undefined
+  if (!mayProbe || standing.inFlight > 0 || standing.standing(now) !== STANDING.suspect) return undefined
   const since = standing.millisecondsSincePlacement(now)
   return since >= PROBE_INTERVAL_MILLISECONDS ? -since : undefined
 }
