Dispatcher: the end of a request costs less while others wait

A removal searched an array of all waiting requests, and after a freed slot was given away, eight more requests were each offered the upstream that was full again. A tick searched the whole pool eight times where no upstream had room.

Each priority is a linked list now, so adding and removing cost the same in a line of any length, and a drain stops when what it offers has no free slot. Which request goes first is unchanged.

--- a/packages/dispatch/src/pool-dispatcher.ts
+++ b/packages/dispatch/src/pool-dispatcher.ts
@@ -151,9 +151,8 @@
   }
 
   /** Chooses one upstream, which may just have become free, for a waiting request; undefined when the request should wait on. */
-  private chooseOnly (instance: string, { question, requester }: WaitingQuestion, now: number, terms: ChoiceConstraints): UpstreamChoice | undefined {
-    const candidate = this.upstreams.get(instance)
-    if (candidate === undefined || candidate.upstream.announced.draining || !isFree(candidate, question, requester, now)) return undefined
+  private chooseOnly (candidate: Candidate, { question, requester }: WaitingQuestion, now: number, terms: ChoiceConstraints): UpstreamChoice | undefined {
+    if (!isFree(candidate, question, requester, now)) return undefined
     return chooseUpstream([candidate], this.contextOf(question, requester, now, terms))
   }
 
@@ -202,7 +201,8 @@
 
   /** Places waiting requests while suitable upstreams are free. */
   drainQueue (now: number, constraintsOf: (waiting: WaitingQuestion) => ChoiceConstraints): void {
-    this.drainWith((waiting) => this.choose(waiting.question, waiting.requester, now, constraintsOf(waiting)))
+    const hasRoom = (): boolean => this.serving.some((candidate) => hasFreeSlot(candidate, now))
+    this.drainWith(hasRoom, (waiting) => this.choose(waiting.question, waiting.requester, now, constraintsOf(waiting)))
   }
 
   /** Places a waiting request whose time is running out, if a suitable upstream is free. In a small pool, the requests before it go first. */
@@ -215,15 +215,19 @@
   /** Places waiting requests after one upstream may have become free. In a large pool, only that one is offered. */
   drainTo (instance: string, now: number, constraintsOf: (waiting: WaitingQuestion) => ChoiceConstraints): void {
     if (this.isSmall) return this.drainQueue(now, constraintsOf)
-    this.drainWith((waiting) => this.chooseOnly(instance, waiting, now, constraintsOf(waiting)))
+    const candidate = this.upstreams.get(instance)
+    if (candidate === undefined || candidate.upstream.announced.draining) return
+    this.drainWith(() => hasFreeSlot(candidate, now), (waiting) => this.chooseOnly(candidate, waiting, now, constraintsOf(waiting)))
   }
 
-  private drainWith (choose: (waiting: WaitingQuestion) => UpstreamChoice | undefined): void {
+  /** Offers upstreams to the first waiting requests, as long as any of them has room. */
+  private drainWith (hasRoom: () => boolean, choose: (waiting: WaitingQuestion) => UpstreamChoice | undefined): void {
     for (const group of this.line.groups()) {
       let failedTries = 0
       while (failedTries < MAXIMUM_FAILED_TRIES) {
-        const waiting = group[failedTries]
+        const waiting = group.at(failedTries)
         if (waiting === undefined) break
+        if (!hasRoom()) return
         const choice = choose(waiting)
         if (choice === undefined) failedTries += 1
         else this.placeWaiting(waiting, choice)
@@ -270,7 +274,11 @@
 }
 
 function isFree (candidate: Candidate, question: PlacementQuestion, requester: RequestingEntry, now: number): boolean {
-  return !candidate.standing.isFull(candidate.upstream.announced.slots, now) && isEligible(candidate, question, requester, now)
+  return hasFreeSlot(candidate, now) && isEligible(candidate, question, requester, now)
+}
+
+function hasFreeSlot ({ upstream, standing }: Candidate, now: number): boolean {
+  return !standing.isFull(upstream.announced.slots, now)
 }
 
 function isEligible ({ upstream, standing }: Candidate, question: PlacementQuestion, requester: RequestingEntry, now: number): boolean {
--- a/packages/dispatch/src/waiting-queue.ts
+++ b/packages/dispatch/src/waiting-queue.ts
@@ -2,6 +2,7 @@
 import type { PlacementQuestion } from '@hickoryspoke/protocol/generated/dispatch'
 import type { RequestingEntry } from './pool-dispatcher.ts'
 import type { UpstreamChoice } from './upstream-choice.ts'
+import { WaitingLine } from './waiting-line.ts'
 
 /** A placement question that waits for a free upstream. */
 export interface WaitingQuestion {
@@ -15,10 +16,8 @@
 
 /** The waiting requests of one pool. */
 export class WaitingQueue {
-  private readonly onTime: WaitingQuestion[] = []
-  private readonly late: WaitingQuestion[] = []
-  /** Number of on-time requests by priority. */
-  private readonly onTimeCounts = new Map<number, number>()
+  private readonly onTime = WaitingLine.create()
+  private readonly late = WaitingLine.create()
 
   static create (): WaitingQueue {
     return new WaitingQueue()
@@ -30,70 +29,36 @@
 
   /** When the oldest request began to wait; Infinity for none. */
   get oldest (): number {
-    return [...this.onTime, ...this.late].reduce((oldest, { since }) => Math.min(oldest, since), Infinity)
+    return Math.min(this.onTime.oldest, this.late.oldest)
   }
 
   /** The two groups: requests that can be answered in time, and those that can only be answered late. */
-  groups (): readonly (readonly WaitingQuestion[])[] {
+  groups (): readonly WaitingLine[] {
     return [this.onTime, this.late]
   }
 
   /** Number of on-time requests that go before a new one with this priority. */
   ahead (priority: number): number {
-    let count = 0
-    for (const [other, requests] of this.onTimeCounts) {
-      if (other <= priority) count += requests
-    }
-    return count
+    return this.onTime.ahead(priority)
   }
 
   add (waiting: WaitingQuestion): void {
-    insertByPriority(this.onTime, waiting)
-    this.countOnTime(waiting, 1)
+    this.onTime.add(waiting)
   }
 
   /** Moves a request that can no longer be answered in time behind those that can; false when it is not in the first group. */
   moveToLate (waiting: WaitingQuestion): boolean {
-    if (!this.removeOnTime(waiting)) return false
-    insertByPriority(this.late, waiting)
+    if (!this.onTime.remove(waiting)) return false
+    this.late.add(waiting)
     return true
   }
 
   isWaiting (waiting: WaitingQuestion): boolean {
-    return this.onTime.includes(waiting) || this.late.includes(waiting)
+    return this.onTime.has(waiting) || this.late.has(waiting)
   }
 
   /** Removes a request; false when it is not waiting. */
   withdraw (waiting: WaitingQuestion): boolean {
-    return this.removeOnTime(waiting) || remove(this.late, waiting)
+    return this.onTime.remove(waiting) || this.late.remove(waiting)
   }
-
-  private removeOnTime (waiting: WaitingQuestion): boolean {
-    if (!remove(this.onTime, waiting)) return false
-    this.countOnTime(waiting, -1)
-    return true
-  }
-
-  private countOnTime ({ question }: WaitingQuestion, change: number): void {
-    this.onTimeCounts.set(question.priority, (this.onTimeCounts.get(question.priority) ?? 0) + change)
-  }
-}
-
-/** Inserts behind all requests of the same or a higher priority. */
-function insertByPriority (line: WaitingQuestion[], waiting: WaitingQuestion): void {
-  let low = 0
-  let high = line.length
-  while (low < high) {
-    const middle = (low + high) >>> 1
-    if ((line[middle] as WaitingQuestion).question.priority > waiting.question.priority) high = middle
-    else low = middle + 1
-  }
-  line.splice(low, 0, waiting)
-}
-
-function remove (line: WaitingQuestion[], waiting: WaitingQuestion): boolean {
-  const place = line.indexOf(waiting)
-  if (place < 0) return false
-  line.splice(place, 1)
-  return true
 }
