Dispatcher: one coarse timer serves the deadlines of all requests

SHORT: placements use up the leading control VM. Each placed request had two timers (expiry, overdue), each waiting one had two more (late, given up), each with a closure and a handle. Nearly all are cancelled, but live long enough to be copied by the collector of young objects, which is small there.

Deadlines are kept in sets by 20 ms, with one timer of the clock for each set in use. A placement and a waiting request have one deadline each, the next one that counts. They are noticed up to 20 ms later than before, which is small beside the seconds that they stand for.

--- a/packages/dispatch/src/placements.ts
+++ b/packages/dispatch/src/placements.ts
@@ -1,6 +1,7 @@
 /** The dispatcher's record of requests that were placed and have not ended. */
 import { PlacementOutcome, type PlacementEnd, type PlacementQuestion } from '@hickoryspoke/protocol/generated/dispatch'
-import type { Clock, Timer } from '@hickoryspoke/runtime/clock'
+import type { Clock } from '@hickoryspoke/runtime/clock'
+import { Deadlines } from './deadlines.ts'
 import type { PoolDispatcher } from './pool-dispatcher.ts'
 
 /** A request that was placed on an upstream and has not ended. */
@@ -27,8 +28,8 @@
 }
 
 interface TrackedPlacement extends ActivePlacement {
-  readonly expiry: Timer
-  overdue: Timer | undefined
+  readonly key: string
+  readonly expiresAt: number
   wasOverdue: boolean
 }
 
@@ -50,8 +51,12 @@
 /** Active placements by key, which combines entry and ticket; keeps the in-flight count of each upstream. */
 export class Placements {
   private readonly held = new Map<string, TrackedPlacement>()
+  /** When each is to be looked at: whether it is overdue, and whether it expired. */
+  private readonly checks: Deadlines<TrackedPlacement>
 
-  private constructor (private readonly clock: Clock, private readonly listener: PlacementsListener) {}
+  private constructor (private readonly clock: Clock, private readonly listener: PlacementsListener) {
+    this.checks = Deadlines.create(clock, (held) => this.check(held))
+  }
 
   static create (clock: Clock, listener: PlacementsListener): Placements {
     return new Placements(clock, listener)
@@ -67,15 +72,14 @@
   }
 
   /** Adds a placement to its upstream's in-flight count, and schedules its expiry and overdue check. */
-  add ({ key, ...placement }: NewPlacement): void {
-    const { pool, instance, question } = placement
+  add ({ key, entry, instance, pool, poolName, question, isForced }: NewPlacement): void {
     const placedAt = this.clock.monotonicMilliseconds()
     const lifetimeMilliseconds = question === undefined ? RESTORED_PLACEMENT_MILLISECONDS : question.patienceMilliseconds + EXPIRY_GRACE_MILLISECONDS
-    const expiry = this.clock.schedule(lifetimeMilliseconds, () => this.expire(key))
-    const held: TrackedPlacement = { ...placement, placedAt, expiry, overdue: undefined, wasOverdue: false }
-    if (question !== undefined) this.scheduleOverdue(held, question, 0)
+    const expiresAt = placedAt + lifetimeMilliseconds
+    const held: TrackedPlacement = { key, entry, instance, pool, poolName, placedAt, question, isForced, expiresAt, wasOverdue: false }
     pool.standingOf(instance).place(placedAt)
     this.held.set(key, held)
+    this.checks.set(held, nextCheckOf(held))
   }
 
   /** Removes a placement and returns it; undefined when there is none. */
@@ -83,8 +87,7 @@
     const held = this.held.get(key)
     if (held === undefined) return undefined
     this.held.delete(key)
-    held.expiry.cancel()
-    held.overdue?.cancel()
+    this.checks.cancel(held)
     const standing = held.pool.standingOf(held.instance)
     standing.inFlight = Math.max(0, standing.inFlight - 1)
     return held
@@ -96,22 +99,29 @@
   }
 
   /** Reports a slow request even before it ends. The usual duration may have risen since the request was placed, so it is compared again. */
-  private scheduleOverdue (held: TrackedPlacement, question: PlacementQuestion, elapsedMilliseconds: number): void {
-    const remaining = overdueMilliseconds(question, held.pool) - elapsedMilliseconds
-    held.overdue = this.clock.schedule(Math.max(0, remaining), () => {
-      const elapsed = this.clock.monotonicMilliseconds() - held.placedAt
-      if (elapsed < overdueMilliseconds(question, held.pool)) return this.scheduleOverdue(held, question, elapsed)
-      held.wasOverdue = true
-      this.listener.overdue(held)
-    })
+  private check (held: TrackedPlacement): void {
+    const now = this.clock.monotonicMilliseconds()
+    if (now >= held.expiresAt) return this.expire(held)
+    held.wasOverdue ||= now >= overdueAt(held)
+    this.checks.set(held, nextCheckOf(held))
+    if (held.wasOverdue) this.listener.overdue(held)
   }
 
-  private expire (key: string): void {
+  private expire ({ key }: TrackedPlacement): void {
     const ended = this.remove(key)
     if (ended !== undefined) this.listener.expired(ended)
   }
 }
 
+function nextCheckOf (held: TrackedPlacement): number {
+  return held.wasOverdue ? held.expiresAt : Math.min(held.expiresAt, overdueAt(held))
+}
+
+/** When a placement counts as overdue; Infinity for one of an earlier dispatcher or of an entry. */
+function overdueAt ({ placedAt, question, pool }: ActivePlacement): number {
+  return question === undefined ? Infinity : placedAt + overdueMilliseconds(question, pool)
+}
+
 /** After which time a request counts as overdue. While the usual duration on its route is unknown, it is given the time of its target at least. */
 function overdueMilliseconds (question: PlacementQuestion, pool: PoolDispatcher): number {
   const patient = OVERDUE_FACTOR * pool.usualMilliseconds(question)
--- a/packages/dispatch/src/waiting-requests.ts
+++ b/packages/dispatch/src/waiting-requests.ts
@@ -1,6 +1,7 @@
 /** The requests of all pools that wait for an upstream, until they are placed, cancelled, or can no longer be answered. */
 import type { PlacementQuestion } from '@hickoryspoke/protocol/generated/dispatch'
-import type { Clock, Timer } from '@hickoryspoke/runtime/clock'
+import type { Clock } from '@hickoryspoke/runtime/clock'
+import { Deadlines } from './deadlines.ts'
 import type { EntryConnection } from './entry-connection.ts'
 import { placementKey } from './placements.ts'
 import type { ChoiceConstraints, PoolDispatcher } from './pool-dispatcher.ts'
@@ -16,11 +17,27 @@
   expired (connection: EntryConnection, question: PlacementQuestion, retryAfter: number): void
 }
 
+/** What is kept of a waiting request. Times are monotonic milliseconds. */
+interface Wait extends WaitingQuestion {
+  readonly requester: EntryConnection
+  readonly key: string
+  /** From when on it can no longer be answered in time. */
+  readonly lateAt: number
+  /** From when on it can no longer be answered at all. */
+  readonly givenUpAt: number
+  /** The wait that was expected when it began, in milliseconds. */
+  readonly expected: number
+}
+
 /** Waiting requests by key, which combines entry and ticket. */
 export class WaitingRequests {
-  private readonly waiting = new Map<string, WaitingQuestion>()
+  private readonly waiting = new Map<string, Wait>()
+  /** When each becomes late or is given up. */
+  private readonly deadlines: Deadlines<Wait>
 
-  private constructor (private readonly clock: Clock, private readonly pools: PoolSet, private readonly listener: WaitingRequestsListener) {}
+  private constructor (private readonly clock: Clock, private readonly pools: PoolSet, private readonly listener: WaitingRequestsListener) {
+    this.deadlines = Deadlines.create(clock, (wait) => this.handleDeadline(wait))
+  }
 
   static create (clock: Clock, pools: PoolSet, listener: WaitingRequestsListener): WaitingRequests {
     return new WaitingRequests(clock, pools, listener)
@@ -34,26 +51,12 @@
     const expected = pool.expectedWait(question.priority, now)
     if (expected >= maximumWait) return this.listener.expired(connection, question, expected)
     const key = placementKey(connection.entry, question.ticket)
-    const slack = slackOf(question, pool)
-    const giveUp = (): void => {
-      this.tryPlace(waiting)
-      if (this.cancel(key)) this.listener.expired(connection, question, expected)
-    }
-    const timers: Timer[] = []
-    const waiting: WaitingQuestion = {
-      question,
-      requester: connection,
-      since: now,
-      resolve: (choice) => {
-        for (const timer of timers) timer.cancel()
-        this.waiting.delete(key)
-        if (choice !== undefined) this.listener.placed(connection, question, choice)
-      }
-    }
-    timers.push(this.clock.schedule(maximumWait, giveUp))
-    if (slack < maximumWait) timers.push(this.clock.schedule(Math.max(0, slack), () => this.handleLate(waiting, giveUp)))
-    this.waiting.set(key, waiting)
-    pool.line.add(waiting)
+    const lateAt = now + Math.max(0, slackOf(question, pool))
+    const resolve = (choice: UpstreamChoice | undefined): void => this.finish(wait, choice)
+    const wait: Wait = { question, requester: connection, since: now, key, lateAt, givenUpAt: now + maximumWait, expected, resolve }
+    this.waiting.set(key, wait)
+    this.deadlines.set(wait, Math.min(lateAt, wait.givenUpAt))
+    pool.line.add(wait)
   }
 
   /** Ends the wait of a request without placing it; false when it does not wait. */
@@ -91,13 +94,30 @@
     pool.drainTo(instance, now, this.constraintsAt(pool, now))
   }
 
+  private finish (wait: Wait, choice: UpstreamChoice | undefined): void {
+    this.deadlines.cancel(wait)
+    this.waiting.delete(wait.key)
+    if (choice !== undefined) this.listener.placed(wait.requester, wait.question, choice)
+  }
+
+  private handleDeadline (wait: Wait): void {
+    if (this.clock.monotonicMilliseconds() >= wait.givenUpAt) return this.giveUp(wait)
+    this.deadlines.set(wait, wait.givenUpAt)
+    this.handleLate(wait)
+  }
+
   /** Moves a request that can no longer be answered in time behind the others, or gives it up where even a late answer is unlikely. */
-  private handleLate (waiting: WaitingQuestion, giveUp: () => void): void {
+  private handleLate (wait: Wait): void {
     const now = this.clock.monotonicMilliseconds()
-    const pool = this.poolOf(waiting)
-    if (!pool.line.moveToLate(waiting)) return
-    this.tryPlace(waiting)
-    if (pool.expectedWait(Infinity, now) > lateSlackOf(waiting.question, pool) - (now - waiting.since)) giveUp()
+    const pool = this.poolOf(wait)
+    if (!pool.line.moveToLate(wait)) return
+    this.tryPlace(wait)
+    if (pool.expectedWait(Infinity, now) > lateSlackOf(wait.question, pool) - (now - wait.since)) this.giveUp(wait)
+  }
+
+  private giveUp (wait: Wait): void {
+    this.tryPlace(wait)
+    if (this.cancel(wait.key)) this.listener.expired(wait.requester, wait.question, wait.expected)
   }
 
   private tryPlace (waiting: WaitingQuestion): void {
