--- a/packages/dispatch/src/pool-dispatcher.ts
+++ b/packages/dispatch/src/pool-dispatcher.ts
@@ -77,6 +77,8 @@
   private serving: readonly Candidate[] = []
   /** Where the examination of the upstreams stopped last. */
   private nextExamined = -1
+  /** The free upstreams among which a request is placed; kept, as it is filled for each request. */
+  private readonly sample: Candidate[] = []
   private state: PoolState = { at: -Infinity, effectiveSlots: 0, hasSound: false, bestSuccess: 0, activeShare: 0 }
 
   private constructor (private readonly clock: Clock, private readonly limits: UpstreamLimits, private readonly minimumActiveShare: number) {}
@@ -132,12 +134,13 @@
 
   /** Chooses an upstream with a free slot; undefined when the request should wait. Looks at some of a large pool only, unless none of them will do. */
   choose (question: PlacementQuestion, requester: RequestingEntry, now: number, terms: ChoiceConstraints): UpstreamChoice | undefined {
-    const context = this.contextOf(question, requester, now, terms)
+    let context: ChoiceContext | undefined
     if (this.isSmall) this.nextExamined = -1
     for (let examined = 0; examined < this.serving.length;) {
-      const sample = this.nextFree(question, requester, now, this.serving.length - examined)
-      examined += sample.examined
-      const choice = sample.free.length === 0 ? undefined : chooseUpstream(sample.free, context)
+      examined += this.sampleFree(question, requester, now, this.serving.length - examined)
+      if (this.sample.length === 0) continue
+      context ??= this.contextOf(question, requester, now, terms)
+      const choice = chooseUpstream(this.sample, context)
       if (choice !== undefined) return choice
     }
     return undefined
@@ -149,35 +152,35 @@
   }
 
   /** Chooses one upstream, which may just have become free, for a waiting request; undefined when the request should wait on. */
-  private chooseOnly (instance: string, { question, requester }: WaitingQuestion, now: number, terms: ChoiceConstraints): UpstreamChoice | undefined {
-    const candidate = this.upstreams.get(instance)
-    if (candidate === undefined || isLeaving(candidate) || !isFree(candidate, question, requester, now)) return undefined
+  private chooseOnly (candidate: Candidate, { question, requester }: WaitingQuestion, now: number, terms: ChoiceConstraints): UpstreamChoice | undefined {
+    if (!isFree(candidate, question, requester, now)) return undefined
     return chooseUpstream([candidate], this.contextOf(question, requester, now, terms))
   }
 
-  /** The next free upstreams after those of the previous call, up to the size of a sample, out of at most `limit`. */
-  private nextFree (question: PlacementQuestion, requester: RequestingEntry, now: number, limit: number): { free: Candidate[], examined: number } {
-    const free: Candidate[] = []
+  /** Fills `sample` with the next free upstreams after those of the previous call, out of at most `limit`; returns how many were examined. */
+  private sampleFree (question: PlacementQuestion, requester: RequestingEntry, now: number, limit: number): number {
+    this.sample.length = 0
     let examined = 0
-    while (examined < limit && free.length < SAMPLE_UPSTREAMS) {
+    while (examined < limit && this.sample.length < SAMPLE_UPSTREAMS) {
       this.nextExamined = (this.nextExamined + 1) % this.serving.length
       examined += 1
       const candidate = this.serving[this.nextExamined] as Candidate
-      if (isFree(candidate, question, requester, now)) free.push(candidate)
+      if (isFree(candidate, question, requester, now)) this.sample.push(candidate)
     }
-    return { free, examined }
+    return examined
   }
 
   private contextOf (question: PlacementQuestion, requester: RequestingEntry, now: number, terms: ChoiceConstraints): ChoiceContext {
     const isStressed = this.unserved.isStressed(now)
+    const { activeShare, hasSound, bestSuccess } = this.stateAt(now)
     return {
       now,
       zone: requester.zone,
       mayProbe: terms.mayProbe && question.attempt === 0,
-      isSpreading: isStressed || this.stateAt(now).activeShare < this.minimumActiveShare,
+      isSpreading: isStressed || activeShare < this.minimumActiveShare,
       isStressed,
-      hasSound: this.stateAt(now).hasSound,
-      minimumSuccess: this.successThreshold(question.priority, terms, now) * this.stateAt(now).bestSuccess
+      hasSound,
+      minimumSuccess: this.successThreshold(question.priority, terms, now) * bestSuccess
     }
   }
 
@@ -199,7 +202,8 @@
 
   /** Places waiting requests while suitable upstreams are free. */
   drainQueue (now: number, constraintsOf: (waiting: WaitingQuestion) => ChoiceConstraints): void {
-    this.drainWith((waiting) => this.choose(waiting.question, waiting.requester, now, constraintsOf(waiting)))
+    const hasRoom = (): boolean => this.serving.some((candidate) => hasFreeSlot(candidate, now))
+    this.drainWith(hasRoom, (waiting) => this.choose(waiting.question, waiting.requester, now, constraintsOf(waiting)))
   }
 
   /** Places a waiting request whose time is running out, if a suitable upstream is free. In a small pool, the requests before it go first. */
@@ -212,15 +216,19 @@
   /** Places waiting requests after one upstream may have become free. In a large pool, only that one is offered. */
   drainTo (instance: string, now: number, constraintsOf: (waiting: WaitingQuestion) => ChoiceConstraints): void {
     if (this.isSmall) return this.drainQueue(now, constraintsOf)
-    this.drainWith((waiting) => this.chooseOnly(instance, waiting, now, constraintsOf(waiting)))
+    const candidate = this.upstreams.get(instance)
+    if (candidate === undefined || isLeaving(candidate)) return
+    this.drainWith(() => hasFreeSlot(candidate, now), (waiting) => this.chooseOnly(candidate, waiting, now, constraintsOf(waiting)))
   }
 
-  private drainWith (choose: (waiting: WaitingQuestion) => UpstreamChoice | undefined): void {
+  /** Offers upstreams to the first waiting requests, as long as any of them has room. */
+  private drainWith (hasRoom: () => boolean, choose: (waiting: WaitingQuestion) => UpstreamChoice | undefined): void {
     for (const group of this.line.groups()) {
       let failedTries = 0
       while (failedTries < MAXIMUM_FAILED_TRIES) {
-        const waiting = group[failedTries]
+        const waiting = group.at(failedTries)
         if (waiting === undefined) break
+        if (!hasRoom()) return
         const choice = choose(waiting)
         if (choice === undefined) failedTries += 1
         else this.placeWaiting(waiting, choice)
@@ -272,7 +280,11 @@
 }
 
 function isFree (candidate: Candidate, question: PlacementQuestion, requester: RequestingEntry, now: number): boolean {
-  return !candidate.standing.isFull(candidate.upstream.announced.slots, now) && isEligible(candidate, question, requester, now)
+  return hasFreeSlot(candidate, now) && isEligible(candidate, question, requester, now)
+}
+
+function hasFreeSlot ({ upstream, standing }: Candidate, now: number): boolean {
+  return !standing.isFull(upstream.announced.slots, now)
 }
 
 function isEligible ({ upstream, standing }: Candidate, question: PlacementQuestion, requester: RequestingEntry, now: number): boolean {
