--- a/packages/dispatch/src/tests/upstream-registry.test.ts
+++ b/packages/dispatch/src/tests/upstream-registry.test.ts
@@ -57,4 +57,17 @@
   assert.equal(notified, ['a', 'a'])
 })
 
+// Guards against a leader that encodes and digests all upstreams again after each announcement that changes nothing (SHORT).
+test('the list and the digest are kept while announcements only repeat what is known', () => {
+  const registry = UpstreamRegistry.create(FakeClock.create())
+  registry.announce(announcement({ instance: 'i-1', sequence: 1 }))
+  const list = registry.encodedAnnouncements()
+  const digest = registry.digest()
+  registry.announce(announcement({ instance: 'i-1', sequence: 2 }))
+  assert.is(registry.encodedAnnouncements(), list)
+  registry.announce(announcement({ instance: 'i-1', sequence: 3, slots: 9 }))
+  assert.is.not(registry.encodedAnnouncements(), list)
+  assert.is.not(registry.digest(), digest)
+})
+
 test.run()
--- a/packages/dispatch/src/upstream-registry.ts
+++ b/packages/dispatch/src/upstream-registry.ts
@@ -25,6 +25,7 @@
   private readonly byAddress = new Map<string, string>()
   private readonly listeners = new Set<RegistryListener>()
   private cachedDigest: string | undefined
+  private cachedList: Buffer[] | undefined
 
   private constructor (private readonly clock: Clock, private readonly odd: OddAnnouncementLog) {}
 
@@ -51,9 +52,10 @@
     return this.all().map((held) => held.announced)
   }
 
-  /** The same, encoded for a list. */
+  /** The same, encoded for a list; sequence numbers may be those of earlier announcements with the same content. */
   encodedAnnouncements (): Buffer[] {
-    return encodeAnnounced(this.announcements())
+    this.cachedList ??= encodeAnnounced(this.announcements())
+    return this.cachedList
   }
 
   /** Digest of what matters to requests in the announcements of all upstreams that have not left; empty when there are none. */
@@ -178,14 +180,21 @@
   private store (announced: AnnouncedUpstream): RegisteredUpstream {
     const now = this.clock.monotonicMilliseconds()
     const held = { announced, warmupEndsAt: now + announced.warmupMilliseconds, heardAt: now }
+    const known = this.byInstance.get(announced.instance)
     this.byInstance.set(announced.instance, held)
-    this.cachedDigest = undefined
+    if (known === undefined || differs(known.announced, announced)) this.forgetCaches()
     return held
   }
 
+  private forgetCaches (): void {
+    this.cachedDigest = undefined
+    this.cachedList = undefined
+  }
+
   private delete (held: RegisteredUpstream): void {
     const { instance, address } = held.announced
     this.byInstance.delete(instance)
+    this.forgetCaches()
     if (this.byAddress.get(address) === instance) this.byAddress.delete(address)
   }
 
