A VM that is down is given up after 500 ms at each attempt (SHORT)

That is right for a busy leader only. A framed connection tells whether there is a connection, so only then the time doubles.

--- a/packages/dispatch/src/dispatch-stream.ts
+++ b/packages/dispatch/src/dispatch-stream.ts
@@ -14,12 +14,17 @@
   ended (): void
 }
 
-/** What both transports offer. */
-interface Transport {
+/** A stream to a control VM, over either transport. */
+export interface LeaderStream {
+  /** Messages may be written before there is a connection. */
   write (message: EntryMessage): void
+  /** Sends a last message and closes the stream. */
   end (last: EntryMessage): void
+  /** Closes the stream at once. */
   cancel (): void
-  /** Whether the control VM accepted the connection. */
+  /** Whether there is a connection, so that the VM is up; its process may still be too busy to accept it. */
+  isConnected (): boolean
+  /** Whether the process accepted the connection. */
   isAccepted (): boolean
 }
 
@@ -27,8 +32,8 @@
 const CLIENT_CODECS = { sent: EntryMessage, received: DispatchMessage }
 
 /** A stream that was opened. */
-export class DispatchStream {
-  private transport: Transport
+export class DispatchStream implements LeaderStream {
+  private transport: LeaderStream
   /** Messages that a framed connection may not have delivered, to be sent again over gRPC. */
   private unanswered: EntryMessage[] | undefined = []
   private isEnded = false
@@ -47,19 +52,20 @@
     this.transport.write(message)
   }
 
-  /** Sends a last message and closes the stream. */
   end (last: EntryMessage): void {
     this.isEnded = true
     this.transport.end(last)
   }
 
-  /** Closes the stream at once. */
   cancel (): void {
     this.isEnded = true
     this.transport.cancel()
   }
 
-  /** Whether the control VM accepted the connection. */
+  isConnected (): boolean {
+    return this.transport.isConnected()
+  }
+
   isAccepted (): boolean {
     return this.transport.isAccepted()
   }
@@ -75,7 +81,7 @@
     this.listener.ended()
   }
 
-  private openFramed (): Transport {
+  private openFramed (): LeaderStream {
     const connection = FramedConnection.connect(this.address, CLIENT_CODECS)
     let speaksGrpc = false
     connection.on('data', (message) => this.receive(message))
@@ -88,6 +94,7 @@
       write: (message) => connection.write(message),
       end: (last) => connection.end(last),
       cancel: () => connection.destroy(),
+      isConnected: () => connection.isConnected,
       isAccepted: () => connection.isAccepted
     }
   }
@@ -97,7 +104,7 @@
     for (const message of this.unanswered ?? []) this.transport.write(message)
   }
 
-  private openGrpc (): Transport {
+  private openGrpc (): LeaderStream {
     const { address, credentials } = this
     const client = new DispatchClient(address, credentials.forChannel(), { ...credentials.channelOptions(address), 'grpc.use_local_subchannel_pool': 1 })
     const call = client.attend()
@@ -116,6 +123,8 @@
         call.cancel()
         client.close()
       },
+      // gRPC does not tell a connection from an accepted one, so a VM that may be busy gets the benefit of the doubt.
+      isConnected: () => true,
       isAccepted: () => client.getChannel().getConnectivityState(false) === connectivityState.READY
     }
   }
--- a/packages/dispatch/src/leader-connection.ts
+++ b/packages/dispatch/src/leader-connection.ts
@@ -8,7 +8,7 @@
 import { pickOne, type RandomSource } from '@hickoryspoke/runtime/random'
 import type { Logger } from '@hickoryspoke/telemetry/logger'
 import type { AdmissionReport } from './customer-rate-limiter.ts'
-import { DispatchStream } from './dispatch-stream.ts'
+import { DispatchStream, type DispatchStreamListener, type LeaderStream } from './dispatch-stream.ts'
 
 /** Receives the leader's messages and changes of the connection. */
 export interface LeaderConnectionListener {
@@ -58,6 +58,8 @@
   readonly admissionReport: () => AdmissionReport
   /** Whether to look for a leader now. */
   readonly wanted: () => boolean
+  /** Opens a stream to a control VM; by default over the network. */
+  readonly openStream?: (address: string, credentials: InnerCredentials, listener: DispatchStreamListener) => LeaderStream
 }
 
 /** The leader is asked for the newest configuration number at least this often. */
@@ -66,9 +68,11 @@
 const QUIET_QUESTION_MILLISECONDS = 250
 const QUESTION_CHECK_MILLISECONDS = 50
 const SILENCE_TIMEOUT_MILLISECONDS = 650
-/** Time within which a control VM must accept a connection; doubles with each consecutive attempt that was not accepted, as a leader may be busy. */
+/** Time within which there must be a connection to a control VM; without one, the VM is down or out of reach. */
 const CONNECT_TIMEOUT_MILLISECONDS = 500
-const MAXIMUM_CONNECT_TIMEOUT_MILLISECONDS = 2_000
+/** Time within which its process must accept the connection; doubles with each consecutive attempt that was not accepted, as a leader may be busy. */
+const ACCEPT_TIMEOUT_MILLISECONDS = 500
+const MAXIMUM_ACCEPT_TIMEOUT_MILLISECONDS = 2_000
 /**
  * Time within which a control VM that accepted a connection must send its first message. Long, because giving up and
  * beginning again costs a busy leader more than the answer does.
@@ -83,7 +87,7 @@
 type MessageBody = Exclude<NonNullable<DispatchMessage['body']>, { readonly $case: 'leader' }>
 
 interface Stream {
-  readonly call: DispatchStream
+  readonly call: LeaderStream
   lastReceivedAt: number
   isClosed: boolean
   isServing: boolean
@@ -170,7 +174,8 @@
     this.failedAttempts += 1
     let finish = (): void => {}
     const closed = new Promise<void>((resolve) => { finish = resolve })
-    const call = DispatchStream.open(address, credentials, {
+    const openStream = this.options.openStream ?? DispatchStream.open
+    const call = openStream(address, credentials, {
       received: (message) => this.handleMessage(stream, message),
       ended: () => {
         stream.isClosed = true
@@ -217,14 +222,16 @@
       await sleep(clock, FIRST_MESSAGE_CHECK_MILLISECONDS)
       const waited = clock.monotonicMilliseconds() - beganAt
       if (waited >= FIRST_MESSAGE_TIMEOUT_MILLISECONDS) return
-      if (waited < this.connectTimeout() || stream.call.isAccepted()) continue
-      this.unacceptedAttempts += 1
+      const isConnected = stream.call.isConnected()
+      const limit = isConnected ? this.acceptTimeout() : CONNECT_TIMEOUT_MILLISECONDS
+      if (waited < limit || stream.call.isAccepted()) continue
+      if (isConnected) this.unacceptedAttempts += 1
       return
     }
   }
 
-  private connectTimeout (): number {
-    return Math.min(MAXIMUM_CONNECT_TIMEOUT_MILLISECONDS, CONNECT_TIMEOUT_MILLISECONDS * 2 ** this.unacceptedAttempts)
+  private acceptTimeout (): number {
+    return Math.min(MAXIMUM_ACCEPT_TIMEOUT_MILLISECONDS, ACCEPT_TIMEOUT_MILLISECONDS * 2 ** this.unacceptedAttempts)
   }
 
   /** Ends a stream. One that ends because this process stops says so, so that the leader need not wait for its confirmations. */
--- a/packages/dispatch/src/tests/leader-connection.test.ts
+++ b/packages/dispatch/src/tests/leader-connection.test.ts
@@ -7,7 +7,7 @@
 import { FakeClock, flushPromises } from '@hickoryspoke/testing/fake-clock'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
-import { LeaderConnection, type LeaderConnectionListener } from '../leader-connection.ts'
+import { LeaderConnection, type LeaderConnectionListener, type LeaderConnectionOptions } from '../leader-connection.ts'
 
 type Call = ServerDuplexStream<EntryMessage, DispatchMessage>
 
@@ -52,7 +52,7 @@
 }
 
 /** Starts a connection to the control VMs at the given addresses. */
-function connectTo (clock: FakeClock, seeds: readonly string[]) {
+function connectTo (clock: FakeClock, seeds: readonly string[], options: Pick<LeaderConnectionOptions, 'openStream'> = {}) {
   const stopping = new AbortController()
   const connection = LeaderConnection.create({
     name: 'entry',
@@ -72,7 +72,8 @@
     upstreamDigest: () => '',
     knownLimits: () => [],
     admissionReport: () => ({ admitted: [], fleetShare: 0 }),
-    wanted: () => true
+    wanted: () => true,
+    ...options
   })
   const running = connection.run(stopping.signal)
   return { connection, running, stop: () => stopping.abort() }
@@ -133,6 +134,22 @@
   busy.close()
 })
 
+// Guards against entries that wait for seconds on a VM that is down, while another one leads (SHORT).
+test('a control VM to which there is no connection is given up after the same short time at each attempt', async () => {
+  const clock = FakeClock.create()
+  const openedAt: number[] = []
+  const openStream = () => {
+    openedAt.push(clock.monotonicMilliseconds())
+    return { write: ignore, end: ignore, cancel: ignore, isConnected: () => false, isAccepted: () => false }
+  }
+  const { running, stop } = connectTo(clock, ['10.0.0.1:1', '10.0.0.2:1'], { openStream })
+  for (let step = 0; step < 100; step += 1) await clock.advanceAsync(50)
+  assert.ok(openedAt.length >= 5, `${openedAt.length} attempts in 5 s`)
+  stop()
+  await clock.advanceAsync(3_000)
+  await running
+})
+
 // Guards against a control VM without others that ends at its start.
 test('without any known control VM it waits for one', async () => {
   const { clock, calls, running, stop } = await createConnection(false)
--- a/packages/protocol/src/framed-connection.ts
+++ b/packages/protocol/src/framed-connection.ts
@@ -70,11 +70,11 @@
   private unread: Buffer = Buffer.alloc(0)
   private isCorked = false
   private isEnded = false
-  private isConnected = false
+  private connected = false
 
   private constructor (private readonly socket: Socket, private readonly codecs: ConnectionCodecs<Sent, Received>, private awaitsPreface: boolean) {
     super()
-    socket.once('connect', () => { this.isConnected = true })
+    socket.once('connect', () => { this.connected = true })
     socket.setNoDelay(true)
     socket.on('data', (bytes: Buffer) => this.receive(bytes))
     socket.on('end', () => socket.destroy())
@@ -96,6 +96,11 @@
     return connection
   }
 
+  /** Whether the peer's operating system accepted the connection. */
+  get isConnected (): boolean {
+    return this.connected
+  }
+
   /** Whether the peer, and not only its operating system, accepted the connection. */
   get isAccepted (): boolean {
     return !this.awaitsPreface
@@ -170,7 +175,7 @@
 
   /** A peer that closes an accepted connection without a preface may be one that cannot read ours. */
   private close (): void {
-    if (this.awaitsPreface && this.isConnected) this.fail(NotFramed.create())
+    if (this.awaitsPreface && this.connected) this.fail(NotFramed.create())
     else this.finish()
   }
 
