--- a/packages/dispatch/src/deadlines.ts
+++ b/packages/dispatch/src/deadlines.ts
@@ -2,7 +2,7 @@
 import type { Clock } from '@hickoryspoke/runtime/clock'
 
 /** Deadlines are kept by this interval and noticed at its end. */
-const INTERVAL_MILLISECONDS = 20
+const INTERVAL_MILLISECONDS = 5
 
 /** Items with one deadline each. */
 export class Deadlines<Item> {
--- a/packages/dispatch/src/tests/deadlines.test.ts
+++ b/packages/dispatch/src/tests/deadlines.test.ts
@@ -21,7 +21,7 @@
   clock.advance(100)
   assert.equal(handled, [['bb', 0]])
   clock.advance(20)
-  assert.equal(handled.slice(1), [['a', 120]])
+  assert.equal(handled.slice(1), [['a', 105]])
   clock.advance(1_000)
   assert.is(handled.length, 2)
 })
