A message that cannot be encoded ends its framed connection, not the process

gRPC streams fail on a message with a value that its field cannot hold (for example a denial with more than 2^32 ms until a retry, from a rate of a few requests a month). FramedConnection.write threw instead, out of the timers, ticks and callbacks that send, so the leader ended by itself. It now reports invalid_message and closes, as gRPC does.

--- a/packages/protocol/src/framed-connection.ts
+++ b/packages/protocol/src/framed-connection.ts
@@ -41,6 +41,15 @@
   }
 }
 
+/** A message of this process has a value that its field cannot hold. */
+export class InvalidMessage extends Failure {
+  readonly code = 'invalid_message'
+
+  static create (reason: string): InvalidMessage {
+    return new InvalidMessage(reason)
+  }
+}
+
 /** The peer accepted the connection but does not speak this protocol. */
 export class NotFramed extends Failure {
   readonly code = 'not_framed'
@@ -101,11 +110,13 @@
     return !this.awaitsPreface
   }
 
-  /** Sends a message; ignored once the connection is closed. */
+  /** Sends a message; ignored once the connection is closed. One that cannot be encoded fails the connection. */
   write (message: Sent): void {
     if (this.isEnded) return
+    const frame = this.encode(message)
+    if (frame === undefined) return
     this.cork()
-    this.socket.write(frameOf(this.codecs.sent.encode(message).finish()))
+    this.socket.write(frame)
     if (this.socket.writableLength > MAXIMUM_UNSENT_BYTES) this.fail(ConnectionLost.create('the peer does not read'))
   }
 
@@ -159,6 +170,15 @@
     if (message !== undefined) this.emit('data', message)
   }
 
+  private encode (message: Sent): Buffer | undefined {
+    try {
+      return frameOf(this.codecs.sent.encode(message).finish())
+    } catch (thrown) {
+      this.fail(InvalidMessage.create(`a message cannot be encoded: ${String(thrown)}`))
+      return undefined
+    }
+  }
+
   private decode (bytes: Buffer): Received | undefined {
     try {
       return this.codecs.received.decode(bytes)
--- a/packages/protocol/src/tests/framed-connection.test.ts
+++ b/packages/protocol/src/tests/framed-connection.test.ts
@@ -141,4 +141,17 @@
   })
 }
 
+// Guards against a process that ends because one of its own messages has a value that its field cannot hold.
+test('a message that cannot be encoded ends that connection only', async () => {
+  const { address, connections, close } = await listen()
+  const client = FramedConnection.connect(address, CLIENT_CODECS)
+  client.write(question(1))
+  await until(() => connections.length === 1)
+  const failures: Failure[] = []
+  connections[0]?.on('error', (failure) => failures.push(failure))
+  connections[0]?.write({ body: { $case: 'denial', value: { ticket: 1, reason: 1, retryAfterMilliseconds: 2 ** 33 } } })
+  assert.equal(failures.map(({ code }) => code), ['invalid_message'])
+  close()
+})
+
 test.run()
