A report of what another control VM heard does not bring back an upstream that left (DRAIN)

A control VM that does not lead reports renewals up to a second late. A leader that has just begun knows older sequence numbers (its mirror is not told of renewals), so a departure without a number gets one below that of a renewal that was heard before it: the report made the upstream present again, after the departure was acknowledged. The leader now passes over reports of upstreams that it knows to have left; one that was only silent announces itself to the leader, as its mirrors know that it is gone.

--- a/packages/dispatch/src/tests/upstream-broadcast.test.ts
+++ b/packages/dispatch/src/tests/upstream-broadcast.test.ts
@@ -107,4 +107,24 @@
   assert.is.not(digestOf([announcement({ instance: 'a', born: 2_000 })]), before)
 })
 
+// Guards against requests for an upstream whose departure was acknowledged, brought back by a control VM that reports what it heard before (DRAIN).
+test('a report of an upstream that has left does not bring it back', () => {
+  const { registry, broadcast, attach } = createLeader([announcement({ instance: 'i-1', sequence: 5 })])
+  const { session } = attach('')
+  registry.leave('i-1', undefined)
+  const heardBefore = encodeAnnounced([announcement({ instance: 'i-1', sequence: 41 })])
+  broadcast.receiveKnown(session, { whole: false, upstreams: heardBefore, revision: 0 })
+  assert.ok(registry.isLeaving('i-1'))
+})
+
+// Guards against upstreams that are taken out as silent though other control VMs hear them.
+test('a report renews an upstream', () => {
+  const { clock, registry, broadcast, attach } = createLeader([announcement({ instance: 'i-1', sequence: 5 })])
+  const { session } = attach('')
+  clock.advance(3_000)
+  broadcast.receiveKnown(session, { whole: false, upstreams: encodeAnnounced([announcement({ instance: 'i-1', sequence: 6 })]), revision: 0 })
+  assert.equal(registry.expire(2_000, () => true), [])
+  assert.is(registry.find('i-1')?.announced.sequence, 6)
+})
+
 test.run()
--- a/packages/dispatch/src/upstream-broadcast.ts
+++ b/packages/dispatch/src/upstream-broadcast.ts
@@ -47,8 +47,8 @@
 
   /** Merges what a client knows, or some upstreams that it heard. Those that knew the same need not be asked, nor sent it. */
   receiveKnown (session: ClientSession, { whole, upstreams }: UpstreamUpdate): void {
+    if (!whole) return this.registry.mergeHeard(upstreams)
     this.registry.mergeEncoded(upstreams)
-    if (!whole) return
     this.queried.delete(session)
     this.queryDiffering()
   }
--- a/packages/dispatch/src/upstream-registry.ts
+++ b/packages/dispatch/src/upstream-registry.ts
@@ -116,13 +116,12 @@
 
   /** Applies the elements of a list from another process; those that cannot be read or right are passed over. */
   mergeEncoded (list: readonly Uint8Array[]): void {
-    const readable: AnnouncedUpstream[] = []
-    for (const element of list) {
-      const decoded = decodeAnnounced(element)
-      if (decoded.isOk()) readable.push(decoded.value)
-      else this.odd.record('', decoded.error)
-    }
-    this.merge(readable)
+    this.merge(this.decodeAll(list))
+  }
+
+  /** The same for upstreams that another process heard some time ago, so that it may not know yet that one has left. */
+  mergeHeard (list: readonly Uint8Array[]): void {
+    this.merge(this.decodeAll(list).filter(({ instance }) => this.find(instance)?.announced.gone !== true))
   }
 
   /** Marks silent upstreams as left where `canExpire` allows it, and returns them. Also deletes old tombstones. */
@@ -146,6 +145,16 @@
     }
   }
 
+  private decodeAll (list: readonly Uint8Array[]): AnnouncedUpstream[] {
+    const readable: AnnouncedUpstream[] = []
+    for (const element of list) {
+      const decoded = decodeAnnounced(element)
+      if (decoded.isOk()) readable.push(decoded.value)
+      else this.odd.record('', decoded.error)
+    }
+    return readable
+  }
+
   /** Applies an announcement and adds the upstreams that changed to `changed`; false when it is odd or a newer one is known. */
   private apply (announced: AnnouncedUpstream, changed: Map<string, RegisteredUpstream>): boolean {
     if (!this.isSound(announced)) return false
