An overdue question that was charged before is refunded (QUOTA)

An entry that gives a placement back asks again, with the charge of its first question. Where that second question waited too long and was denied, the customer's token was lost, so that it was refused below its rate.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -108,9 +108,10 @@
     this.waiting.add(connection, question)
   }
 
-  /** Denies a question that came in faster than questions can be handled. */
+  /** Denies a question that came in faster than questions can be handled. Only an earlier question for the request can have been charged. */
   denyOverdue (connection: EntryConnection, question: PlacementQuestion): void {
-    this.deny(connection, question, DenialReason.DENIAL_REASON_OVERLOADED, OVERLOAD_RETRY_AFTER_MILLISECONDS)
+    if (question.charged) this.refundAndDeny(connection, question, DenialReason.DENIAL_REASON_OVERLOADED, OVERLOAD_RETRY_AFTER_MILLISECONDS)
+    else this.deny(connection, question, DenialReason.DENIAL_REASON_OVERLOADED, OVERLOAD_RETRY_AFTER_MILLISECONDS)
   }
 
   /** Records how a placed request ended, or cancels one that waits. */
--- a/packages/dispatch/src/tests/dispatcher.test.ts
+++ b/packages/dispatch/src/tests/dispatcher.test.ts
@@ -211,4 +211,15 @@
   assert.is(entry.answerTo(1), 'a')
 })
 
+// Guards against customers that are refused below their rate, as denied questions keep their charge (QUOTA).
+test('a question that was charged before and is denied as overdue is refunded', () => {
+  const { dispatcher } = createDispatcher([announcement({ instance: 'a', slots: 8 })], 1)
+  const entry = recordingEntry('one')
+  dispatcher.ask(entry, question(1, { customer: 'ministry' }))
+  dispatcher.end(entry, end(1, PlacementOutcome.PLACEMENT_OUTCOME_CANCELLED, 0))
+  dispatcher.denyOverdue(entry, question(1, { customer: 'ministry', charged: true }))
+  dispatcher.ask(entry, question(2, { customer: 'ministry' }))
+  assert.is(entry.answerTo(2), 'a')
+})
+
 test.run()
