--- a/packages/dispatch/src/dispatch-service.ts
+++ b/packages/dispatch/src/dispatch-service.ts
@@ -294,8 +294,10 @@
   /** Handles control messages at once; those about placements wait for their turn. */
   private handleMessage (session: ClientSession, { body }: EntryMessage): void {
     if (this.leading === undefined || body === undefined) return
-    if (body.$case === 'question') return this.inbox.addQuestion(session, body.value)
     if (body.$case === 'end') return this.inbox.addEnd(session, body.value)
+    // The entry has opened another stream, on which it has sent what still counts.
+    if (this.sessions.get(session.connection.entry) !== session) return
+    if (body.$case === 'question') return this.inbox.addQuestion(session, body.value)
     this.measure(body.$case, () => this.handleControlMessage(session, body))
   }
 
--- a/packages/dispatch/src/placement-inbox.ts
+++ b/packages/dispatch/src/placement-inbox.ts
@@ -70,7 +70,11 @@
 
   /** Adds an end. One that withdraws a question which still waits here only removes that question. */
   addEnd (session: ClientSession, end: PlacementEnd): void {
-    if (this.questions.delete(keyOf(session, end.ticket))) return
+    const key = keyOf(session, end.ticket)
+    if (this.questions.get(key)?.session === session) {
+      this.questions.delete(key)
+      return
+    }
     this.ends.push({ session, end })
     this.schedule()
   }
--- a/packages/dispatch/src/tests/overloaded-leader.test.ts
+++ b/packages/dispatch/src/tests/overloaded-leader.test.ts
@@ -193,4 +193,20 @@
   assert.is(service.pools().reduce((sum, pool) => sum + pool.inFlight, 0), 0)
 })
 
+// Guards against slots that stay taken, and questions that are never answered, as a stream that was replaced still delivers messages (SHORT).
+test('a question that arrives late on a stream that was replaced does not displace the one on the new stream', async () => {
+  const { leader, calls, placed, reattach, stop } = await createLeader()
+  const replaced = calls[0] as EntryCall
+  const ask = (call: EntryCall | undefined): void => call?.receive({ $case: 'question', value: question(1, { customer: '', fingerprint: 0 }) })
+  reattach(0)
+  const answers: DispatchMessage[] = []
+  replaced.write = (message) => { answers.push(message) }
+  ask(calls[0])
+  ask(replaced)
+  await leader.run(1_000)
+  stop()
+  assert.equal(answers, [])
+  assert.equal([...placed], [1])
+})
+
 test.run()
