A framed connection that was ended ignores later messages, and is closed if the peer stays silent

A message that was written after the last one (an answer to a pending question, to an entry that was just redirected) failed the socket, which was then reset, so that the redirection could be lost. And a connection that was ended while its peer was silent for good stayed open until the operating system gave it up, with its descriptor and its unsent bytes. Evidence: new test for the first, which fails without the fix; framed-connection passes. The time limit has no test.

--- a/packages/protocol/src/framed-connection.ts
+++ b/packages/protocol/src/framed-connection.ts
@@ -73,11 +73,14 @@
 const MAXIMUM_FRAME_BYTES = 67_108_864
 /** A peer that has not read this much more than the largest message is given up, so that it cannot use up the memory. */
 const MAXIMUM_UNSENT_BYTES = 2 * MAXIMUM_FRAME_BYTES
+/** A peer that has gone silent, and so does not close its side, is given up after this time. */
+const CLOSE_TIMEOUT_MILLISECONDS = 5_000
 
 /** One side of a connection. Messages written in one turn of the event loop are sent together. */
 export class FramedConnection<Sent, Received> extends EventEmitter<ConnectionEvents<Received>> {
   private unread: Buffer = Buffer.alloc(0)
   private isCorked = false
+  private isEnding = false
   private isEnded = false
   private isConnected = false
 
@@ -110,9 +113,9 @@
     return !this.awaitsPreface
   }
 
-  /** Sends a message; ignored once the connection is closed. One that cannot be encoded fails the connection. */
+  /** Sends a message; ignored once the connection is closed or `end` was called. One that cannot be encoded fails the connection. */
   write (message: Sent): void {
-    if (this.isEnded) return
+    if (this.isEnded || this.isEnding) return
     const frame = this.encode(message)
     if (frame === undefined) return
     this.cork()
@@ -123,7 +126,9 @@
   /** Sends a last message, if any, and closes the connection once all is sent. */
   end (last?: Sent): void {
     if (last !== undefined) this.write(last)
+    this.isEnding = true
     this.socket.end()
+    this.socket.setTimeout(CLOSE_TIMEOUT_MILLISECONDS, () => this.socket.destroy())
   }
 
   /** Closes the connection at once. */
--- a/packages/protocol/src/tests/framed-connection.test.ts
+++ b/packages/protocol/src/tests/framed-connection.test.ts
@@ -154,4 +154,22 @@
   close()
 })
 
+// Guards against a last message that is lost, as one that is written after it resets the connection.
+test('messages after the end are ignored', async () => {
+  const { address, connections, close } = await listen()
+  const client = FramedConnection.connect(address, CLIENT_CODECS)
+  const replies: DispatchMessage[] = []
+  const failures: Failure[] = []
+  client.on('data', (message) => replies.push(message))
+  const ended = new Promise<void>((resolve) => client.on('end', resolve))
+  client.write(question(1))
+  await until(() => connections.length === 1)
+  connections[0]?.on('error', (failure) => failures.push(failure))
+  connections[0]?.end(QUERY)
+  connections[0]?.write(QUERY)
+  await ended
+  assert.equal({ replies, failures }, { replies: [QUERY], failures: [] })
+  close()
+})
+
 test.run()
