A listener that closes leaves gRPC connections to the gRPC server

InnerListener.close destroyed all sockets, also those that it had handed over to gRPC, though its comment and its caller say that the gRPC server shuts those down: when a control VM stopped, entries of the older version were cut off without the redirection to the next leader, for which shutDownServer waits.

--- a/packages/protocol/src/inner-listener.ts
+++ b/packages/protocol/src/inner-listener.ts
@@ -19,6 +19,7 @@
 
 /** The listening port of a process. With mutual TLS it serves gRPC only. */
 export class InnerListener {
+  /** Framed connections, and those whose client has not yet shown what it speaks. */
   private readonly sockets = new Set<Socket>()
   private server: SocketServer | undefined
   private readonly injectGrpc: (socket: Socket) => void
@@ -81,6 +82,7 @@
   private handOver (socket: Socket, first: Buffer): void {
     if (!first.subarray(0, FRAMED_PREFACE.length).equals(FRAMED_PREFACE)) {
       socket.unshift(first)
+      this.sockets.delete(socket)
       return this.injectGrpc(socket)
     }
     const rest = first.subarray(FRAMED_PREFACE.length)
--- a/packages/protocol/src/tests/framed-connection.test.ts
+++ b/packages/protocol/src/tests/framed-connection.test.ts
@@ -40,7 +40,7 @@
     listener.close()
     grpc.forceShutdown()
   }
-  return { address: `127.0.0.1:${port}`, port, connections, received, close }
+  return { address: `127.0.0.1:${port}`, port, connections, received, listener, grpc, close }
 }
 
 async function until (isMet: () => boolean): Promise<void> {
@@ -172,4 +172,23 @@
   close()
 })
 
+// Guards against clients of the older version that are cut off in the middle of a response when a control VM stops.
+test('a listener that closes leaves gRPC calls to the server that shuts them down', async () => {
+  const { address, received, listener, grpc } = await listen()
+  const client = new DispatchClient(address, CREDENTIALS.forChannel())
+  const call = client.attend()
+  let isEnded = false
+  call.on('error', () => { isEnded = true })
+  call.on('end', () => { isEnded = true })
+  call.write(question(3))
+  await until(() => received.length === 1)
+  listener.close()
+  call.write(question(4))
+  await until(() => received.length === 2 || isEnded)
+  assert.is(received.length, 2)
+  call.cancel()
+  client.close()
+  grpc.forceShutdown()
+})
+
 test.run()
