Questions that waited too long expire also while ends use up the leader's time (SHORT)

Ends go first, and each turn of the event loop spends 5 ms on placements. After a time without a leader entries send up to 500 ends each that they kept; until all were handled, no question was looked at, nor told that it had waited too long.

--- a/packages/dispatch/src/placement-inbox.ts
+++ b/packages/dispatch/src/placement-inbox.ts
@@ -36,6 +36,8 @@
 
 /** Time in a turn of the event loop that is spent on placements. */
 const SLICE_MILLISECONDS = 5
+/** Further time for questions that waited too long, which ends must not delay. */
+const EXPIRY_SLICE_MILLISECONDS = 1
 /** A question is handled within this time or not at all. Short, since the caller's time runs, and a longer wait serves nobody more. */
 const MAXIMUM_WAIT_MILLISECONDS = 200
 
@@ -107,6 +109,7 @@
     const until = this.options.clock.monotonicMilliseconds() + SLICE_MILLISECONDS
     this.handleEnds(until)
     this.handleQuestions(until)
+    this.expireQuestions()
     if (this.ends.length > 0 || this.questions.size > 0) this.schedule()
   }
 
@@ -131,6 +134,18 @@
       else listener.question(session, question)
     }
   }
+
+  /** Expires questions that waited too long, if ends have used up the slice. */
+  private expireQuestions (): void {
+    const { clock, listener } = this.options
+    const until = clock.monotonicMilliseconds() + EXPIRY_SLICE_MILLISECONDS
+    for (const [key, { session, question, receivedAt }] of this.questions) {
+      const now = clock.monotonicMilliseconds()
+      if (now >= until || now - receivedAt <= MAXIMUM_WAIT_MILLISECONDS) return
+      this.questions.delete(key)
+      listener.expired(session, question)
+    }
+  }
 }
 
 function keyOf ({ connection }: ClientSession, ticket: number): string {
