--- a/packages/control/src/announcement-relay.ts
+++ b/packages/control/src/announcement-relay.ts
@@ -40,9 +40,12 @@
     return true
   }
 
-  /** Keeps what cannot be sent now; a later announcement of an upstream replaces an earlier one. */
+  /** Keeps what cannot be sent now. Leaves out upstreams that have since said that they leave, as a report says that they serve. */
   private report (): void {
     if (this.heard.size === 0) return
+    for (const instance of this.heard.keys()) {
+      if (this.registry.isLeaving(instance)) this.heard.delete(instance)
+    }
     const upstreams = encodeAnnounced([...this.heard.values()])
     if (this.link.send({ body: { $case: 'known', value: { whole: false, upstreams, revision: 0 } } })) this.heard.clear()
   }
--- a/packages/control/src/dispatching-control.ts
+++ b/packages/control/src/dispatching-control.ts
@@ -153,7 +153,7 @@
     this.metrics = createControlMetrics(replica, state, this.service)
     server.addService(DispatchDefinition, this.service.handlers())
     this.listener = InnerListener.create({
-      credentials, grpc: server, framed: (socket) => this.service.acceptStream(FramedConnection.accept(socket, SERVER_CODECS))
+      credentials, grpc: server, logger, framed: (socket) => this.service.acceptStream(FramedConnection.accept(socket, SERVER_CODECS))
     })
   }
 
--- a/packages/dispatch/src/dispatch-service.ts
+++ b/packages/dispatch/src/dispatch-service.ts
@@ -1,5 +1,4 @@
-/** The gRPC service `Dispatch`: serves streams on the leading control VM, and redirects clients to the leader on the others. */
-import type { EventEmitter } from 'node:events'
+/** The service `Dispatch`, over gRPC and framed connections: serves streams on the leading control VM, and redirects clients to the leader on the others. */
 import type { UntypedServiceImplementation } from '@grpc/grpc-js'
 import type { ServingConfiguration } from '@hickoryspoke/configuration/serving-configuration'
 import type { DispatchHello, EntryMessage, LeaderNotice } from '@hickoryspoke/protocol/generated/dispatch'
@@ -8,6 +7,7 @@
 import { describeError } from '@hickoryspoke/runtime/failure'
 import type { Logger } from '@hickoryspoke/telemetry/logger'
 import type { ClientSession, DispatchCall, GrpcDispatchCall } from './client-session.ts'
+import { ClientStream } from './client-stream.ts'
 import { CustomerRateLimiter, type OverageAllowance, type RateLimit } from './customer-rate-limiter.ts'
 import { Dispatcher } from './dispatcher.ts'
 import type { EntryConnection } from './entry-connection.ts'
@@ -212,28 +212,23 @@
     return this.terms.get(name)
   }
 
-  /** Serves a stream from its first message on, over either transport. */
+  /** Serves a stream over either transport. */
   acceptStream (call: DispatchCall): void {
-    let session: ClientSession | undefined
-    const end = (): void => {
-      if (session !== undefined) this.removeSession(session)
-      call.end()
-    }
-    // Both transports have these events; a gRPC call also reports that the client cancelled it.
-    const events: EventEmitter = call
-    events.on('data', (message: EntryMessage) => {
-      if (session === undefined) session = this.measure('hello', () => this.openSession(call, message))
-      else this.handleMessage(session, message)
-      if (session !== undefined) session.heardAt = this.options.clock.monotonicMilliseconds()
-    })
-    events.on('end', end)
-    events.on('cancelled', end)
-    events.on('error', (error) => {
-      this.options.logger.info('dispatch stream failed', { entry: session?.connection.entry, reason: describeError(error) })
-      end()
+    ClientStream.create(call, {
+      opened: (message) => this.measure('hello', () => this.openSession(call, message)),
+      received: (session, message) => this.receive(session, message),
+      closed: (session) => { if (session !== undefined) this.removeSession(session) },
+      failed: (session, error) => {
+        this.options.logger.info('dispatch stream failed', { entry: session?.connection.entry, reason: describeError(error) })
+      }
     })
   }
 
+  private receive (session: ClientSession, message: EntryMessage): void {
+    session.heardAt = this.options.clock.monotonicMilliseconds()
+    this.handleMessage(session, message)
+  }
+
   private measure<Value> (kind: string, handle: () => Value): Value {
     const beganAt = this.options.clock.monotonicMilliseconds()
     const value = handle()
@@ -309,8 +304,10 @@
   /** Handles control messages at once; those about placements wait for their turn. */
   private handleMessage (session: ClientSession, { body }: EntryMessage): void {
     if (this.leading === undefined || body === undefined) return
-    if (body.$case === 'question') return this.inbox.addQuestion(session, body.value)
     if (body.$case === 'end') return this.inbox.addEnd(session, body.value)
+    // The entry has opened another stream, on which it has sent what still counts.
+    if (this.sessions.get(session.connection.entry) !== session) return
+    if (body.$case === 'question') return this.inbox.addQuestion(session, body.value)
     this.measure(body.$case, () => this.handleControlMessage(session, body))
   }
 
--- a/packages/protocol/src/framed-connection.ts
+++ b/packages/protocol/src/framed-connection.ts
@@ -41,6 +41,15 @@
   }
 }
 
+/** A message of this process has a value that its field cannot hold. */
+export class InvalidMessage extends Failure {
+  readonly code = 'invalid_message'
+
+  static create (reason: string): InvalidMessage {
+    return new InvalidMessage(reason)
+  }
+}
+
 /** The peer accepted the connection but does not speak this protocol. */
 export class NotFramed extends Failure {
   readonly code = 'not_framed'
@@ -64,11 +73,18 @@
 const MAXIMUM_FRAME_BYTES = 67_108_864
 /** A peer that has not read this much more than the largest message is given up, so that it cannot use up the memory. */
 const MAXIMUM_UNSENT_BYTES = 2 * MAXIMUM_FRAME_BYTES
+/** A peer that has gone silent, and so does not close its side, is given up after this time. */
+const CLOSE_TIMEOUT_MILLISECONDS = 5_000
 
 /** One side of a connection. Messages written in one turn of the event loop are sent together. */
 export class FramedConnection<Sent, Received> extends EventEmitter<ConnectionEvents<Received>> {
-  private unread: Buffer = Buffer.alloc(0)
+  /** Bytes that are not a whole message yet; joined only once they are, so that a large message is copied once. */
+  private unread: Buffer[] = []
+  private unreadBytes = 0
+  /** Number of unread bytes from which on there is something to read. */
+  private wantedBytes = 1
   private isCorked = false
+  private isEnding = false
   private isEnded = false
   private connected = false
 
@@ -106,18 +122,22 @@
     return !this.awaitsPreface
   }
 
-  /** Sends a message; ignored once the connection is closed. */
+  /** Sends a message; ignored once the connection is closed or `end` was called. One that cannot be encoded fails the connection. */
   write (message: Sent): void {
-    if (this.isEnded) return
+    if (this.isEnded || this.isEnding) return
+    const frame = this.encode(message)
+    if (frame === undefined) return
     this.cork()
-    this.socket.write(frameOf(this.codecs.sent.encode(message).finish()))
+    this.socket.write(frame)
     if (this.socket.writableLength > MAXIMUM_UNSENT_BYTES) this.fail(ConnectionLost.create('the peer does not read'))
   }
 
   /** Sends a last message, if any, and closes the connection once all is sent. */
   end (last?: Sent): void {
     if (last !== undefined) this.write(last)
+    this.isEnding = true
     this.socket.end()
+    this.socket.setTimeout(CLOSE_TIMEOUT_MILLISECONDS, () => this.socket.destroy())
   }
 
   /** Closes the connection at once. */
@@ -142,7 +162,11 @@
   }
 
   private receive (bytes: Buffer): void {
-    let rest = this.unread.length === 0 ? bytes : Buffer.concat([this.unread, bytes])
+    this.unread.push(bytes)
+    this.unreadBytes += bytes.length
+    if (this.unreadBytes < this.wantedBytes) return
+    let rest = this.unread.length === 1 ? bytes : Buffer.concat(this.unread)
+    this.wantedBytes = 1
     if (this.awaitsPreface) {
       if (!rest.subarray(0, FRAMED_PREFACE.length).equals(FRAMED_PREFACE.subarray(0, rest.length))) return this.fail(NotFramed.create())
       this.awaitsPreface = rest.length < FRAMED_PREFACE.length
@@ -152,11 +176,15 @@
       const length = rest.readUInt32BE(0)
       if (length > MAXIMUM_FRAME_BYTES) return this.fail(InvalidFrame.create(`a message of ${length} bytes was announced`))
       const frameEnd = LENGTH_BYTES + length
-      if (rest.length < frameEnd) break
+      if (rest.length < frameEnd) {
+        this.wantedBytes = frameEnd
+        break
+      }
       this.deliver(rest.subarray(LENGTH_BYTES, frameEnd))
       rest = rest.subarray(frameEnd)
     }
-    this.unread = rest
+    this.unread = rest.length === 0 ? [] : [rest]
+    this.unreadBytes = rest.length
   }
 
   private deliver (bytes: Buffer): void {
@@ -164,6 +192,15 @@
     if (message !== undefined) this.emit('data', message)
   }
 
+  private encode (message: Sent): Buffer | undefined {
+    try {
+      return frameOf(this.codecs.sent.encode(message).finish())
+    } catch (thrown) {
+      this.fail(InvalidMessage.create(`a message cannot be encoded: ${String(thrown)}`))
+      return undefined
+    }
+  }
+
   private decode (bytes: Buffer): Received | undefined {
     try {
       return this.codecs.received.decode(bytes)
--- a/packages/protocol/src/inner-listener.ts
+++ b/packages/protocol/src/inner-listener.ts
@@ -2,6 +2,7 @@
 import { createServer, type Server as SocketServer, type Socket } from 'node:net'
 import type { Server as GrpcServer } from '@grpc/grpc-js'
 import { splitAddress } from '@hickoryspoke/runtime/address'
+import type { Logger } from '@hickoryspoke/telemetry/logger'
 import { Err, Ok, type Result } from 'ts-results-es'
 import { FRAMED_PREFACE } from './framed-connection.ts'
 import { AddressNotBound, isLoopback, PlainTextOutsideLoopback, type InnerCredentials } from './inner-credentials.ts'
@@ -10,6 +11,7 @@
 export interface InnerListenerOptions {
   readonly credentials: InnerCredentials
   readonly grpc: GrpcServer
+  readonly logger: Logger
   /** Called with a socket whose client sent the preface of framed connections, which was answered. */
   readonly framed: (socket: Socket) => void
 }
@@ -19,6 +21,7 @@
 
 /** The listening port of a process. With mutual TLS it serves gRPC only. */
 export class InnerListener {
+  /** Framed connections, and those whose client has not yet shown what it speaks. */
   private readonly sockets = new Set<Socket>()
   private server: SocketServer | undefined
   private readonly injectGrpc: (socket: Socket) => void
@@ -41,7 +44,11 @@
     this.server = server
     const { host, port } = splitAddress(address)
     return await new Promise((resolve) => {
-      server.once('error', (error) => resolve(Err(AddressNotBound.create(address, error.message))))
+      // After it listens, an error concerns one connection that could not be accepted, and its client tries again.
+      server.on('error', (error) => {
+        this.options.logger.warn('connection not accepted', { reason: error.message })
+        resolve(Err(AddressNotBound.create(address, error.message)))
+      })
       server.listen(port, host, () => {
         const bound = server.address()
         resolve(Ok(bound === null || typeof bound === 'string' ? port : bound.port))
@@ -81,6 +88,7 @@
   private handOver (socket: Socket, first: Buffer): void {
     if (!first.subarray(0, FRAMED_PREFACE.length).equals(FRAMED_PREFACE)) {
       socket.unshift(first)
+      this.sockets.delete(socket)
       return this.injectGrpc(socket)
     }
     const rest = first.subarray(FRAMED_PREFACE.length)
--- a/packages/protocol/src/tests/framed-connection.test.ts
+++ b/packages/protocol/src/tests/framed-connection.test.ts
@@ -1,6 +1,7 @@
 import { connect, createServer, type AddressInfo, type Server as SocketServer, type Socket } from 'node:net'
 import { Server as GrpcServer, type ServerDuplexStream } from '@grpc/grpc-js'
 import type { Failure } from '@hickoryspoke/runtime/failure'
+import { silentLogger } from '@hickoryspoke/telemetry/logger'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import { FramedConnection, FRAMED_PREFACE } from '../framed-connection.ts'
@@ -29,6 +30,7 @@
   const listener = InnerListener.create({
     credentials: CREDENTIALS,
     grpc,
+    logger: silentLogger(),
     framed: (socket) => {
       const connection = FramedConnection.accept(socket, SERVER_CODECS)
       connection.on('data', (message) => received.push(message))
@@ -40,7 +42,7 @@
     listener.close()
     grpc.forceShutdown()
   }
-  return { address: `127.0.0.1:${port}`, port, connections, received, close }
+  return { address: `127.0.0.1:${port}`, port, connections, received, listener, grpc, close }
 }
 
 async function until (isMet: () => boolean): Promise<void> {
@@ -141,4 +143,54 @@
   })
 }
 
+// Guards against a process that ends because one of its own messages has a value that its field cannot hold.
+test('a message that cannot be encoded ends that connection only', async () => {
+  const { address, connections, close } = await listen()
+  const client = FramedConnection.connect(address, CLIENT_CODECS)
+  client.write(question(1))
+  await until(() => connections.length === 1)
+  const failures: Failure[] = []
+  connections[0]?.on('error', (failure) => failures.push(failure))
+  connections[0]?.write({ body: { $case: 'denial', value: { ticket: 1, reason: 1, retryAfterMilliseconds: 2 ** 33 } } })
+  assert.equal(failures.map(({ code }) => code), ['invalid_message'])
+  close()
+})
+
+// Guards against a last message that is lost, as one that is written after it resets the connection.
+test('messages after the end are ignored', async () => {
+  const { address, connections, close } = await listen()
+  const client = FramedConnection.connect(address, CLIENT_CODECS)
+  const replies: DispatchMessage[] = []
+  const failures: Failure[] = []
+  client.on('data', (message) => replies.push(message))
+  const ended = new Promise<void>((resolve) => client.on('end', resolve))
+  client.write(question(1))
+  await until(() => connections.length === 1)
+  connections[0]?.on('error', (failure) => failures.push(failure))
+  connections[0]?.end(QUERY)
+  connections[0]?.write(QUERY)
+  await ended
+  assert.equal({ replies, failures }, { replies: [QUERY], failures: [] })
+  close()
+})
+
+// Guards against clients of the older version that are cut off in the middle of a response when a control VM stops.
+test('a listener that closes leaves gRPC calls to the server that shuts them down', async () => {
+  const { address, received, listener, grpc } = await listen()
+  const client = new DispatchClient(address, CREDENTIALS.forChannel())
+  const call = client.attend()
+  let isEnded = false
+  call.on('error', () => { isEnded = true })
+  call.on('end', () => { isEnded = true })
+  call.write(question(3))
+  await until(() => received.length === 1)
+  listener.close()
+  call.write(question(4))
+  await until(() => received.length === 2 || isEnded)
+  assert.is(received.length, 2)
+  call.cancel()
+  client.close()
+  grpc.forceShutdown()
+})
+
 test.run()
