--- a/packages/dispatch/src/configuration-history.ts
+++ b/packages/dispatch/src/configuration-history.ts
@@ -2,6 +2,7 @@
 import { encodeServingDifference, encodeServingConfiguration } from '@hickoryspoke/configuration/serving-codec'
 import type { ServingConfiguration } from '@hickoryspoke/configuration/serving-configuration'
 import type { ServingUpdate } from '@hickoryspoke/protocol/generated/dispatch'
+import type { RateLimit } from './customer-rate-limiter.ts'
 
 /** An update without the revision that is to be confirmed, which depends on when it is sent. */
 export type ConfigurationUpdate = Omit<ServingUpdate, 'revision'>
@@ -12,6 +13,8 @@
 export class ConfigurationHistory {
   private readonly recent: ServingConfiguration[] = []
   private readonly cachedUpdates = new Map<number, ConfigurationUpdate>()
+  /** Rate limits by customer, of the newest configuration. */
+  private limits = new Map<string, RateLimit>()
 
   static create (): ConfigurationHistory {
     return new ConfigurationHistory()
@@ -27,6 +30,12 @@
     this.recent.push(configuration)
     if (this.recent.length > KEPT_CONFIGURATIONS) this.recent.shift()
     this.cachedUpdates.clear()
+    this.limits = new Map(configuration.customers.map((customer) => [customer.name, customer]))
+  }
+
+  /** Rate limit of a customer under the newest configuration. */
+  rateLimitOf (customer: string): RateLimit | undefined {
+    return this.limits.get(customer)
   }
 
   /** Update from a held configuration number to the newest configuration; undefined when the held one is current. */
--- a/packages/dispatch/src/dispatch-service.ts
+++ b/packages/dispatch/src/dispatch-service.ts
@@ -7,8 +7,9 @@
 import { describeError } from '@hickoryspoke/runtime/failure'
 import type { Logger } from '@hickoryspoke/telemetry/logger'
 import type { ClientSession, DispatchCall, GrpcDispatchCall } from './client-session.ts'
+import { ClientSessions } from './client-sessions.ts'
 import { ClientStream } from './client-stream.ts'
-import { CustomerRateLimiter, type OverageAllowance, type RateLimit } from './customer-rate-limiter.ts'
+import { CustomerRateLimiter, type OverageAllowance } from './customer-rate-limiter.ts'
 import { Dispatcher } from './dispatcher.ts'
 import type { EntryConnection } from './entry-connection.ts'
 import { HandoverLists } from './handover-lists.ts'
@@ -66,34 +67,32 @@
 
 /** Serves the streams of entries and of the other control VMs, and runs the dispatcher while this process leads. */
 export class DispatchService {
-  private readonly sessions = new Map<string, ClientSession>()
+  private readonly sessions = ClientSessions.create()
   private readonly history = ConfigurationHistory.create()
   /** What entries and the next dispatcher should know of the dispatcher's evidence. */
   readonly handover: HandoverLists
-  private readonly load = MessageLoad.create()
+  private readonly load: MessageLoad
   private readonly numbers: NumberConfirmations
   private readonly inbox: PlacementInbox
   private leading: LeaderState | undefined
-  /** Rate limits by customer, from the configuration with the number below. */
-  private terms = new Map<string, RateLimit>()
-  private termsConfigurationNumber: number | undefined
 
   private constructor (private readonly options: DispatchServiceOptions) {
     this.handover = HandoverLists.create(options.clock)
+    this.load = MessageLoad.create(options.clock)
     this.numbers = NumberConfirmations.create({
       clock: options.clock,
       confirmNumber: () => this.confirmNumber(),
       entries: () => this.entries,
-      relays: RelayDirectory.create(() => this.sessions.values()),
+      relays: RelayDirectory.create(() => this.sessions.all()),
       answering: (session) => this.leading?.news.confirmView(session.connection.entry),
       unanswered: (questions) => options.logger.warn('leadership not confirmed', { questions })
     })
     this.inbox = PlacementInbox.create({
       clock: options.clock,
       listener: {
-        question: (session, question) => this.measure('question', () => this.leading?.dispatcher.ask(session.connection, question)),
-        end: (session, end) => this.measure('end', () => this.leading?.dispatcher.end(session.connection, end)),
-        expired: (session, question) => this.measure('expired', () => this.leading?.dispatcher.denyOverdue(session.connection, question))
+        question: (session, question) => this.load.measure('question', () => this.leading?.dispatcher.ask(session.connection, question)),
+        end: (session, end) => this.load.measure('end', () => this.leading?.dispatcher.end(session.connection, end)),
+        expired: (session, question) => this.load.measure('expired', () => this.leading?.dispatcher.denyOverdue(session.connection, question))
       }
     })
     options.registry.onChange((changed) => this.receiveChanges(changed))
@@ -121,7 +120,7 @@
 
   /** Number of connected entries. */
   get entries (): number {
-    return [...this.sessions.values()].filter((session) => !session.mirror).length
+    return this.sessions.entries
   }
 
   /** Questions that have not been looked at yet. */
@@ -131,12 +130,7 @@
 
   /** Numbers of messages and milliseconds spent on them since the previous call, by kind, as fields for a log line. */
   readLoad (): Record<string, number> {
-    const fields: Record<string, number> = {}
-    for (const [kind, { count, milliseconds }] of this.load.read()) {
-      fields[`${kind}Messages`] = count
-      fields[`${kind}Milliseconds`] = Math.round(milliseconds)
-    }
-    return fields
+    return this.load.readFields()
   }
 
   /** Snapshots of the dispatcher's pools; empty where it does not run. */
@@ -168,7 +162,7 @@
   publish (configuration: ServingConfiguration): void {
     this.history.add(configuration)
     if (this.leading !== undefined) this.leading.configurationRevision = this.leading.news.add()
-    for (const session of this.sessions.values()) this.sendConfiguration(session)
+    for (const session of this.sessions.all()) this.sendConfiguration(session)
   }
 
   /** Starts or stops the dispatcher when leadership was gained or lost. */
@@ -183,11 +177,11 @@
     const { clock, logger, registry, budget, overage, floorShare, newsLimitMilliseconds } = this.options
     const isFirst = this.options.startsWithFullBursts()
     const rates = isFirst ? CustomerRateLimiter.createWithFullBursts() : CustomerRateLimiter.createAfterPredecessor(overage)
-    rates.setLimits((name) => this.rateLimitOf(name))
+    rates.setLimits((name) => this.history.rateLimitOf(name))
     registry.refresh()
     const dispatcher = Dispatcher.create({ clock, logger, registry, rates, budget, floorShare })
     const news = NewsDelivery.create(clock, newsLimitMilliseconds, !isFirst)
-    const upstreams = UpstreamBroadcast.create(clock, registry, news, () => this.sessions.values())
+    const upstreams = UpstreamBroadcast.create(clock, registry, news, () => this.sessions.all())
     this.leading = { dispatcher, news, upstreams, configurationRevision: news.add() }
     this.handover.handOverTo(dispatcher)
     logger.info('dispatcher began', { suspected: dispatcher.suspicions().length, limited: dispatcher.statedLimits().length, upstreams: registry.present().length, configuration: this.history.newest?.number ?? 0 })
@@ -199,23 +193,14 @@
     this.leading = undefined
     this.inbox.clear()
     this.options.logger.info('dispatcher ended', { entries: this.entries })
-    for (const session of this.sessions.values()) this.redirectToLeader(session.call)
+    for (const session of this.sessions.all()) this.redirectToLeader(session.call)
     this.sessions.clear()
   }
 
-  /** Rate limit of a customer under the newest configuration. */
-  private rateLimitOf (name: string): RateLimit | undefined {
-    if (this.termsConfigurationNumber !== this.history.newest?.number) {
-      this.termsConfigurationNumber = this.history.newest?.number
-      this.terms = new Map(this.history.newest?.customers.map((customer) => [customer.name, customer]))
-    }
-    return this.terms.get(name)
-  }
-
   /** Serves a stream over either transport. */
   acceptStream (call: DispatchCall): void {
     ClientStream.create(call, {
-      opened: (message) => this.measure('hello', () => this.openSession(call, message)),
+      opened: (message) => this.load.measure('hello', () => this.openSession(call, message)),
       received: (session, message) => this.receive(session, message),
       closed: (session) => { if (session !== undefined) this.removeSession(session) },
       failed: (session, error) => {
@@ -229,13 +214,6 @@
     this.handleMessage(session, message)
   }
 
-  private measure<Value> (kind: string, handle: () => Value): Value {
-    const beganAt = this.options.clock.monotonicMilliseconds()
-    const value = handle()
-    this.load.record(kind, this.options.clock.monotonicMilliseconds() - beganAt)
-    return value
-  }
-
   /** Opens a session for a valid hello on the leader; otherwise redirects the client and returns undefined. */
   private openSession (call: DispatchCall, message: EntryMessage): ClientSession | undefined {
     const hello = message.body?.$case === 'hello' ? message.body.value : undefined
@@ -258,8 +236,7 @@
     const { mirror, configurationNumber: heldNumber, upstreamDigest, relay } = hello
     const heardAt = this.options.clock.monotonicMilliseconds()
     const session: ClientSession = { call, connection, mirror, relay, isRelaying: false, heldNumber, heardAt, upstreamDigest }
-    this.closeSession(this.sessions.get(hello.name))
-    this.sessions.set(hello.name, session)
+    this.closeSession(this.sessions.add(session))
     if (!hello.mirror) this.leading?.news.attach(hello.name)
     this.options.logger.info('dispatch session opened', { entry: hello.name, zone: hello.zone, configuration: hello.configurationNumber, running: hello.running.length })
     return session
@@ -275,20 +252,17 @@
   /** Ends the streams of clients that were lost without closing them. */
   private closeSilentSessions (): void {
     const heardSince = this.options.clock.monotonicMilliseconds() - SILENT_SESSION_MILLISECONDS
-    for (const session of this.sessions.values()) {
-      if (session.heardAt >= heardSince) continue
+    for (const session of this.sessions.silentSince(heardSince)) {
       this.removeSession(session)
       session.call.destroy()
     }
   }
 
   private removeSession (session: ClientSession): void {
-    const { entry } = session.connection
-    if (this.sessions.get(entry) !== session) return
-    this.sessions.delete(entry)
+    if (!this.sessions.remove(session)) return
     this.leading?.upstreams.remove(session)
     this.inbox.removeQuestionsOf(session)
-    this.options.logger.info('dispatch session closed', { entry })
+    this.options.logger.info('dispatch session closed', { entry: session.connection.entry })
   }
 
   private redirectToLeader (call: DispatchCall): void {
@@ -306,9 +280,9 @@
     if (this.leading === undefined || body === undefined) return
     if (body.$case === 'end') return this.inbox.addEnd(session, body.value)
     // The entry has opened another stream, on which it has sent what still counts.
-    if (this.sessions.get(session.connection.entry) !== session) return
+    if (!this.sessions.isCurrent(session)) return
     if (body.$case === 'question') return this.inbox.addQuestion(session, body.value)
-    this.measure(body.$case, () => this.handleControlMessage(session, body))
+    this.load.measure(body.$case, () => this.handleControlMessage(session, body))
   }
 
   private handleControlMessage (session: ClientSession, body: ControlBody): void {
@@ -346,7 +320,7 @@
   private broadcastLists (): void {
     const updates = this.leading === undefined ? [] : this.handover.updates(this.leading.dispatcher)
     for (const message of updates) {
-      for (const { call } of this.sessions.values()) call.write(message)
+      for (const { call } of this.sessions.all()) call.write(message)
     }
   }
 }
--- a/packages/dispatch/src/message-load.ts
+++ b/packages/dispatch/src/message-load.ts
@@ -1,4 +1,5 @@
 /** Counts the messages that a dispatch service handles, and the time spent on them, by kind. */
+import type { Clock } from '@hickoryspoke/runtime/clock'
 
 /** Messages of one kind since the previous reading. */
 export interface KindLoad {
@@ -11,8 +12,18 @@
 export class MessageLoad {
   private byKind = new Map<string, KindLoad>()
 
-  static create (): MessageLoad {
-    return new MessageLoad()
+  private constructor (private readonly clock: Clock) {}
+
+  static create (clock: Clock): MessageLoad {
+    return new MessageLoad(clock)
+  }
+
+  /** Handles a message of some kind and records the time that it takes. */
+  measure<Value> (kind: string, handle: () => Value): Value {
+    const beganAt = this.clock.monotonicMilliseconds()
+    const value = handle()
+    this.record(kind, this.clock.monotonicMilliseconds() - beganAt)
+    return value
   }
 
   record (kind: string, milliseconds: number): void {
@@ -22,10 +33,14 @@
     this.byKind.set(kind, load)
   }
 
-  /** Returns what was recorded since the previous call. */
-  read (): ReadonlyMap<string, KindLoad> {
-    const read = this.byKind
+  /** Returns what was recorded since the previous call, as fields for a log line. */
+  readFields (): Record<string, number> {
+    const fields: Record<string, number> = {}
+    for (const [kind, { count, milliseconds }] of this.byKind) {
+      fields[`${kind}Messages`] = count
+      fields[`${kind}Milliseconds`] = Math.round(milliseconds)
+    }
     this.byKind = new Map()
-    return read
+    return fields
   }
 }
