--- a/packages/control/src/dispatching-control.ts
+++ b/packages/control/src/dispatching-control.ts
@@ -1,69 +1,27 @@
 /** A control process that replicates the published document and, while it leads, dispatches the fleet's requests. */
 import { Server } from '@grpc/grpc-js'
-import type { ServingConfiguration } from '@hickoryspoke/configuration/serving-configuration'
 import { LeaderConnection } from '@hickoryspoke/dispatch/leader-connection'
 import { DispatchService } from '@hickoryspoke/dispatch/dispatch-service'
-import type { OverageAllowance } from '@hickoryspoke/dispatch/customer-rate-limiter'
-import type { FleetRetryBudgetSettings } from '@hickoryspoke/dispatch/fleet-retry-budget'
 import { UpstreamRegistry } from '@hickoryspoke/dispatch/upstream-registry'
 import { DispatchMessage, DispatchService as DispatchDefinition, EntryMessage } from '@hickoryspoke/protocol/generated/dispatch'
 import { FramedConnection } from '@hickoryspoke/protocol/framed-connection'
-import type { InnerCredentials } from '@hickoryspoke/protocol/inner-credentials'
 import { InnerListener } from '@hickoryspoke/protocol/inner-listener'
 import { GrpcReplicaNetwork } from '@hickoryspoke/replication/grpc-replica-network'
 import { encodeDocument, PublishedDocumentState, type PublishedDocument } from '@hickoryspoke/replication/published-document'
 import { Replica } from '@hickoryspoke/replication/replica'
-import type { OnEmptyFolder } from '@hickoryspoke/replication/replica-storage'
 import type { ReplicationFailure } from '@hickoryspoke/replication/replication-failure'
 import { REPLICA_ROLE } from '@hickoryspoke/replication/replicated-log'
-import { repeatEvery, type Clock } from '@hickoryspoke/runtime/clock'
+import { repeatEvery } from '@hickoryspoke/runtime/clock'
 import type { Failure } from '@hickoryspoke/runtime/failure'
-import type { RandomSource } from '@hickoryspoke/runtime/random'
-import type { Logger } from '@hickoryspoke/telemetry/logger'
 import type { Metrics } from '@hickoryspoke/telemetry/metrics'
 import { Ok, type Result } from 'ts-results-es'
 import { AnnouncementRelay } from './announcement-relay.ts'
+import type { DispatchingControlOptions, DispatchingControlSettings } from './dispatching-control-settings.ts'
 import { createControlMetrics } from './dispatching-control-metrics.ts'
 import { reportLoad } from './load-report.ts'
 import { logReplicaEvent } from './replica-event-log.ts'
 import { shutDownServer } from './server-shutdown.ts'
 
-/** Settings of the process. Addresses are IP:PORT of inner ports. */
-export interface DispatchingControlSettings {
-  /** Own inner address, which is also the name of the replica. */
-  readonly address: string
-  readonly zone: string
-  readonly cluster: string
-  readonly folder: string
-  readonly onEmptyFolder: OnEmptyFolder
-  /** Control VMs named in the settings; the array is updated in place when the settings change. */
-  readonly seeds: readonly string[]
-  /** Silent replicas are replaced only while at least this many voters remain. */
-  readonly minimumVoters: number
-  /** Whether the whole fleet starts for the first time, so that no customer has used up any of its burst. */
-  readonly firstOfFleet: boolean
-  readonly budget: FleetRetryBudgetSettings
-  readonly overage: OverageAllowance
-  /** Share of a pool's sound upstreams that must receive requests; 0 for none. */
-  readonly floorShare: number
-  /** How long an entry may serve after its view was last confirmed. */
-  readonly freshMilliseconds: number
-  /** Time after an acknowledgement within which all entries must act on what was acknowledged. */
-  readonly applyMilliseconds: number
-  /** An upstream without announcements for this long is removed, unless it answers requests. */
-  readonly silentUpstreamMilliseconds: number
-}
-
-/** Process-wide dependencies. */
-export interface DispatchingControlOptions {
-  readonly clock: Clock
-  readonly random: RandomSource
-  readonly logger: Logger
-  readonly credentials: InnerCredentials
-  /** Decodes a published document. */
-  readonly decode: (document: PublishedDocument) => Result<ServingConfiguration, Failure>
-}
-
 /** Codecs of the server's side of a framed connection. */
 const SERVER_CODECS = { sent: DispatchMessage, received: EntryMessage }
 const EXPIRY_CHECK_MILLISECONDS = 500
--- a/packages/dispatch/src/dispatch-service.ts
+++ b/packages/dispatch/src/dispatch-service.ts
@@ -3,18 +3,17 @@
 import type { ServingConfiguration } from '@hickoryspoke/configuration/serving-configuration'
 import type { DispatchHello, EntryMessage, LeaderNotice } from '@hickoryspoke/protocol/generated/dispatch'
 import { mayActAs } from '@hickoryspoke/protocol/peer-identity'
-import { repeatEvery, type Clock } from '@hickoryspoke/runtime/clock'
+import { repeatEvery } from '@hickoryspoke/runtime/clock'
 import { describeError } from '@hickoryspoke/runtime/failure'
-import type { Logger } from '@hickoryspoke/telemetry/logger'
 import type { ClientSession, DispatchCall, GrpcDispatchCall } from './client-session.ts'
 import { ClientSessions } from './client-sessions.ts'
 import { ClientStream } from './client-stream.ts'
-import { CustomerRateLimiter, type OverageAllowance } from './customer-rate-limiter.ts'
+import { CustomerRateLimiter } from './customer-rate-limiter.ts'
+import type { DispatchServiceOptions } from './dispatch-service-options.ts'
 import { Dispatcher } from './dispatcher.ts'
 import type { EntryConnection } from './entry-connection.ts'
 import { HandoverLists } from './handover-lists.ts'
 import type { PoolSnapshot } from './pool-dispatcher.ts'
-import type { FleetRetryBudgetSettings } from './fleet-retry-budget.ts'
 import { ConfigurationHistory } from './configuration-history.ts'
 import { MessageLoad } from './message-load.ts'
 import { NewsDelivery, type DeliveryProgress } from './news-delivery.ts'
@@ -22,32 +21,7 @@
 import { PlacementInbox } from './placement-inbox.ts'
 import { RelayDirectory } from './relay-directory.ts'
 import { UpstreamBroadcast } from './upstream-broadcast.ts'
-import type { RegisteredUpstream, UpstreamRegistry } from './upstream-registry.ts'
-
-/** The state of the replicated log that the service needs. Addresses are IP:PORT of inner ports. */
-export interface ClusterView {
-  isLeader (): boolean
-  leaderAddress (): string
-  controlAddresses (): readonly string[]
-  /** Number of the newest configuration, once leadership is confirmed; undefined when it cannot be confirmed. */
-  confirmNumber (): Promise<number | undefined>
-}
-
-/** Dependencies and settings of a `DispatchService`. */
-export interface DispatchServiceOptions {
-  readonly clock: Clock
-  readonly logger: Logger
-  readonly control: ClusterView
-  readonly registry: UpstreamRegistry
-  readonly budget: FleetRetryBudgetSettings
-  readonly overage: OverageAllowance
-  /** Share of a pool's sound upstreams that must receive requests; 0 for none. */
-  readonly floorShare: number
-  /** Whether it is certain that no earlier dispatcher spent any customer's burst. */
-  readonly startsWithFullBursts: () => boolean
-  /** How long after its last confirmation an entry that has not confirmed news is waited for, in milliseconds. */
-  readonly newsLimitMilliseconds: number
-}
+import type { RegisteredUpstream } from './upstream-registry.ts'
 
 /** A message that is not about a placement. */
 type ControlBody = Exclude<NonNullable<EntryMessage['body']>, { readonly $case: 'question' | 'end' }>
