--- a/packages/dispatch/src/placement-inbox.ts
+++ b/packages/dispatch/src/placement-inbox.ts
@@ -57,20 +57,19 @@
     return this.questions.size
   }
 
-  /** When the oldest question arrived, in monotonic milliseconds; Infinity for none. */
-  get oldest (): number {
-    const first = this.questions.values().next()
-    return first.done === true ? Infinity : first.value.receivedAt
-  }
-
+  /** Adds a question, to be handled in its turn. */
   addQuestion (session: ClientSession, question: PlacementQuestion): void {
     this.questions.set(keyOf(session, question.ticket), { session, question, receivedAt: this.options.clock.monotonicMilliseconds() })
     this.schedule()
   }
 
-  /** Adds an end. One that withdraws a question which still waits here only removes that question. */
+  /** Adds an end. One that withdraws a question of its own stream which still waits here only removes that question. */
   addEnd (session: ClientSession, end: PlacementEnd): void {
-    if (this.questions.delete(keyOf(session, end.ticket))) return
+    const key = keyOf(session, end.ticket)
+    if (this.questions.get(key)?.session === session) {
+      this.questions.delete(key)
+      return
+    }
     this.ends.push({ session, end })
     this.schedule()
   }
--- a/packages/dispatch/src/tests/placement-inbox.test.ts
+++ b/packages/dispatch/src/tests/placement-inbox.test.ts
@@ -67,6 +67,15 @@
   assert.equal(turn(), [])
 })
 
+// Guards against a request that waits in vain, as an end on an earlier stream of its entry has withdrawn its question (SHORT).
+test('an end of an earlier stream does not withdraw a question that was asked again', () => {
+  const { inbox, turn } = createInbox()
+  const later = { connection: recordingEntry('one') } as unknown as ClientSession
+  inbox.addQuestion(later, question(1))
+  inbox.addEnd(SESSION, endOf(1))
+  assert.equal(turn(), ['end 1', 'question 1'])
+})
+
 test('a question that waited too long is expired', () => {
   const { clock, inbox, turn } = createInbox()
   inbox.addQuestion(SESSION, question(1))
