Attaching: clients that left are passed over, those that come are accepted first; changes of upstreams are sent together

Cause: the event loop accepts one connection a turn, and each turn attached a client, at some 4 ms of processor. So the leader accepted connections seconds after they were opened, whose clients had given up, and attached those: some 100 a second, none of them alive. Passing over clients that had left did not act, because the first message was handled in the check phase of the same turn in which it was read, one poll before the end of the connection is read, and because a framed connection told of its end only once the socket was closed, a turn later still. Now: hellos wait in an attach queue. A client that left is dropped, connections that still come are accepted first (for 200 ms at most), clients are attached for 3 ms a turn, and one that waits is told so, so that it stays. The earlier stream of an entry ends when its new hello arrives. An entry counts its patience from the last sign of life. A leadership that ends sends what it collected.

--- a/packages/dispatch/src/client-sessions.ts
+++ b/packages/dispatch/src/client-sessions.ts
@@ -41,6 +41,13 @@
     return this.isCurrent(session) && this.byName.delete(session.connection.entry)
   }
 
+  /** Removes the session of a client and returns it. */
+  removeNamed (name: string): ClientSession | undefined {
+    const session = this.byName.get(name)
+    this.byName.delete(name)
+    return session
+  }
+
   /** Sessions from which nothing has arrived since a time in monotonic milliseconds. */
   silentSince (time: number): ClientSession[] {
     return [...this.byName.values()].filter(({ heardAt }) => heardAt < time)
--- a/packages/dispatch/src/dispatch-service.ts
+++ b/packages/dispatch/src/dispatch-service.ts
@@ -5,22 +5,21 @@
 import { mayActAs } from '@hickoryspoke/protocol/peer-identity'
 import { repeatEvery } from '@hickoryspoke/runtime/clock'
 import { describeError } from '@hickoryspoke/runtime/failure'
+import { AttachQueue, type WaitingClient } from './attach-queue.ts'
 import type { ClientSession, DispatchCall, GrpcDispatchCall } from './client-session.ts'
 import { ClientSessions } from './client-sessions.ts'
 import { ClientStream } from './client-stream.ts'
-import { CustomerRateLimiter } from './customer-rate-limiter.ts'
 import type { DispatchServiceOptions } from './dispatch-service-options.ts'
-import { Dispatcher } from './dispatcher.ts'
 import type { EntryConnection } from './entry-connection.ts'
 import { HandoverLists } from './handover-lists.ts'
 import type { PoolSnapshot } from './pool-dispatcher.ts'
 import { ConfigurationHistory } from './configuration-history.ts'
+import { LeaderState } from './leader-state.ts'
 import { MessageLoad } from './message-load.ts'
-import { NewsDelivery, type DeliveryProgress } from './news-delivery.ts'
+import type { DeliveryProgress } from './news-delivery.ts'
 import { NumberConfirmations } from './number-confirmations.ts'
 import { PlacementInbox } from './placement-inbox.ts'
 import { RelayDirectory } from './relay-directory.ts'
-import { UpstreamBroadcast } from './upstream-broadcast.ts'
 import type { RegisteredUpstream } from './upstream-registry.ts'
 
 /** A message that is not about a placement. */
@@ -30,15 +29,6 @@
 /** Clients ask for the number in force at least once a second. */
 const SILENT_SESSION_MILLISECONDS = 5_000
 
-/** What exists only while this process leads. */
-interface LeaderState {
-  readonly dispatcher: Dispatcher
-  readonly news: NewsDelivery
-  readonly upstreams: UpstreamBroadcast
-  /** Revision of the newest configuration. */
-  configurationRevision: number
-}
-
 /** Serves the streams of entries and of the other control VMs, and runs the dispatcher while this process leads. */
 export class DispatchService {
   private readonly sessions = ClientSessions.create()
@@ -48,6 +38,7 @@
   private readonly load: MessageLoad
   private readonly numbers: NumberConfirmations
   private readonly inbox: PlacementInbox
+  private readonly attaching: AttachQueue
   private leading: LeaderState | undefined
 
   private constructor (private readonly options: DispatchServiceOptions) {
@@ -69,6 +60,7 @@
         expired: (session, question) => this.load.measure('expired', () => this.leading?.dispatcher.denyOverdue(session.connection, question))
       }
     })
+    this.attaching = AttachQueue.create({ clock: options.clock })
     options.registry.onChange((changed) => this.receiveChanges(changed))
   }
 
@@ -84,9 +76,7 @@
   async run (signal: AbortSignal): Promise<void> {
     await repeatEvery(this.options.clock, QUEUE_TICK_MILLISECONDS, signal, () => {
       this.updateLeadership()
-      this.leading?.dispatcher.tick()
-      this.leading?.news.check()
-      this.leading?.upstreams.check()
+      this.leading?.tick()
       this.broadcastLists()
       this.closeSilentSessions()
     })
@@ -148,22 +138,15 @@
   }
 
   private startDispatcher (): void {
-    const { clock, logger, registry, budget, overage, floorShare, newsLimitMilliseconds } = this.options
-    const isFirst = this.options.startsWithFullBursts()
-    const rates = isFirst ? CustomerRateLimiter.createWithFullBursts() : CustomerRateLimiter.createAfterPredecessor(overage)
-    rates.setLimits((name) => this.history.rateLimitOf(name))
-    registry.refresh()
-    const dispatcher = Dispatcher.create({ clock, logger, registry, rates, budget, floorShare })
-    const news = NewsDelivery.create(clock, newsLimitMilliseconds, !isFirst)
-    const upstreams = UpstreamBroadcast.create(clock, registry, news, () => this.sessions.all())
-    this.leading = { dispatcher, news, upstreams, configurationRevision: news.add() }
+    const { logger, registry } = this.options
+    this.leading = LeaderState.create(this.options, this.history, () => this.sessions.all())
+    const { dispatcher } = this.leading
     this.handover.handOverTo(dispatcher)
     logger.info('dispatcher began', { suspected: dispatcher.suspicions().length, limited: dispatcher.statedLimits().length, upstreams: registry.present().length, configuration: this.history.newest?.number ?? 0 })
   }
 
   private stopDispatcher (): void {
-    this.leading?.dispatcher.close()
-    this.leading?.news.close()
+    this.leading?.close()
     this.leading = undefined
     this.inbox.clear()
     this.options.logger.info('dispatcher ended', { entries: this.entries })
@@ -174,6 +157,8 @@
   /** Serves a stream over either transport. */
   acceptStream (call: DispatchCall): void {
     ClientStream.create(call, {
+      arrived: (stream, message) => this.receiveClient(call, stream, message),
+      waiting: () => { call.write({ body: { $case: 'leader', value: this.notice(false) } }) },
       opened: (message) => this.load.measure('hello', () => this.openSession(call, message)),
       received: (session, message) => this.receive(session, message),
       closed: (session) => { if (session !== undefined) this.removeSession(session) },
@@ -183,6 +168,14 @@
     })
   }
 
+  /** Lets a client wait to be attached, as that costs much. Its earlier stream ends now, as the client has left it. */
+  private receiveClient (call: DispatchCall, client: WaitingClient, { body }: EntryMessage): void {
+    this.updateLeadership()
+    if (this.leading === undefined) return client.open()
+    if (body?.$case === 'hello' && mayActAs(call, body.value.name)) this.closeSession(this.sessions.removeNamed(body.value.name))
+    this.attaching.add(client)
+  }
+
   private receive (session: ClientSession, message: EntryMessage): void {
     session.heardAt = this.options.clock.monotonicMilliseconds()
     this.handleMessage(session, message)
@@ -219,6 +212,7 @@
   /** Ends the earlier stream of an entry that opened another one; the entry asks its questions again. */
   private closeSession (session: ClientSession | undefined): void {
     if (session === undefined) return
+    this.leading?.upstreams.remove(session)
     this.inbox.removeQuestionsOf(session)
     session.call.end()
   }
--- a/packages/dispatch/src/leader-connection.ts
+++ b/packages/dispatch/src/leader-connection.ts
@@ -74,8 +74,8 @@
 const ACCEPT_TIMEOUT_MILLISECONDS = 500
 const MAXIMUM_ACCEPT_TIMEOUT_MILLISECONDS = 2_000
 /**
- * Time within which a control VM that accepted a connection must send its first message. Long, because giving up and
- * beginning again costs a busy leader more than the answer does.
+ * Time within which a control VM that accepted a connection must send its first message, and then one each time while the
+ * client waits to be attached. Long, because giving up and beginning again costs a busy leader more than the answer does.
  */
 const FIRST_MESSAGE_TIMEOUT_MILLISECONDS = 2_500
 const FIRST_MESSAGE_CHECK_MILLISECONDS = 50
@@ -88,6 +88,8 @@
 
 interface Stream {
   readonly call: LeaderStream
+  /** When the process was first seen to have accepted the connection; undefined before. */
+  acceptedAt: number | undefined
   lastReceivedAt: number
   isClosed: boolean
   isServing: boolean
@@ -182,7 +184,7 @@
         finish()
       }
     })
-    const stream: Stream = { call, lastReceivedAt: clock.monotonicMilliseconds(), isClosed: false, isServing: false, isAnswered: false }
+    const stream: Stream = { call, acceptedAt: undefined, lastReceivedAt: clock.monotonicMilliseconds(), isClosed: false, isServing: false, isAnswered: false }
     this.stream = stream
     signal.addEventListener('abort', finish, { once: true })
     call.write({ body: { $case: 'hello', value: this.hello() } })
@@ -200,7 +202,7 @@
   /** Asks for the newest number at intervals; resolves when the stream is closed, silent for too long, or not served by the leader. */
   private async waitForSilence (stream: Stream): Promise<void> {
     const { clock } = this.options
-    await this.waitForFirstMessage(stream)
+    await this.waitUntilServed(stream)
     while (!stream.isClosed && stream.isServing) {
       if (clock.monotonicMilliseconds() - stream.lastReceivedAt > SILENCE_TIMEOUT_MILLISECONDS) return
       if (this.isQuestionDue(stream)) this.requestNumber()
@@ -215,16 +217,19 @@
     return sinceQuestion >= QUESTION_INTERVAL_MILLISECONDS || (isQuiet && sinceQuestion >= QUIET_QUESTION_MILLISECONDS)
   }
 
-  private async waitForFirstMessage (stream: Stream): Promise<void> {
+  /** Resolves when the leader serves the stream, or when the control VM is to be given up. */
+  private async waitUntilServed (stream: Stream): Promise<void> {
     const { clock } = this.options
     const beganAt = clock.monotonicMilliseconds()
     while (!stream.isClosed && !stream.isServing) {
       await sleep(clock, FIRST_MESSAGE_CHECK_MILLISECONDS)
-      const waited = clock.monotonicMilliseconds() - beganAt
-      if (waited >= FIRST_MESSAGE_TIMEOUT_MILLISECONDS) return
+      const now = clock.monotonicMilliseconds()
+      if (stream.call.isAccepted()) stream.acceptedAt ??= now
+      const heardAt = Math.max(stream.lastReceivedAt, stream.acceptedAt ?? beganAt)
+      if (now - heardAt >= FIRST_MESSAGE_TIMEOUT_MILLISECONDS) return
       const isConnected = stream.call.isConnected()
       const limit = isConnected ? this.acceptTimeout() : CONNECT_TIMEOUT_MILLISECONDS
-      if (waited < limit || stream.call.isAccepted()) continue
+      if (stream.acceptedAt !== undefined || now - beganAt < limit) continue
       if (isConnected) this.unacceptedAttempts += 1
       return
     }
--- a/packages/dispatch/src/tests/client-stream.test.ts
+++ b/packages/dispatch/src/tests/client-stream.test.ts
@@ -15,6 +15,8 @@
   const told: string[] = []
   const describe = ({ body }: EntryMessage): string => body?.$case === 'number' ? String(body.value.question) : 'other'
   ClientStream.create(call as unknown as DispatchCall, {
+    arrived: (stream) => { setImmediate(() => stream.open()) },
+    waiting: () => { told.push('waiting') },
     opened: (message) => {
       told.push(`opened ${describe(message)}`)
       return {} as unknown as ClientSession
--- a/packages/dispatch/src/upstream-broadcast.ts
+++ b/packages/dispatch/src/upstream-broadcast.ts
@@ -11,6 +11,8 @@
 const MAXIMUM_QUERIES = 2
 /** A client that has not answered for this time does not keep others from being asked. */
 const QUERY_TIMEOUT_MILLISECONDS = 1_000
+/** Changes other than departures are collected for this long, as each sending costs a message to every client. */
+const COLLECT_MILLISECONDS = 100
 
 /** Changes of one leadership. */
 export class UpstreamBroadcast {
@@ -20,6 +22,10 @@
   private readonly queried = new Map<ClientSession, number>()
   /** Revision of the news that an upstream is leaving, by instance. */
   private readonly departures = new Map<string, number>()
+  /** Changes that have not been sent, by instance. */
+  private unsent = new Map<string, RegisteredUpstream>()
+  /** When changes were last sent, in monotonic milliseconds. */
+  private sentAt = -Infinity
 
   private constructor (
     private readonly clock: Clock,
@@ -53,15 +59,21 @@
     this.queryDiffering()
   }
 
-  /** Asks others in place of clients that do not answer. */
+  /** Sends what was collected, and asks others in place of clients that do not answer. */
   check (): void {
     const now = this.clock.monotonicMilliseconds()
+    if (this.unsent.size > 0 && now - this.sentAt >= COLLECT_MILLISECONDS) this.sendCollected(now)
     for (const [session, askedAt] of this.queried) {
       if (now - askedAt >= QUERY_TIMEOUT_MILLISECONDS) this.queried.delete(session)
     }
     this.queryDiffering()
   }
 
+  /** Ends the leadership: clients get what was collected, as they may have no leader for some time. */
+  close (): void {
+    if (this.unsent.size > 0) this.sendCollected(this.clock.monotonicMilliseconds())
+  }
+
   /** Forgets a client that is gone. */
   remove (session: ClientSession): void {
     this.differing.delete(session)
@@ -69,9 +81,27 @@
     this.queryDiffering()
   }
 
-  /** Sends changes to all clients. */
+  /** Sends changes to all clients: departures at once, others together with those that follow closely. */
   send (changed: readonly RegisteredUpstream[]): void {
-    const announced = changed.map((upstream) => upstream.announced)
+    const now = this.clock.monotonicMilliseconds()
+    for (const upstream of changed) this.unsent.set(upstream.announced.instance, upstream)
+    const hasDeparture = changed.some(({ announced }) => isLeaving(announced))
+    if (hasDeparture || now - this.sentAt >= COLLECT_MILLISECONDS) this.sendCollected(now)
+  }
+
+  /** Revision of the news that an upstream is leaving; sends it again if this leadership has not sent it yet. */
+  departureRevision (instance: string): number {
+    const known = this.departures.get(instance)
+    if (known !== undefined) return known
+    const upstream = this.registry.find(instance)
+    if (upstream !== undefined) this.send([upstream])
+    return this.departures.get(instance) ?? this.news.newestRevision
+  }
+
+  private sendCollected (now: number): void {
+    const announced = [...this.unsent.values()].map((upstream) => upstream.announced)
+    this.unsent = new Map()
+    this.sentAt = now
     const departed = announced.filter(isLeaving)
     for (const { instance } of announced) this.departures.delete(instance)
     const revision = departed.length > 0 ? this.news.add() : 0
@@ -86,15 +116,6 @@
     }
   }
 
-  /** Revision of the news that an upstream is leaving; sends it again if this leadership has not sent it yet. */
-  departureRevision (instance: string): number {
-    const known = this.departures.get(instance)
-    if (known !== undefined) return known
-    const upstream = this.registry.find(instance)
-    if (upstream !== undefined) this.send([upstream])
-    return this.departures.get(instance) ?? this.news.newestRevision
-  }
-
   private sendAll (session: ClientSession): void {
     const upstreams = this.registry.encodedAnnouncements()
     session.call.write({ body: { $case: 'upstreams', value: { whole: true, upstreams, revision: this.news.newestRevision } } })
--- a/packages/protocol/src/framed-connection.ts
+++ b/packages/protocol/src/framed-connection.ts
@@ -93,7 +93,8 @@
     socket.once('connect', () => { this.connected = true })
     socket.setNoDelay(true)
     socket.on('data', (bytes: Buffer) => this.receive(bytes))
-    socket.on('end', () => socket.destroy())
+    // Not only once the socket is closed, which is a turn later: what waits for a peer that has left is not to be done.
+    socket.on('end', () => this.close())
     socket.on('error', (error) => this.fail(ConnectionLost.create(error.message)))
     socket.on('close', () => this.close())
   }
