--- a/packages/control/src/dispatching-control.ts
+++ b/packages/control/src/dispatching-control.ts
@@ -96,6 +96,7 @@
       listener: {
         placed: () => {},
         denied: () => {},
+        overdue: () => {},
         configured: () => {},
         upstreamsChanged: (update) => this.registry.mergeEncoded(update.upstreams),
         suspected: (suspicions) => this.service.handover.receiveSuspicions(suspicions),
--- a/packages/dispatch/src/dispatcher-log.ts
+++ b/packages/dispatch/src/dispatcher-log.ts
@@ -13,9 +13,9 @@
 }
 
 /** Logs that a request which has not ended yet changed an upstream's standing, since it takes longer than usual. */
-export function logOverdue (logger: Logger, { instance, poolName, entry, placedAt }: ActivePlacement, standing: InstanceStanding, now: number): void {
+export function logOverdue (logger: Logger, { instance, poolName, connection, placedAt }: ActivePlacement, standing: InstanceStanding, now: number): void {
   const milliseconds = Math.round(now - placedAt)
-  logger.info(EVIDENCE_EVENT, { upstream: instance, pool: poolName, entry, outcome: 'overdue', milliseconds, ...standingFields(standing, now) })
+  logger.info(EVIDENCE_EVENT, { upstream: instance, pool: poolName, entry: connection.entry, outcome: 'overdue', milliseconds, ...standingFields(standing, now) })
 }
 
 /** Logs that an upstream stated another limit on the requests that it accepts, or none any more. */
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -90,7 +90,7 @@
     this.waiting.cancelOf(connection.entry)
     for (const request of running) {
       const key = placementKey(connection.entry, request.ticket)
-      if (!this.placements.has(key)) this.restorePlacement(key, connection.entry, request.instance)
+      if (!this.placements.has(key)) this.restorePlacement(key, connection, request.instance)
     }
   }
 
@@ -194,13 +194,13 @@
     const key = placementKey(connection.entry, question.ticket)
     this.release(key)
     const pool = this.pools.pool(question.pool)
-    this.placements.add({ key, entry: connection.entry, instance, pool, poolName: question.pool, question, isForced })
+    this.placements.add({ key, connection, instance, pool, poolName: question.pool, question, isForced })
     connection.send({ body: { $case: 'placement', value: { ticket: question.ticket, instance, address } } })
   }
 
-  private restorePlacement (key: string, entry: string, instance: string): void {
+  private restorePlacement (key: string, connection: EntryConnection, instance: string): void {
     const poolName = this.options.registry.find(instance)?.announced.pool ?? ''
-    this.placements.add({ key, entry, instance, pool: this.pools.pool(poolName), poolName, question: undefined, isForced: false })
+    this.placements.add({ key, connection, instance, pool: this.pools.pool(poolName), poolName, question: undefined, isForced: false })
   }
 
   private release (key: string): void {
@@ -246,8 +246,10 @@
     logNotice(this.options.logger, entry, pool, instance, notice)
   }
 
-  /** Counts a request that takes long as evidence of failure, before it ends. */
+  /** Counts a request that takes long as evidence of failure, before it ends, and lets its entry try another upstream. */
   private recordOverdue (placement: ActivePlacement): void {
+    const { connection, question } = placement
+    if (question?.mayRepeat === true) connection.send({ body: { $case: 'overdue', value: { ticket: question.ticket } } })
     const now = this.options.clock.monotonicMilliseconds()
     const standing = placement.pool.standingOf(placement.instance)
     const before = standing.standing(now)
--- a/packages/dispatch/src/leader-connection.ts
+++ b/packages/dispatch/src/leader-connection.ts
@@ -14,6 +14,8 @@
 export interface LeaderConnectionListener {
   placed (placement: Placement): void
   denied (denial: Denial): void
+  /** A placed request that may be repeated takes several times as long as usual. */
+  overdue (ticket: number): void
   configured (update: ServingUpdate): void
   upstreamsChanged (update: UpstreamUpdate): void
   /** Receives all upstreams that the dispatcher currently suspects. */
@@ -269,6 +271,7 @@
     switch (body.$case) {
       case 'placement': return listener.placed(body.value)
       case 'denial': return listener.denied(body.value)
+      case 'overdue': return listener.overdue(body.value.ticket)
       case 'configuration': return listener.configured(body.value)
       case 'upstreams': return listener.upstreamsChanged(body.value)
       case 'suspicions': return listener.suspected(body.value.suspicions)
--- a/packages/dispatch/src/placement-client.ts
+++ b/packages/dispatch/src/placement-client.ts
@@ -57,6 +57,8 @@
 export class PlacementClient {
   private readonly waiting = new Map<number, (reply: Reply) => void>()
   private readonly placed = new Map<number, PlacedRequest>()
+  /** Called when the placement with this ticket is overdue. */
+  private readonly overdueListeners = new Map<number, () => void>()
   private readonly unsentEnds: ReportedEnd[] = []
   private lastTicket = 0
   /** When the dispatcher was lost; undefined while there is one. */
@@ -108,6 +110,15 @@
     this.waiting.get(denial.ticket)?.(Err(PlacementDenied.create(denial.reason, denial.retryAfterMilliseconds)))
   }
 
+  receiveOverdue (ticket: number): void {
+    this.overdueListeners.get(ticket)?.()
+  }
+
+  /** Resolves when the dispatcher says that the placed request takes several times as long as usual; never if it ends before. */
+  whenOverdue (ticket: number): Promise<void> {
+    return new Promise((resolve) => this.overdueListeners.set(ticket, resolve))
+  }
+
   /** Obtains an upstream for a request; the signal cancels the wait. */
   async place (question: PlacementQuestion, signal: AbortSignal): Promise<Result<PlacedRequest, PlacementDenied>> {
     const { clock } = this.options
@@ -137,6 +148,7 @@
     const placed = this.placed.get(end.ticket)
     if (placed === undefined) return
     this.placed.delete(end.ticket)
+    this.overdueListeners.delete(end.ticket)
     const endWithInstance = { ...end, instance: placed.instance }
     this.options.placer.recordEnd(placed.instance, endWithInstance, placed.local)
     this.sendOrKeepEnd(endWithInstance)
--- a/packages/dispatch/src/placements.ts
+++ b/packages/dispatch/src/placements.ts
@@ -2,11 +2,12 @@
 import { PlacementOutcome, type PlacementEnd, type PlacementQuestion } from '@hickoryspoke/protocol/generated/dispatch'
 import type { Clock } from '@hickoryspoke/runtime/clock'
 import { Deadlines } from './deadlines.ts'
+import type { EntryConnection } from './entry-connection.ts'
 import type { PoolDispatcher } from './pool-dispatcher.ts'
 
 /** A request that was placed on an upstream and has not ended. */
 export interface ActivePlacement {
-  readonly entry: string
+  readonly connection: EntryConnection
   readonly instance: string
   readonly pool: PoolDispatcher
   readonly poolName: string
@@ -68,15 +69,15 @@
 
   /** Keys of the placements of one entry. */
   keysOf (entry: string): string[] {
-    return [...this.held].filter(([, held]) => held.entry === entry).map(([key]) => key)
+    return [...this.held].filter(([, held]) => held.connection.entry === entry).map(([key]) => key)
   }
 
   /** Adds a placement to its upstream's in-flight count, and schedules its expiry and overdue check. */
-  add ({ key, entry, instance, pool, poolName, question, isForced }: NewPlacement): void {
+  add ({ key, connection, instance, pool, poolName, question, isForced }: NewPlacement): void {
     const placedAt = this.clock.monotonicMilliseconds()
     const lifetimeMilliseconds = question === undefined ? RESTORED_PLACEMENT_MILLISECONDS : question.patienceMilliseconds + EXPIRY_GRACE_MILLISECONDS
     const expiresAt = placedAt + lifetimeMilliseconds
-    const held: TrackedPlacement = { key, entry, instance, pool, poolName, placedAt, question, isForced, expiresAt, wasOverdue: false }
+    const held: TrackedPlacement = { key, connection, instance, pool, poolName, placedAt, question, isForced, expiresAt, wasOverdue: false }
     pool.standingOf(instance).place(placedAt)
     this.held.set(key, held)
     this.checks.set(held, nextCheckOf(held))
--- a/packages/dispatch/src/tests/leader-connection.test.ts
+++ b/packages/dispatch/src/tests/leader-connection.test.ts
@@ -19,6 +19,7 @@
 const LISTENER: LeaderConnectionListener = {
   placed: ignore,
   denied: ignore,
+  overdue: ignore,
   configured: ignore,
   upstreamsChanged: ignore,
   limited: ignore,
--- a/packages/dispatch/src/tests/overdue-requests.test.ts
+++ b/packages/dispatch/src/tests/overdue-requests.test.ts
@@ -49,6 +49,24 @@
   assert.is(dispatcher.snapshots()[0]?.standings.suspect, 1)
 })
 
+// Guards against requests that wait to their deadline on an upstream that hangs, although they may be repeated.
+test('the entry is told of a request that is overdue if it may be repeated', () => {
+  const { dispatcher, clock } = createDispatcher([announcement({ instance: 'a', slots: 200 })])
+  const entry = recordingEntry('one')
+  for (let ticket = 1; ticket <= 100; ticket += 1) {
+    dispatcher.ask(entry, question(ticket))
+    clock.advance(100)
+    dispatcher.end(entry, end(ticket, 100))
+  }
+  dispatcher.ask(entry, question(101, { mayRepeat: true }))
+  dispatcher.ask(entry, question(102))
+  const overdue = (): number[] => entry.sent.flatMap(({ body }) => body?.$case === 'overdue' ? [body.value.ticket] : [])
+  clock.advance(290)
+  assert.equal(overdue(), [])
+  clock.advance(20)
+  assert.equal(overdue(), [101])
+})
+
 test('a request is not overdue if the usual duration has risen since it was placed', () => {
   const { dispatcher, clock } = createDispatcher([announcement({ instance: 'a', slots: 8 }), announcement({ instance: 'bb', slots: 8 })])
   const entry = recordingEntry('one')
--- a/packages/entry/src/dispatched-entry-metrics.ts
+++ b/packages/entry/src/dispatched-entry-metrics.ts
@@ -1,7 +1,7 @@
 /** Metrics of an entry whose upstreams are chosen by the dispatcher. */
 import type { ActiveConfiguration } from '@hickoryspoke/dispatch/active-configuration'
 import type { PlacementClient } from '@hickoryspoke/dispatch/placement-client'
-import type { DispatchedOutcome } from '@hickoryspoke/request/dispatched-run'
+import type { DispatchedOutcome } from '@hickoryspoke/request/attempt-history'
 import type { DispatchedObserver } from '@hickoryspoke/request/dispatched-runner'
 import { Metrics, type Counter, type LatencyFamily } from '@hickoryspoke/telemetry/metrics'
 
--- a/packages/entry/src/dispatched-entry.ts
+++ b/packages/entry/src/dispatched-entry.ts
@@ -114,6 +114,7 @@
       listener: {
         placed: (placement) => this.placementClient.receivePlacement(placement),
         denied: (denial) => this.placementClient.receiveDenial(denial),
+        overdue: (ticket) => this.placementClient.receiveOverdue(ticket),
         configured: (update) => this.receiveConfiguration(update),
         upstreamsChanged: (update) => this.registry.mergeEncoded(update.upstreams),
         suspected: (suspicions) => this.placer.adoptSuspicions(suspicions),
--- /dev/null
+++ b/packages/entry/src/tests/dispatched-fixture.ts
@@ -0,0 +1,60 @@
+/** An entry on loopback whose dispatcher is played by the test. */
+import type { ServingConfiguration } from '@hickoryspoke/configuration/serving-configuration'
+import { ActiveConfiguration } from '@hickoryspoke/dispatch/active-configuration'
+import { LocalPlacer } from '@hickoryspoke/dispatch/local-placer'
+import { PlacementClient } from '@hickoryspoke/dispatch/placement-client'
+import { UpstreamRegistry } from '@hickoryspoke/dispatch/upstream-registry'
+import type { PlacementEnd, PlacementQuestion } from '@hickoryspoke/protocol/generated/dispatch'
+import type { Dialect } from '@hickoryspoke/request/dialect'
+import { DispatchedRunner } from '@hickoryspoke/request/dispatched-runner'
+import { callerResponseHeaders } from '@hickoryspoke/request/header-filter'
+import { ServingTable } from '@hickoryspoke/request/serving-table'
+import { UpstreamConnections } from '@hickoryspoke/request/upstream-connections'
+import { SystemClock } from '@hickoryspoke/runtime/clock'
+import { SeededRandom } from '@hickoryspoke/runtime/random'
+import { silentLogger } from '@hickoryspoke/telemetry/logger'
+import { CallerServer } from '../caller-server.ts'
+
+const DIALECT: Dialect = {
+  readCaller: () => ({ requestId: '', key: undefined, patienceMilliseconds: undefined }),
+  upstreamHeaders: () => [],
+  readAnswer: () => ({ notRun: false, misdirected: false, genuine: true, load: undefined, statedLimit: undefined, notice: undefined }),
+  responseHeaders: callerResponseHeaders
+}
+const ROUTE = {
+  name: 'all', host: '127.0.0.1', prefix: '/', mayRepeat: false, timeoutMilliseconds: 9_000, targetMilliseconds: 5_000, priority: 1, maximumAttempts: 2, open: true
+}
+const CONFIGURATION: ServingConfiguration = {
+  number: 0,
+  keyed: false,
+  bounds: { maximumHeaderBytes: 16_384, maximumBodyBytes: 1_000, headerTimeoutMilliseconds: 3_000, idleTimeoutMilliseconds: 15_000 },
+  pools: [],
+  customers: [],
+  routes: [{ ...ROUTE, shares: [{ pool: 'ledger', weight: 1 }] }]
+}
+
+/** Starts an entry whose dispatcher receives questions. `answer` gets the client and each question; `mayRepeat` belongs to all requests. */
+export async function startDispatched (answer: (client: PlacementClient, question: PlacementQuestion) => void, mayRepeat = false) {
+  const clock = SystemClock.create()
+  const random = SeededRandom.create(1)
+  const placer = LocalPlacer.create({ clock, random, registry: UpstreamRegistry.create(clock), entry: 'one', zone: 'zone-a', windowMilliseconds: 5_000 })
+  const ends: PlacementEnd[] = []
+  const ask = (question: PlacementQuestion): boolean => {
+    queueMicrotask(() => answer(placementClient, question))
+    return true
+  }
+  const placementClient = PlacementClient.create({ clock, placer, isLeaving: () => false, ask, sendEnd: (end) => ends.push(end) > 0 })
+  placementClient.connected()
+  const inForce = ActiveConfiguration.create(clock, 60_000)
+  inForce.recordQuestion(1)
+  inForce.confirm(1, 0)
+  const table = ServingTable.create({ ...CONFIGURATION, routes: CONFIGURATION.routes.map((route) => ({ ...route, mayRepeat })) })
+  const options = { clock, random, dialect: DIALECT, connections: UpstreamConnections.create(clock), placementClient, inForce, table: () => table }
+  const runner = DispatchedRunner.create(options, silentLogger(), { finished: () => {} })
+  const server = CallerServer.create({ clock, runner, host: '127.0.0.1', port: 0 })
+  const url = `http://127.0.0.1:${(await server.listen()).unwrap()}/`
+  const untilRunning = async (requests: number): Promise<void> => {
+    while (runner.inFlight < requests) await new Promise((resolve) => setImmediate(resolve))
+  }
+  return { server, ends, untilRunning, send: async () => await fetch(url).then(({ status }) => status, () => 0) }
+}
--- a/packages/request/src/dispatched-run.ts
+++ b/packages/request/src/dispatched-run.ts
@@ -1,23 +1,24 @@
 /** Processes one request whose upstreams are chosen by a dispatcher. */
-import type { ServingCustomer, ServingRoute } from '@hickoryspoke/configuration/serving-configuration'
+import type { ServingRoute } from '@hickoryspoke/configuration/serving-configuration'
 import type { ActiveConfiguration } from '@hickoryspoke/dispatch/active-configuration'
 import type { PlacedRequest, PlacementDenied, PlacementClient } from '@hickoryspoke/dispatch/placement-client'
 import type { PlacementQuestion } from '@hickoryspoke/protocol/generated/dispatch'
 import type { Clock } from '@hickoryspoke/runtime/clock'
 import { hashName } from '@hickoryspoke/runtime/hashing'
 import type { RandomSource } from '@hickoryspoke/runtime/random'
-import { Err, Ok, type Result } from 'ts-results-es'
+import type { Result } from 'ts-results-es'
 import { AttemptFailure } from './attempt-failure.ts'
+import { AttemptHistory, type DispatchedOutcome } from './attempt-history.ts'
 import type { CallerExchange } from './caller-exchange.ts'
 import type { CallerMetadata, Dialect } from './dialect.ts'
 import { cancelPlacement, DispatchedAttempt, type AttemptResult } from './dispatched-attempt.ts'
-import { correctRunState, refusalOfDenial, refusalOfFailure, retryableRefusal } from './dispatched-refusal.ts'
+import { correctRunState, refusalOfDenial, refusalOfFailure } from './dispatched-refusal.ts'
 import { relayDispatchedResponse } from './dispatched-relay.ts'
-import { waitUntilFresh } from './freshness-wait.ts'
+import { runHedged, type RunningAttempt } from './hedged-attempt.ts'
 import { Refusal } from './refusal.ts'
-import { RequestBody } from './request-body.ts'
+import { RequestAdmission, type AdmittedRequest } from './request-admission.ts'
 import { relayRefusal } from './response-relay.ts'
-import { drawPool, type ServingTable } from './serving-table.ts'
+import type { ServingTable } from './serving-table.ts'
 import type { StopDeadline } from './stop-deadline.ts'
 import type { UpstreamConnections } from './upstream-connections.ts'
 import type { UpstreamResponse } from './upstream-response.ts'
@@ -34,31 +35,12 @@
   readonly table: () => ServingTable | undefined
 }
 
-/** Outcome of a request, for the log. */
-export interface DispatchedOutcome {
-  readonly code: string
-  readonly status: number
-  readonly attempts: number
-  readonly instance: string
-  readonly local: boolean
-  /** Number of the placement request to the dispatcher; 0 if there was none. */
-  readonly ticket: number
-  /** Entry through which the last attempt was sent; empty if it was sent directly. */
-  readonly relayedBy: string
-  /** Why the last attempt failed; empty if it did not. */
-  readonly failure: string
-  /** Requests per second that the upstream of the last attempt said it accepts; undefined if it stated no limit. */
-  readonly statedRequestsPerSecond: number | undefined
+/** An attempt that was sent to an upstream. */
+interface SentAttempt extends RunningAttempt<AttemptResult> {
+  readonly placed: PlacedRequest
 }
 
-interface Admitted {
-  readonly route: ServingRoute
-  readonly customer: ServingCustomer | undefined
-  readonly pool: string
-  readonly body: RequestBody
-}
-
-const REPLAY_BYTES = 65_536
+const FIRST_SERVER_ERROR = 500
 const FINGERPRINT_MODULUS = 2 ** 48
 /** Priority of a request whose customer and route have none; 0 is the most urgent. */
 const DEFAULT_PRIORITY = 0
@@ -72,18 +54,9 @@
   private wait: AbortController | undefined
   /** Whether an earlier question was charged to the customer's rate, although it brought no upstream. */
   private isCharged = false
-  private attempts = 0
-  private instance = ''
-  private local = false
   private ticket = 0
-  private relayedBy = ''
-  private failure = ''
-  private statedRequestsPerSecond: number | undefined
-  private mayHaveRun = false
-  private lastAnswer: UpstreamResponse | undefined
-  private readonly excluded: string[] = []
-  route: ServingRoute | undefined
-  customer = ''
+  private readonly history = AttemptHistory.create()
+  private readonly admission: RequestAdmission
 
   private constructor (
     private readonly options: DispatchedRunOptions,
@@ -92,6 +65,7 @@
   ) {
     this.caller = options.dialect.readCaller(exchange.headers)
     this.startedAt = options.clock.monotonicMilliseconds()
+    this.admission = RequestAdmission.create(options, exchange, this.caller, stop, this.startedAt)
   }
 
   static create (options: DispatchedRunOptions, exchange: CallerExchange, stop: StopDeadline): DispatchedRun {
@@ -103,9 +77,19 @@
     return this.caller.requestId
   }
 
+  /** The route of the request; undefined while it is not known. */
+  get route (): ServingRoute | undefined {
+    return this.admission.route
+  }
+
+  /** Name of the customer; empty if there is none. */
+  get customer (): string {
+    return this.admission.customer
+  }
+
   /** Runs the request and sends the response. */
   async execute (): Promise<DispatchedOutcome> {
-    const admitted = await this.admit()
+    const admitted = await this.admission.admit()
     if (admitted.isErr()) return this.refuse(admitted.error)
     const onCallerGone = (): void => this.abortController.abort(AttemptFailure.create('caller_gone'))
     const timer = this.options.clock.schedule(this.remaining(admitted.value.route), () => this.abortController.abort(AttemptFailure.create('deadline_over')))
@@ -130,40 +114,7 @@
     return this.outcome(refusal.code, refusal.status)
   }
 
-  private async admit (): Promise<Result<Admitted, Refusal>> {
-    if (!await this.waitUntilFresh()) return Err(retryableRefusal('not_fresh'))
-    const authorized = this.authorize()
-    if (authorized.isErr()) return authorized
-    const limits = { maximumBytes: this.options.inForce.configuration?.bounds.maximumBodyBytes ?? 0, replayBytes: REPLAY_BYTES }
-    const body = await RequestBody.read(this.exchange, limits, REPLAY_BYTES)
-    if (body.isErr()) return body
-    const { route, customer } = authorized.value
-    const pool = drawPool(route, this.options.random)
-    if (pool === undefined) return Err(Refusal.create('no_healthy_upstream'))
-    return Ok({ route, customer, pool, body: body.value })
-  }
-
-  /** Finds the route and authenticates the customer, using the current configuration. */
-  private authorize (): Result<{ route: ServingRoute, customer: ServingCustomer | undefined }, Refusal> {
-    const table = this.options.table()
-    if (table === undefined) return Err(retryableRefusal('not_fresh', 'no configuration is known yet'))
-    const route = table.findRoute(this.exchange.host, this.exchange.target)
-    if (route === undefined) return Err(Refusal.create('no_route'))
-    this.route = route
-    if (route.open || !table.configuration.keyed) return Ok({ route, customer: undefined })
-    const customer = this.caller.key === undefined ? undefined : table.customerOfKey(this.caller.key)
-    this.customer = customer?.name ?? ''
-    return customer === undefined ? Err(Refusal.create('unauthorized')) : Ok({ route, customer })
-  }
-
-  private async waitUntilFresh (): Promise<boolean> {
-    const { clock, inForce } = this.options
-    const { patienceMilliseconds } = this.caller
-    const isOver = (): boolean => this.stop.isTooLateToSend || this.exchange.signal.aborted
-    return await waitUntilFresh({ clock, inForce, startedAt: this.startedAt, patienceMilliseconds, isOver })
-  }
-
-  private async send (admitted: Admitted): Promise<DispatchedOutcome> {
+  private async send (admitted: AdmittedRequest): Promise<DispatchedOutcome> {
     let ticket = this.nextTicket()
     for (;;) {
       if (this.stop.isTooLateToSend) return await this.respondWithLastResult(admitted, this.correctRunState(Refusal.create('draining')))
@@ -180,10 +131,9 @@
         return await this.respondWithLastResult(admitted, refusedMeanwhile)
       }
       const end = await this.attempt(ticket, admitted, placed.value)
-      if (end.kind === 'answer') this.lastAnswer = end.answer
       if (end.kind === 'answer' && !this.shouldRetryResponse(admitted, end)) return await this.relay(admitted, end.answer)
       const last = end.kind === 'failure' ? end.failure : undefined
-      if (!this.mayRepeat(admitted, end)) return await this.respondWithLastResult(admitted, refusalOfFailure(last, this.mayHaveRun))
+      if (!this.mayRepeat(admitted, end)) return await this.respondWithLastResult(admitted, refusalOfFailure(last, this.history.mayHaveRun))
     }
   }
 
@@ -193,7 +143,7 @@
   }
 
   /** The dispatcher may not reply in time, so the wait also ends when a stopping entry can no longer send the request. */
-  private async waitForPlacement (ticket: number, admitted: Admitted): Promise<{ placed: Result<PlacedRequest, PlacementDenied>, isHurried: boolean }> {
+  private async waitForPlacement (ticket: number, admitted: AdmittedRequest): Promise<{ placed: Result<PlacedRequest, PlacementDenied>, isHurried: boolean }> {
     const wait = new AbortController()
     this.wait = wait
     const lastSend = this.stop.isAnnounced ? this.options.clock.schedule(this.stop.sendMilliseconds, () => wait.abort()) : undefined
@@ -205,20 +155,32 @@
   }
 
   /** Ends without another attempt. An earlier upstream response, even an error, is preferred to a refusal. */
-  private async respondWithLastResult (admitted: Admitted, refusal: Refusal): Promise<DispatchedOutcome> {
-    return this.lastAnswer === undefined ? this.refuse(refusal) : await this.relay(admitted, this.lastAnswer)
+  private async respondWithLastResult (admitted: AdmittedRequest, refusal: Refusal): Promise<DispatchedOutcome> {
+    const { lastAnswer } = this.history
+    return lastAnswer === undefined ? this.refuse(refusal) : await this.relay(admitted, lastAnswer)
   }
 
-  private async relay (admitted: Admitted, answer: UpstreamResponse): Promise<DispatchedOutcome> {
+  private async relay (admitted: AdmittedRequest, answer: UpstreamResponse): Promise<DispatchedOutcome> {
     const whole = await relayDispatchedResponse(this.options, this.exchange, answer, admitted.route.timeoutMilliseconds)
     return this.outcome(whole ? 'answered' : 'broken_off', answer.status)
   }
 
-  private async attempt (ticket: number, admitted: Admitted, placed: PlacedRequest): Promise<AttemptResult> {
-    const { instance, local } = placed
-    this.instance = instance
-    this.local = local
+  /** Sends the request to the upstream; once it is overdue there and may be repeated, also to a second one. */
+  private async attempt (ticket: number, admitted: AdmittedRequest, placed: PlacedRequest): Promise<AttemptResult> {
+    const first = this.start(ticket, admitted, placed)
+    if (placed.local || !this.mayHedge(admitted)) return await first.result
+    const { result } = await runHedged<AttemptResult, SentAttempt>({
+      first,
+      overdue: this.options.placementClient.whenOverdue(ticket),
+      startSecond: async (signal) => await this.startSecond(admitted, signal),
+      isUsable: (end) => end.kind === 'answer' && end.answer.status < FIRST_SERVER_ERROR
+    })
+    return result
+  }
+
+  private start (ticket: number, admitted: AdmittedRequest, placed: PlacedRequest): SentAttempt {
     const { dialect } = this.options
+    const { instance } = placed
     const remainingMilliseconds = this.remaining(admitted.route)
     const attempt = DispatchedAttempt.create(this.options, placed, {
       method: this.exchange.method,
@@ -228,48 +190,64 @@
       maximumIdleMilliseconds: 0,
       acceptsCloseDelimited: true
     }, this.caller)
-    const end = await attempt.run(ticket, this.abortController.signal)
-    if (end.reachedUpstream) this.attempts += 1
-    this.relayedBy = attempt.relay
-    this.statedRequestsPerSecond = attempt.statedRequestsPerSecond
-    this.failure = end.kind === 'failure' ? `${end.failure.code}: ${end.failure.message}` : ''
-    if (end.kind === 'answer' || !end.failure.provenNotRun) this.mayHaveRun = true
-    this.excluded.push(instance)
-    return end
+    const cancellation = new AbortController()
+    this.history.begin(placed)
+    const run = async (): Promise<AttemptResult> => {
+      const end = await attempt.run(ticket, AbortSignal.any([cancellation.signal, this.abortController.signal]))
+      this.history.end(placed, attempt, end)
+      return end
+    }
+    return { placed, result: run(), cancel: () => cancellation.abort(AttemptFailure.create('hedge_lost')) }
+  }
+
+  /** Sends the request to another upstream while the first attempt runs; undefined if it may not be or the first one ended. */
+  private async startSecond (admitted: AdmittedRequest, signal: AbortSignal): Promise<SentAttempt | undefined> {
+    const { placementClient } = this.options
+    const ticket = placementClient.nextTicket()
+    const placed = await placementClient.place(this.question(ticket, admitted), AbortSignal.any([signal, this.abortController.signal]))
+    if (placed.isErr()) return undefined
+    if (!signal.aborted && this.recheck(admitted) === undefined) return this.start(ticket, admitted, placed.value)
+    cancelPlacement(placementClient, ticket)
+    return undefined
   }
 
   /** An upstream's server error is relayed unless the request can be retried. */
-  private shouldRetryResponse (admitted: Admitted, end: Extract<AttemptResult, { kind: 'answer' }>): boolean {
-    return end.answer.status >= 500 && this.canRetry(admitted)
+  private shouldRetryResponse (admitted: AdmittedRequest, end: Extract<AttemptResult, { kind: 'answer' }>): boolean {
+    return end.answer.status >= FIRST_SERVER_ERROR && this.canRetry(admitted)
   }
 
-  private mayRepeat (admitted: Admitted, end: AttemptResult): boolean {
+  private mayRepeat (admitted: AdmittedRequest, end: AttemptResult): boolean {
     // Another upstream is out of reach as well.
     if (end.kind === 'failure' && end.failure.code === 'entry_cut_off') return false
     if (end.kind === 'failure' && end.failure.provenNotRun) return admitted.body.isReplayable && !this.isExhausted(admitted)
     return this.canRetry(admitted)
   }
 
-  private canRetry (admitted: Admitted): boolean {
-    const { route, body } = admitted
-    return route.mayRepeat && body.isReplayable && this.attempts < route.maximumAttempts && !this.isExhausted(admitted)
+  private canRetry (admitted: AdmittedRequest): boolean {
+    return admitted.route.mayRepeat && admitted.body.isReplayable && !this.isExhausted(admitted)
+  }
+
+  /** Whether a second attempt may run beside the one that was just begun. */
+  private mayHedge (admitted: AdmittedRequest): boolean {
+    return this.canRetry(admitted) && this.attemptsBegun < admitted.route.maximumAttempts
+  }
+
+  private get attemptsBegun (): number {
+    return this.history.attempts + this.history.running
   }
 
-  private isExhausted (admitted: Admitted): boolean {
-    return this.abortController.signal.aborted || this.attempts >= admitted.route.maximumAttempts || this.remaining(admitted.route) <= 0
+  private isExhausted (admitted: AdmittedRequest): boolean {
+    return this.abortController.signal.aborted || this.history.attempts >= admitted.route.maximumAttempts || this.remaining(admitted.route) <= 0
   }
 
-  /** Repeats the checks of admission, since route, key or pool may have been removed while the request waited, or the entry stops. */
-  private recheck (admitted: Admitted): Refusal | undefined {
-    if (this.stop.isTooLateToSend) return this.correctRunState(Refusal.create('draining'))
-    if (!this.options.inForce.isFresh()) return this.correctRunState(retryableRefusal('not_fresh'))
-    const authorized = this.authorize()
-    if (authorized.isErr()) return this.correctRunState(authorized.error)
-    const isPoolOnRoute = authorized.value.route.shares.some((share) => share.pool === admitted.pool && share.weight > 0)
-    return isPoolOnRoute ? undefined : this.correctRunState(retryableRefusal('no_healthy_upstream'))
+  /** Returns why an admitted request may not be sent any more; undefined if it may. */
+  private recheck (admitted: AdmittedRequest): Refusal | undefined {
+    const refusal = this.admission.recheck(admitted)
+    return refusal === undefined ? undefined : this.correctRunState(refusal)
   }
 
-  private question (ticket: number, { route, customer, pool, body }: Admitted): PlacementQuestion {
+  private question (ticket: number, admitted: AdmittedRequest): PlacementQuestion {
+    const { route, customer, pool } = admitted
     const elapsed = this.options.clock.monotonicMilliseconds() - this.startedAt
     const patienceMilliseconds = Math.min(this.remaining(route), this.stop.responseMilliseconds)
     return {
@@ -280,11 +258,11 @@
       mayRepeat: route.mayRepeat,
       targetMilliseconds: Math.round(route.targetMilliseconds - elapsed),
       patienceMilliseconds: Math.max(0, Math.round(patienceMilliseconds)),
-      excluded: this.excluded,
-      attempt: this.attempts,
-      fingerprint: hashName([this.customer, this.exchange.method, this.exchange.target, body.headDigest(REPLAY_BYTES)].join('\n')) % FINGERPRINT_MODULUS,
+      excluded: [...this.history.excluded],
+      attempt: this.attemptsBegun,
+      fingerprint: hashName([this.customer, this.exchange.method, this.exchange.target, this.admission.bodyDigest(admitted)].join('\n')) % FINGERPRINT_MODULUS,
       route: route.name,
-      charged: this.excluded.length > 0 || this.isCharged
+      charged: this.history.excluded.length > 0 || this.isCharged
     }
   }
 
@@ -295,11 +273,10 @@
   }
 
   private correctRunState (refusal: Refusal): Refusal {
-    return correctRunState(refusal, this.mayHaveRun)
+    return correctRunState(refusal, this.history.mayHaveRun)
   }
 
   private outcome (code: string, status: number): DispatchedOutcome {
-    const { attempts, instance, local, ticket, relayedBy, failure, statedRequestsPerSecond } = this
-    return { code, status, attempts, instance, local, ticket, relayedBy, failure, statedRequestsPerSecond }
+    return this.history.outcome(code, status, this.ticket)
   }
 }
--- a/packages/request/src/dispatched-runner.ts
+++ b/packages/request/src/dispatched-runner.ts
@@ -1,7 +1,8 @@
 /** Runs and logs the requests of an entry whose upstreams are chosen by a dispatcher. */
 import type { Logger } from '@hickoryspoke/telemetry/logger'
+import type { DispatchedOutcome } from './attempt-history.ts'
 import type { CallerExchange } from './caller-exchange.ts'
-import { DispatchedRun, type DispatchedOutcome, type DispatchedRunOptions } from './dispatched-run.ts'
+import { DispatchedRun, type DispatchedRunOptions } from './dispatched-run.ts'
 import { Refusal } from './refusal.ts'
 import { RequestLifecycle, RUNNER_PHASES, type DrainReport } from './request-lifecycle.ts'
 import { StopDeadline } from './stop-deadline.ts'
