An upstream that left stays away, whatever its delayed announcements say; a malformed report lifts no limit (DRAIN, QUOTA)

A departure that names the start of the instance now ends that start. One without a start, or inferred from a 421, still yields to newer announcements. A hello whose share of the fleet is NaN made every token count NaN, which admits all; such a report is now passed over.

--- a/packages/dispatch/src/customer-rate-limiter.ts
+++ b/packages/dispatch/src/customer-rate-limiter.ts
@@ -59,7 +59,8 @@
 
   /** Accounts for what an entry admitted under an earlier dispatcher. Call it once per entry. */
   addReport ({ admitted, fleetShare }: AdmissionReport): void {
-    if (this.overage === undefined || fleetShare === 0) return
+    // Also where the share is not a number, which would lift every limit.
+    if (this.overage === undefined || !(fleetShare > 0)) return
     this.reportedShare = Math.min(1, this.reportedShare + fleetShare)
     for (const { customer, requests } of admitted) this.reportedRequests.set(customer, (this.reportedRequests.get(customer) ?? 0) + requests)
   }
--- a/packages/dispatch/src/tests/customer-rate-limiter.test.ts
+++ b/packages/dispatch/src/tests/customer-rate-limiter.test.ts
@@ -48,6 +48,15 @@
   assert.is(admitted(rates, 0), 7)
 })
 
+// Guards against limits that are lifted by one malformed report (QUOTA).
+test('a report whose share is not a positive number adds nothing', () => {
+  for (const fleetShare of [NaN, -1]) {
+    const rates = afterPredecessor()
+    rates.addReport({ admitted: [{ customer: 'ministry', requests: 1 }], fleetShare })
+    assert.is(admitted(rates, 0), 7)
+  }
+})
+
 test('reports that come after the first requests still count', () => {
   const rates = afterPredecessor()
   assert.is(admitted(rates, 0), 7)
--- a/packages/dispatch/src/tests/upstream-registry.test.ts
+++ b/packages/dispatch/src/tests/upstream-registry.test.ts
@@ -28,6 +28,33 @@
   assert.equal(present(registry), [])
 })
 
+// Guards against an upstream that is in use again after it left, as several of its announcements were delayed (DRAIN).
+test('no announcement of a start that has left brings the instance back, and a later start does', () => {
+  const registry = UpstreamRegistry.create(FakeClock.create())
+  registry.announce(announcement({ instance: 'a', sequence: 5, born: 1_000 }))
+  registry.leave('a', 1_000)
+  assert.is(registry.announce(announcement({ instance: 'a', sequence: 9, born: 1_000 })), false)
+  assert.equal(present(registry), [])
+  registry.announce(announcement({ instance: 'a', sequence: 1, born: 2_000 }))
+  assert.equal(present(registry), ['a'])
+})
+
+test('a departure of a start that was not announced excludes its announcements', () => {
+  const registry = UpstreamRegistry.create(FakeClock.create())
+  registry.announce(announcement({ instance: 'a', born: 1_000 }))
+  registry.leave('a', 2_000)
+  assert.is(registry.announce(announcement({ instance: 'a', sequence: 3, born: 2_000 })), false)
+  assert.equal(present(registry), [])
+})
+
+test('an instance that another process took out may announce itself again', () => {
+  const registry = UpstreamRegistry.create(FakeClock.create())
+  registry.announce(announcement({ instance: 'a', sequence: 5 }))
+  registry.leave('a', undefined)
+  assert.is(registry.announce(announcement({ instance: 'a', sequence: 7 })), true)
+  assert.equal(present(registry), ['a'])
+})
+
 test('an address belongs to the instance that started last', () => {
   const registry = UpstreamRegistry.create(FakeClock.create())
   registry.announce(announcement({ instance: 'old', address: '10.0.0.9:80', born: 1_000 }))
--- a/packages/dispatch/src/upstream-registry.ts
+++ b/packages/dispatch/src/upstream-registry.ts
@@ -18,6 +18,7 @@
 
 /** How long upstreams that left or were replaced are kept as tombstones, so that late announcements do not bring them back. */
 const TOMBSTONE_MILLISECONDS = 60_000
+const LAST_SEQUENCE = Number.MAX_SAFE_INTEGER
 
 /** Upstreams by instance and address. */
 export class UpstreamRegistry {
@@ -98,12 +99,16 @@
     return isApplied
   }
 
-  /** Marks an upstream as left, also an unknown one; ignored when `born` is older than the known start of the instance. */
+  /**
+   * Marks an upstream as left, also an unknown one; ignored when `born` is older than the known start of the instance. Where the
+   * start is named, it has left for good: a delayed announcement of it may have any sequence number.
+   */
   leave (instance: string, born: number | undefined): void {
     const known = this.byInstance.get(instance)?.announced
     if (known !== undefined && born !== undefined && born < known.born) return
     const announced = known ?? createTombstone(instance, born ?? 0)
-    const departed = { ...announced, gone: true, sequence: Math.min(announced.sequence + 1, Number.MAX_SAFE_INTEGER) }
+    const sequence = born === undefined ? Math.min(announced.sequence + 1, LAST_SEQUENCE) : LAST_SEQUENCE
+    const departed = { ...announced, gone: true, born: born ?? announced.born, sequence }
     if (!this.isSound(departed)) return
     const held = this.store(departed)
     this.notifyListeners([held])
