A broken connection counts for the sound upstreams of a pool only as far as its upstream still seems sound

Cause: what is usual at sound upstreams is learned with the probability before the evidence, so each reset counted as one of a sound upstream, and the next said less. Now a broken connection is counted with the probability after it. Overdue requests are not: they come from load as well.

--- a/packages/bench/src/measure-dispatch.ts
+++ b/packages/bench/src/measure-dispatch.ts
@@ -26,11 +26,16 @@
   name: 'charge', ratePerSecond: 28, workMilliseconds: 220, workDeviation: 0.7, targetMilliseconds: 600, timeoutMilliseconds: 1_500, priority: 0, mayRepeat: false
 }
 
+const WITHDRAWAL: RequestKind = {
+  name: 'withdrawal', ratePerSecond: 331, workMilliseconds: 850, workDeviation: 0.5, targetMilliseconds: 3_000, timeoutMilliseconds: 20_000, priority: 1, mayRepeat: false
+}
+
 const SCENARIOS: readonly DispatchScenario[] = [
   { name: 'bookings, a third of the slots in use', upstreams: 18, slots: 4, requestKinds: [BOOKING], grayFailures: RESETS },
   { name: 'reads and charges, half of the slots', upstreams: 8, slots: 4, requestKinds: [READ, CHARGE], grayFailures: RESETS },
   { name: 'charges, a fifth of the slots', upstreams: 8, slots: 4, requestKinds: [CHARGE], grayFailures: RESETS },
   { name: 'charges, three upstreams', upstreams: 3, slots: 6, requestKinds: [CHARGE], grayFailures: RESETS },
+  { name: 'withdrawals, 148 upstreams, a third of the slots', upstreams: 148, slots: 6, requestKinds: [WITHDRAWAL], grayFailures: RESETS },
   { name: 'reads alone', upstreams: 8, slots: 4, requestKinds: [READ], grayFailures: RESETS },
   { name: 'bookings, all shed half', upstreams: 18, slots: 4, requestKinds: [BOOKING], grayFailures: SHEDDING },
   { name: 'reads and charges, bursts over the slots', upstreams: 8, slots: 4, requestKinds: [READ, CHARGE], grayFailures: NO_EPISODES, load: (at) => at % 10_000 < 4_000 ? 2.6 : 1 },
--- a/packages/dispatch/src/instance-standing.ts
+++ b/packages/dispatch/src/instance-standing.ts
@@ -155,8 +155,12 @@
   }
 
   private observe (evidence: Evidence, now: number): void {
-    this.shares.count(evidence, 1 - this.estimate.probability(now))
+    const probabilityBefore = this.estimate.probability(now)
+    // A broken connection says itself that the upstream was hardly sound; what comes late may be due to the load on all of them.
+    const isOwnSign = evidence === EVIDENCE.broken
+    if (!isOwnSign) this.shares.count(evidence, 1 - probabilityBefore)
     this.estimate.observe(evidence, this.shares.shares, now)
+    if (isOwnSign) this.shares.count(evidence, 1 - this.estimate.probability(now))
     if (evidence !== EVIDENCE.answered) this.failedAt = now
   }
 
