An entry waits for the leader that another control VM named, in place of joining the end of its queue again

Cause: the leader accepts one connection a turn, of 20 ms and more under load. An entry gave up after 0.5, 1 and 2 s, and its dead connections took a turn each before the living ones. Now it waits 3 s for a leader that a control VM named, unless that leader is the one that fell silent, which may be frozen.

--- a/packages/dispatch/src/leader-connection.ts
+++ b/packages/dispatch/src/leader-connection.ts
@@ -7,6 +7,7 @@
 import { sleep, type Clock } from '@hickoryspoke/runtime/clock'
 import { pickOne, type RandomSource } from '@hickoryspoke/runtime/random'
 import type { Logger } from '@hickoryspoke/telemetry/logger'
+import { AcceptPatience } from './accept-patience.ts'
 import type { AdmissionReport } from './customer-rate-limiter.ts'
 import { DispatchStream, type DispatchStreamListener, type LeaderStream } from './dispatch-stream.ts'
 
@@ -72,9 +73,6 @@
 const SILENCE_TIMEOUT_MILLISECONDS = 650
 /** Time within which there must be a connection to a control VM; without one, the VM is down or out of reach. */
 const CONNECT_TIMEOUT_MILLISECONDS = 500
-/** Time within which its process must accept the connection; doubles with each consecutive attempt that was not accepted, as a leader may be busy. */
-const ACCEPT_TIMEOUT_MILLISECONDS = 500
-const MAXIMUM_ACCEPT_TIMEOUT_MILLISECONDS = 2_000
 /**
  * Time within which a control VM that accepted a connection must send its first message, and then one each time while the
  * client waits to be attached. Long, because giving up and beginning again costs a busy leader more than the answer does.
@@ -95,6 +93,8 @@
   lastReceivedAt: number
   isClosed: boolean
   isServing: boolean
+  /** Time within which its process must accept the connection. */
+  readonly acceptTimeoutMilliseconds: number
   /** Whether any message was received. */
   isAnswered: boolean
 }
@@ -109,8 +109,7 @@
   private lastAddress = ''
   /** Consecutive attempts that did not reach a leader, nor a control VM that named one. */
   private failedAttempts = 0
-  /** Attempts that were not accepted since a leader was last reached. */
-  private unacceptedAttempts = 0
+  private readonly patience = AcceptPatience.create()
 
   private constructor (private readonly options: LeaderConnectionOptions) {}
 
@@ -146,8 +145,9 @@
   /** Connects to the leader, and reconnects when the stream ends, until the signal aborts. */
   async run (signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
+      const namedLeader = this.leader
       const address = this.options.wanted() ? this.nextAddress() : undefined
-      if (address !== undefined) await this.connectTo(address, signal)
+      if (address !== undefined) await this.connectTo(address, address === namedLeader, signal)
       await sleep(this.options.clock, this.options.wanted() ? this.reconnectDelay() : IDLE_CHECK_MILLISECONDS, signal)
     }
   }
@@ -172,7 +172,7 @@
     return pickOne(this.options.random, others.length > 0 ? others : candidates)
   }
 
-  private async connectTo (address: string, signal: AbortSignal): Promise<void> {
+  private async connectTo (address: string, isNamed: boolean, signal: AbortSignal): Promise<void> {
     const { clock, credentials } = this.options
     this.lastAddress = address
     this.failedAttempts += 1
@@ -186,7 +186,9 @@
         finish()
       }
     })
-    const stream: Stream = { call, acceptedAt: undefined, lastReceivedAt: clock.monotonicMilliseconds(), isClosed: false, isServing: false, isAnswered: false }
+    const acceptTimeoutMilliseconds = this.patience.timeoutMilliseconds(address, isNamed)
+    const unanswered = { acceptedAt: undefined, isClosed: false, isServing: false, isAnswered: false }
+    const stream: Stream = { call, acceptTimeoutMilliseconds, lastReceivedAt: clock.monotonicMilliseconds(), ...unanswered }
     this.stream = stream
     signal.addEventListener('abort', finish, { once: true })
     call.write({ body: { $case: 'hello', value: this.hello() } })
@@ -228,19 +230,16 @@
       const now = clock.monotonicMilliseconds()
       if (stream.call.isAccepted()) stream.acceptedAt ??= now
       const heardAt = Math.max(stream.lastReceivedAt, stream.acceptedAt ?? beganAt)
-      if (now - heardAt >= FIRST_MESSAGE_TIMEOUT_MILLISECONDS) return
+      const isAccepted = stream.acceptedAt !== undefined
+      if (isAccepted && now - heardAt >= FIRST_MESSAGE_TIMEOUT_MILLISECONDS) return
       const isConnected = stream.call.isConnected()
-      const limit = isConnected ? this.acceptTimeout() : CONNECT_TIMEOUT_MILLISECONDS
-      if (stream.acceptedAt !== undefined || now - beganAt < limit) continue
-      if (isConnected) this.unacceptedAttempts += 1
+      const limit = isConnected ? stream.acceptTimeoutMilliseconds : CONNECT_TIMEOUT_MILLISECONDS
+      if (isAccepted || now - beganAt < limit) continue
+      if (isConnected) this.patience.recordUnaccepted()
       return
     }
   }
 
-  private acceptTimeout (): number {
-    return Math.min(MAXIMUM_ACCEPT_TIMEOUT_MILLISECONDS, ACCEPT_TIMEOUT_MILLISECONDS * 2 ** this.unacceptedAttempts)
-  }
-
   /** Ends a stream. One that ends because this process stops says so, so that the leader need not wait for its confirmations. */
   private end (stream: Stream, address: string, isStopping: boolean): void {
     const wasServing = stream.isServing
@@ -251,6 +250,7 @@
     const silentMilliseconds = Math.round(this.options.clock.monotonicMilliseconds() - stream.lastReceivedAt)
     if (!stream.isAnswered) this.options.logger.info('control not reached', { control: address, silent, silentMilliseconds, attempts: this.failedAttempts })
     if (!wasServing) return
+    this.patience.recordLost(address, silent)
     this.options.logger.warn('leader lost', { control: address, silent, silentMilliseconds })
     this.options.listener.lost()
   }
@@ -291,7 +291,7 @@
     if (notice.serving || notice.leader !== '') this.failedAttempts = 0
     if (!notice.serving || stream.isServing) return
     stream.isServing = true
-    this.unacceptedAttempts = 0
+    this.patience.recordServed()
     this.options.logger.info('leader attended', { control: notice.leader })
     this.options.listener.connected()
     this.requestNumber()
--- a/packages/dispatch/src/tests/leader-connection.test.ts
+++ b/packages/dispatch/src/tests/leader-connection.test.ts
@@ -7,6 +7,7 @@
 import { FakeClock, flushPromises } from '@hickoryspoke/testing/fake-clock'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
+import type { DispatchStreamListener } from '../dispatch-stream.ts'
 import { LeaderConnection, type LeaderConnectionListener, type LeaderConnectionOptions } from '../leader-connection.ts'
 
 type Call = ServerDuplexStream<EntryMessage, DispatchMessage>
@@ -161,4 +162,59 @@
   await running
 })
 
+/** Control VMs in simulated time: `one` leads or names `two` as the leader, which does not accept connections. */
+function createControlVms () {
+  const clock = FakeClock.create()
+  const opened: Array<{ readonly address: string, readonly at: number, cancelledAt: number }> = []
+  const listeners: DispatchStreamListener[] = []
+  const state = { leads: true }
+  const openStream = (address: string, _: InnerCredentials, listener: DispatchStreamListener) => {
+    const attempt = { address, at: clock.monotonicMilliseconds(), cancelledAt: NaN }
+    const isOne = address === 'one:1'
+    opened.push(attempt)
+    listeners.push(listener)
+    const answer = (): void => {
+      const notice = state.leads ? { leader: 'one:1', control: [], serving: true } : { leader: 'two:1', control: [], serving: false }
+      listener.received({ body: { $case: 'leader', value: notice } })
+      if (!state.leads) listener.ended()
+    }
+    if (isOne) clock.schedule(1, answer)
+    const cancel = (): void => { attempt.cancelledAt = clock.monotonicMilliseconds() }
+    return { write: ignore, end: ignore, cancel, isConnected: () => true, isAccepted: () => isOne }
+  }
+  return { clock, opened, openStream, state }
+}
+
+// Guards against entries that give up a leader which accepts hundreds of them in turn, and wait again at the end of its queue (SHORT).
+test('a leader that another control VM named is given time to accept the connection', async () => {
+  const { clock, opened, openStream, state } = createControlVms()
+  state.leads = false
+  const { stop } = connectTo(clock, ['one:1'], { openStream })
+  await clock.advanceAsync(2_900)
+  assert.equal(opened.map(({ address }) => address), ['one:1', 'two:1'])
+  assert.ok(Number.isNaN(opened[1]?.cancelledAt))
+  stop()
+})
+
+// Guards against entries that wait for a leader that is frozen, as it is still named (SHORT).
+test('a leader that fell silent is given up soon, although it is named', async () => {
+  const { clock, opened, openStream, state } = createControlVms()
+  const silent = (address: string, credentials: InnerCredentials, listener: DispatchStreamListener) => {
+    if (address === 'one:1') return openStream(address, credentials, listener)
+    const stream = openStream(address, credentials, listener)
+    // It serves the first connection, and then falls silent.
+    if (opened.filter((attempt) => attempt.address === 'two:1').length > 1) return stream
+    clock.schedule(1, () => listener.received({ body: { $case: 'leader', value: { leader: 'two:1', control: [], serving: true } } }))
+    return { ...stream, isAccepted: () => true }
+  }
+  state.leads = false
+  const { stop } = connectTo(clock, ['one:1'], { openStream: silent })
+  await clock.advanceAsync(3_000)
+  const attempts = opened.filter(({ address }) => address === 'two:1')
+  assert.ok(attempts.length >= 3, 'it is tried again')
+  const again = attempts[1] as (typeof attempts)[number]
+  assert.ok(again.cancelledAt - again.at <= 600, `given up after ${again.cancelledAt - again.at} ms`)
+  stop()
+})
+
 test.run()
