--- a/packages/dispatch/src/tests/attaching-fleet.test.ts
+++ b/packages/dispatch/src/tests/attaching-fleet.test.ts
@@ -1,13 +1,11 @@
 /** Load: hundreds of entries attach at once to a leader whose processor needs seconds for all of them. */
 import { EventEmitter } from 'node:events'
 import type { DispatchMessage } from '@hickoryspoke/protocol/generated/dispatch'
-import { silentLogger } from '@hickoryspoke/telemetry/logger'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import type { DispatchCall } from '../client-session.ts'
-import { DispatchService } from '../dispatch-service.ts'
-import { UpstreamRegistry } from '../upstream-registry.ts'
 import { BusyProcess } from './busy-process.ts'
+import { createLeadingService, emptyHello } from './fixture.ts'
 
 const ENTRIES = 300
 /** Time of the leader's processor for each entry that it attaches, and for each connection that it accepts. */
@@ -51,8 +49,7 @@
     attempt.call = call
     attempt.heardAt = this.leader.monotonicMilliseconds()
     accepted(call as unknown as DispatchCall)
-    const held = { mirror: false, relay: '', running: [], configurationNumber: 0, upstreamDigest: '', limits: [], admitted: [], fleetShare: 0 }
-    call.emit('data', { body: { $case: 'hello', value: { name: this.name, zone: 'zone-a', ...held } } })
+    call.emit('data', emptyHello(this.name))
     // The end of a connection whose client has left is read in the turn after its bytes.
     if (attempt.isGivenUp) this.leader.schedule(1, () => call.emit('end'))
     else this.watch(attempt)
@@ -78,17 +75,7 @@
 // Guards against a leader that attaches only clients which have given up, so that an overload never ends (SHORT).
 test('hundreds of entries that come at once are attached before their callers come', async () => {
   const leader = BusyProcess.create()
-  const service = DispatchService.create({
-    clock: leader,
-    logger: silentLogger(),
-    control: { isLeader: () => true, leaderAddress: () => 'here', controlAddresses: () => [], confirmNumber: async () => 1 },
-    registry: UpstreamRegistry.create(leader),
-    budget: { ratio: 0.2, slack: 10, windowMilliseconds: 10_000 },
-    overage: { windowMilliseconds: 0, share: 0, requests: 0 },
-    floorShare: 0,
-    startsWithFullBursts: () => true,
-    newsLimitMilliseconds: 5_000
-  })
+  const service = createLeadingService(leader)
   accepted = service.handlers().attend as unknown as typeof accepted
   const backlog: Array<() => void> = []
   // The event loop accepts one connection in a turn.
--- a/packages/dispatch/src/tests/fixture.ts
+++ b/packages/dispatch/src/tests/fixture.ts
@@ -1,7 +1,9 @@
-import type { AnnouncedUpstream, DispatchMessage, PlacementQuestion } from '@hickoryspoke/protocol/generated/dispatch'
+import type { AnnouncedUpstream, DispatchMessage, EntryMessage, PlacementQuestion } from '@hickoryspoke/protocol/generated/dispatch'
 import { silentLogger } from '@hickoryspoke/telemetry/logger'
+import type { Clock } from '@hickoryspoke/runtime/clock'
 import { FakeClock } from '@hickoryspoke/testing/fake-clock'
 import { CustomerRateLimiter } from '../customer-rate-limiter.ts'
+import { DispatchService } from '../dispatch-service.ts'
 import { Dispatcher } from '../dispatcher.ts'
 import type { EntryConnection } from '../entry-connection.ts'
 import { UpstreamRegistry } from '../upstream-registry.ts'
@@ -78,3 +80,24 @@
   registry.onChange((changed) => dispatcher.updateUpstreams(changed))
   return { clock, registry, dispatcher }
 }
+
+/** Creates a dispatch service on the leader, without rate limits and with its own upstreams unless a registry is given. */
+export function createLeadingService (clock: Clock, registry: UpstreamRegistry = UpstreamRegistry.create(clock)): DispatchService {
+  return DispatchService.create({
+    clock,
+    logger: silentLogger(),
+    control: { isLeader: () => true, leaderAddress: () => 'here', controlAddresses: () => [], confirmNumber: async () => 1 },
+    registry,
+    budget: { ratio: 0.2, slack: 10, windowMilliseconds: 10_000 },
+    overage: { windowMilliseconds: 0, share: 0, requests: 0 },
+    floorShare: 0,
+    startsWithFullBursts: () => true,
+    newsLimitMilliseconds: 5_000
+  })
+}
+
+/** The hello of an entry that runs no request and holds nothing. */
+export function emptyHello (name: string): EntryMessage {
+  const held = { mirror: false, relay: '', running: [], configurationNumber: 0, upstreamDigest: '', limits: [], admitted: [], fleetShare: 0 }
+  return { body: { $case: 'hello', value: { name, zone: 'zone-a', ...held } } }
+}
--- a/packages/dispatch/src/tests/left-client.test.ts
+++ b/packages/dispatch/src/tests/left-client.test.ts
@@ -7,24 +7,12 @@
 import { FakeClock, flushPromises } from '@hickoryspoke/testing/fake-clock'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
-import { DispatchService } from '../dispatch-service.ts'
-import { UpstreamRegistry } from '../upstream-registry.ts'
+import { createLeadingService, emptyHello } from './fixture.ts'
 
 /** A leader that listens on loopback. */
 async function createLeader () {
   const clock = FakeClock.create()
-  const registry = UpstreamRegistry.create(clock)
-  const service = DispatchService.create({
-    clock,
-    logger: silentLogger(),
-    control: { isLeader: () => true, leaderAddress: () => 'here', controlAddresses: () => [], confirmNumber: async () => 1 },
-    registry,
-    budget: { ratio: 0.2, slack: 10, windowMilliseconds: 10_000 },
-    overage: { windowMilliseconds: 0, share: 0, requests: 0 },
-    floorShare: 0,
-    startsWithFullBursts: () => true,
-    newsLimitMilliseconds: 5_000
-  })
+  const service = createLeadingService(clock)
   let closed = 0
   const listener = InnerListener.create({
     credentials: InnerCredentials.create({ kind: 'plain_text' }),
@@ -39,8 +27,7 @@
   /** Connects a client, which says who it is. */
   const connect = (name: string) => {
     const connection = FramedConnection.connect(`127.0.0.1:${port}`, { sent: EntryMessage, received: DispatchMessage })
-    const held = { mirror: false, relay: '', running: [], configurationNumber: 0, upstreamDigest: '', limits: [], admitted: [], fleetShare: 0 }
-    connection.write({ body: { $case: 'hello', value: { name, zone: 'zone-a', ...held } } })
+    connection.write(emptyHello(name))
     return connection
   }
   return { service, listener, connect, closed: () => closed }
--- a/packages/dispatch/src/tests/overdue-requests.test.ts
+++ b/packages/dispatch/src/tests/overdue-requests.test.ts
@@ -23,6 +23,18 @@
   return fewestSound
 }
 
+/** A dispatcher that knows, from tickets 1 to 100, that requests usually take 100 ms. */
+function createUsual () {
+  const { dispatcher, clock } = createDispatcher([announcement({ instance: 'a', slots: 200 })])
+  const entry = recordingEntry('one')
+  for (let ticket = 1; ticket <= 100; ticket += 1) {
+    dispatcher.ask(entry, question(ticket))
+    clock.advance(100)
+    dispatcher.end(entry, end(ticket, 100))
+  }
+  return { dispatcher, clock, entry }
+}
+
 // Guards against suspicions at the start of a leadership: the first responses are those of the quickest requests, and all others take longer.
 test('no upstream is suspect because the first responses came quickly', () => {
   const fewestSound = runRequests(200, (ticket) => ticket <= 3 ? 10 : 480, () => 'withdraw')
@@ -35,13 +47,7 @@
 })
 
 test('an upstream whose requests take several times as long as usual becomes suspect before they end', () => {
-  const { dispatcher, clock } = createDispatcher([announcement({ instance: 'a', slots: 200 })])
-  const entry = recordingEntry('one')
-  for (let ticket = 1; ticket <= 100; ticket += 1) {
-    dispatcher.ask(entry, question(ticket))
-    clock.advance(100)
-    dispatcher.end(entry, end(ticket, 100))
-  }
+  const { dispatcher, clock, entry } = createUsual()
   for (let ticket = 101; ticket <= 104; ticket += 1) dispatcher.ask(entry, question(ticket))
   clock.advance(290)
   assert.is(dispatcher.snapshots()[0]?.standings.sound, 1)
@@ -51,13 +57,7 @@
 
 // Guards against requests that wait to their deadline on an upstream that hangs, although they may be repeated.
 test('the entry is told of a request that is overdue if it may be repeated', () => {
-  const { dispatcher, clock } = createDispatcher([announcement({ instance: 'a', slots: 200 })])
-  const entry = recordingEntry('one')
-  for (let ticket = 1; ticket <= 100; ticket += 1) {
-    dispatcher.ask(entry, question(ticket))
-    clock.advance(100)
-    dispatcher.end(entry, end(ticket, 100))
-  }
+  const { dispatcher, clock, entry } = createUsual()
   dispatcher.ask(entry, question(101, { mayRepeat: true }))
   dispatcher.ask(entry, question(102))
   const overdue = (): number[] => entry.sent.flatMap(({ body }) => body?.$case === 'overdue' ? [body.value.ticket] : [])
--- a/packages/dispatch/src/tests/overloaded-leader.test.ts
+++ b/packages/dispatch/src/tests/overloaded-leader.test.ts
@@ -1,14 +1,12 @@
 import { EventEmitter } from 'node:events'
 import type { DispatchMessage, EntryMessage } from '@hickoryspoke/protocol/generated/dispatch'
 import { PlacementOutcome } from '@hickoryspoke/protocol/generated/dispatch'
-import { silentLogger } from '@hickoryspoke/telemetry/logger'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import type { DispatchCall } from '../client-session.ts'
-import { DispatchService } from '../dispatch-service.ts'
 import { UpstreamRegistry } from '../upstream-registry.ts'
 import { BusyProcess } from './busy-process.ts'
-import { announcement, question } from './fixture.ts'
+import { announcement, createLeadingService, emptyHello, question } from './fixture.ts'
 
 const ENTRIES = 10
 /** A leader on a small processor: it places a request in this time, and denies one in a tenth of it. */
@@ -52,26 +50,12 @@
   }
 }
 
-function createService (leader: BusyProcess, registry: UpstreamRegistry): DispatchService {
-  return DispatchService.create({
-    clock: leader,
-    logger: silentLogger(),
-    control: { isLeader: () => true, leaderAddress: () => 'here', controlAddresses: () => [], confirmNumber: async () => 1 },
-    registry,
-    budget: { ratio: 0.2, slack: 10, windowMilliseconds: 10_000 },
-    overage: { windowMilliseconds: 0, share: 0, requests: 0 },
-    floorShare: 0,
-    startsWithFullBursts: () => true,
-    newsLimitMilliseconds: 5_000
-  })
-}
-
 /** A leader whose processor is used by placements and denials, with entries attached to it. */
 async function createLeader () {
   const leader = BusyProcess.create()
   const registry = UpstreamRegistry.create(leader)
   for (let index = 0; index < 40; index += 1) registry.announce(announcement({ instance: `i-${index}`, address: `10.0.0.${index}:80`, slots: 400 }))
-  const service = createService(leader, registry)
+  const service = createLeadingService(leader, registry)
   const askedAt = new Map<number, number>()
   const waits = new Map<number, number>()
   const placed = new Set<number>()
@@ -89,8 +73,7 @@
   const attach = (index: number, call: EntryCall): void => {
     calls[index] = call
     attend(call as unknown as DispatchCall)
-    const held = { mirror: false, relay: '', running: [], configurationNumber: 0, upstreamDigest: '', limits: [], admitted: [], fleetShare: 0 }
-    call.receive({ $case: 'hello', value: { name: `entry-${index}`, zone: 'zone-a', ...held } })
+    call.emit('data', emptyHello(`entry-${index}`))
   }
   const createCall = (): EntryCall => new EntryCall(leader, written)
   for (let index = 0; index < ENTRIES; index += 1) attach(index, createCall())
--- a/packages/dispatch/src/tests/silent-session.test.ts
+++ b/packages/dispatch/src/tests/silent-session.test.ts
@@ -1,12 +1,10 @@
 import { EventEmitter } from 'node:events'
 import type { EntryMessage } from '@hickoryspoke/protocol/generated/dispatch'
-import { silentLogger } from '@hickoryspoke/telemetry/logger'
 import { FakeClock } from '@hickoryspoke/testing/fake-clock'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import type { DispatchCall } from '../client-session.ts'
-import { DispatchService } from '../dispatch-service.ts'
-import { UpstreamRegistry } from '../upstream-registry.ts'
+import { createLeadingService } from './fixture.ts'
 
 /** The leader's side of a stream to an entry. */
 class EntryCall extends EventEmitter {
@@ -24,25 +22,11 @@
   }
 }
 
-function createService (clock: FakeClock): DispatchService {
-  return DispatchService.create({
-    clock,
-    logger: silentLogger(),
-    control: { isLeader: () => true, leaderAddress: () => 'here', controlAddresses: () => [], confirmNumber: async () => 1 },
-    registry: UpstreamRegistry.create(clock),
-    budget: { ratio: 0.2, slack: 10, windowMilliseconds: 10_000 },
-    overage: { windowMilliseconds: 0, share: 0, requests: 0 },
-    floorShare: 0,
-    startsWithFullBursts: () => true,
-    newsLimitMilliseconds: 5_000
-  })
-}
-
 // Guards against streams to lost entries that stay open for ever, since nothing closes them: their data collects in memory,
 // and the others are told of too many entries (CONFIG, SHORT).
 test('a stream whose client is silent is closed, and one that asks is kept', async () => {
   const clock = FakeClock.create()
-  const service = createService(clock)
+  const service = createLeadingService(clock)
   const stopping = new AbortController()
   void service.run(stopping.signal)
   const calls = ['lost', 'alive'].map((name) => {
