--- a/packages/limits/src/slot-member.ts
+++ b/packages/limits/src/slot-member.ts
@@ -2,9 +2,9 @@
 import type { RandomSource } from '@hickoryspoke/runtime/random'
 import type { LeaseGroup } from './lease-groups.ts'
 import { sameLease } from './same-lease.ts'
-import type { ShareSettings } from './share-settings.ts'
-import { type ShareLookup, SlotShares } from './slot-shares.ts'
-import { SlotVoter, type VoterIdentity } from './slot-voter.ts'
+import type { SlotMemberOptions } from './slot-member-options.ts'
+import { SlotShares } from './slot-shares.ts'
+import { SlotVoter } from './slot-voter.ts'
 import { SlotWitness } from './slot-witness.ts'
 
 interface LeaseAttempt {
@@ -20,14 +20,6 @@
 
 type PartialAsk = Omit<LeaseAsk, 'voterIncarnation'>
 
-/** Dependencies of `SlotMember`. */
-export interface SlotMemberOptions {
-  readonly settings: ShareSettings
-  readonly identity: VoterIdentity
-  readonly self: string
-  readonly lookup: ShareLookup
-}
-
 const NONCE_RANGE = 2 ** 48
 
 /**
