--- a/packages/request/src/dispatched-run.ts
+++ b/packages/request/src/dispatched-run.ts
@@ -36,9 +36,7 @@
 }
 
 /** An attempt that was sent to an upstream. */
-interface SentAttempt extends RunningAttempt<AttemptResult> {
-  readonly placed: PlacedRequest
-}
+type SentAttempt = RunningAttempt<AttemptResult>
 
 const FIRST_SERVER_ERROR = 500
 const FINGERPRINT_MODULUS = 2 ** 48
@@ -197,7 +195,7 @@
       this.history.end(placed, attempt, end)
       return end
     }
-    return { placed, result: run(), cancel: () => cancellation.abort(AttemptFailure.create('hedge_lost')) }
+    return { result: run(), cancel: () => cancellation.abort(AttemptFailure.create('hedge_lost')) }
   }
 
   /** Sends the request to another upstream while the first attempt runs; undefined if it may not be or the first one ended. */
