--- a/packages/dispatch/src/local-placer.ts
+++ b/packages/dispatch/src/local-placer.ts
@@ -5,7 +5,7 @@
 } from '@hickoryspoke/protocol/generated/dispatch'
 import type { Clock } from '@hickoryspoke/runtime/clock'
 import { pickOne, type RandomSource } from '@hickoryspoke/runtime/random'
-import type { AdmissionReport, RateLimit } from './customer-rate-limiter.ts'
+import { CustomerRateLimiter, type AdmissionReport, type RateLimit } from './customer-rate-limiter.ts'
 import { InstanceStanding, STANDING } from './instance-standing.ts'
 import { SoundShares } from './sound-shares.ts'
 import { RecentAdmissions } from './recent-admissions.ts'
@@ -28,9 +28,9 @@
   private readonly standings = new Map<string, InstanceStanding>()
   private readonly shares = SoundShares.create()
   private readonly limits: UpstreamLimits
+  private rates = CustomerRateLimiter.createWithFullBursts()
   private readonly recentAdmissions: RecentAdmissions
-  /** Requests of a customer that this entry may admit within a window while it has no dispatcher; Infinity for no limit. */
-  private allowedInWindow: (customer: string) => number = () => Infinity
+  private limitOf: (customer: string) => RateLimit | undefined = () => undefined
 
   private constructor (private readonly options: LocalPlacerOptions) {
     this.limits = UpstreamLimits.create(options.clock)
@@ -48,20 +48,21 @@
   }
 
   /**
-   * Starts a period without a dispatcher. Within each window this entry admits an equal share of what the customer's rate limit
-   * allows in it, or as many requests as it admitted in the window before if those were more. The parts of all entries together
-   * exceed the limit only if a customer's requests move to other entries. Limits of upstreams are divided equally.
+   * Starts a period without a dispatcher. This entry gets an equal share of every rate limit, or the rate at which it
+   * recently admitted a customer's requests if that is higher. The parts of all entries together exceed the limit
+   * only if a customer's requests move to other entries. Bursts are divided equally, and so are the limits of upstreams.
    * An entry begins with a random part of a request to each limited upstream, so that the entries do not all send at once.
    */
   startStandalone (entries: number, limitOf: (customer: string) => RateLimit | undefined): void {
     const entryCount = Math.max(1, entries)
-    const before = new Map(this.recentAdmissions.admitted(this.options.clock.monotonicMilliseconds()).map(({ customer, requests }) => [customer, requests]))
-    this.allowedInWindow = (customer) => {
+    const recentRates = this.recentAdmissions.rates(this.options.clock.monotonicMilliseconds())
+    this.limitOf = (customer) => {
       const terms = limitOf(customer)
-      if (terms === undefined || terms.rate <= 0) return Infinity
-      const allowed = terms.rate * this.options.windowMilliseconds / 1_000 + terms.burst
-      return Math.max(1, allowed / entryCount, before.get(customer) ?? 0)
+      if (terms === undefined) return undefined
+      return { rate: terms.rate === 0 ? 0 : Math.max(terms.rate / entryCount, recentRates.get(customer) ?? 0), burst: terms.burst / entryCount }
     }
+    this.rates = CustomerRateLimiter.createWithFullBursts()
+    this.rates.setLimits((customer) => this.limitOf(customer))
     this.limits.usePart(() => ({ share: 1 / entryCount, initialTokens: this.options.random.next() }))
   }
 
@@ -69,7 +70,7 @@
   admit (customer: string): boolean {
     if (customer === '') return true
     const now = this.options.clock.monotonicMilliseconds()
-    if (this.recentAdmissions.countOf(customer, now) + 1 > this.allowedInWindow(customer)) return false
+    if (!this.rates.tryTake(customer, now)) return false
     this.recentAdmissions.count(customer, now)
     return true
   }
--- a/packages/dispatch/src/recent-admissions.ts
+++ b/packages/dispatch/src/recent-admissions.ts
@@ -22,17 +22,17 @@
   /** Number of requests within the window, for each customer that had any. */
   admitted (now: number): AdmittedRequests[] {
     const admitted: AdmittedRequests[] = []
-    for (const customer of this.times.keys()) {
-      const requests = this.countOf(customer, now)
+    for (const [customer, times] of this.times) {
+      const requests = times.filter((time) => time >= now - this.windowMilliseconds).length
       if (requests > 0) admitted.push({ customer, requests })
       else this.times.delete(customer)
     }
     return admitted
   }
 
-  /** Number of requests of one customer within the window. */
-  countOf (customer: string, now: number): number {
-    return this.times.get(customer)?.filter((time) => time >= now - this.windowMilliseconds).length ?? 0
+  /** Requests per second within the window, for each customer that had any. */
+  rates (now: number): Map<string, number> {
+    return new Map(this.admitted(now).map(({ customer, requests }) => [customer, requests * 1000 / this.windowMilliseconds]))
   }
 
   /** Whether counting began at least one window ago, so that the counts are complete. */
