Changes of upstreams are sent at once in small fleets (RECOVER)

Cause: collected changes for 100 ms in every fleet. Now up to 100 messages go at once, and what comes beyond them is collected, which is where the cost was. The tests of collecting attach 100 and 278 entries.

--- a/packages/dispatch/src/tests/upstream-broadcast.test.ts
+++ b/packages/dispatch/src/tests/upstream-broadcast.test.ts
@@ -108,7 +108,7 @@
 // Guards against a leader that spends its processor on a message to each entry for each upstream (SHORT).
 test('upstreams that announce themselves one after another are sent together', () => {
   const { clock, registry, broadcast, attach } = createLeader([])
-  const { sent } = attach('')
+  const [{ sent }] = Array.from({ length: 278 }, () => attach('')) as [ReturnType<typeof attach>]
   for (const upstream of UPSTREAMS) {
     registry.announce(upstream)
     clock.advance(1_500 / UPSTREAMS.length)
@@ -120,10 +120,18 @@
   assert.ok(sent.length <= 20, `${sent.length} messages for an entry`)
 })
 
+// Guards against entries that refuse to relay to an upstream which was acknowledged, as they do not know it yet (RECOVER).
+test('in a small fleet changes are sent at once', () => {
+  const { registry, attach } = createLeader([])
+  const { sent } = attach('')
+  for (const upstream of UPSTREAMS.slice(0, 30)) registry.announce(upstream)
+  assert.is(sentUpstreams(sent).length, 30)
+})
+
 // Guards against entries without a leader that do not know an upstream whose announcement was acknowledged.
 test('changes that were not sent yet are sent at the end of a leadership', () => {
   const { registry, broadcast, attach } = createLeader([])
-  const { sent } = attach('')
+  const [{ sent }] = Array.from({ length: 100 }, () => attach('')) as [ReturnType<typeof attach>]
   registry.announce(announcement({ instance: 'i-1', address: '10.0.0.1:1' }))
   registry.announce(announcement({ instance: 'i-2', address: '10.0.0.1:2' }))
   assert.equal(sentUpstreams(sent).map(({ instance }) => instance), ['i-1'])
@@ -134,7 +142,7 @@
 // Guards against requests for an upstream that leaves, as its departure waited to be sent (DRAIN).
 test('a departure is sent at once, with the changes before it', () => {
   const { registry, broadcast, attach } = createLeader([announcement({ instance: 'i-1' })])
-  const { sent } = attach('')
+  const [{ sent }] = Array.from({ length: 100 }, () => attach('')) as [ReturnType<typeof attach>]
   registry.announce(announcement({ instance: 'i-2', address: '10.0.0.1:1' }))
   registry.announce(announcement({ instance: 'i-3', address: '10.0.0.1:2' }))
   const before = sent.length
--- a/packages/dispatch/src/upstream-broadcast.ts
+++ b/packages/dispatch/src/upstream-broadcast.ts
@@ -11,8 +11,10 @@
 const MAXIMUM_QUERIES = 2
 /** A client that has not answered for this time does not keep others from being asked. */
 const QUERY_TIMEOUT_MILLISECONDS = 1_000
-/** Changes other than departures are collected for this long, as each sending costs a message to every client. */
+/** Changes other than departures are collected for this long once they cost many messages, as each sending is one to every client. */
 const COLLECT_MILLISECONDS = 100
+/** Messages that are sent at once within that time. */
+const MAXIMUM_IMMEDIATE_MESSAGES = 100
 
 /** Changes of one leadership. */
 export class UpstreamBroadcast {
@@ -26,6 +28,8 @@
   private unsent = new Map<string, RegisteredUpstream>()
   /** When changes were last sent, in monotonic milliseconds. */
   private sentAt = -Infinity
+  /** Messages sent since the last pause of that time. */
+  private recentMessages = 0
 
   private constructor (
     private readonly clock: Clock,
@@ -86,7 +90,8 @@
     const now = this.clock.monotonicMilliseconds()
     for (const upstream of changed) this.unsent.set(upstream.announced.instance, upstream)
     const hasDeparture = changed.some(({ announced }) => isLeaving(announced))
-    if (hasDeparture || now - this.sentAt >= COLLECT_MILLISECONDS) this.sendCollected(now)
+    if (now - this.sentAt >= COLLECT_MILLISECONDS) this.recentMessages = 0
+    if (hasDeparture || this.recentMessages < MAXIMUM_IMMEDIATE_MESSAGES) this.sendCollected(now)
   }
 
   /** Revision of the news that an upstream is leaving; sends it again if this leadership has not sent it yet. */
@@ -109,6 +114,7 @@
     const digest = this.registry.digest()
     const encoded = encodeAnnounced(announced)
     for (const session of this.sessions()) {
+      this.recentMessages += 1
       const isSame = session.upstreamDigest === digest
       this.write(session, isSame ? [] : encoded, revision)
       if (isSame) this.differing.delete(session)
