--- a/review/stand-ins/record.mjs
+++ b/review/stand-ins/record.mjs
@@ -22,11 +22,20 @@
   }
 }
 
+/** A script runs for 120 seconds at most. */
+const TIME_LIMIT_MILLISECONDS = 117_000
+
 /** Runs a case and exits: 1 if the rule was broken, 0 if it held, 2 if the case could not run. */
 export async function runCase (folder, makeFleet, play) {
   const record = new Record(folder)
   const isTroubled = process.env.TROUBLE !== '0'
   const fleet = makeFleet(record)
+  const giveUp = (reason) => {
+    record.write('case could not run', { reason })
+    fleet.stop().finally(() => process.exit(2))
+  }
+  setTimeout(() => giveUp('the time is up'), TIME_LIMIT_MILLISECONDS).unref()
+  for (const signal of ['SIGINT', 'SIGTERM']) process.once(signal, () => giveUp(signal))
   let code = 2
   try {
     record.write('case begins', { trouble: isTroubled })
