--- a/packages/replication/src/formation.ts
+++ b/packages/replication/src/formation.ts
@@ -1,15 +1,25 @@
 import type { ReplicaHello, ReplicaMessage, ReplicaSet } from '@hickoryspoke/protocol/generated/replica'
 import type { ReplicaContext } from './replica-context.ts'
-import { findMember } from './replica-set.ts'
+import { findMember, type ReplicaIdentity } from './replica-set.ts'
 
 /** Sends hello messages while this replica forms a cluster, waits to join one, or knows no leader. */
 export async function announceSelf (context: ReplicaContext): Promise<void> {
   if (context.storage.identity.forming) await formIfComplete(context)
-  if (!needsHelloAnswer(context) || context.now() - context.lastHelloSent < context.tuning.helloMilliseconds) return
-  context.lastHelloSent = context.now()
-  for (const name of context.settings.peers) {
-    if (name !== context.settings.name) sendHello(context, { name, incarnation: '' }, true)
+  if (!needsHelloAnswer(context)) {
+    context.learnedNames.clear()
+    return
   }
+  if (context.now() - context.lastHelloSent < context.tuning.helloMilliseconds) return
+  context.lastHelloSent = context.now()
+  for (const name of helloReceivers(context)) sendHello(context, { name, incarnation: '' }, true)
+}
+
+/** Only the leader adds a member, and the settings need not name it, so the hello goes to every member known here as well. */
+function helloReceivers (context: ReplicaContext): Set<string> {
+  const members = context.latestReplicaSet().members.map((member) => member.name)
+  const names = new Set([...context.settings.peers, ...members, ...context.learnedNames])
+  names.delete(context.settings.name)
+  return names
 }
 
 function needsHelloAnswer (context: ReplicaContext): boolean {
@@ -17,7 +27,7 @@
   return findMember(context.latestReplicaSet(), context.self()) === undefined
 }
 
-function sendHello (context: ReplicaContext, to: { name: string, incarnation: string }, answerWanted: boolean): void {
+function sendHello (context: ReplicaContext, to: ReplicaIdentity, answerWanted: boolean): void {
   const value: ReplicaHello = { forming: context.storage.identity.forming, knownSet: knownSet(context), answerWanted }
   context.send(to, { $case: 'hello', value })
 }
@@ -31,12 +41,17 @@
 export async function handleHello (context: ReplicaContext, message: ReplicaMessage, hello: ReplicaHello): Promise<void> {
   const sender = { name: message.from, incarnation: message.fromIncarnation }
   recordJoiner(context, sender)
+  if (needsHelloAnswer(context)) learnNames(context, hello)
   if (hello.forming) context.formingPeers.set(sender.name, sender.incarnation)
   if (context.storage.identity.forming) await adoptKnownSet(context, hello)
-  if (hello.answerWanted) answerHello(context, sender)
+  if (hello.answerWanted) answerHello(context, sender, hello.forming)
+}
+
+function learnNames (context: ReplicaContext, hello: ReplicaHello): void {
+  for (const member of hello.knownSet?.members ?? []) context.learnedNames.add(member.name)
 }
 
-function recordJoiner (context: ReplicaContext, sender: { name: string, incarnation: string }): void {
+function recordJoiner (context: ReplicaContext, sender: ReplicaIdentity): void {
   const set = context.latestReplicaSet()
   if (set.members.length === 0) return
   if (findMember(set, sender) !== undefined) {
@@ -49,15 +64,15 @@
 }
 
 /**
- * Answers a hello with the replica set known here. A founding member gets the set that the cluster was formed with,
- * because it may have missed the end of forming.
+ * Answers a hello with the replica set known here. A founding member that missed the end of forming gets the set that
+ * the cluster was formed with.
  */
-function answerHello (context: ReplicaContext, sender: { name: string, incarnation: string }): void {
+function answerHello (context: ReplicaContext, sender: ReplicaIdentity, senderIsForming: boolean): void {
   const formed = context.storage.identity.formedSet
-  const isFounder = formed !== undefined && findMember(formed, sender) !== undefined
+  const isFormingFounder = senderIsForming && formed !== undefined && findMember(formed, sender) !== undefined
   const value: ReplicaHello = {
     forming: context.storage.identity.forming,
-    knownSet: isFounder ? formed : knownSet(context),
+    knownSet: isFormingFounder ? formed : knownSet(context),
     answerWanted: false
   }
   context.send(sender, { $case: 'hello', value })
--- a/packages/replication/src/replica-context.ts
+++ b/packages/replication/src/replica-context.ts
@@ -40,6 +40,8 @@
   readonly log: EntryLog
   /** Incarnations of replicas that announced themselves and are not members, by name. */
   readonly joiners = new Map<string, string>()
+  /** Names of members as other replicas reported them, kept while this replica seeks a leader. */
+  readonly learnedNames = new Set<string>()
   /** Incarnations of the replicas that are forming the cluster, by name. */
   readonly formingPeers = new Map<string, string>()
   snapshot: Snapshot | undefined
--- a/packages/replication/src/tests/test-cluster.ts
+++ b/packages/replication/src/tests/test-cluster.ts
@@ -49,6 +49,8 @@
   tuning: Partial<ReplicaTuning> = {}
   /** Overrides the peers in the settings of replicas opened from now on. */
   peersInSettings: readonly string[] | undefined
+  /** Lets replicas join that the settings do not name, in replicas opened from now on. */
+  openMembership: { readonly minimumVoters: number } | undefined
   createMachine: () => ListStateMachine = () => new ListStateMachine()
   private bootCount = 0
 
@@ -89,6 +91,7 @@
       name,
       folder: used,
       peers: this.peersInSettings ?? this.names,
+      ...(this.openMembership === undefined ? {} : { openMembership: this.openMembership }),
       onEmptyFolder,
       stateMachine: machine,
       join: (handler) => ({ ...this.network.join(name, handler), close: async () => this.network.leave(name) }),
