A replica that asked to join long ago is not added again (changes of the replica set without end)

A replica that had joined and was gone for good was removed as silent, added again as a learner at the next tick, removed as silent, and so on, with an entry of the log and a sync on every disk each time, and a leader that knew it only from long ago did the same.

Cause: 'joiners' kept every replica that had ever asked, and an entry was dropped only when that replica said hello as a member.

Evidence: rejoining.test.ts, "is removed once and not added again": 8 changes of the set where 3 are right; "a new leader does not add a replica that asked to join long ago": 4 members where 3 are right. Both fail before and pass after.

Why it works: a replica that wants to join says hello every helloMilliseconds, so three missed ones mean that it no longer asks. One that is slow is added at its next hello.

--- a/packages/replication/src/formation.ts
+++ b/packages/replication/src/formation.ts
@@ -58,9 +58,9 @@
     context.joiners.delete(sender.name)
     return
   }
-  if (context.joiners.get(sender.name) === sender.incarnation) return
-  context.joiners.set(sender.name, sender.incarnation)
-  context.report({ kind: 'joiner_seen', ...sender })
+  const isKnown = context.joiners.get(sender.name)?.incarnation === sender.incarnation
+  context.joiners.set(sender.name, { incarnation: sender.incarnation, heardAt: context.now() })
+  if (!isKnown) context.report({ kind: 'joiner_seen', ...sender })
 }
 
 /**
--- a/packages/replication/src/replica-context.ts
+++ b/packages/replication/src/replica-context.ts
@@ -30,6 +30,12 @@
   received: number
 }
 
+/** A replica that asked to join, with the monotonic time of its last hello in milliseconds. */
+export interface Joiner {
+  readonly incarnation: string
+  readonly heardAt: number
+}
+
 /** State of one replica, shared by its parts. */
 export class ReplicaContext {
   readonly tuning: ReplicaTuning
@@ -38,8 +44,8 @@
   readonly proposals = PendingProposals.create()
   readonly ended = new AbortController()
   readonly log: EntryLog
-  /** Incarnations of replicas that announced themselves and are not members, by name. */
-  readonly joiners = new Map<string, string>()
+  /** Replicas that announced themselves and are not members, by name. */
+  readonly joiners = new Map<string, Joiner>()
   /** Names of members as other replicas reported them, kept while this replica seeks a leader. */
   readonly learnedNames = new Set<string>()
   /** Incarnations of the replicas that are forming the cluster, by name. */
--- a/packages/replication/src/replica-set-change.ts
+++ b/packages/replication/src/replica-set-change.ts
@@ -8,6 +8,9 @@
 /** Maximum number of entries by which a learner may lag when it gets a vote. */
 const MAXIMUM_LEARNER_LAG_ENTRIES = 16
 
+/** A replica that missed this many hello messages has stopped asking to join. */
+const MISSED_HELLOS = 3
+
 /** Appends an entry that changes the replica set, and starts using the new set. */
 function appendReplicaSetChange (context: ReplicaContext, set: ReplicaSet): void {
   const index = appendAsLeader(context, { $case: 'replicaSet', value: set })
@@ -31,8 +34,9 @@
 /** Adds as a learner a replica that is new, or that lost its disk and has a new incarnation. */
 function setWithJoiner (context: ReplicaContext): ReplicaSet | undefined {
   const set = context.latestReplicaSet()
-  for (const [name, incarnation] of context.joiners) {
-    if (findMember(set, { name, incarnation }) !== undefined) continue
+  const oldest = context.now() - context.tuning.helloMilliseconds * MISSED_HELLOS
+  for (const [name, { incarnation, heardAt }] of context.joiners) {
+    if (findMember(set, { name, incarnation }) !== undefined || heardAt < oldest) continue
     if (mayJoin(context, name)) return withLearner(set, { name, incarnation })
   }
   return undefined
--- a/packages/replication/src/tests/rejoining.test.ts
+++ b/packages/replication/src/tests/rejoining.test.ts
@@ -88,4 +88,34 @@
   await cluster.destroy()
 })
 
+// Guards against a change of the set without end: a leader remembered every replica that had ever asked to join.
+test('a replica that joined and is gone for good is removed once and not added again', async () => {
+  const cluster = await createOpenCluster(SEEDS, 45, 3)
+  await cluster.boot('newcomer', 'join')
+  assert.ok(await hasVote(cluster, 'newcomer'))
+  await cluster.crash('newcomer')
+  await cluster.until(() => votersOf(cluster).length === 3, 60_000)
+  const changes = (): number => cluster.events.filter(({ name, event }) => name === cluster.leaderName() && event.kind === 'replica_set_changed').length
+  const before = changes()
+  await cluster.advance(90_000)
+  assert.is(changes(), before)
+  await cluster.destroy()
+})
+
+// The same for a follower that heard the replica once and leads later.
+test('a new leader does not add a replica that asked to join long ago', async () => {
+  const cluster = await createOpenCluster(SEEDS, 46, 3)
+  await cluster.boot('newcomer', 'join')
+  assert.ok(await hasVote(cluster, 'newcomer'))
+  await cluster.crash('newcomer')
+  await cluster.until(() => cluster.leader().status().members.length === 3, 60_000)
+  const leader = cluster.leaderName() as string
+  await cluster.crash(leader)
+  await cluster.boot(leader)
+  await cluster.until(() => cluster.leaderName() !== undefined && cluster.leaderName() !== leader)
+  await cluster.advance(10_000)
+  assert.is(cluster.leader().status().members.length, 3)
+  await cluster.destroy()
+})
+
 test.run()
