--- a/packages/bench/src/tests/dispatched-fleet.ts
+++ b/packages/bench/src/tests/dispatched-fleet.ts
@@ -131,6 +131,7 @@
       onEmptyFolder: firstOfFleet ? 'form' : 'join',
       seeds: [...this.addresses],
       minimumVoters: this.addresses.length,
+      catchUpMilliseconds: 4_000,
       firstOfFleet,
       budget: { ratio: 0.2, slack: 10, windowMilliseconds: 10_000 },
       floorShare: 0.7,
--- a/packages/control/src/dispatching-control-settings.ts
+++ b/packages/control/src/dispatching-control-settings.ts
@@ -23,6 +23,8 @@
   readonly seeds: readonly string[]
   /** Silent replicas are replaced only while at least this many voters remain. */
   readonly minimumVoters: number
+  /** Time after which a control VM that returned, or replaced another, no longer counts as a loss. */
+  readonly catchUpMilliseconds: number
   /** Whether the whole fleet starts for the first time, so that no customer has used up any of its burst. */
   readonly firstOfFleet: boolean
   readonly budget: FleetRetryBudgetSettings
--- a/packages/control/src/dispatching-control.ts
+++ b/packages/control/src/dispatching-control.ts
@@ -11,6 +11,7 @@
 import { Replica } from '@hickoryspoke/replication/replica'
 import type { ReplicationFailure } from '@hickoryspoke/replication/replication-failure'
 import { REPLICA_ROLE } from '@hickoryspoke/replication/replicated-log'
+import { createRecoveryTuning } from '@hickoryspoke/replication/replica-tuning'
 import { repeatEvery } from '@hickoryspoke/runtime/clock'
 import type { Failure } from '@hickoryspoke/runtime/failure'
 import type { Metrics } from '@hickoryspoke/telemetry/metrics'
@@ -25,11 +26,6 @@
 /** Codecs of the server's side of a framed connection. */
 const SERVER_CODECS = { sent: DispatchMessage, received: EntryMessage }
 const EXPIRY_CHECK_MILLISECONDS = 500
-const ELECTION_TIMEOUT_MILLISECONDS = 600
-const FIRST_ELECTION_MILLISECONDS = 300
-const HEARTBEAT_MILLISECONDS = 150
-const RETIRE_MILLISECONDS = 8_000
-const PROPOSAL_TIMEOUT_MILLISECONDS = 2_500
 const SHUTDOWN_MILLISECONDS = 300
 /** A request that was placed just before the entry's view expired reaches its upstream within this time. */
 const PLACED_REQUEST_MILLISECONDS = 500
@@ -134,13 +130,7 @@
       clock,
       random,
       report: (event) => logReplicaEvent(logger, event),
-      tuning: {
-        electionTimeoutMilliseconds: ELECTION_TIMEOUT_MILLISECONDS,
-        firstElectionMilliseconds: FIRST_ELECTION_MILLISECONDS,
-        heartbeatMilliseconds: HEARTBEAT_MILLISECONDS,
-        retireMilliseconds: RETIRE_MILLISECONDS,
-        proposalTimeoutMilliseconds: PROPOSAL_TIMEOUT_MILLISECONDS
-      }
+      tuning: createRecoveryTuning(settings.catchUpMilliseconds)
     })
     if (replica.isErr()) return replica
     const control = new DispatchingControl(settings, options, server, replica.value, state)
