--- /dev/null
+++ b/packages/entry/src/caller-connection.ts
@@ -0,0 +1,47 @@
+/** The requests of one caller's connection, which are answered in the order in which they were read. */
+import type { Refusal } from '@hickoryspoke/request/refusal'
+import type { NodeExchange } from './caller-node-exchange.ts'
+
+/** A connection of a caller. */
+export class CallerConnection {
+  /** Requests without a complete response, in the order in which they were read. */
+  private readonly exchanges: NodeExchange[] = []
+
+  private constructor (private readonly isDraining: () => boolean) {}
+
+  /** `isDraining` tells whether the server is being stopped. */
+  static create (isDraining: () => boolean): CallerConnection {
+    return new CallerConnection(isDraining)
+  }
+
+  /**
+   * Whether the connection closes behind the last request that was read. A request behind that one must not run,
+   * because its caller takes it for unread and sends it again.
+   */
+  get isClosing (): boolean {
+    const last = this.exchanges.at(-1)
+    if (last === undefined) return false
+    return last.closesConnection || (this.isDraining() && !last.answer.isHeadSent)
+  }
+
+  add (exchange: NodeExchange): void {
+    this.exchanges.push(exchange)
+    exchange.onSent(() => this.remove(exchange))
+  }
+
+  /** Whether the connection closes behind the response of a request: while the server drains, behind the last one only. */
+  closesBehind (exchange: NodeExchange): boolean {
+    return this.isDraining() && this.exchanges.at(-1) === exchange
+  }
+
+  /** Aborts the requests because the rest of the connection is not valid HTTP. Returns whether there were any. */
+  abortBodies (refusal: Refusal): boolean {
+    for (const exchange of this.exchanges) exchange.abortBody(refusal)
+    return this.exchanges.length > 0
+  }
+
+  private remove (exchange: NodeExchange): void {
+    const index = this.exchanges.indexOf(exchange)
+    if (index !== -1) this.exchanges.splice(index, 1)
+  }
+}
--- a/packages/entry/src/caller-node-exchange.ts
+++ b/packages/entry/src/caller-node-exchange.ts
@@ -12,7 +12,7 @@
   /** The caller sent `Expect: 100-continue` and waits for `100 Continue` before it sends its body. */
   readonly expectsContinue: boolean
   /** Called when the response headers are sent: whether the connection is closed after the response. */
-  readonly closesConnection: () => boolean
+  readonly closesConnection: (exchange: NodeExchange) => boolean
 }
 
 /** Request and response of a caller on the HTTP server of Node.js. */
@@ -20,8 +20,16 @@
   private readonly controller = new AbortController()
   readonly answer: NodeAnswer
 
-  private constructor (private readonly request: IncomingMessage, response: ServerResponse, private readonly options: NodeExchangeOptions) {
-    this.answer = NodeAnswer.create(request, response, options)
+  private constructor (
+    private readonly request: IncomingMessage,
+    private readonly response: ServerResponse,
+    private readonly options: NodeExchangeOptions
+  ) {
+    this.answer = NodeAnswer.create(response, {
+      clock: options.clock,
+      unreadTimeoutMilliseconds: options.limits.unreadAnswerTimeoutMilliseconds,
+      closesConnection: () => options.closesConnection(this) || (!this.isRead && request.headers.expect !== undefined)
+    })
     response.once('close', () => {
       if (!response.writableFinished) this.controller.abort(AttemptFailure.create('caller_gone'))
     })
@@ -63,6 +71,21 @@
     return this.controller.signal
   }
 
+  /** Whether the request has been read to its end. */
+  get isRead (): boolean {
+    return this.request.complete
+  }
+
+  /** Whether the response that was begun closes the connection. */
+  get closesConnection (): boolean {
+    return this.answer.closesConnection
+  }
+
+  /** Calls back once the complete response has been handed to the operating system, or the caller has left. */
+  onSent (task: () => void): void {
+    this.response.once('finish', task).once('close', task)
+  }
+
   sendContinue (): void {
     if (this.options.expectsContinue) this.answer.sendContinue()
   }
@@ -73,16 +96,24 @@
   }
 }
 
+/** Options of a `NodeAnswer`. */
+export interface NodeAnswerOptions {
+  readonly clock: Clock
+  /** How long a caller may read nothing of a response that is waiting to be sent. */
+  readonly unreadTimeoutMilliseconds: number
+  /** Called when the response headers are sent: whether the connection is closed after the response. */
+  readonly closesConnection: () => boolean
+}
+
 /** Response to a caller on the HTTP server of Node.js. */
 export class NodeAnswer implements CallerResponse {
-  private constructor (
-    private readonly request: IncomingMessage,
-    private readonly response: ServerResponse,
-    private readonly options: NodeExchangeOptions
-  ) {}
+  /** Whether the headers that were sent close the connection after the response. */
+  closesConnection = false
+
+  private constructor (private readonly response: ServerResponse, private readonly options: NodeAnswerOptions) {}
 
-  static create (request: IncomingMessage, response: ServerResponse, options: NodeExchangeOptions): NodeAnswer {
-    return new NodeAnswer(request, response, options)
+  static create (response: ServerResponse, options: NodeAnswerOptions): NodeAnswer {
+    return new NodeAnswer(response, options)
   }
 
   get isHeadSent (): boolean {
@@ -95,8 +126,8 @@
 
   writeHead (status: number, headers: readonly string[]): void {
     if (this.response.destroyed || this.response.headersSent) return
-    const closes = this.options.closesConnection() || (!this.request.complete && this.response.req.headers.expect !== undefined)
-    this.response.writeHead(status, closes ? [...headers, 'Connection', 'close'] : [...headers])
+    this.closesConnection = this.options.closesConnection()
+    this.response.writeHead(status, this.closesConnection ? [...headers, 'Connection', 'close'] : [...headers])
   }
 
   write (chunk: Buffer): boolean {
@@ -109,11 +140,12 @@
    */
   whenReady (task: () => void): void {
     const { response } = this
+    const { clock, unreadTimeoutMilliseconds } = this.options
     if (response.destroyed || !response.writableNeedDrain) {
       task()
       return
     }
-    const timer = this.options.clock.schedule(this.options.limits.unreadAnswerTimeoutMilliseconds, () => this.abort())
+    const timer = clock.schedule(unreadTimeoutMilliseconds, () => this.abort())
     const finish = (): void => {
       timer.cancel()
       response.off('drain', finish).off('close', finish)
--- a/packages/entry/src/caller-server.ts
+++ b/packages/entry/src/caller-server.ts
@@ -11,6 +11,7 @@
 import polka from 'polka'
 import { Err, Ok, type Result } from 'ts-results-es'
 import { NodeExchange } from './caller-node-exchange.ts'
+import { CallerConnection } from './caller-connection.ts'
 import { NO_REQUEST_ID, refuseOnSocket } from './caller-raw-refusal.ts'
 import { checkRequestHead } from './caller-request-check.ts'
 import { DEFAULT_CALLER_LIMITS, type CallerLimits, type CallerTls } from './caller-settings.ts'
@@ -56,7 +57,7 @@
 /** HTTP or HTTPS server for callers. */
 export class CallerServer {
   private readonly server: Server | TlsServer
-  private readonly exchanges = new Map<Socket, Set<NodeExchange>>()
+  private readonly connections = new Map<Socket, CallerConnection>()
   private limits: CallerLimits
   private isDraining = false
 
@@ -126,34 +127,40 @@
     this.server.closeAllConnections()
   }
 
+  private connectionOf (socket: Socket): CallerConnection {
+    const known = this.connections.get(socket)
+    if (known !== undefined) return known
+    const connection = CallerConnection.create(() => this.isDraining)
+    this.connections.set(socket, connection)
+    socket.once('close', () => this.connections.delete(socket))
+    return connection
+  }
+
   private serve (request: IncomingMessage, response: ServerResponse, expectsContinue: boolean): void {
     const refusal = checkRequestHead(request)
     if (refusal !== undefined) {
       this.refuse(request, response, refusal)
       return
     }
-    const exchange = this.createExchange(request, response, expectsContinue)
-    const connectionExchanges = this.exchanges.get(request.socket) ?? new Set()
-    this.exchanges.set(request.socket, connectionExchanges.add(exchange))
-    response.once('close', () => {
-      connectionExchanges.delete(exchange)
-      if (connectionExchanges.size === 0) this.exchanges.delete(request.socket)
-    })
+    const connection = this.connectionOf(request.socket)
+    if (connection.isClosing) return
+    const exchange = this.createExchange(request, response, expectsContinue, (begun) => connection.closesBehind(begun))
+    connection.add(exchange)
     this.options.runner.run(exchange).catch(() => exchange.answer.abort())
   }
 
   private refuse (request: IncomingMessage, response: ServerResponse, refusal: Refusal): void {
-    response.shouldKeepAlive = false
-    relayRefusal(this.createExchange(request, response, false), refusal, NO_REQUEST_ID)
+    const connection = this.connectionOf(request.socket)
+    if (connection.isClosing) return
+    const exchange = this.createExchange(request, response, false, () => true)
+    connection.add(exchange)
+    relayRefusal(exchange, refusal, NO_REQUEST_ID)
   }
 
-  private createExchange (request: IncomingMessage, response: ServerResponse, expectsContinue: boolean): NodeExchange {
-    return NodeExchange.create(request, response, {
-      clock: this.options.clock,
-      limits: this.limits,
-      expectsContinue,
-      closesConnection: () => this.isDraining
-    })
+  private createExchange (
+    request: IncomingMessage, response: ServerResponse, expectsContinue: boolean, closesConnection: (exchange: NodeExchange) => boolean
+  ): NodeExchange {
+    return NodeExchange.create(request, response, { clock: this.options.clock, limits: this.limits, expectsContinue, closesConnection })
   }
 
   /** Handles input that is not valid HTTP: refuses it, or aborts the requests that are running on the connection. */
@@ -163,12 +170,7 @@
       return
     }
     const refusal = Refusal.create(REFUSAL_BY_PARSER_ERROR[error.code ?? ''] ?? 'bad_request')
-    const running = this.exchanges.get(socket)
-    if (running === undefined) {
-      refuseOnSocket(socket, refusal)
-      return
-    }
-    for (const exchange of running) exchange.abortBody(refusal)
+    if (!this.connectionOf(socket).abortBodies(refusal)) refuseOnSocket(socket, refusal)
   }
 }
 
--- /dev/null
+++ b/packages/entry/src/tests/connection-order.test.ts
@@ -0,0 +1,103 @@
+import { createConnection, type Socket } from 'node:net'
+import { okResponse, RawUpstream } from '@hickoryspoke/testing/raw-upstream'
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { AUTHORIZED, CallerFixture } from './caller-fixture.ts'
+
+const DRAIN = { announceMilliseconds: 20, finishMilliseconds: 3_000 }
+
+function get (path: string, headers = ''): string {
+  return `GET ${path} HTTP/1.1\r\nHost: entry\r\n${AUTHORIZED}${headers}\r\n`
+}
+
+/** An upstream whose responses are released by the test, by path. */
+class HeldUpstream {
+  private readonly held = new Map<string, Socket>()
+
+  private constructor (readonly upstream: RawUpstream) {}
+
+  static async create (): Promise<HeldUpstream> {
+    const holder: { held?: HeldUpstream } = {}
+    const upstream = await RawUpstream.create((socket, request) => holder.held?.held.set(request.split(' ')[1] as string, socket))
+    holder.held = new HeldUpstream(upstream)
+    return holder.held
+  }
+
+  get paths (): string[] {
+    return [...this.held.keys()].sort()
+  }
+
+  /** Sends the response of a path, with the path as its body. */
+  release (path: string): void {
+    this.held.get(path)?.write(okResponse(path))
+  }
+
+  async untilReached (...paths: string[]): Promise<void> {
+    await until(() => paths.every((path) => this.held.has(path)))
+  }
+}
+
+async function until (condition: () => boolean, limitMilliseconds = 5_000): Promise<void> {
+  const end = performance.now() + limitMilliseconds
+  while (!condition()) {
+    if (performance.now() > end) throw new Error(`condition not met: ${condition}`)
+    await new Promise((resolve) => setTimeout(resolve, 5))
+  }
+}
+
+async function withHeldUpstream (use: (fixture: CallerFixture, held: HeldUpstream) => Promise<void>): Promise<void> {
+  const held = await HeldUpstream.create()
+  const routes = [{ path: '/ledger', timeout_milliseconds: 9_000, idempotent: true }]
+  const fixture = await CallerFixture.create({ addresses: [held.upstream.address], routes })
+  try {
+    await use(fixture, held)
+  } finally {
+    await Promise.all([fixture.close(), held.upstream.close()])
+  }
+}
+
+/** Status lines, and whether each response closes its connection. */
+function responsesIn (received: string): { status: number, closes: boolean }[] {
+  return received.split(/(?=HTTP\/1\.1 \d{3} )/).filter((part) => part !== '').map((part) => ({
+    status: Number(part.slice(9, 12)), closes: /\r\nConnection: close\r\n/i.test(part)
+  }))
+}
+
+// Guards against a stop that closes a connection behind a response although a request sent after it is at an upstream (LOST).
+test('a stop answers every request of a connection that is at an upstream, and closes the connection behind the last', () => withHeldUpstream(async (fixture, held) => {
+  const received = fixture.raw(get('/ledger/1') + get('/ledger/2') + get('/ledger/3'), 4_000)
+  await held.untilReached('/ledger/1', '/ledger/2', '/ledger/3')
+  const drained = fixture.server.drain(DRAIN)
+  held.release('/ledger/1')
+  await new Promise((resolve) => setTimeout(resolve, 100))
+  held.release('/ledger/3')
+  held.release('/ledger/2')
+  assert.equal(responsesIn(await received), [{ status: 200, closes: false }, { status: 200, closes: false }, { status: 200, closes: true }])
+  assert.is((await drained).lost.length, 0)
+}))
+
+// Guards against a request that runs although its connection closes in front of it: its caller sends it once more (TWICE).
+test('a request that a stopping entry reads behind another one is not run', () => withHeldUpstream(async (fixture, held) => {
+  const socket = createConnection(fixture.port, '127.0.0.1')
+  let received = ''
+  socket.on('data', (chunk) => { received += chunk.toString() })
+  const closed = new Promise((resolve) => socket.once('close', resolve))
+  socket.write(get('/ledger/1'))
+  await held.untilReached('/ledger/1')
+  const drained = fixture.server.drain({ ...DRAIN, announceMilliseconds: 400 })
+  socket.write(get('/ledger/2'))
+  await new Promise((resolve) => setTimeout(resolve, 150))
+  held.release('/ledger/1')
+  await closed
+  assert.equal(held.paths, ['/ledger/1'])
+  assert.equal(responsesIn(received), [{ status: 200, closes: true }])
+  await drained
+}))
+
+test('a request behind a head that is refused is not run', () => withHeldUpstream(async (fixture, held) => {
+  const responses = responsesIn(await fixture.raw('GET /ledger/1 HTTP/1.1\r\n\r\n' + get('/ledger/2'), 1_000))
+  assert.equal(responses, [{ status: 400, closes: true }])
+  assert.equal(held.paths, [])
+}))
+
+test.run()
