A stop waits until the responses of slow callers have left the process (LOST)

A caller that read its responses slowly got a part of them and then the end of the connection, although the time of the stop was far from over.

Cause: a request counted as done when its response had been written to the response's buffer. At the end of the announcement server.close() of Node.js closes each connection whose last response was ended, sent or not; so did closeAllConnections().

What changed: the server stops listening without closing connections. Each connection closes once its own responses have been handed to the operating system; the stop waits for them within the time it had before.

Why it works: 'finish' of a response comes when its last byte is handed over, and a connection is idle only then.

--- a/packages/entry/src/caller-connection.ts
+++ b/packages/entry/src/caller-connection.ts
@@ -1,4 +1,5 @@
 /** The requests of one caller's connection, which are answered in the order in which they were read. */
+import type { Socket } from 'node:net'
 import type { Refusal } from '@hickoryspoke/request/refusal'
 import type { NodeExchange } from './caller-node-exchange.ts'
 
@@ -6,12 +7,18 @@
 export class CallerConnection {
   /** Requests without a complete response, in the order in which they were read. */
   private readonly exchanges: NodeExchange[] = []
+  private closesWhenIdle = false
 
-  private constructor (private readonly isDraining: () => boolean) {}
+  private constructor (private readonly socket: Socket, private readonly isDraining: () => boolean) {}
 
   /** `isDraining` tells whether the server is being stopped. */
-  static create (isDraining: () => boolean): CallerConnection {
-    return new CallerConnection(isDraining)
+  static create (socket: Socket, isDraining: () => boolean): CallerConnection {
+    return new CallerConnection(socket, isDraining)
+  }
+
+  /** Whether all responses have been handed to the operating system. */
+  get isIdle (): boolean {
+    return this.exchanges.length === 0
   }
 
   /**
@@ -40,8 +47,19 @@
     return this.exchanges.length > 0
   }
 
+  /** Closes the connection as soon as all requests on it are answered. */
+  closeWhenIdle (): void {
+    this.closesWhenIdle = true
+    this.finishIfIdle()
+  }
+
   private remove (exchange: NodeExchange): void {
     const index = this.exchanges.indexOf(exchange)
     if (index !== -1) this.exchanges.splice(index, 1)
+    if (!exchange.closesConnection) this.finishIfIdle()
+  }
+
+  private finishIfIdle (): void {
+    if (this.isIdle && this.closesWhenIdle) this.socket.destroySoon()
   }
 }
--- a/packages/entry/src/caller-server.ts
+++ b/packages/entry/src/caller-server.ts
@@ -1,6 +1,6 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { createServer as createTlsServer, type Server as TlsServer } from 'node:https'
-import type { AddressInfo, Socket } from 'node:net'
+import { Server as NetServer, type AddressInfo, type Socket } from 'node:net'
 import type { Clock } from '@hickoryspoke/runtime/clock'
 import { sleep } from '@hickoryspoke/runtime/clock'
 import { Failure } from '@hickoryspoke/runtime/failure'
@@ -54,6 +54,8 @@
   ERR_HTTP_REQUEST_TIMEOUT: 'request_timeout'
 }
 
+const SENT_CHECK_MILLISECONDS = 10
+
 /** HTTP or HTTPS server for callers. */
 export class CallerServer {
   private readonly server: Server | TlsServer
@@ -74,6 +76,7 @@
     })
     this.server.on('upgrade', (_, socket) => refuseOnSocket(socket, Refusal.create('upgrade_not_supported')))
     this.server.on('connect', (_, socket) => refuseOnSocket(socket, Refusal.create('tunnel_not_supported')))
+    this.server.on(options.tls === undefined ? 'connection' : 'secureConnection', (socket: Socket) => { this.connectionOf(socket) })
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => this.handleClientError(error, socket as Socket))
   }
 
@@ -111,13 +114,16 @@
    * connections are accepted, and requests in flight finish or are cut off when the time is up.
    */
   async drain (times: DrainTimes): Promise<DrainReport> {
+    const { clock, runner } = this.options
     this.isDraining = true
-    this.options.runner.announceStop(times.announceMilliseconds + times.finishMilliseconds)
-    await sleep(this.options.clock, times.announceMilliseconds)
-    this.server.close()
-    this.server.closeIdleConnections()
-    const report = await this.options.runner.drain(times.finishMilliseconds)
-    this.server.closeAllConnections()
+    runner.announceStop(times.announceMilliseconds + times.finishMilliseconds)
+    await sleep(clock, times.announceMilliseconds)
+    const end = clock.monotonicMilliseconds() + times.finishMilliseconds
+    this.stopListening()
+    for (const connection of this.connections.values()) connection.closeWhenIdle()
+    const report = await runner.drain(times.finishMilliseconds)
+    await this.waitUntilSent(end)
+    this.close()
     return report
   }
 
@@ -127,10 +133,22 @@
     this.server.closeAllConnections()
   }
 
+  /** Stops listening. The `close` of the HTTP server would also close connections whose last response is still being sent. */
+  private stopListening (): void {
+    NetServer.prototype.close.call(this.server)
+  }
+
+  /** Waits until all responses have left the process, or until a monotonic time. */
+  private async waitUntilSent (end: number): Promise<void> {
+    const { clock } = this.options
+    const isSending = (): boolean => [...this.connections.values()].some((connection) => !connection.isIdle)
+    while (isSending() && clock.monotonicMilliseconds() < end) await sleep(clock, SENT_CHECK_MILLISECONDS)
+  }
+
   private connectionOf (socket: Socket): CallerConnection {
     const known = this.connections.get(socket)
     if (known !== undefined) return known
-    const connection = CallerConnection.create(() => this.isDraining)
+    const connection = CallerConnection.create(socket, () => this.isDraining)
     this.connections.set(socket, connection)
     socket.once('close', () => this.connections.delete(socket))
     return connection
--- a/packages/entry/src/tests/connection-order.test.ts
+++ b/packages/entry/src/tests/connection-order.test.ts
@@ -5,6 +5,8 @@
 import { AUTHORIZED, CallerFixture } from './caller-fixture.ts'
 
 const DRAIN = { announceMilliseconds: 20, finishMilliseconds: 3_000 }
+const BUFFERED_BODY_BYTES = 60_000
+const PIPELINED_REQUESTS = 180
 
 function get (path: string, headers = ''): string {
   return `GET ${path} HTTP/1.1\r\nHost: entry\r\n${AUTHORIZED}${headers}\r\n`
@@ -94,6 +96,27 @@
   await drained
 }))
 
+// Guards against a stop that counts a response as sent once it is buffered, and cuts off what a slow caller has not read (LOST).
+test('a stop waits until the responses of a slow caller have left the process', async () => {
+  const body = 'x'.repeat(BUFFERED_BODY_BYTES)
+  const upstreams = await Promise.all(Array.from({ length: 3 }, async () => await RawUpstream.create((socket) => socket.write(okResponse(body)))))
+  const routes = [{ path: '/ledger', timeout_milliseconds: 9_000, idempotent: true }]
+  const fixture = await CallerFixture.create({ addresses: upstreams.map(({ address }) => address), routes })
+  const socket = createConnection(fixture.port, '127.0.0.1')
+  socket.pause()
+  socket.write(get('/ledger/1').repeat(PIPELINED_REQUESTS))
+  await until(() => fixture.records.length === PIPELINED_REQUESTS)
+  const drained = fixture.server.drain(DRAIN)
+  await new Promise((resolve) => setTimeout(resolve, 200))
+  let bytes = 0
+  socket.on('data', (chunk) => { bytes += chunk.length })
+  socket.resume()
+  await new Promise((resolve) => socket.once('close', resolve))
+  assert.ok(bytes > PIPELINED_REQUESTS * BUFFERED_BODY_BYTES, `${bytes} bytes received`)
+  await drained
+  await Promise.all([fixture.close(), ...upstreams.map(async (upstream) => await upstream.close())])
+})
+
 test('a request behind a head that is refused is not run', () => withHeldUpstream(async (fixture, held) => {
   const responses = responsesIn(await fixture.raw('GET /ledger/1 HTTP/1.1\r\n\r\n' + get('/ledger/2'), 1_000))
   assert.equal(responses, [{ status: 400, closes: true }])
