What follows a request on its connection does not cost the request its response (LOST)

A request that was at an upstream was aborted or lost its connection when bytes that are no request, an upgrade or a tunnel followed it on its connection; the refusal of an upgrade went out in front of the response that was due.

Cause: a parser error aborted all requests of the connection, also those that had been read whole; upgrades and tunnels were refused on the bare socket at once.

What changed: only the request that could not be read to its end is aborted, and its refusal closes the connection. Any other input that is no request is refused behind the responses that are due.

Why it works: responses are sent in the order of the requests, and the refusal is sent when no response is left. Nothing behind the broken input is read.

--- a/packages/entry/src/caller-connection.ts
+++ b/packages/entry/src/caller-connection.ts
@@ -2,11 +2,14 @@
 import type { Socket } from 'node:net'
 import type { Refusal } from '@hickoryspoke/request/refusal'
 import type { NodeExchange } from './caller-node-exchange.ts'
+import { refuseOnSocket } from './caller-raw-refusal.ts'
 
 /** A connection of a caller. */
 export class CallerConnection {
   /** Requests without a complete response, in the order in which they were read. */
   private readonly exchanges: NodeExchange[] = []
+  /** Answer to input that is not a request, sent behind all responses. */
+  private refusal: Refusal | undefined
   private closesWhenIdle = false
 
   private constructor (private readonly socket: Socket, private readonly isDraining: () => boolean) {}
@@ -41,10 +44,15 @@
     return this.isDraining() && this.exchanges.at(-1) === exchange
   }
 
-  /** Aborts the requests because the rest of the connection is not valid HTTP. Returns whether there were any. */
-  abortBodies (refusal: Refusal): boolean {
-    for (const exchange of this.exchanges) exchange.abortBody(refusal)
-    return this.exchanges.length > 0
+  /** Handles input that cannot be read on: aborts the request that it is part of, and answers it behind all others. */
+  fail (refusal: Refusal): void {
+    const last = this.exchanges.at(-1)
+    if (last?.isRead === false) {
+      last.abortBody(refusal)
+      return
+    }
+    this.refusal = refusal
+    this.finishIfIdle()
   }
 
   /** Closes the connection as soon as all requests on it are answered. */
@@ -60,6 +68,8 @@
   }
 
   private finishIfIdle (): void {
-    if (this.isIdle && this.closesWhenIdle) this.socket.destroySoon()
+    if (!this.isIdle) return
+    if (this.refusal !== undefined) refuseOnSocket(this.socket, this.refusal)
+    else if (this.closesWhenIdle) this.socket.destroySoon()
   }
 }
--- a/packages/entry/src/caller-node-exchange.ts
+++ b/packages/entry/src/caller-node-exchange.ts
@@ -18,6 +18,8 @@
 /** Request and response of a caller on the HTTP server of Node.js. */
 export class NodeExchange implements CallerExchange {
   private readonly controller = new AbortController()
+  /** Whether the rest of the request cannot be read, nor anything behind it. */
+  private isBroken = false
   readonly answer: NodeAnswer
 
   private constructor (
@@ -28,7 +30,7 @@
     this.answer = NodeAnswer.create(response, {
       clock: options.clock,
       unreadTimeoutMilliseconds: options.limits.unreadAnswerTimeoutMilliseconds,
-      closesConnection: () => options.closesConnection(this) || (!this.isRead && request.headers.expect !== undefined)
+      closesConnection: () => this.isBroken || options.closesConnection(this) || (!this.isRead && request.headers.expect !== undefined)
     })
     response.once('close', () => {
       if (!response.writableFinished) this.controller.abort(AttemptFailure.create('caller_gone'))
@@ -92,6 +94,7 @@
 
   /** Aborts the request because the rest of it is not valid HTTP. Nothing more can be read from the connection. */
   abortBody (refusal: Refusal): void {
+    this.isBroken = true
     this.controller.abort(refusal)
   }
 }
--- a/packages/entry/src/caller-server.ts
+++ b/packages/entry/src/caller-server.ts
@@ -12,7 +12,7 @@
 import { Err, Ok, type Result } from 'ts-results-es'
 import { NodeExchange } from './caller-node-exchange.ts'
 import { CallerConnection } from './caller-connection.ts'
-import { NO_REQUEST_ID, refuseOnSocket } from './caller-raw-refusal.ts'
+import { NO_REQUEST_ID } from './caller-raw-refusal.ts'
 import { checkRequestHead } from './caller-request-check.ts'
 import { DEFAULT_CALLER_LIMITS, type CallerLimits, type CallerTls } from './caller-settings.ts'
 
@@ -74,8 +74,8 @@
     this.server.on('checkExpectation', (request: IncomingMessage, response: ServerResponse) => {
       this.refuse(request, response, Refusal.create('expectation_failed'))
     })
-    this.server.on('upgrade', (_, socket) => refuseOnSocket(socket, Refusal.create('upgrade_not_supported')))
-    this.server.on('connect', (_, socket) => refuseOnSocket(socket, Refusal.create('tunnel_not_supported')))
+    this.server.on('upgrade', (_, socket) => this.connectionOf(socket as Socket).fail(Refusal.create('upgrade_not_supported')))
+    this.server.on('connect', (_, socket) => this.connectionOf(socket as Socket).fail(Refusal.create('tunnel_not_supported')))
     this.server.on(options.tls === undefined ? 'connection' : 'secureConnection', (socket: Socket) => { this.connectionOf(socket) })
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => this.handleClientError(error, socket as Socket))
   }
@@ -181,14 +181,13 @@
     return NodeExchange.create(request, response, { clock: this.options.clock, limits: this.limits, expectsContinue, closesConnection })
   }
 
-  /** Handles input that is not valid HTTP: refuses it, or aborts the requests that are running on the connection. */
+  /** Handles input that is not valid HTTP. */
   private handleClientError (error: NodeJS.ErrnoException, socket: Socket): void {
     if (error.code === 'ECONNRESET') {
       socket.destroy()
       return
     }
-    const refusal = Refusal.create(REFUSAL_BY_PARSER_ERROR[error.code ?? ''] ?? 'bad_request')
-    if (!this.connectionOf(socket).abortBodies(refusal)) refuseOnSocket(socket, refusal)
+    this.connectionOf(socket).fail(Refusal.create(REFUSAL_BY_PARSER_ERROR[error.code ?? ''] ?? 'bad_request'))
   }
 }
 
--- a/packages/entry/src/tests/connection-order.test.ts
+++ b/packages/entry/src/tests/connection-order.test.ts
@@ -117,6 +117,34 @@
   await Promise.all([fixture.close(), ...upstreams.map(async (upstream) => await upstream.close())])
 })
 
+// Guards against bytes behind a request that cost the request its response.
+for (const [what, bytes] of [
+  ['bytes that are no request', 'garbage\r\n\r\n'],
+  ['a head that is refused', 'GET /ledger/2 HTTP/1.1\r\n\r\n'],
+  ['an upgrade', get('/ledger/2', 'Connection: upgrade\r\nUpgrade: websocket\r\n')],
+  ['a tunnel', 'CONNECT somewhere:80 HTTP/1.1\r\nHost: somewhere:80\r\n\r\n']
+] as const) {
+  test(`a request at an upstream is answered although ${what} follows it on its connection`, () => withHeldUpstream(async (fixture, held) => {
+    const received = fixture.raw(get('/ledger/1') + bytes, 3_000)
+    await held.untilReached('/ledger/1')
+    await new Promise((resolve) => setTimeout(resolve, 50))
+    held.release('/ledger/1')
+    const responses = responsesIn(await received)
+    assert.is(responses[0]?.status, 200)
+    assert.is(responses.length, 2)
+    assert.ok((responses[1]?.status ?? 0) >= 400 && responses[1]?.closes)
+  }))
+}
+
+test('a request whose body is not valid is refused behind the responses of those before it, and its connection is closed', () => withHeldUpstream(async (fixture, held) => {
+  const broken = `POST /ledger/2 HTTP/1.1\r\nHost: entry\r\n${AUTHORIZED}Transfer-Encoding: chunked\r\n\r\nno size\r\n`
+  const received = fixture.raw(get('/ledger/1') + broken, 3_000)
+  await held.untilReached('/ledger/1')
+  await new Promise((resolve) => setTimeout(resolve, 50))
+  held.release('/ledger/1')
+  assert.equal(responsesIn(await received), [{ status: 200, closes: false }, { status: 400, closes: true }])
+}))
+
 test('a request behind a head that is refused is not run', () => withHeldUpstream(async (fixture, held) => {
   const responses = responsesIn(await fixture.raw('GET /ledger/1 HTTP/1.1\r\n\r\n' + get('/ledger/2'), 1_000))
   assert.equal(responses, [{ status: 400, closes: true }])
