--- a/packages/entry/src/caller-connection.ts
+++ b/packages/entry/src/caller-connection.ts
@@ -4,7 +4,7 @@
 import type { NodeExchange } from './caller-node-exchange.ts'
 import { refuseOnSocket } from './caller-raw-refusal.ts'
 
-/** A connection of a caller. */
+/** A connection of a caller. Node.js reports its end only to the response that is being sent, so its requests are kept here. */
 export class CallerConnection {
   /** Requests without a complete response, in the order in which they were read. */
   private readonly exchanges: NodeExchange[] = []
@@ -12,7 +12,9 @@
   private refusal: Refusal | undefined
   private closesWhenIdle = false
 
-  private constructor (private readonly socket: Socket, private readonly isDraining: () => boolean) {}
+  private constructor (private readonly socket: Socket, private readonly isDraining: () => boolean) {
+    socket.once('close', () => this.cancelAll())
+  }
 
   /** `isDraining` tells whether the server is being stopped. */
   static create (socket: Socket, isDraining: () => boolean): CallerConnection {
@@ -72,4 +74,8 @@
     if (this.refusal !== undefined) refuseOnSocket(this.socket, this.refusal)
     else if (this.closesWhenIdle) this.socket.destroySoon()
   }
+
+  private cancelAll (): void {
+    for (const exchange of this.exchanges.splice(0)) exchange.cancel()
+  }
 }
--- a/packages/entry/src/caller-node-exchange.ts
+++ b/packages/entry/src/caller-node-exchange.ts
@@ -30,11 +30,9 @@
     this.answer = NodeAnswer.create(response, {
       clock: options.clock,
       unreadTimeoutMilliseconds: options.limits.unreadAnswerTimeoutMilliseconds,
+      signal: this.controller.signal,
       closesConnection: () => this.isBroken || options.closesConnection(this) || (!this.isRead && request.headers.expect !== undefined)
     })
-    response.once('close', () => {
-      if (!response.writableFinished) this.controller.abort(AttemptFailure.create('caller_gone'))
-    })
     response.on('error', () => {})
     request.on('error', () => {})
   }
@@ -83,9 +81,15 @@
     return this.answer.closesConnection
   }
 
-  /** Calls back once the complete response has been handed to the operating system, or the caller has left. */
+  /** Calls back once the complete response has been handed to the operating system. */
   onSent (task: () => void): void {
-    this.response.once('finish', task).once('close', task)
+    this.response.once('finish', task)
+  }
+
+  /** Aborts the request because the connection is gone. */
+  cancel (): void {
+    this.controller.abort(AttemptFailure.create('caller_gone'))
+    this.response.destroy()
   }
 
   sendContinue (): void {
@@ -104,6 +108,8 @@
   readonly clock: Clock
   /** How long a caller may read nothing of a response that is waiting to be sent. */
   readonly unreadTimeoutMilliseconds: number
+  /** Aborts when the caller is gone. */
+  readonly signal: AbortSignal
   /** Called when the response headers are sent: whether the connection is closed after the response. */
   readonly closesConnection: () => boolean
 }
@@ -143,7 +149,7 @@
    */
   whenReady (task: () => void): void {
     const { response } = this
-    const { clock, unreadTimeoutMilliseconds } = this.options
+    const { clock, signal, unreadTimeoutMilliseconds } = this.options
     if (response.destroyed || !response.writableNeedDrain) {
       task()
       return
@@ -152,9 +158,11 @@
     const finish = (): void => {
       timer.cancel()
       response.off('drain', finish).off('close', finish)
+      signal.removeEventListener('abort', finish)
       task()
     }
     response.on('drain', finish).on('close', finish)
+    signal.addEventListener('abort', finish, { once: true })
   }
 
   end (trailers: readonly string[]): void {
--- a/packages/entry/src/tests/connection-order.test.ts
+++ b/packages/entry/src/tests/connection-order.test.ts
@@ -151,4 +151,14 @@
   assert.equal(held.paths, [])
 }))
 
+// Guards against requests that go on without their caller, as Node.js reports the end of a connection only to the response being sent (GONE, memory).
+test('all requests of a connection are cancelled when their caller leaves', () => withHeldUpstream(async (fixture, held) => {
+  const socket = createConnection(fixture.port, '127.0.0.1')
+  socket.write(get('/ledger/1') + get('/ledger/2') + get('/ledger/3'))
+  await held.untilReached('/ledger/1', '/ledger/2', '/ledger/3')
+  socket.destroy()
+  await until(() => fixture.runner.running.length === 0, 1_000)
+  await until(() => held.upstream.closedConnections === 3, 1_000)
+}))
+
 test.run()
