--- a/packages/request/src/upstream-connections.ts
+++ b/packages/request/src/upstream-connections.ts
@@ -29,6 +29,15 @@
   }
 }
 
+/** This entry closed the connection. A response that was being received is not complete. */
+export class ConnectionClosed extends Failure {
+  readonly code = 'connection_closed'
+
+  static create (): ConnectionClosed {
+    return new ConnectionClosed('the connection was closed by this entry')
+  }
+}
+
 /** Requirements on a connection. `maximumIdleMilliseconds` limits how long a reused connection may have been idle. */
 export interface ConnectionOptions {
   readonly address: string
@@ -38,6 +47,9 @@
   readonly signal: AbortSignal
 }
 
+const RESET_ERROR_CODE = 'ECONNRESET'
+const HANDLED_RESET_CODE = 'connection_reset'
+
 /** One TCP connection to an upstream. It carries one request at a time and is never reopened. */
 export class UpstreamConnection {
   idleSinceMilliseconds = 0
@@ -46,7 +58,11 @@
   private hasSocketError = false
 
   private constructor (readonly address: string, readonly relay: string, readonly client: Client, private readonly socket: Socket) {
-    socket.on('error', () => { this.hasSocketError = true })
+    socket.on('error', (error: NodeJS.ErrnoException) => {
+      this.hasSocketError = true
+      // undici takes a connection reset for a possible end of the response, and its parser must not be paused then.
+      if (error.code === RESET_ERROR_CODE) error.code = HANDLED_RESET_CODE
+    })
   }
 
   /** Whether the connection was reset rather than closed in order. Read this only once, at the end of a response. */
@@ -85,7 +101,8 @@
   /** Closes the connection immediately. A request in progress on it fails. */
   destroy (): void {
     if (!this.socket.destroyed) this.isClosedLocally = true
-    this.socket.destroy()
+    // Without an error, undici takes the close for a possible end of the response, and its parser must not be paused then.
+    this.socket.destroy(ConnectionClosed.create())
     this.client.destroy().catch(() => {})
   }
 }
