A response that does not get further is given up after 256 KiB, with a typed failure (endless bytes from an upstream)

Reported by another operator: a faulty instance sent bytes that were no response, without end, and the machine that had called it kept them all. Here nothing of the kind was kept, but a status line, informational responses, a chunk size or a chunk extension without an end was read on until the deadline: 510, 63, 364 and 639 MB in 3 s, on the processor of one entry. Headers without an end were given up at 32 KiB already, as 'closed_after_sending', which says nothing of their cause.

Cause: undici bounds header fields and trailers; its parser discards the rest, and tells nobody how much.

What changed: while a response is awaited, each arrival compares the bytes read with those at the last progress (its head, a part of its body), and gives up beyond 256 KiB with 'malformed_answer'; headers that are too long get the same failure.

Why it works: the socket counts every byte, whatever the parser makes of it, and the largest head plus one read in advance is below the bound. A body is progress; it is held up to 64 KiB and then read only as fast as its caller takes it, as the tests of bodies behind GET, HEAD, 204, a stated length and a refusal show (they passed before).

--- a/packages/request/src/upstream-connections.ts
+++ b/packages/request/src/upstream-connections.ts
@@ -4,6 +4,7 @@
 import { Err, Ok, type Result } from 'ts-results-es'
 import { Client } from 'undici'
 import { ConnectFailure, DirectConnector, endedByReset, type Connector, type OpenConnection } from './connector.ts'
+import { ResponseProgress } from './response-progress.ts'
 
 /** Timeouts and limits of the connections of one entry. */
 export interface ConnectionSettings {
@@ -93,6 +94,11 @@
     return !this.socket.destroyed && this.socket.writable && !this.client.destroyed
   }
 
+  /** Watches the response to a request; calls back if too much arrives without the response getting further. */
+  watchProgress (onExceeded: () => void): ResponseProgress {
+    return ResponseProgress.watch(this.socket, onExceeded)
+  }
+
   /** Bytes written to the socket so far. */
   get bytesWritten (): number {
     return this.socket.bytesWritten
--- a/packages/request/src/upstream-exchange.ts
+++ b/packages/request/src/upstream-exchange.ts
@@ -6,6 +6,7 @@
 import type { ConnectFailure } from './connector.ts'
 import { headerValue, type RawHeaders } from './header-filter.ts'
 import { responseFraming, FRAMINGS, type ResponseFraming } from './response-framing.ts'
+import type { ResponseProgress } from './response-progress.ts'
 import type { UpstreamConnection, UpstreamConnections } from './upstream-connections.ts'
 import { UpstreamResponse, type ResponseControl } from './upstream-response.ts'
 
@@ -37,6 +38,8 @@
   cut_off: 'entry_cut_off'
 }
 
+/** Names of the errors of undici for bytes that are no response. */
+const PARSER_ERRORS: ReadonlySet<string> = new Set(['HTTPParserError', 'HeadersOverflowError'])
 const NOT_RUN_STATUS = 503
 const MAXIMUM_DRAINED_BYTES = 16_384
 
@@ -70,6 +73,7 @@
   private resolveHead: (result: HeadResult) => void = () => {}
   private keepsConnection = true
   private refused = false
+  private progress: ResponseProgress | undefined
 
   private constructor (
     private readonly clock: Clock,
@@ -97,11 +101,13 @@
   /** Called by undici just before the first byte is written. */
   onRequestStart (controller: Dispatcher.DispatchController): void {
     this.controller = controller
+    this.progress = this.connection.watchProgress(() => controller.abort(AttemptFailure.create('malformed_answer', 'the response does not get further')))
     if (this.abortFailure !== undefined) controller.abort(this.abortFailure)
   }
 
   onResponseStart (controller: Dispatcher.DispatchController, status: number): void {
     if (status < 200 || this.answer !== undefined || this.refused) return
+    this.progress?.record()
     const headers = decodeHeaders(controller.rawHeaders as Buffer[])
     const framing = responseFraming(this.request.method, status, headers)
     if (/(^|,)\s*close\s*(,|$)/i.test(headerValue(headers, 'connection') ?? '')) this.keepsConnection = false
@@ -112,11 +118,12 @@
   }
 
   onResponseData (_: Dispatcher.DispatchController, chunk: Buffer): void {
+    this.progress?.record()
     this.answer?.receive(chunk)
   }
 
   onResponseEnd (controller: Dispatcher.DispatchController): void {
-    this.signal.removeEventListener('abort', this.onAbort)
+    this.stopWatching()
     if (this.endedByReset()) this.answer?.fail(AttemptFailure.create('truncated_answer', 'the connection was reset before the response ended'))
     this.answer?.complete(decodeHeaders((controller.rawTrailers ?? []) as Buffer[]))
     const { connection, keepsConnection } = this
@@ -124,13 +131,18 @@
   }
 
   onResponseError (_: Dispatcher.DispatchController | null, error: Error): void {
-    this.signal.removeEventListener('abort', this.onAbort)
+    this.stopWatching()
     this.connections.release(this.connection, false)
     const failure = this.toFailure(error)
     this.answer?.fail(failure)
     this.resolveHead(Err(failure))
   }
 
+  private stopWatching (): void {
+    this.signal.removeEventListener('abort', this.onAbort)
+    this.progress?.end()
+  }
+
   /** undici takes a connection reset for the regular end of a response without a Content-Length or chunks. */
   private endedByReset (): boolean {
     return this.answer?.framing.kind === FRAMINGS.untilClose && this.connection.wasReset
@@ -169,7 +181,7 @@
     }
     if (error instanceof AttemptFailure) return error
     if (this.answer !== undefined) return AttemptFailure.create('truncated_answer', error.message)
-    return AttemptFailure.create(error.name === 'HTTPParserError' ? 'malformed_answer' : 'closed_after_sending', error.message)
+    return AttemptFailure.create(PARSER_ERRORS.has(error.name) ? 'malformed_answer' : 'closed_after_sending', error.message)
   }
 }
 
