A response that is not used is closed, not left paused (connections of an entry to an upstream)

Each such response kept a connection and up to 64 KiB for good; 64 of them keep the entry from that upstream.

Cause: the response is kept, as it is sent if no retry brings another one, and nobody closed it when one did. The product's own path closed it, but not where the crash detector blocked the retry.

Why it works: a response that was relayed has ended, and to abort it does nothing.

--- a/packages/request/src/attempt-history.ts
+++ b/packages/request/src/attempt-history.ts
@@ -1,5 +1,6 @@
 /** What the attempts of one request have come to, for its next attempt, its refusal and its log line. */
 import type { PlacedRequest } from '@hickoryspoke/dispatch/placement-client'
+import { AttemptFailure } from './attempt-failure.ts'
 import type { AttemptResult } from './dispatched-attempt.ts'
 import type { UpstreamResponse } from './upstream-response.ts'
 
@@ -37,6 +38,7 @@
   mayHaveRun = false
   /** The last response, which may be an error. */
   lastAnswer: UpstreamResponse | undefined
+  private readonly answers: UpstreamResponse[] = []
   private placed: PlacedRequest | undefined
   private relayedBy = ''
   private failure = ''
@@ -57,7 +59,10 @@
     this.running -= 1
     if (result.reachedUpstream) this.attempts += 1
     if (result.kind === 'answer' || !result.failure.provenNotRun) this.mayHaveRun = true
-    if (result.kind === 'answer') this.lastAnswer = result.answer
+    if (result.kind === 'answer') {
+      this.lastAnswer = result.answer
+      this.answers.push(result.answer)
+    }
     if (result.kind === 'failure' && result.failure.code === 'hedge_lost') return
     this.placed = placed
     this.relayedBy = relay
@@ -65,6 +70,11 @@
     this.failure = result.kind === 'failure' ? `${result.failure.code}: ${result.failure.message}` : ''
   }
 
+  /** Closes the connections of the responses that were not read to their end, once the request is over. */
+  abortUnused (): void {
+    for (const answer of this.answers) answer.abort(AttemptFailure.create('hedge_lost', 'the response is not used'))
+  }
+
   /** Outcome of the request; `ticket` belongs to its last question. */
   outcome (code: string, status: number, ticket: number): DispatchedOutcome {
     const { attempts, placed, relayedBy, failure, statedRequestsPerSecond } = this
--- a/packages/request/src/attempt-loop.ts
+++ b/packages/request/src/attempt-loop.ts
@@ -78,9 +78,9 @@
       last = ready.isOk() ? AttemptFailure.create('closed_after_sending', 'the upstream responded with a retryable status') : ready.error
       this.mayHaveRun ||= !last.provenNotRun
       if (!this.mayRetry(last) || !await this.backOff()) return ready.isOk() ? ready : Err(this.refusalOf(last))
+      if (ready.isOk()) ready.value.answer.abort(AttemptFailure.create('hedge_lost', 'replaced by a retry'))
       const blocked = await this.plan.context.trial.beforeAttempt()
       if (blocked !== undefined) return Err(this.correctRunState(blocked))
-      if (ready.isOk()) ready.value.answer.abort(AttemptFailure.create('hedge_lost', 'replaced by a retry'))
     }
   }
 
