--- a/packages/entry/src/caller-node-exchange.ts
+++ b/packages/entry/src/caller-node-exchange.ts
@@ -5,6 +5,9 @@
 import type { Refusal } from '@hickoryspoke/request/refusal'
 import type { CallerLimits } from './caller-settings.ts'
 
+/** Of a longer rest of a body that nobody needs, the connection is closed. */
+const MAXIMUM_DISCARDED_BYTES = 67_108_864
+
 /** Options of a `NodeExchange`. */
 export interface NodeExchangeOptions {
   readonly clock: Clock
@@ -31,6 +34,7 @@
       clock: options.clock,
       unreadTimeoutMilliseconds: options.limits.unreadAnswerTimeoutMilliseconds,
       signal: this.controller.signal,
+      ended: () => this.discardBody(),
       closesConnection: () => this.isBroken || options.closesConnection(this) || (!this.isRead && request.headers.expect !== undefined)
     })
     response.on('error', () => {})
@@ -86,6 +90,17 @@
     this.response.once('finish', task)
   }
 
+  /** Reads on to the next request of the connection. Node.js does so only where no part of the body was read. */
+  private discardBody (): void {
+    if (this.isRead) return
+    let bytes = 0
+    this.request.on('data', (chunk: Buffer) => {
+      bytes += chunk.length
+      if (bytes > MAXIMUM_DISCARDED_BYTES) this.request.destroy()
+    })
+    this.request.resume()
+  }
+
   /** Aborts the request because the connection is gone. */
   cancel (): void {
     this.controller.abort(AttemptFailure.create('caller_gone'))
@@ -110,6 +125,8 @@
   readonly unreadTimeoutMilliseconds: number
   /** Aborts when the caller is gone. */
   readonly signal: AbortSignal
+  /** Called when the response is complete, although it may not have been sent yet. */
+  readonly ended: () => void
   /** Called when the response headers are sent: whether the connection is closed after the response. */
   readonly closesConnection: () => boolean
 }
@@ -169,6 +186,7 @@
     if (this.response.destroyed) return
     if (trailers.length > 0) this.response.addTrailers(toPairs(trailers))
     this.response.end()
+    this.options.ended()
   }
 
   abort (): void {
