Documents of more than 4 MiB are replicated (acks, CONFIG)

Cause: the gRPC server of the dispatching control process was created without the replica's limits, so followers refused the entry and ended the leader's stream. The stand-alone control process has had them all along.

--- a/packages/control/src/dispatching-control.ts
+++ b/packages/control/src/dispatching-control.ts
@@ -10,6 +10,7 @@
 import { encodeDocument, PublishedDocumentState, type PublishedDocument } from '@hickoryspoke/replication/published-document'
 import { Replica } from '@hickoryspoke/replication/replica'
 import type { ReplicationFailure } from '@hickoryspoke/replication/replication-failure'
+import { REPLICA_SERVER_OPTIONS } from '@hickoryspoke/replication/replica-link'
 import { REPLICA_ROLE } from '@hickoryspoke/replication/replicated-log'
 import { createRecoveryTuning } from '@hickoryspoke/replication/replica-tuning'
 import { repeatEvery } from '@hickoryspoke/runtime/clock'
@@ -114,7 +115,7 @@
 
   static async start (settings: DispatchingControlSettings, options: DispatchingControlOptions): Promise<Result<DispatchingControl, Failure>> {
     const { clock, random, logger, credentials } = options
-    const server = new Server()
+    const server = new Server(REPLICA_SERVER_OPTIONS)
     const state = PublishedDocumentState.create()
     const network = GrpcReplicaNetwork.create({ self: settings.address, addresses: {}, namesAreAddresses: true, credentials, clock, random })
     network.addTo(server)
