--- a/packages/bench/src/tests/cut-off-entry.test.ts
+++ b/packages/bench/src/tests/cut-off-entry.test.ts
@@ -4,10 +4,12 @@
 import { Err } from 'ts-results-es'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
-import { DispatchedFleet, fleetConfiguration } from './dispatched-fleet.ts'
+import { DispatchedFleet, fleetConfiguration, waitFor } from './dispatched-fleet.ts'
 
 const UPSTREAMS = 4
 const REQUESTS = 20
+/** The other entries of the fleet. */
+const RELAYS = 2
 /** The time after which entries give up a connection attempt. */
 const HANG_MILLISECONDS = 400
 
@@ -31,6 +33,8 @@
       await fleet.publish(fleetConfiguration(1, [{}]))
       for (const [index, { address }] of upstreams.entries()) await fleet.announce(`i-${index}`, address)
       await fleet.waitUntilReady()
+      // The leader reports the relays with its answer to the next question of the entry.
+      await waitFor(() => fleet.entries[0]?.entry.knownRelays === RELAYS ? true : undefined)
       const url = fleet.entries[0]?.url ?? ''
       const statuses: number[] = []
       for (let request = 0; request < REQUESTS; request += 1) statuses.push((await fetch(url, { method: 'POST', body: 'x' })).status)
--- a/packages/entry/src/dispatched-entry.ts
+++ b/packages/entry/src/dispatched-entry.ts
@@ -179,6 +179,11 @@
     return this.upstreams.isReaching && this.inForce.isFresh() && this.placementClient.withoutDispatcherMilliseconds < READY_WITHOUT_DISPATCHER_MILLISECONDS
   }
 
+  /** Number of other entries that offer to relay connections, as last reported by the leader. */
+  get knownRelays (): number {
+    return this.upstreams.knownRelays
+  }
+
   /**
    * Stops gracefully: reports not ready, serves requests until the load balancer can have noticed, and ends when the
    * requests in flight have finished or the time is up.
--- a/packages/entry/src/upstream-access.ts
+++ b/packages/entry/src/upstream-access.ts
@@ -63,6 +63,11 @@
     return this.connector.isReaching
   }
 
+  /** Number of other entries that offer to relay connections, as last reported by the leader. */
+  get knownRelays (): number {
+    return this.relays.length
+  }
+
   /** Uses these relays of other entries, given as IP:PORT, from now on. */
   useRelays (relays: readonly string[]): void {
     this.relays = relays
