A body that goes wrong behind its response gets no second response (late second answer on a connection)

A request was refused before its body had been read; when the rest of the body was not valid, a 400 was sent behind the refusal, which a caller takes for the response to its next request.

What changed: where the last answered request has not been read to its end, input that cannot be read closes the connection silently.

--- a/packages/entry/src/caller-connection.ts
+++ b/packages/entry/src/caller-connection.ts
@@ -11,6 +11,8 @@
   /** Answer to input that is not a request, sent behind all responses. */
   private refusal: Refusal | undefined
   private closesWhenIdle = false
+  /** The last request that was answered. The rest of its body may still have to be read. */
+  private lastAnswered: NodeExchange | undefined
 
   private constructor (private readonly socket: Socket, private readonly isDraining: () => boolean) {
     socket.once('close', () => this.cancelAll())
@@ -53,6 +55,11 @@
       last.abortBody(refusal)
       return
     }
+    if (last === undefined && this.lastAnswered?.isRead === false) {
+      // The caller has its response already; a second one would be taken for the response to its next request.
+      this.socket.destroy()
+      return
+    }
     this.refusal = refusal
     this.finishIfIdle()
   }
@@ -66,6 +73,7 @@
   private remove (exchange: NodeExchange): void {
     const index = this.exchanges.indexOf(exchange)
     if (index !== -1) this.exchanges.splice(index, 1)
+    this.lastAnswered = exchange
     if (!exchange.closesConnection) this.finishIfIdle()
   }
 
--- a/packages/entry/src/tests/connection-order.test.ts
+++ b/packages/entry/src/tests/connection-order.test.ts
@@ -145,6 +145,19 @@
   assert.equal(responsesIn(await received), [{ status: 200, closes: false }, { status: 400, closes: true }])
 }))
 
+// Guards against a second response to a request, which would be taken for the response to the next one.
+test('a body that goes wrong behind its response gets no second response', () => withHeldUpstream(async (fixture) => {
+  const refused = `POST /nowhere HTTP/1.1\r\nHost: entry\r\n${AUTHORIZED}Transfer-Encoding: chunked\r\n\r\n`
+  const socket = createConnection(fixture.port, '127.0.0.1')
+  let received = ''
+  socket.on('data', (chunk) => { received += chunk.toString() })
+  socket.write(refused)
+  await until(() => received.includes('\r\n\r\n'))
+  socket.write('no size\r\n')
+  await new Promise((resolve) => socket.once('close', resolve))
+  assert.is(responsesIn(received).length, 1)
+}))
+
 test('a request behind a head that is refused is not run', () => withHeldUpstream(async (fixture, held) => {
   const responses = responsesIn(await fixture.raw('GET /ledger/1 HTTP/1.1\r\n\r\n' + get('/ledger/2'), 1_000))
   assert.equal(responses, [{ status: 400, closes: true }])
--- a/packages/entry/src/tests/unused-answers.test.ts
+++ b/packages/entry/src/tests/unused-answers.test.ts
@@ -1,3 +1,4 @@
+import { PlacementOutcome } from '@hickoryspoke/protocol/generated/dispatch'
 import type { CrashTrial } from '@hickoryspoke/request/collaborators'
 import { Refusal } from '@hickoryspoke/request/refusal'
 import { okResponse, RawUpstream } from '@hickoryspoke/testing/raw-upstream'
@@ -11,10 +12,10 @@
 const LONG_SERVER_ERROR = `HTTP/1.1 503 Failing\r\nContent-Length: 1000000\r\n\r\n${'x'.repeat(100_000)}`
 const LONG_ERROR_OF_ITS_OWN = LONG_SERVER_ERROR.replace('503 Failing', '500 Failing')
 
-async function untilClosed (upstream: RawUpstream): Promise<void> {
+async function until (what: string, isDone: () => boolean): Promise<void> {
   const end = performance.now() + 2_000
-  while (upstream.closedConnections === 0) {
-    if (performance.now() > end) throw new Error('the connection stays open')
+  while (!isDone()) {
+    if (performance.now() > end) throw new Error(`not in time: ${what}`)
     await new Promise((resolve) => setTimeout(resolve, 5))
   }
 }
@@ -30,7 +31,10 @@
   }, true)
   try {
     assert.is(await entry.send(), 200)
-    await untilClosed(failing)
+    await until('the connection is closed', () => failing.closedConnections > 0)
+    await until('both attempts are reported', () => entry.ends.length === 2)
+    const outcomes = Object.fromEntries(entry.ends.map(({ instance, outcome }) => [instance, outcome]))
+    assert.equal(outcomes, { failing: PlacementOutcome.PLACEMENT_OUTCOME_SERVER_ERROR, sound: PlacementOutcome.PLACEMENT_OUTCOME_ANSWERED })
   } finally {
     entry.server.close()
     await Promise.all([failing.close(), sound.close()])
@@ -47,7 +51,7 @@
   })
   try {
     assert.ok(statusOf(await fixture.ask('GET', '/ledger')) >= 500)
-    await untilClosed(failing)
+    await until('the connection is closed', () => failing.closedConnections > 0)
   } finally {
     await Promise.all([fixture.close(), failing.close()])
   }
