A long server error is reported before a retry uses its ticket again (state of the dispatcher)

What operators saw: none reported; found by the test of responses that are not used. The outcome of a server error with a body of more than 64 KiB was never reported: the retry asks with the same ticket, and the later end of the first attempt met the ticket of the second or none. The dispatcher knew nothing of the failure, and counted the request at the first upstream.

Evidence: unused-answers.test.ts waits for two reported ends; one came.

What changed: a server error whose body has not ended is reported when its head is there. Other responses are reported at their end, as they are not retried.

Before: 1 of 2 failed. After: 2 of 2; all tests of entry and request pass.

--- a/packages/request/src/dispatched-attempt.ts
+++ b/packages/request/src/dispatched-attempt.ts
@@ -6,7 +6,7 @@
 import type { ResponseMetadata, CallerMetadata, Dialect } from './dialect.ts'
 import type { UpstreamConnections } from './upstream-connections.ts'
 import { exchange, type UpstreamRequest } from './upstream-exchange.ts'
-import type { BodyResult, UpstreamResponse } from './upstream-response.ts'
+import type { UpstreamResponse } from './upstream-response.ts'
 
 /** A response that can be relayed, buffered completely if it is small; or the reason for which there is none. */
 export type AttemptResult =
@@ -83,7 +83,9 @@
     }
     await Promise.race([answer.whole, answer.bufferFull])
     if (!answer.isEnded) {
-      void answer.whole.then((whole) => this.reportEnd(ticket, outcomeOfRelayed(answer.status, whole)))
+      // A retry uses the ticket again, so a server error is reported before its body has ended.
+      if (answer.status >= FIRST_SERVER_ERROR) this.reportEnd(ticket, outcomeOfStatus(answer.status))
+      else void answer.whole.then((whole) => this.reportEnd(ticket, whole.isOk() ? outcomeOfStatus(answer.status) : outcomeOf(whole.error)))
       return { kind: 'answer', answer, reachedUpstream: true }
     }
     const whole = await answer.whole
@@ -122,11 +124,6 @@
   return OUTCOME_BY_FAILURE[failure.code] ?? PlacementOutcome.PLACEMENT_OUTCOME_CANCELLED
 }
 
-/** A server error counts as one although the rest of its body was not read. */
-function outcomeOfRelayed (status: number, whole: BodyResult): PlacementOutcome {
-  return whole.isOk() || status >= FIRST_SERVER_ERROR ? outcomeOfStatus(status) : outcomeOf(whole.error)
-}
-
 function outcomeOfStatus (status: number): PlacementOutcome {
   return status >= FIRST_SERVER_ERROR ? PlacementOutcome.PLACEMENT_OUTCOME_SERVER_ERROR : PlacementOutcome.PLACEMENT_OUTCOME_ANSWERED
 }
