--- a/packages/replication/src/tests/replica-set-losses.test.ts
+++ b/packages/replication/src/tests/replica-set-losses.test.ts
@@ -1,3 +1,4 @@
+import { rm } from 'node:fs/promises'
 import { SeededRandom, type RandomSource } from '@hickoryspoke/runtime/random'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
@@ -113,15 +114,8 @@
 
 async function loseDisk (play: LossPlay, name: string): Promise<() => Promise<void>> {
   await play.crash(name)
-  return async () => {
-    await removeFolder(play, name)
-    await play.start(name, 'join')
-  }
-}
-
-async function removeFolder (play: LossPlay, name: string): Promise<void> {
-  const { rm } = await import('node:fs/promises')
   await rm(play.cluster.folderPath(name), { recursive: true })
+  return async () => await play.start(name, 'join')
 }
 
 async function replace (play: LossPlay, name: string): Promise<() => Promise<void>> {
