--- a/packages/entry/src/caller-server.ts
+++ b/packages/entry/src/caller-server.ts
@@ -160,25 +160,27 @@
       this.refuse(request, response, refusal)
       return
     }
-    const connection = this.connectionOf(request.socket)
-    if (connection.isClosing) return
-    const exchange = this.createExchange(request, response, expectsContinue, (begun) => connection.closesBehind(begun))
-    connection.add(exchange)
-    this.options.runner.run(exchange).catch(() => exchange.answer.abort())
+    const exchange = this.accept(request, response, expectsContinue, false)
+    if (exchange !== undefined) this.options.runner.run(exchange).catch(() => exchange.answer.abort())
   }
 
   private refuse (request: IncomingMessage, response: ServerResponse, refusal: Refusal): void {
-    const connection = this.connectionOf(request.socket)
-    if (connection.isClosing) return
-    const exchange = this.createExchange(request, response, false, () => true)
-    connection.add(exchange)
-    relayRefusal(exchange, refusal, NO_REQUEST_ID)
+    const exchange = this.accept(request, response, false, true)
+    if (exchange !== undefined) relayRefusal(exchange, refusal, NO_REQUEST_ID)
   }
 
-  private createExchange (
-    request: IncomingMessage, response: ServerResponse, expectsContinue: boolean, closesConnection: (exchange: NodeExchange) => boolean
-  ): NodeExchange {
-    return NodeExchange.create(request, response, { clock: this.options.clock, limits: this.limits, expectsContinue, closesConnection })
+  /** Adds a request to its connection; undefined if the connection closes in front of it. `closes` tells whether it closes behind it in any case. */
+  private accept (request: IncomingMessage, response: ServerResponse, expectsContinue: boolean, closes: boolean): NodeExchange | undefined {
+    const connection = this.connectionOf(request.socket)
+    if (connection.isClosing) return undefined
+    const exchange = NodeExchange.create(request, response, {
+      clock: this.options.clock,
+      limits: this.limits,
+      expectsContinue,
+      closesConnection: (begun) => closes || connection.closesBehind(begun)
+    })
+    connection.add(exchange)
+    return exchange
   }
 
   /** Handles input that is not valid HTTP. */
