A response that is not used is discarded in one way; the last answer of a request is not kept twice

Three places aborted a response with the same failure and two texts; lastAnswer stood beside the list whose end it is. No behaviour changed: all tests of entry and request pass.

--- a/packages/request/src/attempt-history.ts
+++ b/packages/request/src/attempt-history.ts
@@ -1,6 +1,5 @@
 /** What the attempts of one request have come to, for its next attempt, its refusal and its log line. */
 import type { PlacedRequest } from '@hickoryspoke/dispatch/placement-client'
-import { AttemptFailure } from './attempt-failure.ts'
 import type { AttemptResult } from './dispatched-attempt.ts'
 import type { UpstreamResponse } from './upstream-response.ts'
 
@@ -36,8 +35,6 @@
   /** Attempts that have not ended. */
   running = 0
   mayHaveRun = false
-  /** The last response, which may be an error. */
-  lastAnswer: UpstreamResponse | undefined
   private readonly answers: UpstreamResponse[] = []
   private placed: PlacedRequest | undefined
   private relayedBy = ''
@@ -48,6 +45,11 @@
     return new AttemptHistory()
   }
 
+  /** The last response, which may be an error. */
+  get lastAnswer (): UpstreamResponse | undefined {
+    return this.answers.at(-1)
+  }
+
   /** Records that an attempt begins. */
   begin (placed: PlacedRequest): void {
     this.running += 1
@@ -59,10 +61,7 @@
     this.running -= 1
     if (result.reachedUpstream) this.attempts += 1
     if (result.kind === 'answer' || !result.failure.provenNotRun) this.mayHaveRun = true
-    if (result.kind === 'answer') {
-      this.lastAnswer = result.answer
-      this.answers.push(result.answer)
-    }
+    if (result.kind === 'answer') this.answers.push(result.answer)
     if (result.kind === 'failure' && result.failure.code === 'hedge_lost') return
     this.placed = placed
     this.relayedBy = relay
@@ -71,8 +70,8 @@
   }
 
   /** Closes the connections of the responses that were not read to their end, once the request is over. */
-  abortUnused (): void {
-    for (const answer of this.answers) answer.abort(AttemptFailure.create('hedge_lost', 'the response is not used'))
+  discardUnused (): void {
+    for (const answer of this.answers) answer.discard()
   }
 
   /** Outcome of the request; `ticket` belongs to its last question. */
--- a/packages/request/src/attempt-loop.ts
+++ b/packages/request/src/attempt-loop.ts
@@ -78,7 +78,7 @@
       last = ready.isOk() ? AttemptFailure.create('closed_after_sending', 'the upstream responded with a retryable status') : ready.error
       this.mayHaveRun ||= !last.provenNotRun
       if (!this.mayRetry(last) || !await this.backOff()) return ready.isOk() ? ready : Err(this.refusalOf(last))
-      if (ready.isOk()) ready.value.answer.abort(AttemptFailure.create('hedge_lost', 'replaced by a retry'))
+      if (ready.isOk()) ready.value.answer.discard()
       const blocked = await this.plan.context.trial.beforeAttempt()
       if (blocked !== undefined) return Err(this.correctRunState(blocked))
     }
--- a/packages/request/src/dispatched-attempt.ts
+++ b/packages/request/src/dispatched-attempt.ts
@@ -78,7 +78,7 @@
     if (metadata.notice !== undefined) this.options.placementClient.recordNotice(this.placed.instance, metadata.notice)
     const headFailure = failureOfHead(answer, metadata)
     if (headFailure !== undefined) {
-      answer.abort(AttemptFailure.create('hedge_lost', 'the response is not used'))
+      answer.discard()
       return this.failed(ticket, headFailure)
     }
     await Promise.race([answer.whole, answer.bufferFull])
--- a/packages/request/src/dispatched-run.ts
+++ b/packages/request/src/dispatched-run.ts
@@ -96,7 +96,7 @@
       return await this.send(admitted.value)
     } finally {
       timer.cancel()
-      this.history.abortUnused()
+      this.history.discardUnused()
       this.exchange.signal.removeEventListener('abort', onCallerGone)
     }
   }
--- a/packages/request/src/upstream-response.ts
+++ b/packages/request/src/upstream-response.ts
@@ -1,6 +1,6 @@
 import type { Clock } from '@hickoryspoke/runtime/clock'
 import { Err, Ok, type Result } from 'ts-results-es'
-import type { AttemptFailure } from './attempt-failure.ts'
+import { AttemptFailure } from './attempt-failure.ts'
 import type { RawHeaders } from './header-filter.ts'
 import type { ResponseFraming } from './response-framing.ts'
 
@@ -110,6 +110,11 @@
     if (!this.isEnded) this.control.abort(failure)
   }
 
+  /** Closes the connection of a response that is not used. Does nothing if the response was read to its end. */
+  discard (): void {
+    this.abort(AttemptFailure.create('hedge_lost', 'the response is not used'))
+  }
+
   private pass (chunk: Buffer): void {
     const sink = this.sink as BodySink
     if (sink.write(chunk) || this.isEnded) return
