Who asks to join is decided in one place, and the status lists only them

The list of joiners never shrank; the leader passed over old entries, the status showed them for good.

--- a/packages/replication/src/formation.ts
+++ b/packages/replication/src/formation.ts
@@ -2,6 +2,8 @@
 import type { ReplicaContext } from './replica-context.ts'
 import { findMember, type ReplicaIdentity } from './replica-set.ts'
 
+const MISSED_HELLOS = 3
+
 /** Sends hello messages while this replica forms a cluster, waits to join one, or knows no leader. */
 export async function announceSelf (context: ReplicaContext): Promise<void> {
   if (context.storage.identity.forming) await formIfComplete(context)
@@ -63,6 +65,14 @@
   if (!isKnown) context.report({ kind: 'joiner_seen', ...sender })
 }
 
+/** The replicas that ask to join now, by name. One that missed several hello messages has stopped asking. */
+export function currentJoiners (context: ReplicaContext): ReplicaIdentity[] {
+  const oldest = context.now() - context.tuning.helloMilliseconds * MISSED_HELLOS
+  return [...context.joiners]
+    .filter(([, { heardAt }]) => heardAt >= oldest)
+    .map(([name, { incarnation }]) => ({ name, incarnation }))
+}
+
 /**
  * Answers a hello with the replica set known here. A founding member that missed the end of forming gets the set that
  * the cluster was formed with.
--- a/packages/replication/src/replica-set-change.ts
+++ b/packages/replication/src/replica-set-change.ts
@@ -1,4 +1,5 @@
 import type { ReplicaMember, ReplicaSet } from '@hickoryspoke/protocol/generated/replica'
+import { currentJoiners } from './formation.ts'
 import { advanceCommit, appendAsLeader, reconcilePeers } from './leader-replication.ts'
 import type { Leadership } from './leadership.ts'
 import { REPLICATION_MODE } from './peer-progress.ts'
@@ -8,9 +9,6 @@
 /** Maximum number of entries by which a learner may lag when it gets a vote. */
 const MAXIMUM_LEARNER_LAG_ENTRIES = 16
 
-/** A replica that missed this many hello messages has stopped asking to join. */
-const MISSED_HELLOS = 3
-
 /** Appends an entry that changes the replica set, and starts using the new set. */
 function appendReplicaSetChange (context: ReplicaContext, set: ReplicaSet): void {
   const index = appendAsLeader(context, { $case: 'replicaSet', value: set })
@@ -34,12 +32,8 @@
 /** Adds as a learner a replica that is new, or that lost its disk and has a new incarnation. */
 function setWithJoiner (context: ReplicaContext): ReplicaSet | undefined {
   const set = context.latestReplicaSet()
-  const oldest = context.now() - context.tuning.helloMilliseconds * MISSED_HELLOS
-  for (const [name, { incarnation, heardAt }] of context.joiners) {
-    if (findMember(set, { name, incarnation }) !== undefined || heardAt < oldest) continue
-    if (mayJoin(context, name)) return withLearner(set, { name, incarnation })
-  }
-  return undefined
+  const joiner = currentJoiners(context).find((one) => findMember(set, one) === undefined && mayJoin(context, one.name))
+  return joiner === undefined ? undefined : withLearner(set, joiner)
 }
 
 function mayJoin (context: ReplicaContext, name: string): boolean {
--- a/packages/replication/src/replica-status.ts
+++ b/packages/replication/src/replica-status.ts
@@ -1,3 +1,4 @@
+import { currentJoiners } from './formation.ts'
 import type { ReplicaContext } from './replica-context.ts'
 import { memberKey } from './replica-set.ts'
 import type { ReplicaRole } from './replicated-log.ts'
@@ -24,7 +25,7 @@
   readonly durableIndex: number
   readonly snapshotIndex: number
   readonly members: readonly MemberStatus[]
-  /** Replicas that announced themselves and are not members yet. */
+  /** Replicas that ask to join now. */
   readonly joiners: readonly string[]
 }
 
@@ -41,7 +42,7 @@
     durableIndex: context.durableIndex,
     snapshotIndex: context.snapshot?.header.index ?? 0,
     members: describeMembers(context),
-    joiners: [...context.joiners.keys()]
+    joiners: currentJoiners(context).map(({ name }) => name)
   }
 }
 
--- a/packages/replication/src/tests/rejoining.test.ts
+++ b/packages/replication/src/tests/rejoining.test.ts
@@ -99,6 +99,7 @@
   const before = changes()
   await cluster.advance(90_000)
   assert.is(changes(), before)
+  assert.equal(cluster.leader().status().joiners, [])
   await cluster.destroy()
 })
 
