--- a/packages/entry/src/caller-connection.ts
+++ b/packages/entry/src/caller-connection.ts
@@ -35,7 +35,7 @@
   get isClosing (): boolean {
     const last = this.exchanges.at(-1)
     if (last === undefined) return false
-    return last.closesConnection || (this.isDraining() && !last.answer.isHeadSent)
+    return last.answer.closesConnection || (this.isDraining() && !last.answer.isHeadSent)
   }
 
   add (exchange: NodeExchange): void {
@@ -74,7 +74,7 @@
     const index = this.exchanges.indexOf(exchange)
     if (index !== -1) this.exchanges.splice(index, 1)
     this.lastAnswered = exchange
-    if (!exchange.closesConnection) this.finishIfIdle()
+    if (!exchange.answer.closesConnection) this.finishIfIdle()
   }
 
   private finishIfIdle (): void {
--- a/packages/entry/src/caller-node-exchange.ts
+++ b/packages/entry/src/caller-node-exchange.ts
@@ -80,11 +80,6 @@
     return this.request.complete
   }
 
-  /** Whether the response that was begun closes the connection. */
-  get closesConnection (): boolean {
-    return this.answer.closesConnection
-  }
-
   /** Calls back once the complete response has been handed to the operating system. */
   onSent (task: () => void): void {
     this.response.once('finish', task)
