--- a/packages/entry/src/tests/caller-fixture.ts
+++ b/packages/entry/src/tests/caller-fixture.ts
@@ -97,6 +97,15 @@
   }
 }
 
+/** Waits until a condition holds. Throws after the limit. */
+export async function until (isDone: () => boolean, limitMilliseconds = 5_000): Promise<void> {
+  const end = performance.now() + limitMilliseconds
+  while (!isDone()) {
+    if (performance.now() > end) throw new Error(`condition not met: ${isDone}`)
+    await new Promise((resolve) => setTimeout(resolve, 5))
+  }
+}
+
 /** Status of a response given as text, or 0 if there is none. */
 export function statusOf (answer: string): number {
   return Number(/^HTTP\/1\.1 (\d{3})/.exec(answer)?.[1] ?? 0)
--- a/packages/entry/src/tests/connection-order.test.ts
+++ b/packages/entry/src/tests/connection-order.test.ts
@@ -2,7 +2,7 @@
 import { okResponse, RawUpstream } from '@hickoryspoke/testing/raw-upstream'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
-import { AUTHORIZED, CallerFixture } from './caller-fixture.ts'
+import { AUTHORIZED, CallerFixture, until } from './caller-fixture.ts'
 
 const DRAIN = { announceMilliseconds: 20, finishMilliseconds: 3_000 }
 const BUFFERED_BODY_BYTES = 60_000
@@ -39,14 +39,6 @@
   }
 }
 
-async function until (condition: () => boolean, limitMilliseconds = 5_000): Promise<void> {
-  const end = performance.now() + limitMilliseconds
-  while (!condition()) {
-    if (performance.now() > end) throw new Error(`condition not met: ${condition}`)
-    await new Promise((resolve) => setTimeout(resolve, 5))
-  }
-}
-
 async function withHeldUpstream (use: (fixture: CallerFixture, held: HeldUpstream) => Promise<void>): Promise<void> {
   const held = await HeldUpstream.create()
   const routes = [{ path: '/ledger', timeout_milliseconds: 9_000, idempotent: true }]
--- a/packages/entry/src/tests/unused-answers.test.ts
+++ b/packages/entry/src/tests/unused-answers.test.ts
@@ -5,21 +5,13 @@
 import { Ok } from 'ts-results-es'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
-import { CallerFixture, statusOf } from './caller-fixture.ts'
+import { CallerFixture, statusOf, until } from './caller-fixture.ts'
 import { startDispatched } from './dispatched-fixture.ts'
 
 /** The start of a server error whose body goes on; longer than what is held of a response. */
 const LONG_SERVER_ERROR = `HTTP/1.1 503 Failing\r\nContent-Length: 1000000\r\n\r\n${'x'.repeat(100_000)}`
 const LONG_ERROR_OF_ITS_OWN = LONG_SERVER_ERROR.replace('503 Failing', '500 Failing')
 
-async function until (what: string, isDone: () => boolean): Promise<void> {
-  const end = performance.now() + 2_000
-  while (!isDone()) {
-    if (performance.now() > end) throw new Error(`not in time: ${what}`)
-    await new Promise((resolve) => setTimeout(resolve, 5))
-  }
-}
-
 // Guards against connections that stay open for good, each with a part of a response that nobody reads.
 test('a long server error is closed when another upstream answers in its place', async () => {
   const failing = await RawUpstream.create((socket) => socket.write(LONG_ERROR_OF_ITS_OWN))
@@ -31,8 +23,8 @@
   }, true)
   try {
     assert.is(await entry.send(), 200)
-    await until('the connection is closed', () => failing.closedConnections > 0)
-    await until('both attempts are reported', () => entry.ends.length === 2)
+    await until(() => failing.closedConnections > 0, 2_000)
+    await until(() => entry.ends.length === 2, 2_000)
     const outcomes = Object.fromEntries(entry.ends.map(({ instance, outcome }) => [instance, outcome]))
     assert.equal(outcomes, { failing: PlacementOutcome.PLACEMENT_OUTCOME_SERVER_ERROR, sound: PlacementOutcome.PLACEMENT_OUTCOME_ANSWERED })
   } finally {
@@ -51,7 +43,7 @@
   })
   try {
     assert.ok(statusOf(await fixture.ask('GET', '/ledger')) >= 500)
-    await until('the connection is closed', () => failing.closedConnections > 0)
+    await until(() => failing.closedConnections > 0, 2_000)
   } finally {
     await Promise.all([fixture.close(), failing.close()])
   }
--- a/packages/request/src/tests/endless-answers.test.ts
+++ b/packages/request/src/tests/endless-answers.test.ts
@@ -1,5 +1,6 @@
 import { createServer, type AddressInfo, type Socket } from 'node:net'
 import { SystemClock } from '@hickoryspoke/runtime/clock'
+import { writeEndlessly } from '@hickoryspoke/testing/endless-writer'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import { AttemptFailure } from '../attempt-failure.ts'
@@ -13,23 +14,16 @@
 const GIVE_UP_MILLISECONDS = 3_000
 
 const HEAD = 'HTTP/1.1 200 OK\r\n'
-const PIECE_BYTES = 16_384
 
 /** Sends `start`, then `piece` again and again, until the connection is closed. */
 async function startEndless (start: string, piece: string): Promise<{ address: string, close: () => void }> {
-  const repeated = Buffer.from(piece.repeat(Math.max(1, Math.ceil(PIECE_BYTES / piece.length))))
   const sockets = new Set<Socket>()
   const server = createServer((socket) => {
     sockets.add(socket)
-    const send = (): void => {
-      if (!socket.writable) return
-      if (socket.write(repeated)) setImmediate(send)
-      else socket.once('drain', send)
-    }
     socket.on('error', () => {})
     socket.once('data', () => {
       socket.write(start)
-      send()
+      writeEndlessly(socket, piece)
     })
   })
   await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
