--- a/packages/entry/src/caller-connection.ts
+++ b/packages/entry/src/caller-connection.ts
@@ -1,8 +1,17 @@
 /** The requests of one caller's connection, which are answered in the order in which they were read. */
 import type { Socket } from 'node:net'
 import type { Refusal } from '@hickoryspoke/request/refusal'
+import type { Clock } from '@hickoryspoke/runtime/clock'
 import type { NodeExchange } from './caller-node-exchange.ts'
-import { refuseOnSocket } from './caller-raw-refusal.ts'
+import { writeRefusal } from './caller-raw-refusal.ts'
+import { closeLingering } from './lingering-close.ts'
+
+/** Dependencies of a `CallerConnection`. */
+export interface CallerConnectionOptions {
+  readonly clock: Clock
+  /** Whether the server is being stopped. */
+  readonly isDraining: () => boolean
+}
 
 /** A connection of a caller. Node.js reports its end only to the response that is being sent, so its requests are kept here. */
 export class CallerConnection {
@@ -13,19 +22,25 @@
   private closesWhenIdle = false
   /** The last request that was answered. The rest of its body may still have to be read. */
   private lastAnswered: NodeExchange | undefined
+  /** Whether nothing more is sent on the connection. */
+  private isEnded = false
+  private isLingering = false
 
-  private constructor (private readonly socket: Socket, private readonly isDraining: () => boolean) {
+  private constructor (private readonly socket: Socket, private readonly options: CallerConnectionOptions) {
     socket.once('close', () => this.cancelAll())
+    // Node.js handles errors of a socket only as long as its HTTP parser reads from it.
+    socket.on('error', () => socket.destroy())
+    // Called by Node.js behind a response that closes the connection.
+    socket.destroySoon = () => this.close()
   }
 
-  /** `isDraining` tells whether the server is being stopped. */
-  static create (socket: Socket, isDraining: () => boolean): CallerConnection {
-    return new CallerConnection(socket, isDraining)
+  static create (socket: Socket, options: CallerConnectionOptions): CallerConnection {
+    return new CallerConnection(socket, options)
   }
 
-  /** Whether all responses have been handed to the operating system. */
+  /** Whether nothing is left to be sent, or to be received by the caller before the connection is closed. */
   get isIdle (): boolean {
-    return this.exchanges.length === 0
+    return this.exchanges.length === 0 && !this.isLingering
   }
 
   /**
@@ -33,23 +48,26 @@
    * because its caller takes it for unread and sends it again.
    */
   get isClosing (): boolean {
+    if (this.isEnded || this.exchanges.some(({ answer }) => answer.isBrokenOff)) return true
     const last = this.exchanges.at(-1)
     if (last === undefined) return false
-    return last.answer.closesConnection || (this.isDraining() && !last.answer.isHeadSent)
+    return last.answer.closesConnection || (this.options.isDraining() && !last.answer.isHeadSent)
   }
 
   add (exchange: NodeExchange): void {
     this.exchanges.push(exchange)
     exchange.onSent(() => this.remove(exchange))
+    exchange.onBrokenOff(() => this.endIfBrokenOff())
   }
 
   /** Whether the connection closes behind the response of a request: while the server drains, behind the last one only. */
   closesBehind (exchange: NodeExchange): boolean {
-    return this.isDraining() && this.exchanges.at(-1) === exchange
+    return this.options.isDraining() && this.exchanges.at(-1) === exchange
   }
 
   /** Handles input that cannot be read on: aborts the request that it is part of, and answers it behind all others. */
   fail (refusal: Refusal): void {
+    if (this.isEnded) return
     const last = this.exchanges.at(-1)
     if (last?.isRead === false) {
       last.abortBody(refusal)
@@ -57,7 +75,7 @@
     }
     if (last === undefined && this.lastAnswered?.isRead === false) {
       // The caller has its response already; a second one would be taken for the response to its next request.
-      this.socket.destroy()
+      this.close()
       return
     }
     this.refusal = refusal
@@ -74,13 +92,40 @@
     const index = this.exchanges.indexOf(exchange)
     if (index !== -1) this.exchanges.splice(index, 1)
     this.lastAnswered = exchange
-    if (!exchange.answer.closesConnection) this.finishIfIdle()
+    this.finishIfIdle()
+    this.endIfBrokenOff()
   }
 
   private finishIfIdle (): void {
-    if (!this.isIdle) return
-    if (this.refusal !== undefined) refuseOnSocket(this.socket, this.refusal)
-    else if (this.closesWhenIdle) this.socket.destroySoon()
+    if (!this.isIdle || this.isEnded) return
+    if (this.refusal !== undefined) {
+      writeRefusal(this.socket, this.refusal)
+      this.close()
+    } else if (this.closesWhenIdle) {
+      this.closeUnread()
+    }
+  }
+
+  /** Ends the connection behind what was sent of a response that was broken off, once all before it have been sent. */
+  private endIfBrokenOff (): void {
+    if (this.exchanges[0]?.answer.isBrokenOff !== true) return
+    this.close()
+    for (const exchange of this.exchanges.splice(0)) exchange.abandon()
+  }
+
+  /** Closes the connection once its caller has received everything. */
+  private close (): void {
+    if (this.isEnded) return
+    this.isEnded = true
+    this.isLingering = true
+    closeLingering(this.socket, this.options.clock)
+  }
+
+  /** Closes an idle connection. What arrives meanwhile stays unread, which tells its caller that it has not run. */
+  private closeUnread (): void {
+    this.isEnded = true
+    this.socket.pause()
+    this.socket.end()
   }
 
   private cancelAll (): void {
--- a/packages/entry/src/caller-node-exchange.ts
+++ b/packages/entry/src/caller-node-exchange.ts
@@ -96,12 +96,23 @@
     this.request.resume()
   }
 
+  /** Calls back when the response is broken off. */
+  onBrokenOff (task: () => void): void {
+    this.answer.onBrokenOff(task)
+  }
+
   /** Aborts the request because the connection is gone. */
   cancel (): void {
-    this.controller.abort(AttemptFailure.create('caller_gone'))
+    this.abandon()
     this.response.destroy()
   }
 
+  /** Aborts the request because the connection ends in front of its response, or in the middle of it. */
+  abandon (): void {
+    this.answer.abort()
+    this.controller.abort(AttemptFailure.create('caller_gone'))
+  }
+
   sendContinue (): void {
     if (this.options.expectsContinue) this.answer.sendContinue()
   }
@@ -130,6 +141,9 @@
 export class NodeAnswer implements CallerResponse {
   /** Whether the headers that were sent close the connection after the response. */
   closesConnection = false
+  /** Whether the response is not continued, so that the connection has to end behind what was sent of it. */
+  isBrokenOff = false
+  private reportBrokenOff: () => void = () => {}
 
   private constructor (private readonly response: ServerResponse, private readonly options: NodeAnswerOptions) {}
 
@@ -141,18 +155,23 @@
     return this.response.headersSent
   }
 
+  /** Calls back when the response is broken off. */
+  onBrokenOff (task: () => void): void {
+    this.reportBrokenOff = task
+  }
+
   sendContinue (): void {
-    if (!this.response.destroyed) this.response.writeContinue()
+    if (!this.isOver) this.response.writeContinue()
   }
 
   writeHead (status: number, headers: readonly string[]): void {
-    if (this.response.destroyed || this.response.headersSent) return
+    if (this.isOver || this.response.headersSent) return
     this.closesConnection = this.options.closesConnection()
     this.response.writeHead(status, this.closesConnection ? [...headers, 'Connection', 'close'] : [...headers])
   }
 
   write (chunk: Buffer): boolean {
-    return this.response.destroyed || this.response.write(chunk)
+    return this.isOver || this.response.write(chunk)
   }
 
   /**
@@ -162,7 +181,7 @@
   whenReady (task: () => void): void {
     const { response } = this
     const { clock, signal, unreadTimeoutMilliseconds } = this.options
-    if (response.destroyed || !response.writableNeedDrain) {
+    if (this.isOver || !response.writableNeedDrain) {
       task()
       return
     }
@@ -178,14 +197,20 @@
   }
 
   end (trailers: readonly string[]): void {
-    if (this.response.destroyed) return
+    if (this.isOver) return
     if (trailers.length > 0) this.response.addTrailers(toPairs(trailers))
     this.response.end()
     this.options.ended()
   }
 
   abort (): void {
-    this.response.destroy()
+    if (this.isOver) return
+    this.isBrokenOff = true
+    this.reportBrokenOff()
+  }
+
+  private get isOver (): boolean {
+    return this.isBrokenOff || this.response.destroyed
   }
 }
 
--- a/packages/entry/src/caller-server.ts
+++ b/packages/entry/src/caller-server.ts
@@ -43,6 +43,12 @@
   readonly tls?: CallerTls
 }
 
+/** Result of a stop of the caller server. */
+export interface CallerStopReport extends DrainReport {
+  /** Connections that had to be closed while responses were being sent, or before their callers had closed their side. */
+  readonly unconfirmed: number
+}
+
 /** Phases of a graceful stop in milliseconds: how long new requests are still served, then how long requests in flight may take. */
 export interface DrainTimes {
   readonly announceMilliseconds: number
@@ -113,7 +119,7 @@
    * Stops gracefully. At first requests are still served, but each response closes its connection. Then no more
    * connections are accepted, and requests in flight finish or are cut off when the time is up.
    */
-  async drain (times: DrainTimes): Promise<DrainReport> {
+  async drain (times: DrainTimes): Promise<CallerStopReport> {
     const { clock, runner } = this.options
     this.isDraining = true
     runner.announceStop(times.announceMilliseconds + times.finishMilliseconds)
@@ -123,8 +129,9 @@
     for (const connection of this.connections.values()) connection.closeWhenIdle()
     const report = await runner.drain(times.finishMilliseconds)
     await this.waitUntilSent(end)
+    const unconfirmed = this.busyConnections
     this.close()
-    return report
+    return { ...report, unconfirmed }
   }
 
   /** Closes immediately. Requests in flight are lost. */
@@ -138,17 +145,20 @@
     NetServer.prototype.close.call(this.server)
   }
 
-  /** Waits until all responses have left the process, or until a monotonic time. */
+  /** Waits until callers have received all responses, or until a monotonic time. */
   private async waitUntilSent (end: number): Promise<void> {
     const { clock } = this.options
-    const isSending = (): boolean => [...this.connections.values()].some((connection) => !connection.isIdle)
-    while (isSending() && clock.monotonicMilliseconds() < end) await sleep(clock, SENT_CHECK_MILLISECONDS)
+    while (this.busyConnections > 0 && clock.monotonicMilliseconds() < end) await sleep(clock, SENT_CHECK_MILLISECONDS)
+  }
+
+  private get busyConnections (): number {
+    return [...this.connections.values()].filter((connection) => !connection.isIdle).length
   }
 
   private connectionOf (socket: Socket): CallerConnection {
     const known = this.connections.get(socket)
     if (known !== undefined) return known
-    const connection = CallerConnection.create(socket, () => this.isDraining)
+    const connection = CallerConnection.create(socket, { clock: this.options.clock, isDraining: () => this.isDraining })
     this.connections.set(socket, connection)
     socket.once('close', () => this.connections.delete(socket))
     return connection
@@ -172,7 +182,10 @@
   /** Adds a request to its connection; undefined if the connection closes in front of it. `closes` tells whether it closes behind it in any case. */
   private accept (request: IncomingMessage, response: ServerResponse, expectsContinue: boolean, closes: boolean): NodeExchange | undefined {
     const connection = this.connectionOf(request.socket)
-    if (connection.isClosing) return undefined
+    if (connection.isClosing) {
+      request.resume()
+      return undefined
+    }
     const exchange = NodeExchange.create(request, response, {
       clock: this.options.clock,
       limits: this.limits,
--- a/packages/entry/src/dispatched-entry.ts
+++ b/packages/entry/src/dispatched-entry.ts
@@ -199,7 +199,10 @@
     ])
     this.stopping.abort()
     logger.info('entry stopped', {
-      milliseconds: Math.round(clock.monotonicMilliseconds() - startedAt), finished: report.finished, lost: report.lost.length
+      milliseconds: Math.round(clock.monotonicMilliseconds() - startedAt),
+      finished: report.finished,
+      lost: report.lost.length,
+      unconfirmed: report.unconfirmed
     })
     this.lifecycle.send('stop')
     this.upstreams.close()
