--- a/packages/bench/src/bench-main.ts
+++ b/packages/bench/src/bench-main.ts
@@ -1,8 +1,10 @@
 import { writeFile } from 'node:fs/promises'
-import { ExitCode, PROGRAM_VERSION, reportFailure, stopOnSignal } from '@hickoryspoke/configuration/program'
+import { GracefulStop, TERMINAL_STOP_SIGNALS } from '@hickoryspoke/configuration/graceful-stop'
+import { ExitCode, PROGRAM_VERSION, reportFailure } from '@hickoryspoke/configuration/program'
 import { readSettingsFile } from '@hickoryspoke/configuration/settings-file'
 import { SystemClock } from '@hickoryspoke/runtime/clock'
 import { SeededRandom, SystemRandom } from '@hickoryspoke/runtime/random'
+import { Logger, LogLevel } from '@hickoryspoke/telemetry/logger'
 import yargs from 'yargs'
 import { hideBin } from 'yargs/helpers'
 import { Announcer } from './announcer.ts'
@@ -14,6 +16,8 @@
 import { UpstreamAdmin } from './upstream-admin.ts'
 
 const PROGRAM = 'hickoryspoke-bench'
+/** Time allowed for the stop of a fake upstream, whose requests may have been told to hang. */
+const STOP_LIMIT_MILLISECONDS = 30_000
 
 interface BenchArguments {
   readonly settings: string
@@ -72,13 +76,21 @@
   })
   const admin = await UpstreamAdmin.start(upstream, announcer)
   process.stdout.write(JSON.stringify({ ready: true, address: upstream.address, admin: admin.address }) + '\n')
-  stopOnSignal(PROGRAM, {
+  const program = {
     stop: async () => {
       await announcer.withdraw()
       await upstream.stop()
       admin.stop()
     },
     unfinished: () => `${upstream.running} requests`
+  }
+  GracefulStop.create(program, {
+    clock,
+    logger: Logger.create(PROGRAM, LogLevel.Warn),
+    signals: process,
+    stopSignals: TERMINAL_STOP_SIGNALS,
+    limitMilliseconds: STOP_LIMIT_MILLISECONDS,
+    exit: (code) => process.exit(code)
   })
 }
 
--- a/packages/bench/src/local-fleet-main.ts
+++ b/packages/bench/src/local-fleet-main.ts
@@ -1,4 +1,5 @@
-import { ExitCode, stopOnSignal } from '@hickoryspoke/configuration/program'
+import { GracefulStop, TERMINAL_STOP_SIGNALS } from '@hickoryspoke/configuration/graceful-stop'
+import { ExitCode } from '@hickoryspoke/configuration/program'
 import { SystemClock } from '@hickoryspoke/runtime/clock'
 import { describeError } from '@hickoryspoke/runtime/failure'
 import { SystemRandom } from '@hickoryspoke/runtime/random'
@@ -6,6 +7,8 @@
 import { LocalFleet } from './local-fleet.ts'
 
 const PROGRAM = 'hickoryspoke-local'
+/** Time allowed for a stop. Entries let requests in flight finish first. */
+const STOP_LIMIT_MILLISECONDS = 40_000
 
 function print (fleet: LocalFleet): void {
   if (process.argv.includes('--json')) {
@@ -20,19 +23,27 @@
     `control: ${fleet.control.address}`,
     'Try:',
     `  curl -H 'Authorization: Bearer ${key}' http://${entry?.publicAddress}/ledger/1`,
-    'Ctrl-C stops it.'
+    'Ctrl-C stops it; Ctrl-\\ ends it at once.'
   ]
   process.stdout.write(lines.join('\n') + '\n')
 }
 
 async function main (): Promise<void> {
   const level = process.argv.includes('--verbose') ? LogLevel.Info : LogLevel.Error
+  const clock = SystemClock.create()
   const fleet = await LocalFleet.start({
-    clock: SystemClock.create(),
+    clock,
     random: SystemRandom.create(),
     logger: Logger.create(PROGRAM, level)
   })
-  stopOnSignal(PROGRAM, fleet)
+  GracefulStop.create(fleet, {
+    clock,
+    logger: Logger.create(PROGRAM, LogLevel.Warn),
+    signals: process,
+    stopSignals: TERMINAL_STOP_SIGNALS,
+    limitMilliseconds: STOP_LIMIT_MILLISECONDS,
+    exit: (code) => process.exit(code)
+  })
   print(fleet)
 }
 
--- a/packages/configuration/src/program.ts
+++ b/packages/configuration/src/program.ts
@@ -1,10 +1,7 @@
+/** What all programs share: exit codes, how failures are reported, and a stop with a time limit. */
 import { sleep, type Clock } from '@hickoryspoke/runtime/clock'
 import type { Failure } from '@hickoryspoke/runtime/failure'
 import { InvalidInput, formatIssue } from '@hickoryspoke/runtime/failure'
-import type { Result } from 'ts-results-es'
-import yargs from 'yargs'
-import type { z } from 'zod'
-import { readSettingsFile } from './settings-file.ts'
 
 /** Exit codes shared by all programs. */
 export const ExitCode = { Done: 0, Failed: 1, BadInput: 2, Refused: 3, Dispute: 4, NotConfirmed: 5 } as const
@@ -21,28 +18,6 @@
   unfinished (): string
 }
 
-/** A long-running program: its settings schema and how to start it. */
-export interface ProgramDefinition<Schema extends z.ZodType> {
-  readonly name: string
-  readonly summary: string
-  readonly settings: Schema
-  start (settings: z.output<Schema>): Promise<Result<RunningProgram, Failure>>
-}
-
-/** Runs a program from the command line: `--settings FILE`, `--check`, `--help`, `--version`. */
-export async function runProgram<Schema extends z.ZodType> (definition: ProgramDefinition<Schema>, argv: readonly string[]): Promise<void> {
-  const options = await parseArguments(definition, argv)
-  const settings = await readSettingsFile(options.settings, definition.settings)
-  if (settings.isErr()) return reportFailure(definition.name, settings.error, ExitCode.BadInput)
-  if (options.check) {
-    process.stdout.write(`${options.settings}: settings are valid\n`)
-    return
-  }
-  const started = await definition.start(settings.value)
-  if (started.isErr()) return reportFailure(definition.name, started.error, ExitCode.Failed)
-  stopOnSignal(definition.name, started.value)
-}
-
 /** Writes a failure, one line per issue, to standard error and sets the exit code. */
 export function reportFailure (program: string, failure: Failure, exitCode: ExitCode): void {
   const lines = failure instanceof InvalidInput ? failure.issues.map(formatIssue) : [`${failure.message} (${failure.code})`]
@@ -50,28 +25,6 @@
   process.exitCode = exitCode
 }
 
-async function parseArguments<Schema extends z.ZodType> (
-  definition: ProgramDefinition<Schema>,
-  argv: readonly string[]
-): Promise<{ settings: string, check: boolean }> {
-  return await yargs([...argv])
-    .scriptName(definition.name)
-    .usage(`$0 --settings FILE\n\n${definition.summary}`)
-    .option('settings', { type: 'string', demandOption: true, describe: 'settings file in TOML', requiresArg: true })
-    .option('check', { type: 'boolean', default: false, describe: 'validate the settings and exit: 0 if valid, 2 if not' })
-    .example(`${definition.name} --settings ${definition.name}.toml`, 'run')
-    .example(`${definition.name} --settings ${definition.name}.toml --check`, 'validate the settings only')
-    .completion('completion', 'print a shell completion script')
-    .version(PROGRAM_VERSION)
-    .strict()
-    .fail((message, error, parser) => {
-      process.stderr.write(`${definition.name}: ${message ?? error.message}\n\n`)
-      parser.showHelp('error')
-      process.exit(ExitCode.BadInput)
-    })
-    .parseAsync()
-}
-
 /** Stops a program but waits at most `limitMilliseconds`. Resolves to whether the stop finished in time. */
 export async function stopWithTimeout (program: RunningProgram, clock: Clock, limitMilliseconds: number): Promise<boolean> {
   const timeLimit = new AbortController()
@@ -80,18 +33,3 @@
   timeLimit.abort()
   return stopped
 }
-
-/** Shuts down gracefully on the first SIGTERM or SIGINT; exits immediately on the second. */
-export function stopOnSignal (name: string, program: RunningProgram): void {
-  let stopping = false
-  const onSignal = (): void => {
-    if (stopping) {
-      process.stderr.write(JSON.stringify({ level: 'error', program: name, event: 'exiting immediately on a second signal', unfinished: program.unfinished() }) + '\n')
-      process.exit(ExitCode.Failed)
-    }
-    stopping = true
-    void program.stop().then(() => process.exit(ExitCode.Done))
-  }
-  process.on('SIGTERM', onSignal)
-  process.on('SIGINT', onSignal)
-}
