--- a/packages/bench/src/bench-main.ts
+++ b/packages/bench/src/bench-main.ts
@@ -1,10 +1,11 @@
 import { writeFile } from 'node:fs/promises'
 import { GracefulStop, TERMINAL_STOP_SIGNALS } from '@hickoryspoke/configuration/graceful-stop'
-import { ExitCode, PROGRAM_VERSION, reportFailure } from '@hickoryspoke/configuration/program'
+import { ExitCode, PROGRAM_VERSION, reportFailure, type RunningProgram } from '@hickoryspoke/configuration/program'
 import { readSettingsFile } from '@hickoryspoke/configuration/settings-file'
-import { SystemClock } from '@hickoryspoke/runtime/clock'
+import { SystemClock, type Clock } from '@hickoryspoke/runtime/clock'
 import { SeededRandom, SystemRandom } from '@hickoryspoke/runtime/random'
 import { Logger, LogLevel } from '@hickoryspoke/telemetry/logger'
+import { Ok } from 'ts-results-es'
 import yargs from 'yargs'
 import { hideBin } from 'yargs/helpers'
 import { Announcer } from './announcer.ts'
@@ -53,6 +54,15 @@
 
 async function runUpstream (settings: UpstreamSettings): Promise<void> {
   const clock = SystemClock.create()
+  const logger = Logger.create(PROGRAM, LogLevel.Warn)
+  const stop = GracefulStop.create({
+    name: PROGRAM, clock, logger, signals: process, stopSignals: TERMINAL_STOP_SIGNALS, exit: (code) => process.exit(code)
+  })
+  stop.configure({ logger, limitMilliseconds: STOP_LIMIT_MILLISECONDS })
+  await stop.run(async () => Ok(await startUpstream(settings, clock)))
+}
+
+async function startUpstream (settings: UpstreamSettings, clock: Clock): Promise<RunningProgram> {
   const separator = settings.listen.lastIndexOf(':')
   const upstream = await FakeUpstream.start({
     name: settings.name,
@@ -76,7 +86,7 @@
   })
   const admin = await UpstreamAdmin.start(upstream, announcer)
   process.stdout.write(JSON.stringify({ ready: true, address: upstream.address, admin: admin.address }) + '\n')
-  const program = {
+  return {
     stop: async () => {
       await announcer.withdraw()
       await upstream.stop()
@@ -84,14 +94,6 @@
     },
     unfinished: () => `${upstream.running} requests`
   }
-  GracefulStop.create(program, {
-    clock,
-    logger: Logger.create(PROGRAM, LogLevel.Warn),
-    signals: process,
-    stopSignals: TERMINAL_STOP_SIGNALS,
-    limitMilliseconds: STOP_LIMIT_MILLISECONDS,
-    exit: (code) => process.exit(code)
-  })
 }
 
 async function readBenchSettings (options: BenchArguments): Promise<BenchSettings | undefined> {
--- a/packages/bench/src/local-fleet-main.ts
+++ b/packages/bench/src/local-fleet-main.ts
@@ -4,6 +4,7 @@
 import { describeError } from '@hickoryspoke/runtime/failure'
 import { SystemRandom } from '@hickoryspoke/runtime/random'
 import { LogLevel, Logger } from '@hickoryspoke/telemetry/logger'
+import { Ok } from 'ts-results-es'
 import { LocalFleet } from './local-fleet.ts'
 
 const PROGRAM = 'hickoryspoke-local'
@@ -31,20 +32,16 @@
 async function main (): Promise<void> {
   const level = process.argv.includes('--verbose') ? LogLevel.Info : LogLevel.Error
   const clock = SystemClock.create()
-  const fleet = await LocalFleet.start({
-    clock,
-    random: SystemRandom.create(),
-    logger: Logger.create(PROGRAM, level)
+  const logger = Logger.create(PROGRAM, LogLevel.Warn)
+  const stop = GracefulStop.create({
+    name: PROGRAM, clock, logger, signals: process, stopSignals: TERMINAL_STOP_SIGNALS, exit: (code) => process.exit(code)
   })
-  GracefulStop.create(fleet, {
-    clock,
-    logger: Logger.create(PROGRAM, LogLevel.Warn),
-    signals: process,
-    stopSignals: TERMINAL_STOP_SIGNALS,
-    limitMilliseconds: STOP_LIMIT_MILLISECONDS,
-    exit: (code) => process.exit(code)
+  stop.configure({ logger, limitMilliseconds: STOP_LIMIT_MILLISECONDS })
+  await stop.run(async () => {
+    const fleet = await LocalFleet.start({ clock, random: SystemRandom.create(), logger: Logger.create(PROGRAM, level) })
+    print(fleet)
+    return Ok(fleet)
   })
-  print(fleet)
 }
 
 main().catch((thrown: unknown) => {
--- a/packages/configuration/src/program-runner.ts
+++ b/packages/configuration/src/program-runner.ts
@@ -21,23 +21,27 @@
 
 /** Runs a program from the command line: `--settings FILE`, `--check`, `--help`, `--version`. */
 export async function runProgram<Schema extends z.ZodType> (definition: ProgramDefinition<Schema>, argv: readonly string[]): Promise<void> {
-  const options = await parseArguments(definition, argv)
-  const settings = await readSettingsFile(options.settings, definition.settings)
-  if (settings.isErr()) return reportFailure(definition.name, settings.error, ExitCode.BadInput)
-  if (options.check) {
-    process.stdout.write(`${options.settings}: settings are valid\n`)
-    return
-  }
-  const started = await definition.start(settings.value)
-  if (started.isErr()) return reportFailure(definition.name, started.error, ExitCode.Failed)
-  GracefulStop.create(started.value, {
+  const logger = Logger.create(definition.name, LogLevel.Info)
+  const stop = GracefulStop.create({
+    name: definition.name,
     clock: SystemClock.create(),
-    logger: Logger.create(definition.name, LogLevel.Info),
+    logger,
     signals: process,
     stopSignals: TERMINAL_STOP_SIGNALS,
-    limitMilliseconds: definition.stopLimitMilliseconds(settings.value),
     exit: (code) => process.exit(code)
   })
+  const options = await parseArguments(definition, argv)
+  const settings = await readSettingsFile(options.settings, definition.settings)
+  if (settings.isErr()) {
+    reportFailure(definition.name, settings.error, ExitCode.BadInput)
+    return stop.release(ExitCode.BadInput)
+  }
+  if (options.check) {
+    process.stdout.write(`${options.settings}: settings are valid\n`)
+    return stop.release(ExitCode.Done)
+  }
+  stop.configure({ logger, limitMilliseconds: definition.stopLimitMilliseconds(settings.value) })
+  await stop.run(async () => await definition.start(settings.value))
 }
 
 async function parseArguments<Schema extends z.ZodType> (
