--- a/packages/bench/src/local-fleet.ts
+++ b/packages/bench/src/local-fleet.ts
@@ -9,6 +9,7 @@
 import { ControlClient } from '@hickoryspoke/operator/control-client'
 import { InnerCredentials, type SecuritySection, toInnerSecurity } from '@hickoryspoke/protocol/inner-credentials'
 import type { Clock } from '@hickoryspoke/runtime/clock'
+import type { Failure } from '@hickoryspoke/runtime/failure'
 import { sha256Digest } from '@hickoryspoke/runtime/hashing'
 import type { RandomSource } from '@hickoryspoke/runtime/random'
 import type { Logger } from '@hickoryspoke/telemetry/logger'
@@ -95,6 +96,11 @@
     await rm(this.folder, { recursive: true, force: true })
   }
 
+  /** Resolves with the failure of the control node, if its storage fails. */
+  async whenFailed (): Promise<Failure | undefined> {
+    return await this.control.whenFailed()
+  }
+
   unfinished (): string {
     return this.entries.map((entry) => entry.unfinished()).join('; ')
   }
--- a/packages/configuration/src/graceful-stop.ts
+++ b/packages/configuration/src/graceful-stop.ts
@@ -46,6 +46,7 @@
   private settings: StopSettings
   private program: RunningProgram | undefined
   private hasBegun = false
+  private hasFailed = false
   private repeats = 0
   private readonly started: Promise<void>
   private reportStarted = (): void => {}
@@ -55,7 +56,7 @@
     this.started = new Promise((resolve) => { this.reportStarted = resolve })
   }
 
-  /** Handles the signals from now on. The process exits with `Done` if a stop ended in time, otherwise with `Failed`. */
+  /** Handles the signals from now on. The process exits with `Done` if the program did not fail and its stop ended in time, otherwise with `Failed`. */
   static create (options: GracefulStopOptions): GracefulStop {
     const stop = new GracefulStop(options)
     for (const signal of options.stopSignals) options.signals.on(signal, stop.receive)
@@ -76,6 +77,7 @@
         return this.release(ExitCode.Failed)
       }
       this.program = started.value
+      void this.program.whenFailed?.().then((failure) => this.fail(failure))
     }
     this.reportStarted()
   }
@@ -91,8 +93,19 @@
       this.logRepeat(signal)
       return
     }
+    this.begin({ signal })
+  }
+
+  /** Stops a program that cannot go on. A stop that has begun goes on, but the process exits with `Failed`. */
+  private fail (failure: Failure | undefined): void {
+    if (failure === undefined) return
+    this.hasFailed = true
+    if (!this.hasBegun) this.begin({ failure: failure.code })
+  }
+
+  private begin (cause: { readonly signal: string } | { readonly failure: string }): void {
     this.hasBegun = true
-    this.settings.logger.info('stopping', { signal, unfinished: this.unfinished() })
+    this.settings.logger.info('stopping', { ...cause, unfinished: this.unfinished() })
     void this.stop()
   }
 
@@ -105,7 +118,7 @@
   private async stop (): Promise<void> {
     const { exit } = this.options
     try {
-      exit(await this.stopInTime() ? ExitCode.Done : ExitCode.Failed)
+      exit(await this.stopInTime() && !this.hasFailed ? ExitCode.Done : ExitCode.Failed)
     } catch (thrown) {
       this.settings.logger.error('stop failed', { reason: describeError(thrown), unfinished: this.unfinished() })
       exit(ExitCode.Failed)
--- a/packages/configuration/src/program.ts
+++ b/packages/configuration/src/program.ts
@@ -16,6 +16,8 @@
   stop (): Promise<void>
   /** Describes work that would be lost if the process exited now, for the log. */
   unfinished (): string
+  /** Resolves with a failure after which the program cannot go on, or with undefined once it has stopped. */
+  whenFailed? (): Promise<Failure | undefined>
 }
 
 /** Writes a failure, one line per issue, to standard error and sets the exit code. */
--- a/packages/configuration/src/tests/graceful-stop.test.ts
+++ b/packages/configuration/src/tests/graceful-stop.test.ts
@@ -27,6 +27,7 @@
   endStart = (_: Result<RunningProgram, Failure>): void => {}
   endStop = (): void => {}
   failStop = (_: Error): void => {}
+  fail = (_: Failure | undefined): void => {}
   private readonly signals = new EventEmitter()
 
   private readonly stop: GracefulStop
@@ -85,7 +86,8 @@
           this.failStop = reject
         })
       },
-      unfinished: () => '3 requests in flight'
+      unfinished: () => '3 requests in flight',
+      whenFailed: async () => await new Promise<Failure | undefined>((resolve) => { this.fail = resolve })
     }
   }
 }
@@ -195,4 +197,18 @@
   assert.equal(run.exits, [])
 })
 
+// Guards against a failure that counts as a second signal, and against one that ends with exit code 0.
+for (const [when, signals] of [['before', []], ['during', ['SIGTERM']]] as const) {
+  test(`a program that fails ${when} a stop is stopped once, with exit code 1`, async () => {
+    const run = await StoppedProgram.run()
+    await run.signal(...signals)
+    run.fail(FileNotReadable.create('journal', 'disk gone'))
+    await run.signal('SIGTERM')
+    assert.equal([run.stops, run.exits], [1, []])
+    run.endStop()
+    await flushPromises()
+    assert.equal(run.exits, [1])
+  })
+}
+
 test.run()
--- a/packages/control/src/control-node.ts
+++ b/packages/control/src/control-node.ts
@@ -16,7 +16,7 @@
 import { Enrolment } from './enrolment.ts'
 import { OperatorService } from './operator-service.ts'
 import { OperatorTokens } from './operator-tokens.ts'
-import { logReplicaEvent } from './replica-event-log.ts'
+import { logReplicaEvent, logStorageFailure } from './replica-event-log.ts'
 import { shutDownServer } from './server-shutdown.ts'
 
 /** Process-wide dependencies of a control process. */
@@ -72,7 +72,7 @@
     const stopping = new AbortController()
     const tasks = [distribution.run(stopping.signal), enrolment.run(stopping.signal)]
     logger.info('control is listening', { address, cluster: settings.cluster })
-    exitOnStorageFailure(log, logger)
+    void logStorageFailure(logger, log)
     return Ok(new ControlNode(server, clock, log, stopping, tasks, address))
   }
 
@@ -84,6 +84,11 @@
     await shutDownServer(this.server, this.clock, SHUTDOWN_MILLISECONDS)
   }
 
+  /** Resolves when the replica has stopped; with a failure if storage failed, after which the process must end. */
+  async whenFailed (): Promise<Failure | undefined> {
+    return await this.replica.whenStopped()
+  }
+
   /** Describes unfinished work for the log of a stop; accepted changes are already on disk. */
   unfinished (): string {
     return `leader known: ${this.replica.leader() ?? 'none'}`
@@ -109,13 +114,3 @@
     report: (event) => logReplicaEvent(logger, event)
   })
 }
-
-/** Terminates the process when storage fails, since a replica must not go on without its disk. */
-function exitOnStorageFailure (replica: Replica, logger: Logger): void {
-  void replica.whenStopped().then((failure) => {
-    if (failure === undefined) return
-    logger.error('storage failed', { code: failure.code, reason: failure.message })
-    process.exitCode = 1
-    process.kill(process.pid, 'SIGTERM')
-  })
-}
--- a/packages/control/src/dispatching-control.ts
+++ b/packages/control/src/dispatching-control.ts
@@ -21,7 +21,7 @@
 import type { DispatchingControlOptions, DispatchingControlSettings } from './dispatching-control-settings.ts'
 import { createControlMetrics } from './dispatching-control-metrics.ts'
 import { reportLoad } from './load-report.ts'
-import { logReplicaEvent } from './replica-event-log.ts'
+import { logReplicaEvent, logStorageFailure } from './replica-event-log.ts'
 import { shutDownServer } from './server-shutdown.ts'
 
 /** Codecs of the server's side of a framed connection. */
@@ -140,6 +140,7 @@
     control.publishDocument()
     replica.value.start()
     control.run()
+    void logStorageFailure(logger, replica.value)
     logger.info('control is listening', { address: settings.address, cluster: settings.cluster })
     return Ok(control)
   }
--- a/packages/control/src/replica-event-log.ts
+++ b/packages/control/src/replica-event-log.ts
@@ -1,4 +1,5 @@
 /** Writes replica events to the log. */
+import type { Replica } from '@hickoryspoke/replication/replica'
 import type { ReplicaEvent } from '@hickoryspoke/replication/replica-event'
 import { describeError } from '@hickoryspoke/runtime/failure'
 import type { LogFields, Logger } from '@hickoryspoke/telemetry/logger'
@@ -15,3 +16,9 @@
   if (value instanceof Error) return describeError(value)
   return JSON.stringify(value) ?? 'none'
 }
+
+/** Logs a failure of the storage. The process must end then, since a replica must not go on without its disk. */
+export async function logStorageFailure (logger: Logger, replica: Replica): Promise<void> {
+  const failure = await replica.whenStopped()
+  if (failure !== undefined) logger.error('storage failed', { code: failure.code, reason: failure.message })
+}
