--- a/packages/entry/src/entry-node.ts
+++ b/packages/entry/src/entry-node.ts
@@ -130,7 +130,7 @@
       metrics: async () => await this.services.metrics.expose(),
       announce: (announcement, token) => this.announce(announcement, token),
       withdraw: (announcement, token) => this.withdraw(announcement, token)
-    })
+    }, this.environment.clock)
     const port = await this.callers.listen()
     if (port.isErr()) return Err(port.error)
     this.publicAddress = withPort(listen.public, port.value)
--- a/packages/entry/src/inner-server.ts
+++ b/packages/entry/src/inner-server.ts
@@ -1,5 +1,7 @@
 import { type IncomingMessage, type Server, type ServerResponse, createServer } from 'node:http'
 import type { AddressInfo } from 'node:net'
+import type { Clock } from '@hickoryspoke/runtime/clock'
+import { DrainableServer } from '@hickoryspoke/runtime/drainable-server'
 import type { Failure } from '@hickoryspoke/runtime/failure'
 import polka from 'polka'
 import type { Result } from 'ts-results-es'
@@ -7,6 +9,8 @@
 const MAXIMUM_ANNOUNCEMENT_BYTES = 4_096
 const BEARER_PATTERN = /^Bearer (\S+)$/i
 const REQUEST_TIMEOUT_MILLISECONDS = 10_000
+/** How long requests in progress may take when the server stops. */
+const STOP_MILLISECONDS = 1_000
 
 /** Whether an entry is ready for requests, and if not, why. */
 export interface Readiness {
@@ -35,9 +39,9 @@
 
 /** HTTP server of the inner port: announcements of upstreams, readiness for the load balancer, and metrics. */
 export class InnerServer {
-  private constructor (private readonly server: Server) {}
+  private constructor (private readonly server: Server, private readonly drainable: DrainableServer) {}
 
-  static async start (listen: string, handlers: InnerServerHandlers): Promise<InnerServer> {
+  static async start (listen: string, handlers: InnerServerHandlers, clock: Clock): Promise<InnerServer> {
     const app = polka()
     app.get('/live', (_request, response) => sendJson(response, 200, { live: true }))
     app.get('/ready', (_request, response) => {
@@ -50,6 +54,7 @@
     app.post('/announce', (request, response) => { void handleAnnouncement(request, response, handlers.announce.bind(handlers)) })
     app.delete('/announce', (request, response) => { void handleAnnouncement(request, response, handlers.withdraw.bind(handlers)) })
     const server = createServer((request, response) => { app.handler(request as never, response) })
+    const drainable = DrainableServer.create(server, clock)
     server.requestTimeout = REQUEST_TIMEOUT_MILLISECONDS
     const separator = listen.lastIndexOf(':')
     const port = Number(listen.slice(separator + 1))
@@ -57,7 +62,7 @@
       server.once('error', reject)
       server.listen(port, listen.slice(0, separator), resolve)
     })
-    return new InnerServer(server)
+    return new InnerServer(server, drainable)
   }
 
   /** Bound IP:PORT. */
@@ -66,10 +71,9 @@
     return `${address}:${port}`
   }
 
+  /** Stops when the requests in progress have been answered, or the time for them is up. */
   async stop (): Promise<void> {
-    const closed = new Promise<void>((resolve) => this.server.close(() => resolve()))
-    this.server.closeAllConnections()
-    await closed
+    await this.drainable.drain(STOP_MILLISECONDS)
   }
 }
 
