--- a/packages/bench/src/bench-main.ts
+++ b/packages/bench/src/bench-main.ts
@@ -1,8 +1,11 @@
 import { writeFile } from 'node:fs/promises'
-import { ExitCode, PROGRAM_VERSION, reportFailure, stopOnSignal } from '@hickoryspoke/configuration/program'
+import { GracefulStop, TERMINAL_STOP_SIGNALS } from '@hickoryspoke/configuration/graceful-stop'
+import { ExitCode, PROGRAM_VERSION, reportFailure, type RunningProgram } from '@hickoryspoke/configuration/program'
 import { readSettingsFile } from '@hickoryspoke/configuration/settings-file'
-import { SystemClock } from '@hickoryspoke/runtime/clock'
+import { SystemClock, type Clock } from '@hickoryspoke/runtime/clock'
 import { SeededRandom, SystemRandom } from '@hickoryspoke/runtime/random'
+import { Logger, LogLevel } from '@hickoryspoke/telemetry/logger'
+import { Ok } from 'ts-results-es'
 import yargs from 'yargs'
 import { hideBin } from 'yargs/helpers'
 import { Announcer } from './announcer.ts'
@@ -14,6 +17,8 @@
 import { UpstreamAdmin } from './upstream-admin.ts'
 
 const PROGRAM = 'hickoryspoke-bench'
+/** Time allowed for the stop of a fake upstream, whose requests may have been told to hang. */
+const STOP_LIMIT_MILLISECONDS = 30_000
 
 interface BenchArguments {
   readonly settings: string
@@ -49,6 +54,15 @@
 
 async function runUpstream (settings: UpstreamSettings): Promise<void> {
   const clock = SystemClock.create()
+  const logger = Logger.create(PROGRAM, LogLevel.Warn)
+  const stop = GracefulStop.create({
+    name: PROGRAM, clock, logger, signals: process, stopSignals: TERMINAL_STOP_SIGNALS, exit: (code) => process.exit(code)
+  })
+  stop.configure({ logger, limitMilliseconds: STOP_LIMIT_MILLISECONDS })
+  await stop.run(async () => Ok(await startUpstream(settings, clock)))
+}
+
+async function startUpstream (settings: UpstreamSettings, clock: Clock): Promise<RunningProgram> {
   const separator = settings.listen.lastIndexOf(':')
   const upstream = await FakeUpstream.start({
     name: settings.name,
@@ -72,14 +86,14 @@
   })
   const admin = await UpstreamAdmin.start(upstream, announcer)
   process.stdout.write(JSON.stringify({ ready: true, address: upstream.address, admin: admin.address }) + '\n')
-  stopOnSignal(PROGRAM, {
+  return {
     stop: async () => {
       await announcer.withdraw()
       await upstream.stop()
       admin.stop()
     },
     unfinished: () => `${upstream.running} requests`
-  })
+  }
 }
 
 async function readBenchSettings (options: BenchArguments): Promise<BenchSettings | undefined> {
