--- a/packages/entry/src/tests/dispatched-fixture.ts
+++ b/packages/entry/src/tests/dispatched-fixture.ts
@@ -5,6 +5,7 @@
 import { PlacementClient } from '@hickoryspoke/dispatch/placement-client'
 import { UpstreamRegistry } from '@hickoryspoke/dispatch/upstream-registry'
 import type { PlacementEnd, PlacementQuestion } from '@hickoryspoke/protocol/generated/dispatch'
+import type { DispatchedOutcome } from '@hickoryspoke/request/attempt-history'
 import type { Dialect } from '@hickoryspoke/request/dialect'
 import { DispatchedRunner } from '@hickoryspoke/request/dispatched-runner'
 import { callerResponseHeaders } from '@hickoryspoke/request/header-filter'
@@ -12,7 +13,7 @@
 import { UpstreamConnections } from '@hickoryspoke/request/upstream-connections'
 import { SystemClock } from '@hickoryspoke/runtime/clock'
 import { SeededRandom } from '@hickoryspoke/runtime/random'
-import { silentLogger } from '@hickoryspoke/telemetry/logger'
+import { Logger, LogLevel } from '@hickoryspoke/telemetry/logger'
 import { CallerServer } from '../caller-server.ts'
 
 const DIALECT: Dialect = {
@@ -33,8 +34,14 @@
   routes: [{ ...ROUTE, shares: [{ pool: 'ledger', weight: 1 }] }]
 }
 
-/** Starts an entry whose dispatcher receives questions. `answer` gets the client and each question; `mayRepeat` belongs to all requests. */
-export async function startDispatched (answer: (client: PlacementClient, question: PlacementQuestion) => void, mayRepeat = false) {
+/** Options of an entry, with those of its only route. */
+export interface DispatchedFixtureOptions {
+  readonly mayRepeat?: boolean
+  readonly timeoutMilliseconds?: number
+}
+
+/** Starts an entry whose dispatcher receives questions. `answer` gets the client and each question. */
+export async function startDispatched (answer: (client: PlacementClient, question: PlacementQuestion) => void, options: DispatchedFixtureOptions = {}) {
   const clock = SystemClock.create()
   const random = SeededRandom.create(1)
   const placer = LocalPlacer.create({ clock, random, registry: UpstreamRegistry.create(clock), entry: 'one', zone: 'zone-a', windowMilliseconds: 5_000 })
@@ -48,13 +55,17 @@
   const inForce = ActiveConfiguration.create(clock, 60_000)
   inForce.recordQuestion(1)
   inForce.confirm(1, 0)
-  const table = ServingTable.create({ ...CONFIGURATION, routes: CONFIGURATION.routes.map((route) => ({ ...route, mayRepeat })) })
-  const options = { clock, random, dialect: DIALECT, connections: UpstreamConnections.create(clock), placementClient, inForce, table: () => table }
-  const runner = DispatchedRunner.create(options, silentLogger(), { finished: () => {} })
+  const table = ServingTable.create({ ...CONFIGURATION, routes: CONFIGURATION.routes.map((route) => ({ ...route, ...options })) })
+  const runOptions = { clock, random, dialect: DIALECT, connections: UpstreamConnections.create(clock), placementClient, inForce, table: () => table }
+  const outcomes: DispatchedOutcome[] = []
+  const lines: string[] = []
+  const logger = Logger.create('entry', LogLevel.Info, (line) => lines.push(line))
+  const runner = DispatchedRunner.create(runOptions, logger, { finished: (end) => outcomes.push(end) })
   const server = CallerServer.create({ clock, runner, host: '127.0.0.1', port: 0 })
-  const url = `http://127.0.0.1:${(await server.listen()).unwrap()}/`
+  const port = (await server.listen()).unwrap()
+  const url = `http://127.0.0.1:${port}/`
   const untilRunning = async (requests: number): Promise<void> => {
     while (runner.inFlight < requests) await new Promise((resolve) => setImmediate(resolve))
   }
-  return { server, ends, untilRunning, send: async () => await fetch(url).then(({ status }) => status, () => 0) }
+  return { server, port, ends, outcomes, lines, untilRunning, send: async () => await fetch(url).then(({ status }) => status, () => 0) }
 }
--- a/packages/entry/src/tests/dispatched-hedging.test.ts
+++ b/packages/entry/src/tests/dispatched-hedging.test.ts
@@ -17,7 +17,7 @@
     if (!isFirst) return
     const tellOnceSent = (): void => { silent.requests.length > 0 ? client.receiveOverdue(ticket) : setImmediate(tellOnceSent) }
     tellOnceSent()
-  }, mayRepeat)
+  }, { mayRepeat })
   const stop = async (): Promise<void> => {
     entry.server.close()
     await Promise.all([silent.close(), quick.close()])
--- a/packages/entry/src/tests/unused-answers.test.ts
+++ b/packages/entry/src/tests/unused-answers.test.ts
@@ -20,7 +20,7 @@
   const entry = await startDispatched((client, { ticket }) => {
     questions += 1
     client.receivePlacement(questions === 1 ? { ticket, instance: 'failing', address: failing.address } : { ticket, instance: 'sound', address: sound.address })
-  }, true)
+  }, { mayRepeat: true })
   try {
     assert.is(await entry.send(), 200)
     await until(() => failing.closedConnections > 0, 2_000)
--- a/packages/request/src/attempt-history.ts
+++ b/packages/request/src/attempt-history.ts
@@ -1,6 +1,9 @@
 /** What the attempts of one request have come to, for its next attempt, its refusal and its log line. */
 import type { PlacedRequest } from '@hickoryspoke/dispatch/placement-client'
+import type { AttemptFailure } from './attempt-failure.ts'
 import type { AttemptResult } from './dispatched-attempt.ts'
+import type { RelayReport } from './dispatched-relay.ts'
+import { FRAMINGS } from './response-framing.ts'
 import type { UpstreamResponse } from './upstream-response.ts'
 
 /** Outcome of a request, for the log. */
@@ -14,10 +17,23 @@
   readonly ticket: number
   /** Entry through which the last attempt was sent; empty if it was sent directly. */
   readonly relayedBy: string
-  /** Why the last attempt failed; empty if it did not. */
+  /** Why the last attempt failed, or why its response was cut off; empty if neither. */
   readonly failure: string
   /** Requests per second that the upstream of the last attempt said it accepts; undefined if it stated no limit. */
   readonly statedRequestsPerSecond: number | undefined
+  /** The response that was relayed; undefined if there was none. */
+  readonly response: RelayedResponse | undefined
+}
+
+/** On what the time of a relayed response went. */
+export interface RelayedResponse {
+  /** From the start of the request until the head arrived from the upstream. */
+  readonly headMilliseconds: number
+  /** For which the caller, or its turn on the connection, held it up. */
+  readonly callerMilliseconds: number
+  /** Bytes of the body that arrived, and that the upstream announced; undefined if it announced none. */
+  readonly bodyBytes: number
+  readonly announcedBytes: number | undefined
 }
 
 /** What an attempt learned of its connection and its upstream. */
@@ -66,7 +82,7 @@
     this.placed = placed
     this.relayedBy = relay
     this.statedRequestsPerSecond = statedRequestsPerSecond
-    this.failure = result.kind === 'failure' ? `${result.failure.code}: ${result.failure.message}` : ''
+    this.failure = result.kind === 'failure' ? describe(result.failure) : ''
   }
 
   /** Closes the connections of the responses that were not read to their end, once the request is over. */
@@ -74,9 +90,23 @@
     for (const answer of this.answers) answer.discard()
   }
 
+  /** Outcome of a request whose response was relayed. `startedAt` is the start of the request on the monotonic clock. */
+  relayed (answer: UpstreamResponse, { failure, callerMilliseconds }: RelayReport, startedAt: number, ticket: number): DispatchedOutcome {
+    if (failure !== undefined) this.failure = describe(failure)
+    const { framing, receivedBytes, arrivedAt } = answer
+    const announcedBytes = framing.kind === FRAMINGS.length ? framing.bytes : undefined
+    const response = { headMilliseconds: arrivedAt - startedAt, callerMilliseconds, bodyBytes: receivedBytes, announcedBytes }
+    return { ...this.outcome(failure === undefined ? 'answered' : 'broken_off', answer.status, ticket), response }
+  }
+
   /** Outcome of the request; `ticket` belongs to its last question. */
   outcome (code: string, status: number, ticket: number): DispatchedOutcome {
     const { attempts, placed, relayedBy, failure, statedRequestsPerSecond } = this
-    return { code, status, attempts, instance: placed?.instance ?? '', local: placed?.local ?? false, ticket, relayedBy, failure, statedRequestsPerSecond }
+    const upstream = { instance: placed?.instance ?? '', local: placed?.local ?? false }
+    return { code, status, attempts, ...upstream, ticket, relayedBy, failure, statedRequestsPerSecond, response: undefined }
   }
 }
+
+function describe (failure: AttemptFailure): string {
+  return `${failure.code}: ${failure.message}`
+}
--- a/packages/request/src/dispatched-relay.ts
+++ b/packages/request/src/dispatched-relay.ts
@@ -15,14 +15,23 @@
   readonly dialect: Dialect
 }
 
-/** Sends the response to the caller. Returns false if it was cut off and the caller's connection was closed. */
+/** How a response was relayed. */
+export interface RelayReport {
+  /** Why it was cut off and the caller's connection was closed; undefined if it is complete. */
+  readonly failure: AttemptFailure | undefined
+  /** Time for which the caller, or its turn on the connection, held it up. */
+  readonly callerMilliseconds: number
+}
+
+/** Sends the response to the caller, or closes the caller's connection if the response ends early. */
 export async function relayDispatchedResponse (
   options: RelayOptions, exchange: CallerExchange, answer: UpstreamResponse, stallMilliseconds: number
-): Promise<boolean> {
+): Promise<RelayReport> {
   const headers = options.dialect.responseHeaders(answer.headers)
-  if (answer.isEnded) return await relayBuffered(exchange, answer, headers)
+  if (answer.isEnded) return relayBuffered(exchange, answer, headers)
   if (answer.framing.kind === FRAMINGS.length) headers.push('Content-Length', String(answer.framing.bytes))
   exchange.answer.writeHead(answer.status, headers)
+  const pausedBefore = answer.pausedMilliseconds
   const stallCheckController = new AbortController()
   const stallCheck = repeatEvery(options.clock, STALL_CHECK_MILLISECONDS, stallCheckController.signal, () => {
     if (answer.stalledMilliseconds > stallMilliseconds) answer.abort(AttemptFailure.create('stalled_answer'))
@@ -30,20 +39,17 @@
   const whole = await answer.pipeTo(exchange.answer)
   stallCheckController.abort()
   await stallCheck
-  if (whole.isErr()) {
-    exchange.answer.abort()
-    return false
-  }
-  exchange.answer.end(NO_TRAILERS)
-  return true
+  if (whole.isErr()) exchange.answer.abort()
+  else exchange.answer.end(NO_TRAILERS)
+  return { failure: whole.isErr() ? whole.error : undefined, callerMilliseconds: answer.pausedMilliseconds - pausedBefore }
 }
 
-async function relayBuffered (exchange: CallerExchange, answer: UpstreamResponse, headers: string[]): Promise<boolean> {
+function relayBuffered (exchange: CallerExchange, answer: UpstreamResponse, headers: string[]): RelayReport {
   const body = answer.bufferedBody()
   const contentLength = answer.framing.kind === FRAMINGS.none ? headerValue(answer.headers, 'content-length') : String(body.length)
   if (contentLength !== undefined && answer.status !== 204) headers.push('Content-Length', contentLength)
   exchange.answer.writeHead(answer.status, headers)
   if (body.length > 0) exchange.answer.write(body)
   exchange.answer.end(NO_TRAILERS)
-  return true
+  return { failure: undefined, callerMilliseconds: 0 }
 }
--- a/packages/request/src/dispatched-run.ts
+++ b/packages/request/src/dispatched-run.ts
@@ -160,8 +160,8 @@
   }
 
   private async relay (admitted: AdmittedRequest, answer: UpstreamResponse): Promise<DispatchedOutcome> {
-    const whole = await relayDispatchedResponse(this.options, this.exchange, answer, admitted.route.timeoutMilliseconds)
-    return this.outcome(whole ? 'answered' : 'broken_off', answer.status)
+    const report = await relayDispatchedResponse(this.options, this.exchange, answer, admitted.route.timeoutMilliseconds)
+    return this.history.relayed(answer, report, this.startedAt, this.ticket)
   }
 
   /** Sends the request to the upstream; once it is overdue there and may be repeated, also to a second one. */
--- a/packages/request/src/dispatched-runner.ts
+++ b/packages/request/src/dispatched-runner.ts
@@ -1,6 +1,6 @@
 /** Runs and logs the requests of an entry whose upstreams are chosen by a dispatcher. */
-import type { Logger } from '@hickoryspoke/telemetry/logger'
-import type { DispatchedOutcome } from './attempt-history.ts'
+import type { LogFields, Logger } from '@hickoryspoke/telemetry/logger'
+import type { DispatchedOutcome, RelayedResponse } from './attempt-history.ts'
 import type { CallerExchange } from './caller-exchange.ts'
 import { DispatchedRun, type DispatchedRunOptions } from './dispatched-run.ts'
 import { Refusal } from './refusal.ts'
@@ -87,9 +87,16 @@
       statedRequestsPerSecond: end.statedRequestsPerSecond,
       chosenBy: end.local ? 'entry' : 'dispatcher',
       milliseconds: Math.round(milliseconds),
+      ...responseFields(end.response),
       configuration: inForce.number,
       configurationAge: Math.round(Math.min(inForce.ageMilliseconds(), 999_999)),
       unattended: Math.round(placementClient.withoutDispatcherMilliseconds)
     })
   }
 }
+
+function responseFields (response: RelayedResponse | undefined): LogFields {
+  if (response === undefined) return {}
+  const { headMilliseconds, callerMilliseconds, bodyBytes, announcedBytes } = response
+  return { headMilliseconds: Math.round(headMilliseconds), callerMilliseconds: Math.round(callerMilliseconds), bodyBytes, announcedBytes }
+}
--- a/packages/request/src/upstream-response.ts
+++ b/packages/request/src/upstream-response.ts
@@ -32,7 +32,13 @@
   private outcome: BodyResult | undefined
   private finish: ((outcome: BodyResult) => void) | undefined
   private lastProgressMilliseconds: number
-  private waitsForSink = false
+  /** Since when nothing is taken from the upstream; undefined while it may send. */
+  private pausedAt: number | undefined
+  private earlierPausesMilliseconds = 0
+  /** Bytes of the body that arrived. */
+  receivedBytes = 0
+  /** When the head arrived, on the monotonic clock. */
+  readonly arrivedAt: number
   /** Resolves when the buffer has reached its limit and the upstream has been paused. */
   readonly bufferFull: Promise<void>
   private signalBufferFull: () => void = () => {}
@@ -46,7 +52,8 @@
     readonly framing: ResponseFraming,
     private readonly control: ResponseControl
   ) {
-    this.lastProgressMilliseconds = clock.monotonicMilliseconds()
+    this.arrivedAt = clock.monotonicMilliseconds()
+    this.lastProgressMilliseconds = this.arrivedAt
     this.bufferFull = new Promise((resolve) => { this.signalBufferFull = resolve })
     this.whole = new Promise((resolve) => { this.finish = resolve })
   }
@@ -58,6 +65,7 @@
   /** Takes a chunk of the body from the upstream. */
   receive (chunk: Buffer): void {
     this.lastProgressMilliseconds = this.clock.monotonicMilliseconds()
+    this.receivedBytes += chunk.length
     if (this.sink !== undefined) {
       this.pass(chunk)
       return
@@ -65,7 +73,7 @@
     this.held.push(chunk)
     this.bufferedBytes += chunk.length
     if (this.bufferedBytes < PAUSE_THRESHOLD_BYTES) return
-    this.control.pause()
+    this.pause()
     this.signalBufferFull()
   }
 
@@ -83,9 +91,15 @@
     return this.outcome !== undefined
   }
 
-  /** Time without progress by the upstream; 0 while the caller applies back-pressure and once the response has ended. */
+  /** Time without progress by the upstream; 0 while nothing is taken from it and once the response has ended. */
   get stalledMilliseconds (): number {
-    return this.waitsForSink || this.isEnded ? 0 : this.clock.monotonicMilliseconds() - this.lastProgressMilliseconds
+    return this.pausedAt !== undefined || this.isEnded ? 0 : this.clock.monotonicMilliseconds() - this.lastProgressMilliseconds
+  }
+
+  /** Time for which nothing was taken from the upstream, because the caller applied back-pressure or the buffer was full. */
+  get pausedMilliseconds (): number {
+    const current = this.pausedAt === undefined ? 0 : this.clock.monotonicMilliseconds() - this.pausedAt
+    return this.earlierPausesMilliseconds + current
   }
 
   /** Streams the body into a sink with back-pressure. Resolves once the body is complete or has failed. */
@@ -118,23 +132,33 @@
   private pass (chunk: Buffer): void {
     const sink = this.sink as BodySink
     if (sink.write(chunk) || this.isEnded) return
-    this.control.pause()
     this.waitFor(sink)
   }
 
   private waitFor (sink: BodySink): void {
-    this.waitsForSink = true
+    this.pause()
     sink.whenReady(() => this.resume())
   }
 
+  private pause (): void {
+    this.pausedAt ??= this.clock.monotonicMilliseconds()
+    this.control.pause()
+  }
+
   private resume (): void {
-    this.waitsForSink = false
+    this.endPause()
     this.lastProgressMilliseconds = this.clock.monotonicMilliseconds()
     if (!this.isEnded) this.control.resume()
   }
 
+  private endPause (): void {
+    this.earlierPausesMilliseconds = this.pausedMilliseconds
+    this.pausedAt = undefined
+  }
+
   private settle (outcome: BodyResult): void {
     if (this.outcome !== undefined) return
+    this.endPause()
     this.outcome = outcome
     this.finish?.(outcome)
   }
