A response that breaks while it is kept is not passed on in part

A repeatable request whose upstream answers with a long server error is sent to a second one, and the response of the first is kept, with the first 64 KiB or more of its body. If its connection ended meanwhile, or the request's timeout cut it off, and the second attempt brought nothing, the part was sent as a whole response, with its own length as Content-Length: callers could not tell that it was cut off. Cause: the relay took every response that had ended for a complete one.

--- a/packages/request/src/attempt-history.ts
+++ b/packages/request/src/attempt-history.ts
@@ -61,9 +61,9 @@
     return new AttemptHistory()
   }
 
-  /** The last response, which may be an error. */
+  /** The last response that has not ended early while it was kept. It may be an error. */
   get lastAnswer (): UpstreamResponse | undefined {
-    return this.answers.at(-1)
+    return this.answers.findLast((answer) => !answer.isBroken)
   }
 
   /** Records that an attempt begins. */
--- a/packages/request/src/dispatched-relay.ts
+++ b/packages/request/src/dispatched-relay.ts
@@ -28,7 +28,7 @@
   options: RelayOptions, exchange: CallerExchange, answer: UpstreamResponse, stallMilliseconds: number
 ): Promise<RelayReport> {
   const headers = options.dialect.responseHeaders(answer.headers)
-  if (answer.isEnded) return relayBuffered(exchange, answer, headers)
+  if (answer.isWhole) return relayBuffered(exchange, answer, headers)
   if (answer.framing.kind === FRAMINGS.length) headers.push('Content-Length', String(answer.framing.bytes))
   exchange.answer.writeHead(answer.status, headers)
   const pausedBefore = answer.pausedMilliseconds
--- a/packages/request/src/upstream-response.ts
+++ b/packages/request/src/upstream-response.ts
@@ -91,6 +91,16 @@
     return this.outcome !== undefined
   }
 
+  /** Whether the response has ended and is complete. */
+  get isWhole (): boolean {
+    return this.outcome?.isOk() === true
+  }
+
+  /** Whether the response has ended early. */
+  get isBroken (): boolean {
+    return this.outcome?.isErr() === true
+  }
+
   /** Time without progress by the upstream; 0 while nothing is taken from it and once the response has ended. */
   get stalledMilliseconds (): number {
     return this.pausedAt !== undefined || this.isEnded ? 0 : this.clock.monotonicMilliseconds() - this.lastProgressMilliseconds
