--- a/packages/request/src/dispatched-attempt.ts
+++ b/packages/request/src/dispatched-attempt.ts
@@ -49,6 +49,7 @@
 export class DispatchedAttempt {
   private readonly startedAt: number
   private metadata: ResponseMetadata | undefined
+  private response: UpstreamResponse | undefined
   /** IP:PORT of the entry through which the request was sent; empty if it was sent directly. */
   relay = ''
 
@@ -75,6 +76,7 @@
     const answer = head.value
     const metadata = dialect.readAnswer(answer.status, answer.headers, this.caller)
     this.metadata = metadata
+    this.response = answer
     if (metadata.notice !== undefined) this.options.placementClient.recordNotice(this.placed.instance, metadata.notice)
     const headFailure = failureOfHead(answer, metadata)
     if (headFailure !== undefined) {
@@ -106,7 +108,9 @@
   }
 
   private reportEnd (ticket: number, outcome: PlacementOutcome): void {
-    const milliseconds = Math.round(this.options.clock.monotonicMilliseconds() - this.startedAt)
+    const elapsed = this.options.clock.monotonicMilliseconds() - this.startedAt
+    // A slow caller says nothing about the upstream.
+    const milliseconds = Math.round(elapsed - (this.response?.pausedMilliseconds ?? 0))
     this.options.placementClient.end({
       ticket, outcome, milliseconds, instance: this.placed.instance, load: this.metadata?.load, statedLimit: this.metadata?.statedLimit
     })
--- a/packages/request/src/dispatched-relay.ts
+++ b/packages/request/src/dispatched-relay.ts
@@ -1,20 +1,14 @@
 /** Relays an upstream's response. If it is incomplete, the caller's connection is closed instead of ending the response. */
-import { repeatEvery, type Clock } from '@hickoryspoke/runtime/clock'
-import { AttemptFailure } from './attempt-failure.ts'
+import type { AttemptFailure } from './attempt-failure.ts'
 import type { CallerExchange } from './caller-exchange.ts'
 import type { Dialect } from './dialect.ts'
 import { headerValue } from './header-filter.ts'
+import type { ResponseDeadline } from './response-deadline.ts'
 import { FRAMINGS } from './response-framing.ts'
 import type { UpstreamResponse } from './upstream-response.ts'
 
-const STALL_CHECK_MILLISECONDS = 250
 const NO_TRAILERS: readonly string[] = []
 
-interface RelayOptions {
-  readonly clock: Clock
-  readonly dialect: Dialect
-}
-
 /** How a response was relayed. */
 export interface RelayReport {
   /** Why it was cut off and the caller's connection was closed; undefined if it is complete. */
@@ -25,20 +19,16 @@
 
 /** Sends the response to the caller, or closes the caller's connection if the response ends early. */
 export async function relayDispatchedResponse (
-  options: RelayOptions, exchange: CallerExchange, answer: UpstreamResponse, stallMilliseconds: number
+  dialect: Dialect, exchange: CallerExchange, answer: UpstreamResponse, deadline: ResponseDeadline
 ): Promise<RelayReport> {
-  const headers = options.dialect.responseHeaders(answer.headers)
+  const headers = dialect.responseHeaders(answer.headers)
   if (answer.isWhole) return relayBuffered(exchange, answer, headers)
   if (answer.framing.kind === FRAMINGS.length) headers.push('Content-Length', String(answer.framing.bytes))
   exchange.answer.writeHead(answer.status, headers)
   const pausedBefore = answer.pausedMilliseconds
-  const stallCheckController = new AbortController()
-  const stallCheck = repeatEvery(options.clock, STALL_CHECK_MILLISECONDS, stallCheckController.signal, () => {
-    if (answer.stalledMilliseconds > stallMilliseconds) answer.abort(AttemptFailure.create('stalled_answer'))
-  })
+  const endWatch = deadline.watch(answer)
   const whole = await answer.pipeTo(exchange.answer)
-  stallCheckController.abort()
-  await stallCheck
+  endWatch()
   if (whole.isErr()) exchange.answer.abort()
   else exchange.answer.end(NO_TRAILERS)
   return { failure: whole.isErr() ? whole.error : undefined, callerMilliseconds: answer.pausedMilliseconds - pausedBefore }
--- a/packages/request/src/dispatched-run.ts
+++ b/packages/request/src/dispatched-run.ts
@@ -17,6 +17,7 @@
 import { runHedged, type RunningAttempt } from './hedged-attempt.ts'
 import { Refusal } from './refusal.ts'
 import { RequestAdmission, type AdmittedRequest } from './request-admission.ts'
+import { ResponseDeadline } from './response-deadline.ts'
 import { relayRefusal } from './response-relay.ts'
 import type { ServingTable } from './serving-table.ts'
 import type { StopDeadline } from './stop-deadline.ts'
@@ -35,6 +36,11 @@
   readonly table: () => ServingTable | undefined
 }
 
+/** An admitted request whose time runs. */
+interface TimedRequest extends AdmittedRequest {
+  readonly deadline: ResponseDeadline
+}
+
 /** An attempt that was sent to an upstream. */
 type SentAttempt = RunningAttempt<AttemptResult>
 
@@ -47,7 +53,7 @@
 export class DispatchedRun {
   private readonly caller: CallerMetadata
   private readonly startedAt: number
-  private readonly abortController = new AbortController()
+  private readonly callerGone = new AbortController()
   /** Ends the wait for an upstream; undefined while the request does not wait for one. */
   private wait: AbortController | undefined
   /** Whether an earlier question was charged to the customer's rate, although it brought no upstream. */
@@ -89,13 +95,15 @@
   async execute (): Promise<DispatchedOutcome> {
     const admitted = await this.admission.admit()
     if (admitted.isErr()) return this.refuse(admitted.error)
-    const onCallerGone = (): void => this.abortController.abort(AttemptFailure.create('caller_gone'))
-    const timer = this.options.clock.schedule(this.remaining(admitted.value.route), () => this.abortController.abort(AttemptFailure.create('deadline_over')))
+    const onCallerGone = (): void => this.callerGone.abort(AttemptFailure.create('caller_gone'))
+    const { startedAt, caller: { patienceMilliseconds } } = this
+    const { timeoutMilliseconds } = admitted.value.route
+    const deadline = ResponseDeadline.start(this.options.clock, { startedAt, timeoutMilliseconds, patienceMilliseconds })
     this.exchange.signal.addEventListener('abort', onCallerGone, { once: true })
     try {
-      return await this.send(admitted.value)
+      return await this.send({ ...admitted.value, deadline })
     } finally {
-      timer.cancel()
+      deadline.end()
       this.history.discardUnused()
       this.exchange.signal.removeEventListener('abort', onCallerGone)
     }
@@ -113,7 +121,7 @@
     return this.outcome(refusal.code, refusal.status)
   }
 
-  private async send (admitted: AdmittedRequest): Promise<DispatchedOutcome> {
+  private async send (admitted: TimedRequest): Promise<DispatchedOutcome> {
     let ticket = this.nextTicket()
     for (;;) {
       if (this.stop.isTooLateToSend) return await this.respondWithLastResult(admitted, this.correctRunState(Refusal.create('draining')))
@@ -142,11 +150,11 @@
   }
 
   /** The dispatcher may not reply in time, so the wait also ends when a stopping entry can no longer send the request. */
-  private async waitForPlacement (ticket: number, admitted: AdmittedRequest): Promise<{ placed: Result<PlacedRequest, PlacementDenied>, isHurried: boolean }> {
+  private async waitForPlacement (ticket: number, admitted: TimedRequest): Promise<{ placed: Result<PlacedRequest, PlacementDenied>, isHurried: boolean }> {
     const wait = new AbortController()
     this.wait = wait
     const lastSend = this.stop.isAnnounced ? this.options.clock.schedule(this.stop.sendMilliseconds, () => wait.abort()) : undefined
-    const signal = AbortSignal.any([wait.signal, this.abortController.signal])
+    const signal = AbortSignal.any([wait.signal, this.callerGone.signal, admitted.deadline.signal])
     const placed = await this.options.placementClient.place(this.question(ticket, admitted), signal)
     lastSend?.cancel()
     this.wait = undefined
@@ -154,18 +162,18 @@
   }
 
   /** Ends without another attempt. An earlier upstream response, even an error, is preferred to a refusal. */
-  private async respondWithLastResult (admitted: AdmittedRequest, refusal: Refusal): Promise<DispatchedOutcome> {
+  private async respondWithLastResult (admitted: TimedRequest, refusal: Refusal): Promise<DispatchedOutcome> {
     const { lastAnswer } = this.history
     return lastAnswer === undefined ? this.refuse(refusal) : await this.relay(admitted, lastAnswer)
   }
 
-  private async relay (admitted: AdmittedRequest, answer: UpstreamResponse): Promise<DispatchedOutcome> {
-    const report = await relayDispatchedResponse(this.options, this.exchange, answer, admitted.route.timeoutMilliseconds)
+  private async relay (admitted: TimedRequest, answer: UpstreamResponse): Promise<DispatchedOutcome> {
+    const report = await relayDispatchedResponse(this.options.dialect, this.exchange, answer, admitted.deadline)
     return this.history.relayed(answer, report, this.startedAt, this.ticket)
   }
 
   /** Sends the request to the upstream; once it is overdue there and may be repeated, also to a second one. */
-  private async attempt (ticket: number, admitted: AdmittedRequest, placed: PlacedRequest): Promise<AttemptResult> {
+  private async attempt (ticket: number, admitted: TimedRequest, placed: PlacedRequest): Promise<AttemptResult> {
     const first = this.start(ticket, admitted, placed)
     if (placed.local || !this.mayHedge(admitted)) return await first.result
     const { result } = await runHedged<AttemptResult, SentAttempt>({
@@ -177,7 +185,7 @@
     return result
   }
 
-  private start (ticket: number, admitted: AdmittedRequest, placed: PlacedRequest): SentAttempt {
+  private start (ticket: number, admitted: TimedRequest, placed: PlacedRequest): SentAttempt {
     const { dialect } = this.options
     const { instance } = placed
     const remainingMilliseconds = this.remaining(admitted.route)
@@ -192,7 +200,8 @@
     const cancellation = new AbortController()
     this.history.begin(placed)
     const run = async (): Promise<AttemptResult> => {
-      const end = await attempt.run(ticket, AbortSignal.any([cancellation.signal, this.abortController.signal]))
+      const unusable = AbortSignal.any([cancellation.signal, this.callerGone.signal])
+      const end = await admitted.deadline.untilReady(unusable, async (signal) => await attempt.run(ticket, signal))
       this.history.end(placed, attempt, end)
       return end
     }
@@ -200,10 +209,10 @@
   }
 
   /** Sends the request to another upstream while the first attempt runs; undefined if it may not be or the first one ended. */
-  private async startSecond (admitted: AdmittedRequest, signal: AbortSignal): Promise<SentAttempt | undefined> {
+  private async startSecond (admitted: TimedRequest, signal: AbortSignal): Promise<SentAttempt | undefined> {
     const { placementClient } = this.options
     const ticket = placementClient.nextTicket()
-    const placed = await placementClient.place(this.question(ticket, admitted), AbortSignal.any([signal, this.abortController.signal]))
+    const placed = await placementClient.place(this.question(ticket, admitted), AbortSignal.any([signal, this.callerGone.signal, admitted.deadline.signal]))
     if (placed.isErr()) return undefined
     if (!signal.aborted && this.recheck(admitted) === undefined) return this.start(ticket, admitted, placed.value)
     cancelPlacement(placementClient, ticket)
@@ -211,23 +220,23 @@
   }
 
   /** An upstream's server error is relayed unless the request can be retried. */
-  private shouldRetryResponse (admitted: AdmittedRequest, end: Extract<AttemptResult, { kind: 'answer' }>): boolean {
+  private shouldRetryResponse (admitted: TimedRequest, end: Extract<AttemptResult, { kind: 'answer' }>): boolean {
     return end.answer.status >= FIRST_SERVER_ERROR && this.canRetry(admitted)
   }
 
-  private mayRepeat (admitted: AdmittedRequest, end: AttemptResult): boolean {
+  private mayRepeat (admitted: TimedRequest, end: AttemptResult): boolean {
     // Another upstream is out of reach as well.
     if (end.kind === 'failure' && end.failure.code === 'entry_cut_off') return false
     if (end.kind === 'failure' && end.failure.provenNotRun) return admitted.body.isReplayable && !this.isExhausted(admitted)
     return this.canRetry(admitted)
   }
 
-  private canRetry (admitted: AdmittedRequest): boolean {
+  private canRetry (admitted: TimedRequest): boolean {
     return admitted.route.mayRepeat && admitted.body.isReplayable && !this.isExhausted(admitted)
   }
 
   /** Whether a second attempt may run beside the one that was just begun. */
-  private mayHedge (admitted: AdmittedRequest): boolean {
+  private mayHedge (admitted: TimedRequest): boolean {
     return this.canRetry(admitted) && this.attemptsBegun < admitted.route.maximumAttempts
   }
 
@@ -235,17 +244,18 @@
     return this.history.attempts + this.history.running
   }
 
-  private isExhausted (admitted: AdmittedRequest): boolean {
-    return this.abortController.signal.aborted || this.history.attempts >= admitted.route.maximumAttempts || this.remaining(admitted.route) <= 0
+  private isExhausted (admitted: TimedRequest): boolean {
+    if (this.callerGone.signal.aborted || admitted.deadline.signal.aborted) return true
+    return this.history.attempts >= admitted.route.maximumAttempts || this.remaining(admitted.route) <= 0
   }
 
   /** Returns why an admitted request may not be sent any more; undefined if it may. */
-  private recheck (admitted: AdmittedRequest): Refusal | undefined {
+  private recheck (admitted: TimedRequest): Refusal | undefined {
     const refusal = this.admission.recheck(admitted)
     return refusal === undefined ? undefined : this.correctRunState(refusal)
   }
 
-  private question (ticket: number, admitted: AdmittedRequest): PlacementQuestion {
+  private question (ticket: number, admitted: TimedRequest): PlacementQuestion {
     const { route, customer, pool } = admitted
     const elapsed = this.options.clock.monotonicMilliseconds() - this.startedAt
     const patienceMilliseconds = Math.min(this.remaining(route), this.stop.responseMilliseconds)
--- a/packages/request/src/upstream-response.ts
+++ b/packages/request/src/upstream-response.ts
@@ -106,6 +106,11 @@
     return this.pausedAt !== undefined || this.isEnded ? 0 : this.clock.monotonicMilliseconds() - this.lastProgressMilliseconds
   }
 
+  /** Time since the head arrived, without that for which nothing was taken from the upstream. */
+  get upstreamMilliseconds (): number {
+    return this.clock.monotonicMilliseconds() - this.arrivedAt - this.pausedMilliseconds
+  }
+
   /** Time for which nothing was taken from the upstream, because the caller applied back-pressure or the buffer was full. */
   get pausedMilliseconds (): number {
     const current = this.pausedAt === undefined ? 0 : this.clock.monotonicMilliseconds() - this.pausedAt
