A response that arrived while the entry did not run is no longer dropped at the timeout

Callers got a 504, or a part of a response, although the response had arrived at the entry's VM in time: the process was paused or busy while the timeout passed. Cause: timers run before sockets are read, so the first thing that the process did was to abort the attempt, or to find its upstream stalled.

Both tests block the process over the timeout (700 ms) behind the write of the upstream. Now what has arrived is read for 10 ms before the deadline takes effect, and both arrive whole.

--- a/packages/entry/src/tests/late-bodies.test.ts
+++ b/packages/entry/src/tests/late-bodies.test.ts
@@ -11,6 +11,12 @@
 /** More than the buffers of the operating system take. */
 const HUGE_BYTES = 16_000_000
 
+/** Lets nothing run in this process, which the entry is in, as if it were paused. */
+function blockProcess (milliseconds: number): void {
+  const end = performance.now() + milliseconds
+  while (performance.now() < end);
+}
+
 // Guards against a response that is ready and is broken off at its route's timeout, as another one is before it on its connection (LOST).
 test('a response that waits for its turn past the timeout of its route arrives whole', () => withUpstreams([
   (socket) => setTimeout(() => socket.write(okResponse('slow')), LATE_MILLISECONDS),
@@ -53,6 +59,29 @@
   assert.equal(caller.responses, [{ status: 200, announced: LARGE_BYTES, bytes: LARGE_BYTES }])
 }))
 
+// Guards against a response that has arrived and is dropped because the entry was paused or busy at the timeout.
+test('a response that arrived while the entry did not run is passed on, although its timeout is over', () => withUpstreams([(socket) => {
+  socket.write(okResponse('ready'))
+  blockProcess(LATE_MILLISECONDS)
+}], async ({ caller }) => {
+  caller.get('/ready')
+  await until(() => caller.isAnswered)
+  assert.equal(caller.responses, [{ status: 200, announced: 5, bytes: 5 }])
+}))
+
+test('a response that went on arriving while the entry did not run is passed on, although its timeout is over', () => withUpstreams([(socket) => {
+  socket.write(startOf('200 OK', PART_BYTES))
+  // From here, timers run before anything is read.
+  setTimeout(() => setImmediate(() => {
+    socket.write('x'.repeat(LARGE_BYTES - PART_BYTES))
+    blockProcess(LATE_MILLISECONDS)
+  }), TIMEOUT_MILLISECONDS / 4)
+}], async ({ caller }) => {
+  caller.get('/large')
+  await until(() => caller.isAnswered)
+  assert.equal(caller.responses, [{ status: 200, announced: LARGE_BYTES, bytes: LARGE_BYTES }])
+}))
+
 // Guards against requests that are held past their timeout by an upstream that hangs in the middle of a body (CONFIG).
 test('a response whose upstream is silent past the timeout is broken off, and does not look complete', () => withUpstreams([
   (socket) => socket.write(startOf('200 OK', PART_BYTES))
--- a/packages/request/src/response-deadline.ts
+++ b/packages/request/src/response-deadline.ts
@@ -7,6 +7,8 @@
 
 /** After the timeout, a response may go this long without progress by its upstream. */
 const MAXIMUM_STALL_MILLISECONDS = 200
+/** Time in which what has arrived is read. */
+const READ_MILLISECONDS = 10
 
 /** The times of one request. */
 export interface ResponseTimes {
@@ -30,12 +32,14 @@
 /** Ends what a request waits for at its deadline: attempts without a response, and responses that their upstream holds up. */
 export class ResponseDeadline {
   private readonly controller = new AbortController()
-  private readonly timer: Timer
+  private timer: Timer
 
   private constructor (private readonly clock: Clock, private readonly times: ResponseTimes) {
     const { timeoutMilliseconds, patienceMilliseconds = Infinity } = times
     const delay = this.remainingMilliseconds(Math.min(timeoutMilliseconds, patienceMilliseconds))
-    this.timer = clock.schedule(delay, () => this.controller.abort(AttemptFailure.create('deadline_over')))
+    this.timer = clock.schedule(delay, () => {
+      this.timer = this.afterReading(() => this.controller.abort(AttemptFailure.create('deadline_over')))
+    })
   }
 
   static start (clock: Clock, times: ResponseTimes): ResponseDeadline {
@@ -65,14 +69,21 @@
    * Returns a function that ends the watch.
    */
   watch (response: LimitedResponse): () => void {
-    let upstreamLimit: number | undefined
+    let upstreamLimit = Infinity
     const check = (): void => {
-      upstreamLimit ??= response.upstreamMilliseconds + this.times.timeoutMilliseconds
+      timer = failureOf(response, upstreamLimit) === undefined
+        ? this.clock.schedule(MAXIMUM_STALL_MILLISECONDS - response.stalledMilliseconds, check)
+        : this.afterReading(decide)
+    }
+    const decide = (): void => {
       const failure = failureOf(response, upstreamLimit)
-      if (failure !== undefined) return response.abort(failure)
-      timer = this.clock.schedule(MAXIMUM_STALL_MILLISECONDS - response.stalledMilliseconds, check)
+      if (failure === undefined) check()
+      else response.abort(failure)
     }
-    let timer = this.clock.schedule(this.remainingMilliseconds(this.times.timeoutMilliseconds), check)
+    let timer = this.clock.schedule(this.remainingMilliseconds(this.times.timeoutMilliseconds), () => {
+      upstreamLimit = response.upstreamMilliseconds + this.times.timeoutMilliseconds
+      check()
+    })
     return () => timer.cancel()
   }
 
@@ -81,6 +92,11 @@
     this.timer.cancel()
   }
 
+  /** Runs a task once what has arrived is read. After a time in which the process did not run, timers run before anything is read. */
+  private afterReading (task: () => void): Timer {
+    return this.clock.schedule(READ_MILLISECONDS, task)
+  }
+
   private remainingMilliseconds (limitMilliseconds: number): number {
     return Math.max(0, this.times.startedAt + limitMilliseconds - this.clock.monotonicMilliseconds())
   }
