--- a/packages/entry/src/tests/response-log.test.ts
+++ b/packages/entry/src/tests/response-log.test.ts
@@ -1,4 +1,5 @@
-import { RawUpstream, type UpstreamScript } from '@hickoryspoke/testing/raw-upstream'
+import { createConnection } from 'node:net'
+import { okResponse, RawUpstream, type UpstreamScript } from '@hickoryspoke/testing/raw-upstream'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import { until } from './caller-fixture.ts'
@@ -37,4 +38,21 @@
   assert.equal([outcome, failure, bodyBytes], ['answered', '', ANNOUNCED_BYTES])
 })
 
+// Guards against an answer that is logged as answered, and of which nothing tells that its caller did not get it (LOST).
+test('a complete response whose connection ends before it was sent has a line of its own', async () => {
+  const upstream = await RawUpstream.create((socket, request) => {
+    if (request.startsWith('GET /answered ')) socket.write(okResponse('x'))
+  })
+  const entry = await startDispatched((client, { ticket }) => client.receivePlacement({ ticket, instance: 'a', address: upstream.address }))
+  const caller = createConnection(entry.port, '127.0.0.1')
+  caller.write('GET /held HTTP/1.1\r\nHost: 127.0.0.1\r\n\r\nGET /answered HTTP/1.1\r\nHost: 127.0.0.1\r\n\r\n')
+  await until(() => entry.outcomes.length === 1)
+  caller.destroy()
+  await until(() => entry.outcomes.length === 2)
+  assert.equal(entry.outcomes.map(({ code }) => code), ['answered', 'caller_gone'])
+  assert.is(entry.lines.filter((line) => line.includes('response not delivered')).length, 1)
+  entry.server.close()
+  await upstream.close()
+})
+
 test.run()
--- a/packages/request/src/dispatched-runner.ts
+++ b/packages/request/src/dispatched-runner.ts
@@ -54,6 +54,14 @@
     const milliseconds = this.options.clock.monotonicMilliseconds() - startedAt
     this.observer.finished(end, milliseconds)
     this.log(run, end, milliseconds)
+    if (end.code === 'answered') this.followDelivery(run, end, exchange)
+  }
+
+  /** The signal aborts if the connection ends before the complete response has left the process. */
+  private followDelivery (run: DispatchedRun, end: DispatchedOutcome, exchange: CallerExchange): void {
+    exchange.signal.addEventListener('abort', () => {
+      this.logger.warn('response not delivered', { request: run.requestId, route: run.route?.name, customer: run.customer, status: end.status })
+    }, { once: true })
   }
 
   private async runTracked (key: string, run: DispatchedRun, exchange: CallerExchange): Promise<DispatchedOutcome> {
