A relayed connection ends though its request body does not

What callers saw: nothing at once. The entry that relayed kept both sockets of the connection, and a later stop waited for them until its time was up; the other entry could not end its side while bytes of the body stood in front of it. Cause: `join` piped the body into the upstream's socket. Where the upstream had answered, and closed, before the end of the body, the pipe came undone and nobody read the rest, so the end of the other entry was never seen. A chunk that came between the end and the close of the upstream's socket would besides have been an error there, and reset the answer. Evidence: the new test failed before with 1 relayed connection left in place of 0 after 5 s. Why it works: once the upstream has closed in order, the rest is read and discarded, and errors of its socket no longer reset the connection to the other entry.

--- a/packages/entry/src/connection-relay.ts
+++ b/packages/entry/src/connection-relay.ts
@@ -97,17 +97,23 @@
   socket.end(`HTTP/1.1 ${status} Not relayed\r\nContent-Length: 0\r\nConnection: close\r\n\r\n`)
 }
 
-/** Passes bytes on in both directions, and a reset of the upstream too, so that a response that was cut off is not taken for a complete one. */
+/**
+ * Passes bytes on in both directions, and a reset of the upstream too, so that a response that was cut off is not taken
+ * for a complete one. Once the upstream has closed in order, the rest of the request is read and discarded, so that the
+ * response reaches the other entry and its close is seen.
+ */
 function join (entry: Socket, upstream: Socket): void {
   let isUpstreamEnded = false
   entry.pipe(upstream, { end: false })
   upstream.pipe(entry, { end: false })
   upstream.on('end', () => {
     isUpstreamEnded = true
-    if (endedByReset(upstream)) entry.resetAndDestroy()
-    else entry.end()
+    if (endedByReset(upstream)) return entry.resetAndDestroy()
+    entry.unpipe(upstream)
+    entry.resume()
+    return entry.end()
   })
-  upstream.on('error', () => entry.resetAndDestroy())
+  upstream.on('error', () => { if (!isUpstreamEnded) entry.resetAndDestroy() })
   upstream.on('close', () => { if (!isUpstreamEnded) entry.resetAndDestroy() })
   entry.on('end', () => upstream.destroy())
   entry.on('close', () => upstream.destroy())
--- a/packages/entry/src/tests/connection-relay.test.ts
+++ b/packages/entry/src/tests/connection-relay.test.ts
@@ -63,6 +63,13 @@
   while (!isMet()) await sleep(clock, POLL_MILLISECONDS)
 }
 
+/** Number of relayed connections that do not end. */
+async function connectionsLeft (relay: ConnectionRelay): Promise<number> {
+  const until = clock.monotonicMilliseconds() + CONNECT_TIMEOUT_MILLISECONDS
+  while (relay.connections > 0 && clock.monotonicMilliseconds() < until) await sleep(clock, POLL_MILLISECONDS)
+  return relay.connections
+}
+
 /** Sends one request through the relay and returns the response body or the failure code. */
 async function requestThrough ({ address, upstream }: Fixture): Promise<string> {
   const connections = UpstreamConnections.create(clock, {}, { connect: async (target, signal) => await connectThroughRelay(address, target, signal) })
@@ -150,6 +157,48 @@
   })
 })
 
+const ANSWER_BYTES = 4_000_000
+const BODY_CHUNK = 'x'.repeat(65_536)
+const READING_PAUSE_MILLISECONDS = 200
+
+/** Opens a connection through the relay and sends a body until the other side ends. The upstream's script runs after the head. */
+async function sendWithoutEnd ({ address, upstream }: Fixture): Promise<Socket> {
+  const { socket } = (await connectThroughRelay(address, upstream.address, neverAborted)).unwrap()
+  socket.on('error', () => {})
+  socket.write('POST / HTTP/1.1\r\nHost: a\r\n\r\n')
+  let isEnded = false
+  const send = (): void => {
+    if (isEnded) return
+    if (socket.writableNeedDrain) socket.once('drain', send)
+    else socket.write(BODY_CHUNK, () => setImmediate(send))
+  }
+  socket.on('end', () => { isEnded = true }).on('close', () => { isEnded = true })
+  send()
+  return socket
+}
+
+/** Reads all bytes of a connection after a pause, in which the operating system's buffers fill up. */
+async function readAfterPause (socket: Socket): Promise<string> {
+  await sleep(clock, READING_PAUSE_MILLISECONDS)
+  let text = ''
+  socket.on('data', (chunk: Buffer) => { text += chunk.toString('latin1') })
+  await Promise.race([once(socket, 'end'), once(socket, 'close')])
+  socket.destroy()
+  return text
+}
+
+// Guards against relayed connections that are never closed, since the rest of a request body is no longer read once the
+// upstream has answered and closed: each holds two descriptors, and a stop waits for it until its time is up (LOST).
+test('through a relay, an answer that comes before the end of the request body arrives whole, and the connection ends', async () => {
+  const answer = okResponse('y'.repeat(ANSWER_BYTES))
+  const answerAndReadOn = (socket: Socket): void => { socket.removeAllListeners('data').resume().end(answer) }
+  await withRelay(answerAndReadOn, async (fixture) => {
+    const text = await readAfterPause(await sendWithoutEnd(fixture))
+    assert.is(text.length, answer.length)
+    assert.is(await connectionsLeft(fixture.relay), 0)
+  })
+})
+
 test('a request that is not a CONNECT is answered with 404', async () => {
   await withRelay(() => {}, async ({ address }) => {
     const [host, port] = address.split(':') as [string, string]
