A relay drops the connection to an upstream whose requester has left meanwhile

What callers saw: nothing at once. An entry tries its own network and relays beside each other and leaves the slower one; the relay then kept a connection to the upstream that nobody used, and a later stop waited for it until its time was up. Cause: the relay watched only the close of the requester's socket while it connected. The socket is half-open after the requester's end, so no close came, and the end was over before `join` listened for it. Why it works: the end aborts the attempt to connect, and a connection that was made in the same moment is closed.

--- a/packages/entry/src/connection-relay.ts
+++ b/packages/entry/src/connection-relay.ts
@@ -82,10 +82,15 @@
     if (this.options.isUnwanted(address)) return refuse(socket, UPSTREAM_UNREACHABLE_STATUS)
     const aborted = new AbortController()
     const abort = (): void => aborted.abort()
-    socket.once('close', abort)
+    socket.once('end', abort).once('close', abort)
     const opened = await this.options.connector.connect(address, aborted.signal)
-    socket.off('close', abort)
+    socket.off('end', abort).off('close', abort)
     if (opened.isErr()) return refuse(socket, UPSTREAM_UNREACHABLE_STATUS)
+    if (aborted.signal.aborted) {
+      opened.value.socket.destroy()
+      socket.destroy()
+      return
+    }
     this.relayed.add(socket)
     socket.once('close', () => this.relayed.delete(socket))
     socket.write('HTTP/1.1 200 Connection Established\r\n\r\n')
@@ -117,5 +122,4 @@
   upstream.on('close', () => { if (!isUpstreamEnded) entry.resetAndDestroy() })
   entry.on('end', () => upstream.destroy())
   entry.on('close', () => upstream.destroy())
-  if (entry.destroyed) upstream.destroy()
 }
--- a/packages/entry/src/tests/connection-relay.test.ts
+++ b/packages/entry/src/tests/connection-relay.test.ts
@@ -199,6 +199,33 @@
   })
 })
 
+// Guards against relayed connections that are never closed, since the other entry left before the upstream was connected.
+test('a relay closes the connection to an upstream if the other entry has left meanwhile', async () => {
+  const direct = DirectConnector.create(clock, CONNECT_TIMEOUT_MILLISECONDS)
+  let goOn = (): void => {}
+  let isAsked = false
+  const hasLeft = new Promise<void>((resolve) => { goOn = resolve })
+  const connector: Connector = {
+    connect: async (address, signal) => {
+      isAsked = true
+      await hasLeft
+      return await direct.connect(address, signal)
+    }
+  }
+  await withRelay(() => {}, async ({ address, upstream, relay }) => {
+    const leaving = new AbortController()
+    const opened = connectThroughRelay(address, upstream.address, leaving.signal)
+    await waitUntil(() => isAsked)
+    leaving.abort()
+    assert.is((await opened).unwrapErr().code, 'connect_aborted')
+    await sleep(clock, RESET_DELAY_MILLISECONDS)
+    goOn()
+    await sleep(clock, RESET_DELAY_MILLISECONDS)
+    assert.is(await connectionsLeft(relay), 0)
+    assert.is(upstream.closedConnections, upstream.connections)
+  }, { connector })
+})
+
 test('a request that is not a CONNECT is answered with 404', async () => {
   await withRelay(() => {}, async ({ address }) => {
     const [host, port] = address.split(':') as [string, string]
