--- a/packages/replication/src/tests/fault-folder.ts
+++ b/packages/replication/src/tests/fault-folder.ts
@@ -69,6 +69,17 @@
     }
   }
 
+  /** Keeps what was not synced before the power loss, but only this share (0 to 1) of the bytes that were appended to a file since its last sync. */
+  async keepUnsynced (share: number): Promise<void> {
+    this.lost = true
+    for (const name of await this.inner.list()) {
+      const path = join(this.path, name)
+      const { size } = await stat(path)
+      const synced = Math.min(size, this.syncedLengths.get(name) ?? size)
+      await truncate(path, synced + Math.floor((size - synced) * share))
+    }
+  }
+
   list (): Promise<string[]> {
     return this.track(() => this.inner.list())
   }
--- a/packages/replication/src/tests/test-cluster.ts
+++ b/packages/replication/src/tests/test-cluster.ts
@@ -121,6 +121,22 @@
     await node.folder.dropUnsynced()
   }
 
+  /** Simulates a power loss of all replicas in the same moment. Their folders then still hold what was not synced. */
+  losePowerEverywhere (): void {
+    for (const [name, { folder }] of this.nodes) {
+      folder.losePower()
+      this.network.leave(name)
+    }
+  }
+
+  /** Ends the processes after `losePowerEverywhere`. Returns their folders by name. */
+  async endEverywhere (): Promise<Map<string, FaultFolder>> {
+    const nodes = [...this.nodes]
+    this.nodes.clear()
+    for (const [, { replica }] of nodes) await replica.abort()
+    return new Map(nodes.map(([name, { folder }]) => [name, folder]))
+  }
+
   /** Stops a replica gracefully. */
   async stop (name: string): Promise<void> {
     const { replica } = this.node(name)
