An upstream may close behind its response while the caller reads slowly

What callers saw: a complete answer was broken off, or, where the response was to end its connection, the whole entry ended with all requests in flight. Cause: reading is paused while nobody takes the bytes. If the pause fell exactly behind the last byte and the upstream then closed in order, undici learned of the end of the connection with a paused parser, which had not noticed that the response was complete. On a kept connection it took that for an early end; on one that closes it asserts that the parser is not paused. Why it works: all bytes have been read when the end is reported, so the parser is resumed first, and not paused again.

--- a/packages/request/src/upstream-connections.ts
+++ b/packages/request/src/upstream-connections.ts
@@ -56,6 +56,8 @@
   idleSinceMilliseconds = 0
   /** The connection was closed by this entry rather than by the upstream. */
   isClosedLocally = false
+  /** Called at the end of the upstream's side, before undici learns of it. */
+  beforeEnd: () => void = () => {}
   private hasSocketError = false
 
   private constructor (readonly address: string, readonly relay: string, readonly client: Client, private readonly socket: Socket) {
@@ -64,6 +66,7 @@
       // undici takes a connection reset for a possible end of the response, and its parser must not be paused then.
       if (error.code === RESET_ERROR_CODE) error.code = HANDLED_RESET_CODE
     })
+    socket.on('end', () => this.beforeEnd())
   }
 
   /** Whether the connection was reset rather than closed in order. Read this only once, at the end of a response. */
--- a/packages/request/src/upstream-exchange.ts
+++ b/packages/request/src/upstream-exchange.ts
@@ -73,6 +73,7 @@
   private resolveHead: (result: HeadResult) => void = () => {}
   private keepsConnection = true
   private refused = false
+  private hasUpstreamEnded = false
   private progress: ResponseProgress | undefined
 
   private constructor (
@@ -101,6 +102,7 @@
   /** Called by undici just before the first byte is written. */
   onRequestStart (controller: Dispatcher.DispatchController): void {
     this.controller = controller
+    this.connection.beforeEnd = () => this.readToEnd(controller)
     this.progress = this.connection.watchProgress(() => controller.abort(AttemptFailure.create('malformed_answer', 'the response does not get further')))
     if (this.abortFailure !== undefined) controller.abort(this.abortFailure)
   }
@@ -138,9 +140,16 @@
     this.resolveHead(Err(failure))
   }
 
+  /** All bytes of the upstream have been read. While the parser is paused it does not notice that they complete the response. */
+  private readToEnd (controller: Dispatcher.DispatchController): void {
+    this.hasUpstreamEnded = true
+    controller.resume()
+  }
+
   private stopWatching (): void {
     this.signal.removeEventListener('abort', this.onAbort)
     this.progress?.end()
+    this.connection.beforeEnd = () => {}
   }
 
   /** undici takes a connection reset for the regular end of a response without a Content-Length or chunks. */
@@ -169,7 +178,7 @@
 
   private control (controller: Dispatcher.DispatchController): ResponseControl {
     return {
-      pause: () => controller.pause(),
+      pause: () => { if (!this.hasUpstreamEnded) controller.pause() },
       resume: () => controller.resume(),
       abort: (failure) => controller.abort(failure)
     }
