--- a/packages/replication/src/tests/dark-fleet.ts
+++ b/packages/replication/src/tests/dark-fleet.ts
@@ -30,6 +30,7 @@
 const PRELUDES: Record<string, Prelude> = {
   nothing: async () => 0,
   'slow disks': async (fleet) => fleet.slowDisks(),
+  'a leader that stops': async (fleet) => fleet.letLeaderStop(),
   'a leader change': async (fleet) => await fleet.changeLeader(),
   'a new member': async (fleet) => await fleet.addMember(),
   'a removed member': async (fleet) => await fleet.removeMember(),
@@ -42,6 +43,7 @@
   private readonly acknowledged = new Map<number, string>()
   private readonly names: string[]
   private proposed = 0
+  private isLeaderToStop = false
 
   private constructor (readonly cluster: TestCluster, private readonly size: DarkFleetSize, private readonly random: RandomSource) {
     this.names = [...cluster.names]
@@ -72,7 +74,13 @@
   slowDisks (): number {
     const { cluster } = this
     const bearable = this.names.length - quorumSize({ members: [...cluster.leader().status().members] })
-    for (const name of this.shuffled(cluster.followers()).slice(0, bearable)) cluster.node(name).folder.hold(pickOne(this.random, ['segment', '']))
+    for (const name of this.shuffled([...cluster.nodes.keys()]).slice(0, bearable)) cluster.node(name).folder.hold(pickOne(this.random, ['segment', '']))
+    return 0
+  }
+
+  /** The leader is told to stop between the proposals that follow. */
+  letLeaderStop (): number {
+    this.isLeaderToStop = true
     return 0
   }
 
@@ -138,8 +146,13 @@
     }
     for (let index = 0; index < count && !state.isDark && cluster.leaderName() !== undefined; index += 1) {
       this.propose(cluster.leader(), receive)
+      if (this.isLeaderToStop && this.random.next() < 0.5) {
+        this.isLeaderToStop = false
+        void cluster.leader().stop()
+      }
       if (this.random.next() < 0.3) await cluster.advance(randomBelow(this.random, 20))
     }
+    this.isLeaderToStop = false
     for (let waited = 0; !state.isDark && waited < CATCH_UP_MILLISECONDS; waited += CHECK_INTERVAL_MILLISECONDS) {
       await cluster.advance(CHECK_INTERVAL_MILLISECONDS)
     }
