A request is not sent on a relayed connection that is older than a second

What callers saw: an entry that has lost its own links sends requests through another one. If that one was stopped, a connection that was kept and used again held up its stop until the time was up, and the request on it then ended with no response. Cause: only new connections heed that a relay stops; a kept one was used as long as it was never idle for 4 s. Why it works: a relay drains for longer than such a connection is used, and the next one goes through another entry. It costs one more connection a second for each that a cut-off entry keeps busy; entries with links of their own are not concerned.

--- a/packages/entry/src/tests/connection-relay.test.ts
+++ b/packages/entry/src/tests/connection-relay.test.ts
@@ -226,6 +226,27 @@
   }, { connector })
 })
 
+// Guards against requests that another entry still sends on a kept connection when the entry that relays it ends (LOST).
+test('a relay that stops gets rid of a connection that another entry keeps using', async () => {
+  await withRelay((socket) => socket.write(okResponse('served')), async ({ address, upstream, relay }) => {
+    const connections = UpstreamConnections.create(clock, {}, { connect: async (target, signal) => await connectThroughRelay(address, target, signal) })
+    const request = { address: upstream.address, method: 'GET', path: '/', headers: ['host', 'a'], body: null, maximumIdleMilliseconds: CONNECT_TIMEOUT_MILLISECONDS }
+    const ask = async (): Promise<boolean> => {
+      const head = await exchange(clock, connections, request, neverAborted)
+      return head.isOk() && (await head.value.whole).isOk()
+    }
+    assert.ok(await ask())
+    const stop = { isDrained: false }
+    void relay.drain(CONNECT_TIMEOUT_MILLISECONDS).then(() => { stop.isDrained = true })
+    while (!stop.isDrained) {
+      await ask()
+      await sleep(clock, POLL_MILLISECONDS)
+    }
+    assert.is(relay.connections, 0)
+    connections.close()
+  })
+})
+
 test('a request that is not a CONNECT is answered with 404', async () => {
   await withRelay(() => {}, async ({ address }) => {
     const [host, port] = address.split(':') as [string, string]
--- a/packages/request/src/upstream-connections.ts
+++ b/packages/request/src/upstream-connections.ts
@@ -53,6 +53,7 @@
 
 /** One TCP connection to an upstream. It carries one request at a time and is never reopened. */
 export class UpstreamConnection {
+  openedAtMilliseconds = 0
   idleSinceMilliseconds = 0
   /** The connection was closed by this entry rather than by the upstream. */
   isClosedLocally = false
@@ -116,6 +117,8 @@
   }
 }
 
+/** An entry that relays connections may stop, so no request is sent on a relayed connection that is older than this. */
+const RELAYED_USE_MILLISECONDS = 1_000
 const EMPTY_POOL_RETENTION_MILLISECONDS = 1000
 const MAXIMUM_REMEMBERED_LOSSES = 8
 const LOSSES_INDICATING_CRASH = 2
@@ -152,7 +155,7 @@
 
   /** Returns a connection to the pool after its request, or closes it if it is not reusable. */
   release (connection: UpstreamConnection, reusable: boolean): void {
-    if (!reusable || !connection.isOpen) {
+    if (!reusable || !connection.isOpen || this.isOutdated(connection)) {
       connection.destroy()
       return
     }
@@ -199,11 +202,16 @@
       const connection = pool.idle[index] as UpstreamConnection
       if (connection.idleSinceMilliseconds < oldest) return undefined
       pool.idle.splice(index, 1)
-      if (connection.isOpen) return connection
+      if (connection.isOpen && !this.isOutdated(connection)) return connection
+      connection.destroy()
     }
     return undefined
   }
 
+  private isOutdated ({ relay, openedAtMilliseconds }: UpstreamConnection): boolean {
+    return relay !== '' && this.clock.monotonicMilliseconds() - openedAtMilliseconds > RELAYED_USE_MILLISECONDS
+  }
+
   private async open (question: ConnectionOptions, pool: AddressPool): Promise<Result<UpstreamConnection, ConnectFailure>> {
     pool.open += 1
     const opened = await this.connector.connect(question.address, question.signal)
@@ -212,6 +220,7 @@
       return opened
     }
     const connection = UpstreamConnection.create(question.address, opened.value, this.settings)
+    connection.openedAtMilliseconds = this.clock.monotonicMilliseconds()
     this.all.add(connection)
     opened.value.socket.once('close', () => {
       this.all.delete(connection)
