--- a/packages/entry/src/caller-server.ts
+++ b/packages/entry/src/caller-server.ts
@@ -121,13 +121,14 @@
    */
   async drain (times: DrainTimes): Promise<CallerStopReport> {
     const { clock, runner } = this.options
+    const stopMilliseconds = times.announceMilliseconds + times.finishMilliseconds
+    const end = clock.monotonicMilliseconds() + stopMilliseconds
     this.isDraining = true
-    runner.announceStop(times.announceMilliseconds + times.finishMilliseconds)
+    runner.announceStop(stopMilliseconds)
     await sleep(clock, times.announceMilliseconds)
-    const end = clock.monotonicMilliseconds() + times.finishMilliseconds
     this.stopListening()
     for (const connection of this.connections.values()) connection.closeWhenIdle()
-    const report = await runner.drain(times.finishMilliseconds)
+    const report = await runner.drain(Math.max(0, end - clock.monotonicMilliseconds()))
     await this.waitUntilSent(end)
     const unconfirmed = this.busyConnections
     this.close()
