--- a/packages/entry/src/caller-server.ts
+++ b/packages/entry/src/caller-server.ts
@@ -61,6 +61,8 @@
 }
 
 const SENT_CHECK_MILLISECONDS = 10
+/** Time in which what has arrived is read. */
+const READ_MILLISECONDS = 10
 
 /** HTTP or HTTPS server for callers. */
 export class CallerServer {
@@ -126,6 +128,8 @@
     this.isDraining = true
     runner.announceStop(stopMilliseconds)
     await sleep(clock, times.announceMilliseconds)
+    // After a time in which the process did not run, timers run before connections are accepted and requests are read.
+    await sleep(clock, READ_MILLISECONDS)
     this.stopListening()
     for (const connection of this.connections.values()) connection.closeWhenIdle()
     const report = await runner.drain(Math.max(0, end - clock.monotonicMilliseconds()))
