--- a/packages/runtime/src/drainable-server.ts
+++ b/packages/runtime/src/drainable-server.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import { Server as NetServer, type Socket } from 'node:net'
 import { sleep, type Clock } from './clock.ts'
+import { closeLingering } from './lingering-close.ts'
 
 const CHECK_MILLISECONDS = 10
 /** How long clients have to close their side of a connection on which nothing is in progress any more. */
@@ -48,6 +49,8 @@
 
   private follow (socket: Socket): void {
     this.exchanges.set(socket, 0)
+    // Called by Node.js behind an answer that closes the connection.
+    socket.destroySoon = () => closeLingering(socket, this.clock)
     socket.once('close', () => this.exchanges.delete(socket))
   }
 
@@ -65,9 +68,9 @@
     if (before !== undefined) this.exchanges.set(socket, before + change)
   }
 
-  /** Ends the server's side behind what is still to be sent. It goes on reading, since unread bytes would reset the connection. */
+  /** Ends the server's side behind what is still to be sent. Calls that arrive afterwards do not run, as they could not be answered. */
   private endIfIdle (socket: Socket): void {
-    if (this.exchanges.get(socket) === 0) socket.end()
+    if (this.exchanges.get(socket) === 0) closeLingering(socket, this.clock)
   }
 
   private async waitUntil (isDone: () => boolean, end: number): Promise<void> {
--- a/packages/runtime/src/tests/drainable-server.test.ts
+++ b/packages/runtime/src/tests/drainable-server.test.ts
@@ -85,4 +85,34 @@
   assert.is(await other, 0)
 })
 
+// Guards against a call that runs behind the end of its connection, where it cannot be answered.
+test('a call that arrives behind the end of its connection does not run', async () => {
+  const rig = await Rig.create()
+  rig.socket.write(CALL)
+  await rig.untilWaiting(1)
+  rig.waiting[0]?.end('done')
+  while (rig.answers < 1) await new Promise((resolve) => setTimeout(resolve, 5))
+  const drained = rig.drainable.drain(LONG_MILLISECONDS)
+  rig.socket.write(CALL)
+  await rig.closed
+  assert.is(await drained, 0)
+  assert.is(rig.waiting.length, 1)
+})
+
+// Guards against an answer that closes its connection before its call was read, and that a reset discards.
+test('an answer before the end of a call reaches a client that goes on sending', async () => {
+  const rig = await Rig.create()
+  rig.socket.pause()
+  rig.socket.write('POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 10000000\r\n\r\n')
+  await rig.untilWaiting(1)
+  rig.waiting[0]?.writeHead(200, { Connection: 'close', 'Content-Length': 4 }).end('done')
+  for (let sent = 0; sent < 10; sent += 1) {
+    rig.socket.write('x'.repeat(60_000))
+    await new Promise((resolve) => setTimeout(resolve, 20))
+  }
+  rig.socket.resume()
+  await rig.closed
+  assert.is(rig.answers, 1)
+})
+
 test.run()
