--- a/packages/entry/src/connection-relay.ts
+++ b/packages/entry/src/connection-relay.ts
@@ -28,12 +28,12 @@
 export class ConnectionRelay {
   private readonly server: Server
   /** Sockets of the entries whose connections are relayed. */
-  private readonly relayed = new Set<Duplex>()
+  private readonly relayed = new Set<Socket>()
   private isDraining = false
 
   private constructor (private readonly options: ConnectionRelayOptions) {
     this.server = createServer((_, response) => { response.writeHead(404).end() })
-    this.server.on('connect', (request: IncomingMessage, socket: Duplex) => { void this.accept(request.url ?? '', socket) })
+    this.server.on('connect', (request: IncomingMessage, socket: Duplex) => { void this.accept(request.url ?? '', socket as Socket) })
   }
 
   static create (options: ConnectionRelayOptions): ConnectionRelay {
@@ -68,14 +68,14 @@
     while (this.relayed.size > 0 && clock.monotonicMilliseconds() < until) await sleep(clock, DRAIN_CHECK_MILLISECONDS)
   }
 
-  /** Ends all relayed connections. */
+  /** Ends all relayed connections with a reset, so that no response that is cut off looks complete. */
   close (): void {
-    for (const socket of this.relayed) socket.destroy()
+    for (const socket of this.relayed) socket.resetAndDestroy()
     this.server.close()
     this.server.closeAllConnections()
   }
 
-  private async accept (address: string, socket: Duplex): Promise<void> {
+  private async accept (address: string, socket: Socket): Promise<void> {
     socket.on('error', () => {})
     if (!this.options.isUpstream(address)) return refuse(socket, 403)
     if (!this.isAvailable) return refuse(socket, 503)
@@ -94,7 +94,7 @@
     this.relayed.add(socket)
     socket.once('close', () => this.relayed.delete(socket))
     socket.write('HTTP/1.1 200 Connection Established\r\n\r\n')
-    join(socket as Socket, opened.value.socket)
+    join(socket, opened.value.socket)
   }
 }
 
--- a/packages/entry/src/tests/connection-relay.test.ts
+++ b/packages/entry/src/tests/connection-relay.test.ts
@@ -247,6 +247,23 @@
   })
 })
 
+// Guards against a part of a response that looks complete, as it ends with its connection, and a relay that ends closes that in order (MIXED).
+test('a relay that ends resets the connections that are still open', async () => {
+  await withRelay((socket) => socket.write('HTTP/1.1 200 OK\r\n\r\npart of'), async ({ address, upstream, relay }) => {
+    const { socket } = (await connectThroughRelay(address, upstream.address, neverAborted)).unwrap()
+    let received = ''
+    let code: string | undefined
+    socket.on('data', (chunk) => { received += String(chunk) })
+    socket.on('error', (error: NodeJS.ErrnoException) => { code = error.code })
+    socket.write('GET / HTTP/1.1\r\nHost: a\r\n\r\n')
+    await waitUntil(() => received.endsWith('part of'))
+    const closed = new Promise((resolve) => socket.once('close', resolve))
+    relay.close()
+    await closed
+    assert.is(code, 'ECONNRESET')
+  })
+})
+
 test('a request that is not a CONNECT is answered with 404', async () => {
   await withRelay(() => {}, async ({ address }) => {
     const [host, port] = address.split(':') as [string, string]
