--- a/packages/entry/src/tests/connection-order.test.ts
+++ b/packages/entry/src/tests/connection-order.test.ts
@@ -2,11 +2,13 @@
 import { okResponse, RawUpstream } from '@hickoryspoke/testing/raw-upstream'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
+import type { CallerLimits } from '../caller-settings.ts'
 import { AUTHORIZED, CallerFixture, until } from './caller-fixture.ts'
 
 const DRAIN = { announceMilliseconds: 20, finishMilliseconds: 3_000 }
 const BUFFERED_BODY_BYTES = 60_000
 const PIPELINED_REQUESTS = 180
+const HEADERS_TIMEOUT_MILLISECONDS = 100
 /** More than the operating system buffers for a caller that reads nothing. */
 const MINIMUM_UNREAD_BYTES = 8_000_000
 
@@ -41,10 +43,10 @@
   }
 }
 
-async function withHeldUpstream (use: (fixture: CallerFixture, held: HeldUpstream) => Promise<void>): Promise<void> {
+async function withHeldUpstream (use: (fixture: CallerFixture, held: HeldUpstream) => Promise<void>, limits: Partial<CallerLimits> = {}): Promise<void> {
   const held = await HeldUpstream.create()
   const routes = [{ path: '/ledger', timeout_milliseconds: 9_000, idempotent: true }]
-  const fixture = await CallerFixture.create({ addresses: [held.upstream.address], routes })
+  const fixture = await CallerFixture.create({ addresses: [held.upstream.address], routes, limits })
   try {
     await use(fixture, held)
   } finally {
@@ -178,6 +180,24 @@
   assert.equal(held.paths, [])
 }))
 
+// Guards against a request that runs although the refusal of its late head is due, and a refusal that nobody asked for behind its response (TWICE, MIXED).
+test('a request whose head comes too late behind another one is refused and not run', () => withHeldUpstream(async (fixture, held) => {
+  const socket = createConnection(fixture.port, '127.0.0.1')
+  let received = ''
+  socket.on('data', (chunk) => { received += chunk.toString() })
+  const closed = new Promise((resolve) => socket.once('close', resolve))
+  const late = get('/ledger/2')
+  socket.write(get('/ledger/1') + late.slice(0, 10))
+  await held.untilReached('/ledger/1')
+  await new Promise((resolve) => setTimeout(resolve, 10 * HEADERS_TIMEOUT_MILLISECONDS))
+  socket.write(late.slice(10))
+  await new Promise((resolve) => setTimeout(resolve, HEADERS_TIMEOUT_MILLISECONDS))
+  held.release('/ledger/1')
+  await closed
+  assert.equal(responsesIn(received), [{ status: 200, closes: false }, { status: 408, closes: true }])
+  assert.equal(held.paths, ['/ledger/1'])
+}, { headersTimeoutMilliseconds: HEADERS_TIMEOUT_MILLISECONDS }))
+
 // Guards against requests that go on without their caller, as Node.js reports the end of a connection only to the response being sent (GONE, memory).
 test('all requests of a connection are cancelled when their caller leaves', () => withHeldUpstream(async (fixture, held) => {
   const socket = createConnection(fixture.port, '127.0.0.1')
