--- a/packages/runtime/src/tests/drainable-server.test.ts
+++ b/packages/runtime/src/tests/drainable-server.test.ts
@@ -33,6 +33,13 @@
     return this.received.split('HTTP/1.1 200').length - 1
   }
 
+  /** Makes a call, and answers it. */
+  async callOnce (): Promise<void> {
+    this.socket.write(CALL)
+    await this.untilWaiting(1)
+    this.waiting[0]?.end('done')
+  }
+
   /** Waits for calls, or for the end of the connection. */
   async untilWaiting (count: number): Promise<void> {
     while (this.waiting.length < count && !this.socket.destroyed) await new Promise((resolve) => setTimeout(resolve, 5))
@@ -56,9 +63,7 @@
 
 test('a connection on which nothing is in progress does not hold a stop up', async () => {
   const rig = await Rig.create()
-  rig.socket.write(CALL)
-  await rig.untilWaiting(1)
-  rig.waiting[0]?.end('done')
+  await rig.callOnce()
   assert.is(await rig.drainable.drain(LONG_MILLISECONDS), 0)
   await rig.closed
   assert.is(rig.answers, 1)
@@ -89,9 +94,7 @@
 // Guards against a call that runs behind the end of its connection, where it cannot be answered.
 test('a call that arrives behind the end of its connection does not run', async () => {
   const rig = await Rig.create()
-  rig.socket.write(CALL)
-  await rig.untilWaiting(1)
-  rig.waiting[0]?.end('done')
+  await rig.callOnce()
   while (rig.answers < 1) await new Promise((resolve) => setTimeout(resolve, 5))
   const drained = rig.drainable.drain(LONG_MILLISECONDS)
   rig.socket.write(CALL)
