--- a/packages/control/src/control-api.ts
+++ b/packages/control/src/control-api.ts
@@ -95,7 +95,8 @@
     const { clock, logger } = this.options
     const receivedAt = clock.monotonicMilliseconds()
     const known = await isKnown()
-    logger.info(known ? 'news acknowledged' : 'news not acknowledged', { kind, subject, milliseconds: Math.round(clock.monotonicMilliseconds() - receivedAt) })
+    const milliseconds = Math.round(clock.monotonicMilliseconds() - receivedAt)
+    logger.info(known ? 'news acknowledged' : 'news not acknowledged', { kind, subject, milliseconds, unconfirmedEntries: this.options.control.unconfirmedEntries })
     return known ? { kind: 'done', value: undefined } : { kind: 'unavailable', reason: 'not_confirmed' }
   }
 
--- a/packages/dispatch/src/leader-connection.ts
+++ b/packages/dispatch/src/leader-connection.ts
@@ -1,69 +1,11 @@
 /** The client side of the `Dispatch` stream, from an entry or a non-leading control VM to the leader's dispatcher. */
-import type {
-  Denial, DispatchHello, DispatchMessage, EntryMessage, LeaderNotice, NumberAnswer, Placement, RunningRequest, ServingUpdate, Suspicion,
-  UpstreamLimit, UpstreamUpdate
-} from '@hickoryspoke/protocol/generated/dispatch'
-import type { InnerCredentials } from '@hickoryspoke/protocol/inner-credentials'
-import { sleep, type Clock } from '@hickoryspoke/runtime/clock'
-import { pickOne, type RandomSource } from '@hickoryspoke/runtime/random'
-import type { Logger } from '@hickoryspoke/telemetry/logger'
+import type { DispatchHello, DispatchMessage, EntryMessage, LeaderNotice } from '@hickoryspoke/protocol/generated/dispatch'
+import { sleep } from '@hickoryspoke/runtime/clock'
+import { pickOne } from '@hickoryspoke/runtime/random'
 import { AcceptPatience } from './accept-patience.ts'
-import type { AdmissionReport } from './customer-rate-limiter.ts'
-import { DispatchStream, type DispatchStreamListener, type LeaderStream } from './dispatch-stream.ts'
-
-/** Receives the leader's messages and changes of the connection. */
-export interface LeaderConnectionListener {
-  placed (placement: Placement): void
-  denied (denial: Denial): void
-  /** A placed request that may be repeated takes several times as long as usual. */
-  overdue (ticket: number): void
-  configured (update: ServingUpdate): void
-  upstreamsChanged (update: UpstreamUpdate): void
-  /** Receives all upstreams that the dispatcher currently suspects. */
-  suspected (suspicions: readonly Suspicion[]): void
-  /** Receives all limits that upstreams state, as known to the dispatcher. */
-  limited (limits: readonly UpstreamLimit[]): void
-  /** The stream reached the leader. */
-  connected (): void
-  /** The stream to the leader ended; questions sent on it will not be answered. */
-  lost (): void
-  /** The leader is being asked for the newest configuration number. */
-  questionSent (question: number): void
-  /** The leader answered with the number that was newest at some moment after the question was sent. */
-  confirmed (answer: NumberAnswer): void
-}
-
-/** Dependencies and callbacks of a `LeaderConnection`. */
-export interface LeaderConnectionOptions {
-  readonly name: string
-  readonly zone: string
-  readonly mirror: boolean
-  /** IP:PORT of control VMs from the settings; read again for each connection attempt. */
-  readonly seeds: () => readonly string[]
-  readonly credentials: InnerCredentials
-  readonly clock: Clock
-  readonly random: RandomSource
-  readonly logger: Logger
-  readonly listener: LeaderConnectionListener
-  /** IP:PORT at which this process connects other entries to upstreams; empty for none. */
-  readonly relay: string
-  /** Whether it does so now. */
-  readonly isRelaying: () => boolean
-  /** Number of the configuration held; 0 for none. */
-  readonly held: () => number
-  readonly running: () => RunningRequest[]
-  readonly knownUpstreams: () => Buffer[]
-  /** Digest of the known upstreams; empty for none. */
-  readonly upstreamDigest: () => string
-  /** Limits of upstreams that this process knows of. */
-  readonly knownLimits: () => UpstreamLimit[]
-  /** What this process admitted within the last window. */
-  readonly admissionReport: () => AdmissionReport
-  /** Whether to look for a leader now. */
-  readonly wanted: () => boolean
-  /** Opens a stream to a control VM; by default over the network. */
-  readonly openStream?: (address: string, credentials: InnerCredentials, listener: DispatchStreamListener) => LeaderStream
-}
+import { DispatchStream, type LeaderStream } from './dispatch-stream.ts'
+import type { LeaderConnectionOptions } from './leader-connection-options.ts'
+import { MessageCounts } from './message-counts.ts'
 
 /** The leader is asked for the newest configuration number at least this often. */
 const QUESTION_INTERVAL_MILLISECONDS = 1_000
@@ -110,6 +52,8 @@
   /** Consecutive attempts that did not reach a leader, nor a control VM that named one. */
   private failedAttempts = 0
   private readonly patience = AcceptPatience.create()
+  private readonly sent = MessageCounts.create()
+  private readonly received = MessageCounts.create()
 
   private constructor (private readonly options: LeaderConnectionOptions) {}
 
@@ -122,10 +66,16 @@
     return this.stream?.isServing === true && !this.stream.isClosed
   }
 
+  /** Numbers of messages exchanged with the leader since the previous call, by direction and kind, as fields for a log line. */
+  readCounts (): Record<string, number> {
+    return { ...this.sent.readFields('sent'), ...this.received.readFields('received') }
+  }
+
   /** Sends a message to the leader; false when there is no connection. */
   send (message: EntryMessage): boolean {
     if (!this.isConnected || this.stream === undefined) return false
     this.stream.call.write(message)
+    this.sent.record(message.body?.$case ?? '')
     return true
   }
 
@@ -258,8 +208,9 @@
   private handleMessage (stream: Stream, message: DispatchMessage): void {
     const { body } = message
     if (stream.isClosed || body === undefined) return
-    stream.lastReceivedAt = this.options.clock.monotonicMilliseconds()
     stream.isAnswered = true
+    this.received.record(body.$case)
+    stream.lastReceivedAt = this.options.clock.monotonicMilliseconds()
     if (body.$case === 'leader') return this.handleLeaderNotice(stream, body.value)
     this.deliver(body)
     const revision = 'revision' in body.value ? body.value.revision : 0
--- a/packages/dispatch/src/tests/leader-connection.test.ts
+++ b/packages/dispatch/src/tests/leader-connection.test.ts
@@ -8,7 +8,8 @@
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import type { DispatchStreamListener } from '../dispatch-stream.ts'
-import { LeaderConnection, type LeaderConnectionListener, type LeaderConnectionOptions } from '../leader-connection.ts'
+import { LeaderConnection } from '../leader-connection.ts'
+import type { LeaderConnectionListener, LeaderConnectionOptions } from '../leader-connection-options.ts'
 
 type Call = ServerDuplexStream<EntryMessage, DispatchMessage>
 
--- a/packages/dispatch/src/tests/upstream-registry.test.ts
+++ b/packages/dispatch/src/tests/upstream-registry.test.ts
@@ -1,3 +1,4 @@
+import { Logger, LogLevel } from '@hickoryspoke/telemetry/logger'
 import { FakeClock } from '@hickoryspoke/testing/fake-clock'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
@@ -97,4 +98,15 @@
   assert.is.not(registry.digest(), digest)
 })
 
+test('an upstream that was leaving and is in use again is logged, and a late announcement that changes nothing is not', () => {
+  const lines: string[] = []
+  const registry = UpstreamRegistry.create(FakeClock.create(), Logger.create('test', LogLevel.Info, (line) => lines.push(line)))
+  registry.announce(announcement({ instance: 'a', sequence: 5, draining: true }))
+  registry.announce(announcement({ instance: 'a', sequence: 4 }))
+  assert.is(lines.length, 0)
+  registry.announce(announcement({ instance: 'a', sequence: 1, born: 2_000 }))
+  assert.is(lines.length, 1)
+  assert.match(lines[0] ?? '', /"event":"upstream in use again".*"upstream":"a".*"isRestarted":true/)
+})
+
 test.run()
--- a/packages/dispatch/src/upstream-broadcast.ts
+++ b/packages/dispatch/src/upstream-broadcast.ts
@@ -1,10 +1,10 @@
 /** Sends changes of the announced upstreams to the connected clients, and assigns revisions to departures. */
-import type { AnnouncedUpstream, UpstreamUpdate } from '@hickoryspoke/protocol/generated/dispatch'
+import type { UpstreamUpdate } from '@hickoryspoke/protocol/generated/dispatch'
 import type { Clock } from '@hickoryspoke/runtime/clock'
 import { encodeAnnounced } from './announced-upstream.ts'
 import type { ClientSession } from './client-session.ts'
 import type { NewsDelivery } from './news-delivery.ts'
-import type { RegisteredUpstream, UpstreamRegistry } from './upstream-registry.ts'
+import { isLeaving, type RegisteredUpstream, type UpstreamRegistry } from './upstream-registry.ts'
 
 /** Departures beyond this number are forgotten, oldest first; they would be announced as news again. */
 const MAXIMUM_DEPARTURES = 10_000
@@ -148,7 +148,3 @@
     if (this.departures.size > MAXIMUM_DEPARTURES) this.departures.delete(this.departures.keys().next().value as string)
   }
 }
-
-function isLeaving ({ draining, gone }: AnnouncedUpstream): boolean {
-  return draining || gone
-}
--- a/packages/dispatch/src/upstream-registry.ts
+++ b/packages/dispatch/src/upstream-registry.ts
@@ -28,10 +28,10 @@
   private cachedDigest: string | undefined
   private cachedList: Buffer[] | undefined
 
-  private constructor (private readonly clock: Clock, private readonly odd: OddAnnouncementLog) {}
+  private constructor (private readonly clock: Clock, private readonly logger: Logger, private readonly odd: OddAnnouncementLog) {}
 
   static create (clock: Clock, logger: Logger = silentLogger()): UpstreamRegistry {
-    return new UpstreamRegistry(clock, OddAnnouncementLog.create(clock, logger))
+    return new UpstreamRegistry(clock, logger, OddAnnouncementLog.create(clock, logger))
   }
 
   onChange (listener: RegistryListener): void {
@@ -82,7 +82,7 @@
   /** Whether the upstream said that it leaves, or has left. */
   isLeaving (instance: string): boolean {
     const announced = this.find(instance)?.announced
-    return announced !== undefined && (announced.draining || announced.gone)
+    return announced !== undefined && isLeaving(announced)
   }
 
   /** Whether an announcement only says again what is known of an upstream that has not left. */
@@ -169,10 +169,17 @@
     if (known !== undefined && !isNewer(announced, known.announced)) return false
     if (!announced.gone && !this.claimAddress(announced, changed)) return false
     const held = this.store(announced)
+    if (known !== undefined && isLeaving(known.announced) && !isLeaving(announced)) this.logReturn(known.announced, announced)
     if (known === undefined || differs(known.announced, announced)) changed.set(announced.instance, held)
     return true
   }
 
+  private logReturn (before: AnnouncedUpstream, { instance, sequence, born }: AnnouncedUpstream): void {
+    this.logger.info('upstream in use again', {
+      upstream: instance, sequence, sequenceBefore: before.sequence, hadLeft: before.gone, isRestarted: born !== before.born
+    })
+  }
+
   /** Whether the values can be right; logs it otherwise. */
   private isSound (announced: AnnouncedUpstream): boolean {
     const checked = checkAnnounced(announced)
@@ -217,6 +224,11 @@
   }
 }
 
+/** Whether it said that it leaves, or has left. */
+export function isLeaving ({ draining, gone }: AnnouncedUpstream): boolean {
+  return draining || gone
+}
+
 function digestOf (announced: readonly AnnouncedUpstream[]): string {
   if (announced.length === 0) return ''
   const lines = announced.map(({ instance, pool, address, slots, draining, born }) => [instance, pool, address, slots, draining, born].join(' '))
--- a/packages/entry/src/dispatched-entry.ts
+++ b/packages/entry/src/dispatched-entry.ts
@@ -16,11 +16,13 @@
 import type { Failure } from '@hickoryspoke/runtime/failure'
 import type { RandomSource } from '@hickoryspoke/runtime/random'
 import type { Logger } from '@hickoryspoke/telemetry/logger'
+import { usedProcessorMilliseconds } from '@hickoryspoke/telemetry/event-loop-monitor'
 import type { Metrics } from '@hickoryspoke/telemetry/metrics'
 import { Ok, type Result } from 'ts-results-es'
 import { CallerServer } from './caller-server.ts'
 import { DispatchedEntryMetrics } from './dispatched-entry-metrics.ts'
 import { EntryLifecycle, EntryPhase } from './entry-lifecycle.ts'
+import { reportEntryLoad } from './entry-load-report.ts'
 import { UpstreamAccess } from './upstream-access.ts'
 
 /** Settings of a `DispatchedEntry`. Addresses are IP:PORT. */
@@ -163,6 +165,7 @@
     entry.readiness.listen(port, host)
     entry.upstreams.relay.listen(settings.relay)
     void entry.link.run(entry.stopping.signal)
+    entry.reportLoad()
     entry.lifecycle.send('ready')
     options.logger.info('entry is listening', { callers: settings.callers, zone: settings.zone })
     return Ok(entry)
@@ -215,6 +218,17 @@
     return `${this.runner.inFlight} requests in flight`
   }
 
+  private reportLoad (): void {
+    const { clock, logger } = this.options
+    void reportEntryLoad({
+      clock,
+      logger,
+      processorMilliseconds: usedProcessorMilliseconds,
+      endedRequests: () => this.runner.ended,
+      readMessageCounts: () => this.link.readCounts()
+    }, this.stopping.signal)
+  }
+
   private applyConfiguration (configuration: ServingConfiguration): void {
     this.table = ServingTable.create(configuration)
     const { bounds } = configuration
--- a/packages/request/src/dispatched-runner.ts
+++ b/packages/request/src/dispatched-runner.ts
@@ -19,6 +19,8 @@
   private readonly running = new Set<DispatchedRun>()
   private readonly stop: StopDeadline
   private sequence = 0
+  /** Number of requests that have ended. */
+  ended = 0
 
   private constructor (private readonly options: DispatchedRunOptions, private readonly logger: Logger, private readonly observer: DispatchedObserver) {
     this.lifecycle = RequestLifecycle.create(options.clock)
@@ -52,6 +54,7 @@
     const key = `${this.sequence}`
     const end = await this.runTracked(key, run, exchange)
     const milliseconds = this.options.clock.monotonicMilliseconds() - startedAt
+    this.ended += 1
     this.observer.finished(end, milliseconds)
     this.log(run, end, milliseconds)
     if (end.code === 'answered') this.followDelivery(run, end, exchange)
--- a/packages/telemetry/src/event-loop-monitor.ts
+++ b/packages/telemetry/src/event-loop-monitor.ts
@@ -49,7 +49,8 @@
   }
 }
 
-function usedProcessorMilliseconds (): number {
+/** Processor time used by this process so far, in milliseconds. */
+export function usedProcessorMilliseconds (): number {
   const { user, system } = process.cpuUsage()
   return (user + system) / MICROSECONDS_PER_MILLISECOND
 }
