--- a/packages/bench/src/tests/dispatched-fleet.ts
+++ b/packages/bench/src/tests/dispatched-fleet.ts
@@ -60,8 +60,10 @@
 /** Control nodes with a dispatcher and entries that use it, all in this process on loopback. */
 export class DispatchedFleet {
   readonly controls: FleetControl[] = []
-  readonly entries: { readonly entry: DispatchedEntry, readonly url: string, readonly readiness: string }[] = []
-  private readonly folders: string[] = []
+  readonly entries: { readonly name: string, readonly entry: DispatchedEntry, readonly url: string, readonly readiness: string }[] = []
+  /** Data folders by address of the control node. */
+  private readonly folders = new Map<string, string>()
+  private readonly allFolders: string[] = []
 
   private constructor (
     private readonly addresses: readonly string[],
@@ -118,10 +120,25 @@
     await lost.control.stop()
   }
 
+  /** Ends all nodes and starts them again, as when all VMs lose power: only the data folders of the control nodes are kept. */
+  async restartAll (): Promise<void> {
+    const names = this.entries.map(({ name }) => name)
+    await Promise.all(this.entries.splice(0).map(async ({ entry }) => await entry.stop()))
+    await Promise.all(this.controls.splice(0).map(async ({ control }) => await control.stop()))
+    await Promise.all(this.addresses.map(async (address) => await this.runControl(address, this.folders.get(address) ?? '', false)))
+    for (const name of names) await this.startEntry(name)
+    await this.leader()
+  }
+
   /** Starts a control node with an empty data folder. */
   async startControl (address: string, firstOfFleet: boolean): Promise<FleetControl> {
     const folder = await mkdtemp(join(tmpdir(), 'dispatched-'))
-    this.folders.push(folder)
+    this.folders.set(address, folder)
+    this.allFolders.push(folder)
+    return await this.runControl(address, folder, firstOfFleet)
+  }
+
+  private async runControl (address: string, folder: string, firstOfFleet: boolean): Promise<FleetControl> {
     const parts = createDependencies()
     const started = await DispatchingControl.start({
       address,
@@ -149,7 +166,7 @@
   async stop (): Promise<void> {
     await Promise.all(this.entries.map(async ({ entry }) => await entry.stop()))
     await Promise.all(this.controls.map(async ({ control }) => await control.stop()))
-    await Promise.all(this.folders.map(async (folder) => await rm(folder, { recursive: true, force: true })))
+    await Promise.all(this.allFolders.map(async (folder) => await rm(folder, { recursive: true, force: true })))
   }
 
   private async startEntry (name: string): Promise<void> {
@@ -166,7 +183,7 @@
       stopMilliseconds: 3_200,
       seeds: () => this.addresses
     }, { ...createDependencies(), dialect: TEST_DIALECT, connector: this.connectors[name] })
-    this.entries.push({ entry: started.unwrap(), url: `http://${callers}`, readiness: `http://${readiness}/ready` })
+    this.entries.push({ name, entry: started.unwrap(), url: `http://${callers}`, readiness: `http://${readiness}/ready` })
   }
 }
 
--- a/packages/control/src/dispatching-control.ts
+++ b/packages/control/src/dispatching-control.ts
@@ -2,12 +2,13 @@
 import { Server } from '@grpc/grpc-js'
 import { LeaderConnection } from '@hickoryspoke/dispatch/leader-connection'
 import { DispatchService } from '@hickoryspoke/dispatch/dispatch-service'
-import { UpstreamRegistry } from '@hickoryspoke/dispatch/upstream-registry'
+import { isLeaving, UpstreamRegistry } from '@hickoryspoke/dispatch/upstream-registry'
 import { DispatchMessage, DispatchService as DispatchDefinition, EntryMessage } from '@hickoryspoke/protocol/generated/dispatch'
 import { FramedConnection } from '@hickoryspoke/protocol/framed-connection'
 import { InnerListener } from '@hickoryspoke/protocol/inner-listener'
+import { ControlState, encodeDepartureCommand } from '@hickoryspoke/replication/control-state'
 import { GrpcReplicaNetwork } from '@hickoryspoke/replication/grpc-replica-network'
-import { encodeDocument, PublishedDocumentState, type PublishedDocument } from '@hickoryspoke/replication/published-document'
+import { encodeDocument, type PublishedDocument } from '@hickoryspoke/replication/published-document'
 import { Replica } from '@hickoryspoke/replication/replica'
 import type { ReplicationFailure } from '@hickoryspoke/replication/replication-failure'
 import { REPLICA_SERVER_OPTIONS } from '@hickoryspoke/replication/replica-link'
@@ -52,7 +53,7 @@
     private readonly options: DispatchingControlOptions,
     private readonly server: Server,
     private readonly replica: Replica,
-    private readonly state: PublishedDocumentState
+    private readonly state: ControlState
   ) {
     const { clock, random, logger, credentials } = options
     this.registry = UpstreamRegistry.create(clock, logger)
@@ -64,9 +65,9 @@
       overage: settings.overage,
       floorShare: settings.floorShare,
       newsLimitMilliseconds: Math.max(0, settings.freshMilliseconds - settings.applyMilliseconds + PLACED_REQUEST_MILLISECONDS),
-      startsWithFullBursts: () => settings.firstOfFleet && state.document === undefined,
+      startsWithFullBursts: () => settings.firstOfFleet && this.held === undefined,
       control: {
-        isLeader: () => this.isLeader,
+        isLeader: () => replica.hasAppliedEarlierTerms(),
         leaderAddress: () => replica.leader() ?? '',
         controlAddresses: () => this.controlAddresses(),
         confirmNumber: async () => await this.confirmNumber()
@@ -105,8 +106,10 @@
       }
     })
     this.announcements = AnnouncementRelay.create(this.registry, this.mirror)
-    state.onChange(() => this.schedulePublish())
-    this.metrics = createControlMetrics(replica, state, this.service)
+    for (const departure of state.departures.all()) this.registry.recordDeparture(departure)
+    state.departures.onAdd((departure) => this.registry.recordDeparture(departure))
+    state.documents.onChange(() => this.schedulePublish())
+    this.metrics = createControlMetrics(replica, state.documents, this.service)
     server.addService(DispatchDefinition, this.service.handlers())
     this.listener = InnerListener.create({
       credentials, grpc: server, logger, framed: (socket) => this.service.acceptStream(FramedConnection.accept(socket, SERVER_CODECS))
@@ -116,7 +119,7 @@
   static async start (settings: DispatchingControlSettings, options: DispatchingControlOptions): Promise<Result<DispatchingControl, Failure>> {
     const { clock, random, logger, credentials } = options
     const server = new Server(REPLICA_SERVER_OPTIONS)
-    const state = PublishedDocumentState.create()
+    const state = ControlState.create()
     const network = GrpcReplicaNetwork.create({ self: settings.address, addresses: {}, namesAreAddresses: true, credentials, clock, random })
     network.addTo(server)
     const replica = await Replica.create({
@@ -156,7 +159,7 @@
 
   /** The document held by this replica, which may be outdated unless it leads. */
   get held (): PublishedDocument | undefined {
-    return this.state.document
+    return this.state.documents.document
   }
 
   /** Current number of voting replicas. */
@@ -184,13 +187,22 @@
   /** The same for the departure of an upstream. */
   async isDepartureKnown (instance: string): Promise<boolean> {
     this.service.updateLeadership()
-    return await this.service.isDepartureKnown(instance) && await this.confirmNumber() !== undefined
+    const [isRecorded, isKnown] = await Promise.all([this.recordDeparture(instance), this.service.isDepartureKnown(instance)])
+    return isRecorded && isKnown && await this.confirmNumber() !== undefined
+  }
+
+  /** Makes a departure part of the replicated state; false if that could not be confirmed. */
+  private async recordDeparture (instance: string): Promise<boolean> {
+    const announced = this.registry.find(instance)?.announced
+    if (announced === undefined || !isLeaving(announced) || this.state.departures.covers(announced)) return true
+    const { born, sequence, gone } = announced
+    return (await this.replica.propose(encodeDepartureCommand({ instance, born, sequence, gone }))).isOk()
   }
 
   /** Reads the newest document, as of some moment after the call. */
   async read (): Promise<Result<PublishedDocument | undefined, ReplicationFailure>> {
     const barrier = await this.replica.readBarrier()
-    return barrier.map(() => this.state.document)
+    return barrier.map(() => this.held)
   }
 
   /** Resolves when the replica has stopped; with a failure if storage failed, after which the process must end. */
@@ -237,7 +249,7 @@
   /** Number of the newest document, 0 for none; undefined when leadership cannot be confirmed. */
   private async confirmNumber (): Promise<number | undefined> {
     const barrier = await this.replica.readBarrier()
-    return barrier.isErr() ? undefined : this.state.document?.number ?? 0
+    return barrier.isErr() ? undefined : this.held?.number ?? 0
   }
 
   /** Publishes in a microtask, so that of several documents applied together, as at a start, only the last is published. */
@@ -251,7 +263,7 @@
   }
 
   private publishDocument (): void {
-    const document = this.state.document
+    const document = this.held
     if (document === undefined) return
     const decoded = this.options.decode(document)
     if (decoded.isErr()) {
--- a/packages/dispatch/src/tests/upstream-registry.test.ts
+++ b/packages/dispatch/src/tests/upstream-registry.test.ts
@@ -109,4 +109,17 @@
   assert.match(lines[0] ?? '', /"event":"upstream in use again".*"upstream":"a".*"isRestarted":true/)
 })
 
+// Guards against upstreams that a new leader uses although their departure was acknowledged by an earlier one (DRAIN).
+test('a recorded departure takes out an upstream, known or not, but not a later start of it', () => {
+  const registry = UpstreamRegistry.create(FakeClock.create())
+  registry.announce(announcement({ instance: 'a', sequence: 5 }))
+  for (const instance of ['a', 'bb']) registry.recordDeparture({ instance, born: 1_000, sequence: 6, gone: false })
+  for (const instance of ['a', 'bb']) registry.announce(announcement({ instance, sequence: 5 }))
+  assert.ok(registry.isLeaving('a') && registry.isLeaving('bb'))
+  assert.is(registry.find('a')?.announced.gone, false, 'it serves what it has')
+  registry.announce(announcement({ instance: 'a', sequence: 1, born: 2_000 }))
+  registry.recordDeparture({ instance: 'a', born: 1_000, sequence: 6, gone: true })
+  assert.not.ok(registry.isLeaving('a'))
+})
+
 test.run()
--- a/packages/dispatch/src/upstream-registry.ts
+++ b/packages/dispatch/src/upstream-registry.ts
@@ -114,6 +114,18 @@
     this.notifyListeners([held])
   }
 
+  /** Records that one start of an upstream leaves or has left, whether it is known here or not. A later start is not affected. */
+  recordDeparture ({ instance, born, sequence, gone }: Pick<AnnouncedUpstream, 'instance' | 'born' | 'sequence' | 'gone'>): void {
+    const known = this.byInstance.get(instance)?.announced
+    if (known !== undefined && known.born > born) return
+    const departed = known?.born === born
+      ? { ...known, draining: true, gone: known.gone || gone, sequence: Math.max(known.sequence, sequence) }
+      : { ...createTombstone(instance, born), sequence }
+    const isNews = known === undefined || differs(known, departed)
+    const held = this.store(departed)
+    if (isNews) this.notifyListeners([held])
+  }
+
   /** Applies the announcements known to another process; upstreams that it does not list are kept. */
   merge (list: readonly AnnouncedUpstream[]): void {
     const changed = new Map<string, RegisteredUpstream>()
--- /dev/null
+++ b/packages/replication/src/control-state.ts
@@ -0,0 +1,58 @@
+/**
+ * The replicated state of control VMs that dispatch: the published document, and the departures of upstreams. Commands and
+ * snapshots that begin with a document's number hold a document, as written by versions that know nothing else; number 0,
+ * which no document has, tells that departures follow. Those versions ignore a command with it.
+ */
+import { decodeDeparture, DepartureRegister, encodeDeparture, type Departure } from './departure-register.ts'
+import { PublishedDocumentState } from './published-document.ts'
+import type { StateMachine } from './replicated-log.ts'
+
+const NUMBER_BYTES = 8
+const LENGTH_BYTES = 4
+const NO_DOCUMENT = Buffer.alloc(NUMBER_BYTES)
+const EMPTY = Buffer.alloc(0)
+
+/** The state machine. */
+export class ControlState implements StateMachine {
+  readonly documents = PublishedDocumentState.create()
+  readonly departures = DepartureRegister.create()
+
+  private constructor () {}
+
+  static create (): ControlState {
+    return new ControlState()
+  }
+
+  apply (index: number, command: Uint8Array): Uint8Array {
+    if (!holdsDepartures(command)) return this.documents.apply(index, command)
+    this.departures.add(decodeDeparture(command.subarray(NUMBER_BYTES)))
+    return EMPTY
+  }
+
+  snapshot (): Uint8Array {
+    const document = this.documents.snapshot()
+    if (this.departures.all().length === 0) return document
+    const departures = this.departures.encode()
+    const length = Buffer.alloc(LENGTH_BYTES)
+    length.writeUInt32BE(departures.length)
+    return Buffer.concat([NO_DOCUMENT, length, departures, document])
+  }
+
+  restore (snapshot: Uint8Array): void {
+    if (!holdsDepartures(snapshot)) return this.documents.restore(snapshot)
+    const bytes = Buffer.from(snapshot)
+    const begin = NUMBER_BYTES + LENGTH_BYTES
+    const end = begin + bytes.readUInt32BE(NUMBER_BYTES)
+    this.departures.restore(bytes.subarray(begin, end))
+    this.documents.restore(bytes.subarray(end))
+  }
+}
+
+/** Encodes the command that records a departure. */
+export function encodeDepartureCommand (departure: Departure): Buffer {
+  return Buffer.concat([NO_DOCUMENT, encodeDeparture(departure)])
+}
+
+function holdsDepartures (bytes: Uint8Array): boolean {
+  return bytes.length >= NUMBER_BYTES && NO_DOCUMENT.equals(bytes.subarray(0, NUMBER_BYTES))
+}
--- /dev/null
+++ b/packages/replication/src/departure-register.ts
@@ -0,0 +1,85 @@
+/** The departures of upstreams that were acknowledged. They are part of the replicated state, so that no restart and no change of leader forgets one. */
+import { AnnouncedUpstream, UpstreamUpdate } from '@hickoryspoke/protocol/generated/dispatch'
+
+/** One start of an upstream leaves, or has left. */
+export interface Departure {
+  readonly instance: string
+  /** When it started, in Unix milliseconds; 0 if it did not say. */
+  readonly born: number
+  /** Its announcements up to this sequence number no longer count. */
+  readonly sequence: number
+  /** Whether it has left, and does not only serve what it has. */
+  readonly gone: boolean
+}
+
+/** Departures beyond this number are forgotten, oldest first; announcements that old no longer arrive. */
+const MAXIMUM_DEPARTURES = 1_000
+const NOT_NEEDED = { pool: '', address: '', zone: '', slots: 0, draining: true, warmupMilliseconds: 0, version: '' }
+
+/** The newest departure of each upstream, in the order in which they were added. */
+export class DepartureRegister {
+  private readonly byInstance = new Map<string, Departure>()
+  private readonly listeners = new Set<(departure: Departure) => void>()
+
+  private constructor () {}
+
+  static create (): DepartureRegister {
+    return new DepartureRegister()
+  }
+
+  /** All departures that are held. */
+  all (): Departure[] {
+    return [...this.byInstance.values()]
+  }
+
+  /** Calls `listener` after each departure that was added. */
+  onAdd (listener: (departure: Departure) => void): void {
+    this.listeners.add(listener)
+  }
+
+  /** Whether nothing would change if the departure was added. */
+  covers ({ instance, born, gone }: Departure): boolean {
+    const held = this.byInstance.get(instance)
+    if (held === undefined || held.born < born) return false
+    return held.born > born || held.gone || !gone
+  }
+
+  /** Adds a departure, unless a later start of the upstream has departed. */
+  add (departure: Departure): void {
+    const { instance, born } = departure
+    const held = this.byInstance.get(instance)
+    if (held !== undefined && held.born > born) return
+    const added = held?.born === born ? merge(held, departure) : departure
+    this.byInstance.delete(instance)
+    this.byInstance.set(instance, added)
+    if (this.byInstance.size > MAXIMUM_DEPARTURES) this.byInstance.delete(this.byInstance.keys().next().value as string)
+    for (const listener of this.listeners) listener(added)
+  }
+
+  /** Serializes all departures. */
+  encode (): Uint8Array {
+    const upstreams = this.all().map((departure) => encodeDeparture(departure))
+    return UpstreamUpdate.encode({ whole: true, upstreams, revision: 0 }).finish()
+  }
+
+  /** Replaces all departures by serialized ones. */
+  restore (bytes: Uint8Array): void {
+    this.byInstance.clear()
+    for (const encoded of UpstreamUpdate.decode(bytes).upstreams) this.add(decodeDeparture(encoded))
+  }
+}
+
+/** Encodes one departure. */
+export function encodeDeparture (departure: Departure): Buffer {
+  return Buffer.from(AnnouncedUpstream.encode({ ...NOT_NEEDED, ...departure }).finish())
+}
+
+/** Decodes one departure. */
+export function decodeDeparture (bytes: Uint8Array): Departure {
+  const { instance, born, sequence, gone } = AnnouncedUpstream.decode(bytes)
+  return { instance, born, sequence, gone }
+}
+
+function merge (held: Departure, added: Departure): Departure {
+  return { ...added, sequence: Math.max(held.sequence, added.sequence), gone: held.gone || added.gone }
+}
--- a/packages/replication/src/replica.ts
+++ b/packages/replication/src/replica.ts
@@ -109,6 +109,12 @@
     return this.context.lifecycle.role()
   }
 
+  /** Whether this replica leads and has applied all that was committed under earlier leaders. */
+  hasAppliedEarlierTerms (): boolean {
+    const { leadership, appliedIndex } = this.context
+    return leadership !== undefined && appliedIndex >= leadership.startIndex
+  }
+
   leader (): string | undefined {
     return this.context.leaderName
   }
