--- a/packages/dispatch/src/upstream-registry.ts
+++ b/packages/dispatch/src/upstream-registry.ts
@@ -178,7 +178,10 @@
   private apply (announced: AnnouncedUpstream, changed: Map<string, RegisteredUpstream>): boolean {
     if (!this.isSound(announced)) return false
     const known = this.byInstance.get(announced.instance)
-    if (known !== undefined && !isNewer(announced, known.announced)) return false
+    if (known !== undefined && !isNewer(announced, known.announced)) {
+      this.recordLateDeparture(known.announced, announced)
+      return false
+    }
     if (!announced.gone && !this.claimAddress(announced, changed)) return false
     const held = this.store(announced)
     if (known !== undefined && isLeaving(known.announced) && !isLeaving(announced)) this.logReturn(known.announced, announced)
@@ -186,6 +189,11 @@
     return true
   }
 
+  /** An upstream that was taken out before it said that it leaves stays out, and its earlier announcements no longer bring it back. */
+  private recordLateDeparture (known: AnnouncedUpstream, { born, sequence, draining }: AnnouncedUpstream): void {
+    if (known.gone && draining && born === known.born && sequence > known.sequence) this.store({ ...known, sequence })
+  }
+
   private logReturn (before: AnnouncedUpstream, { instance, sequence, born }: AnnouncedUpstream): void {
     this.logger.info('upstream in use again', {
       upstream: instance, sequence, sequenceBefore: before.sequence, hadLeft: before.gone, isRestarted: born !== before.born
@@ -250,6 +258,8 @@
 function isNewer (candidate: AnnouncedUpstream, known: AnnouncedUpstream): boolean {
   if (candidate.born !== known.born) return candidate.born > known.born
   if (known.gone && !candidate.gone && candidate.draining) return false
+  // A process that takes a silent upstream out has no announcement of its own for that.
+  if (candidate.sequence === known.sequence) return candidate.gone && !known.gone
   return candidate.sequence > known.sequence
 }
 
