--- a/packages/control/src/dispatching-control.ts
+++ b/packages/control/src/dispatching-control.ts
@@ -90,6 +90,8 @@
       upstreamDigest: () => this.registry.digest(),
       knownLimits: () => [],
       admissionReport: () => ({ admitted: [], fleetShare: 0 }),
+      // The next leader starts from what this connection brings.
+      isWaiting: () => true,
       wanted: () => !this.isLeader,
       listener: {
         placed: () => {},
--- a/packages/dispatch/src/leader-connection-options.ts
+++ b/packages/dispatch/src/leader-connection-options.ts
@@ -57,6 +57,8 @@
   readonly knownLimits: () => UpstreamLimit[]
   /** What this process admitted within the last window. */
   readonly admissionReport: () => AdmissionReport
+  /** Whether requests wait for an answer of the leader, so that its loss must be noticed soon. */
+  readonly isWaiting: () => boolean
   /** Whether to look for a leader now. */
   readonly wanted: () => boolean
   /** Opens a stream to a control VM; by default over the network. */
--- a/packages/dispatch/src/leader-connection.ts
+++ b/packages/dispatch/src/leader-connection.ts
@@ -6,13 +6,10 @@
 import { DispatchStream, type LeaderStream } from './dispatch-stream.ts'
 import type { LeaderConnectionOptions } from './leader-connection-options.ts'
 import { MessageCounts } from './message-counts.ts'
+import { StreamLiveness } from './stream-liveness.ts'
 
 /** The leader is asked for the newest configuration number at least this often. */
 const QUESTION_INTERVAL_MILLISECONDS = 1_000
-/** After this time without a message it is asked sooner, since the answer also shows that it is alive. */
-const QUIET_QUESTION_MILLISECONDS = 250
-const QUESTION_CHECK_MILLISECONDS = 50
-const SILENCE_TIMEOUT_MILLISECONDS = 650
 /** Time within which there must be a connection to a control VM; without one, the VM is down or out of reach. */
 const CONNECT_TIMEOUT_MILLISECONDS = 500
 /**
@@ -26,13 +23,18 @@
 const MAXIMUM_RECONNECT_DELAY_MILLISECONDS = 640
 const IDLE_CHECK_MILLISECONDS = 200
 
+/** Kinds of messages that the leader answers. */
+const ANSWERED: ReadonlySet<string | undefined> = new Set<NonNullable<EntryMessage['body']>['$case']>(['number', 'question'])
+
 type MessageBody = Exclude<NonNullable<DispatchMessage['body']>, { readonly $case: 'leader' }>
 
 interface Stream {
   readonly call: LeaderStream
   /** When the process was first seen to have accepted the connection; undefined before. */
   acceptedAt: number | undefined
-  lastReceivedAt: number
+  readonly liveness: StreamLiveness
+  /** Ends a wait for the next check. */
+  wake: () => void
   isClosed: boolean
   isServing: boolean
   /** Time within which its process must accept the connection. */
@@ -76,12 +78,15 @@
     if (!this.isConnected || this.stream === undefined) return false
     this.stream.call.write(message)
     this.sent.record(message.body?.$case ?? '')
+    if (ANSWERED.has(message.body?.$case) && this.stream.liveness.expect(this.options.clock.monotonicMilliseconds())) this.stream.wake()
     return true
   }
 
   /** Reconnects, so that a new hello tells the leader which configuration is held here. */
   reconnect (): void {
-    if (this.stream !== undefined) this.stream.isClosed = true
+    if (this.stream === undefined) return
+    this.stream.isClosed = true
+    this.stream.wake()
   }
 
   /** Asks the leader for the newest configuration number. */
@@ -137,8 +142,8 @@
       }
     })
     const acceptTimeoutMilliseconds = this.patience.timeoutMilliseconds(address, isNamed)
-    const unanswered = { acceptedAt: undefined, isClosed: false, isServing: false, isAnswered: false }
-    const stream: Stream = { call, acceptTimeoutMilliseconds, lastReceivedAt: clock.monotonicMilliseconds(), ...unanswered }
+    const unanswered = { acceptedAt: undefined, isClosed: false, isServing: false, isAnswered: false, wake: () => {} }
+    const stream: Stream = { call, acceptTimeoutMilliseconds, liveness: StreamLiveness.create(clock.monotonicMilliseconds()), ...unanswered }
     this.stream = stream
     signal.addEventListener('abort', finish, { once: true })
     call.write({ body: { $case: 'hello', value: this.hello() } })
@@ -158,17 +163,20 @@
     const { clock } = this.options
     await this.waitUntilServed(stream)
     while (!stream.isClosed && stream.isServing) {
-      if (clock.monotonicMilliseconds() - stream.lastReceivedAt > SILENCE_TIMEOUT_MILLISECONDS) return
-      if (this.isQuestionDue(stream)) this.requestNumber()
-      await sleep(clock, QUESTION_CHECK_MILLISECONDS)
+      const now = clock.monotonicMilliseconds()
+      if (stream.liveness.isLost(now)) return
+      if (now - this.lastQuestionAt >= QUESTION_INTERVAL_MILLISECONDS || stream.liveness.isQuiet(now, this.lastQuestionAt)) this.requestNumber()
+      await this.waitForCheck(stream)
     }
   }
 
-  private isQuestionDue (stream: Stream): boolean {
-    const now = this.options.clock.monotonicMilliseconds()
-    const sinceQuestion = now - this.lastQuestionAt
-    const isQuiet = now - stream.lastReceivedAt >= QUIET_QUESTION_MILLISECONDS
-    return sinceQuestion >= QUESTION_INTERVAL_MILLISECONDS || (isQuiet && sinceQuestion >= QUIET_QUESTION_MILLISECONDS)
+  /** Resolves when a question may be due or the leader may be lost, also when that comes to be sooner while it waits. */
+  private async waitForCheck (stream: Stream): Promise<void> {
+    const { clock } = this.options
+    const woken = new AbortController()
+    stream.wake = () => woken.abort()
+    const checkAt = Math.min(this.lastQuestionAt + QUESTION_INTERVAL_MILLISECONDS, stream.liveness.nextCheckAt(this.lastQuestionAt))
+    await sleep(clock, checkAt - clock.monotonicMilliseconds(), woken.signal)
   }
 
   /** Resolves when the leader serves the stream, or when the control VM is to be given up. */
@@ -179,7 +187,7 @@
       await sleep(clock, FIRST_MESSAGE_CHECK_MILLISECONDS)
       const now = clock.monotonicMilliseconds()
       if (stream.call.isAccepted()) stream.acceptedAt ??= now
-      const heardAt = Math.max(stream.lastReceivedAt, stream.acceptedAt ?? beganAt)
+      const heardAt = Math.max(stream.liveness.lastReceivedAt, stream.acceptedAt ?? beganAt)
       const isAccepted = stream.acceptedAt !== undefined
       if (isAccepted && now - heardAt >= FIRST_MESSAGE_TIMEOUT_MILLISECONDS) return
       const isConnected = stream.call.isConnected()
@@ -197,7 +205,7 @@
     stream.isClosed = true
     if (isStopping) stream.call.end({ body: { $case: 'stopped', value: {} } })
     else stream.call.cancel()
-    const silentMilliseconds = Math.round(this.options.clock.monotonicMilliseconds() - stream.lastReceivedAt)
+    const silentMilliseconds = Math.round(this.options.clock.monotonicMilliseconds() - stream.liveness.lastReceivedAt)
     if (!stream.isAnswered) this.options.logger.info('control not reached', { control: address, silent, silentMilliseconds, attempts: this.failedAttempts })
     if (!wasServing) return
     this.patience.recordLost(address, silent)
@@ -210,9 +218,13 @@
     if (stream.isClosed || body === undefined) return
     stream.isAnswered = true
     this.received.record(body.$case)
-    stream.lastReceivedAt = this.options.clock.monotonicMilliseconds()
-    if (body.$case === 'leader') return this.handleLeaderNotice(stream, body.value)
+    const now = this.options.clock.monotonicMilliseconds()
+    if (body.$case === 'leader') {
+      stream.liveness.receive(now, this.options.isWaiting())
+      return this.handleLeaderNotice(stream, body.value)
+    }
     this.deliver(body)
+    stream.liveness.receive(now, this.options.isWaiting())
     const revision = 'revision' in body.value ? body.value.revision : 0
     if (revision > 0 && !stream.isClosed) this.send({ body: { $case: 'confirmation', value: { revision } } })
   }
--- a/packages/dispatch/src/placement-client.ts
+++ b/packages/dispatch/src/placement-client.ts
@@ -83,6 +83,11 @@
     return [...this.placed.values()].map(({ ticket, instance }) => ({ ticket, instance }))
   }
 
+  /** Whether any question waits for a reply. */
+  get isWaiting (): boolean {
+    return this.waiting.size > 0
+  }
+
   /** Time since the dispatcher was lost, in milliseconds; 0 while there is one. */
   get withoutDispatcherMilliseconds (): number {
     return this.lostAt === undefined ? 0 : this.options.clock.monotonicMilliseconds() - this.lostAt
--- a/packages/entry/src/dispatched-entry.ts
+++ b/packages/entry/src/dispatched-entry.ts
@@ -112,6 +112,7 @@
       upstreamDigest: () => this.registry.digest(),
       knownLimits: () => this.placer.statedLimits(),
       admissionReport: () => this.placer.report(this.entries),
+      isWaiting: () => this.placementClient.isWaiting,
       wanted: () => true,
       listener: {
         placed: (placement) => this.placementClient.receivePlacement(placement),
