--- a/packages/configuration/src/watched-list.ts
+++ b/packages/configuration/src/watched-list.ts
@@ -6,20 +6,31 @@
 
 const CHECK_INTERVAL_MILLISECONDS = 2_000
 
-/** Reads the list from its file. */
-export type ListReader = () => Promise<Result<readonly string[], Failure>>
+/** The file that holds the list, among other things. */
+export interface ListFile {
+  /** Reads the text of the file. */
+  read (): Promise<Result<string, Failure>>
+  /** Returns the list in a text of the file. */
+  parse (text: string): Result<readonly string[], Failure>
+}
 
 /** The list as last read. `values` is updated in place, so holders of the array see the changes. */
 export class WatchedList {
-  private constructor (readonly values: string[], private readonly read: ListReader, private readonly logger: Logger) {}
+  /** The text that was parsed last; undefined before the first. */
+  private parsedText: string | undefined
+
+  private constructor (readonly values: string[], private readonly file: ListFile, private readonly logger: Logger) {}
 
-  static create (initial: readonly string[], read: ListReader, logger: Logger): WatchedList {
-    return new WatchedList([...initial], read, logger)
+  static create (initial: readonly string[], file: ListFile, logger: Logger): WatchedList {
+    return new WatchedList([...initial], file, logger)
   }
 
-  /** Reloads the file now. If it cannot be read, the previous values stay. */
+  /** Reloads the file now. If it cannot be read, the previous values stay. A text that was parsed before is not parsed again. */
   async refresh (): Promise<void> {
-    const list = await this.read()
+    const text = await this.file.read()
+    if (text.isOk() && text.value === this.parsedText) return
+    this.parsedText = text.isOk() ? text.value : undefined
+    const list = text.andThen((value) => this.file.parse(value))
     if (list.isErr()) {
       this.logger.warn('settings reload failed', { reason: list.error.message })
       return
