--- a/packages/control/src/dispatching-control.ts
+++ b/packages/control/src/dispatching-control.ts
@@ -12,7 +12,6 @@
 import { Replica } from '@hickoryspoke/replication/replica'
 import type { ReplicationFailure } from '@hickoryspoke/replication/replication-failure'
 import { REPLICA_SERVER_OPTIONS } from '@hickoryspoke/replication/replica-link'
-import { REPLICA_ROLE } from '@hickoryspoke/replication/replicated-log'
 import { createRecoveryTuning } from '@hickoryspoke/replication/replica-tuning'
 import { repeatEvery } from '@hickoryspoke/runtime/clock'
 import type { Failure } from '@hickoryspoke/runtime/failure'
@@ -67,7 +66,7 @@
       newsLimitMilliseconds: Math.max(0, settings.freshMilliseconds - settings.applyMilliseconds + PLACED_REQUEST_MILLISECONDS),
       startsWithFullBursts: () => settings.firstOfFleet && this.held === undefined,
       control: {
-        isLeader: () => replica.hasAppliedEarlierTerms(),
+        isLeader: () => this.isLeader,
         leaderAddress: () => replica.leader() ?? '',
         controlAddresses: () => this.controlAddresses(),
         confirmNumber: async () => await this.confirmNumber()
@@ -150,8 +149,9 @@
     return Ok(control)
   }
 
+  /** Whether this process leads and has applied all that earlier leaders acknowledged. */
   get isLeader (): boolean {
-    return this.replica.role() === REPLICA_ROLE.Leader
+    return this.replica.hasAppliedEarlierTerms()
   }
 
   /** IP:PORT of the leader's inner port; undefined when unknown. */
