--- a/packages/dispatch/src/leader-connection.ts
+++ b/packages/dispatch/src/leader-connection.ts
@@ -6,6 +6,7 @@
 import { DispatchStream, type LeaderStream } from './dispatch-stream.ts'
 import type { LeaderConnectionOptions } from './leader-connection-options.ts'
 import { MessageCounts } from './message-counts.ts'
+import { NewsConfirmations } from './news-confirmations.ts'
 import { StreamLiveness } from './stream-liveness.ts'
 
 /** The leader is asked for the newest configuration number at least this often. */
@@ -33,6 +34,7 @@
   /** When the process was first seen to have accepted the connection; undefined before. */
   acceptedAt: number | undefined
   readonly liveness: StreamLiveness
+  readonly confirmations: NewsConfirmations
   /** Ends a wait for the next check. */
   wake: () => void
   isClosed: boolean
@@ -143,7 +145,11 @@
     })
     const acceptTimeoutMilliseconds = this.patience.timeoutMilliseconds(address, isNamed)
     const unanswered = { acceptedAt: undefined, isClosed: false, isServing: false, isAnswered: false, wake: () => {} }
-    const stream: Stream = { call, acceptTimeoutMilliseconds, liveness: StreamLiveness.create(clock.monotonicMilliseconds()), ...unanswered }
+    const confirmations = NewsConfirmations.create(clock, (revision) => {
+      if (this.stream === stream && !stream.isClosed) this.send({ body: { $case: 'confirmation', value: { revision } } })
+    })
+    const liveness = StreamLiveness.create(clock.monotonicMilliseconds())
+    const stream: Stream = { call, acceptTimeoutMilliseconds, liveness, confirmations, ...unanswered }
     this.stream = stream
     signal.addEventListener('abort', finish, { once: true })
     call.write({ body: { $case: 'hello', value: this.hello() } })
@@ -226,7 +232,7 @@
     this.deliver(body)
     stream.liveness.receive(now, this.options.isWaiting())
     const revision = 'revision' in body.value ? body.value.revision : 0
-    if (revision > 0 && !stream.isClosed) this.send({ body: { $case: 'confirmation', value: { revision } } })
+    if (revision > 0) stream.confirmations.applied(revision)
   }
 
   private deliver (body: MessageBody): void {
