--- a/packages/request/src/upstream-connections.ts
+++ b/packages/request/src/upstream-connections.ts
@@ -2,9 +2,9 @@
 import type { Clock } from '@hickoryspoke/runtime/clock'
 import { Failure } from '@hickoryspoke/runtime/failure'
 import { Err, Ok, type Result } from 'ts-results-es'
-import { Client } from 'undici'
 import { ConnectFailure, DirectConnector, endedByReset, type Connector, type OpenConnection } from './connector.ts'
 import { ResponseProgress } from './response-progress.ts'
+import { Client } from './undici-client.ts'
 
 /** Timeouts and limits of the connections of one entry. */
 export interface ConnectionSettings {
