--- a/packages/dispatch/src/placement-client.ts
+++ b/packages/dispatch/src/placement-client.ts
@@ -131,7 +131,7 @@
     const unwanted: string[] = []
     while (!signal.aborted && clock.monotonicMilliseconds() < until) {
       const reply = await this.askDispatcher(excludeUnwanted(question, unwanted), signal)
-      if (reply?.isOk() === true && this.isUnwanted(reply.value.instance)) {
+      if (reply?.isOk() === true && !this.mayUse(reply.value.instance)) {
         unwanted.push(reply.value.instance)
         this.sendOrKeepEnd(unusedPlacementEnd(reply.value.ticket, reply.value.instance))
         continue
@@ -159,9 +159,9 @@
     this.sendOrKeepEnd(endWithInstance)
   }
 
-  /** Whether this entry knows that the upstream wants no requests. A dispatcher may not know it yet. */
-  private isUnwanted (instance: string): boolean {
-    return this.options.isLeaving(instance) || this.options.placer.isUnwanted(instance)
+  /** Whether the upstream wants requests as far as this entry knows. A dispatcher may not know yet that it does not. */
+  mayUse (instance: string): boolean {
+    return !this.options.isLeaving(instance) && !this.options.placer.isUnwanted(instance)
   }
 
   private sendOrKeepEnd (end: ReportedEnd): void {
--- a/packages/request/src/attempt-failure.ts
+++ b/packages/request/src/attempt-failure.ts
@@ -17,6 +17,7 @@
   too_many_connections: { provenNotRun: true, kind: ATTEMPT_KINDS.cancelled, refusal: 'overloaded' },
   entry_cut_off: { provenNotRun: true, kind: ATTEMPT_KINDS.cancelled, refusal: 'upstream_unreachable' },
   aborted_before_sending: { provenNotRun: true, kind: ATTEMPT_KINDS.cancelled, refusal: 'deadline_before_sending' },
+  placement_outdated: { provenNotRun: true, kind: ATTEMPT_KINDS.cancelled, refusal: 'upstream_refused' },
   closed_before_sending: { provenNotRun: true, kind: ATTEMPT_KINDS.cancelled, refusal: 'upstream_unreachable' },
   refused_not_run: { provenNotRun: true, kind: ATTEMPT_KINDS.refusedNotRun, refusal: 'upstream_refused' },
   closed_after_sending: { provenNotRun: false, kind: ATTEMPT_KINDS.reset, refusal: 'upstream_failed' },
--- a/packages/request/src/dispatched-attempt.ts
+++ b/packages/request/src/dispatched-attempt.ts
@@ -37,7 +37,7 @@
 }
 
 const NOT_SENT: ReadonlySet<AttemptFailureCode> = new Set([
-  'connect_refused', 'connect_timeout', 'entry_cut_off', 'too_many_connections', 'aborted_before_sending', 'closed_before_sending'
+  'connect_refused', 'connect_timeout', 'entry_cut_off', 'too_many_connections', 'aborted_before_sending', 'placement_outdated', 'closed_before_sending'
 ])
 
 /** Informs the dispatcher that a placement is not used. */
--- a/packages/request/src/dispatched-run.ts
+++ b/packages/request/src/dispatched-run.ts
@@ -195,7 +195,8 @@
       headers: dialect.upstreamHeaders(this.exchange.headers, { instance, customer: this.customer, remainingMilliseconds }),
       body: admitted.body.forAttempt(),
       maximumIdleMilliseconds: 0,
-      acceptsCloseDelimited: true
+      acceptsCloseDelimited: true,
+      mayStillSend: () => this.options.inForce.isFresh() && this.options.placementClient.mayUse(instance)
     }, this.caller)
     const cancellation = new AbortController()
     this.history.begin(placed)
--- a/packages/request/src/upstream-exchange.ts
+++ b/packages/request/src/upstream-exchange.ts
@@ -22,6 +22,8 @@
   readonly maximumOpen?: () => number
   /** Whether a response may be delimited by the close of its connection. It is complete only if the close was orderly. */
   readonly acceptsCloseDelimited?: boolean
+  /** Asked once there is a connection, as that may take long: whether the request may still be sent there. */
+  readonly mayStillSend?: () => boolean
   /** Called once there is a connection, with the entry that relays it; empty for none. */
   readonly onConnected?: (relay: string) => void
 }
@@ -62,6 +64,10 @@
     connections.release(connection.value, true)
     return Err(AttemptFailure.create('aborted_before_sending'))
   }
+  if (request.mayStillSend?.() === false) {
+    connections.release(connection.value, true)
+    return Err(AttemptFailure.create('placement_outdated', 'the upstream leaves, or this entry no longer knows'))
+  }
   return await ExchangeHandler.create(clock, connections, connection.value, request, signal).run()
 }
 
