--- a/packages/entry/src/connection-relay.ts
+++ b/packages/entry/src/connection-relay.ts
@@ -91,6 +91,10 @@
       socket.destroy()
       return
     }
+    if (this.options.isUnwanted(address)) {
+      opened.value.socket.destroy()
+      return refuse(socket, UPSTREAM_UNREACHABLE_STATUS)
+    }
     this.relayed.add(socket)
     socket.once('close', () => this.relayed.delete(socket))
     socket.write('HTTP/1.1 200 Connection Established\r\n\r\n')
--- a/packages/entry/src/tests/connection-relay.test.ts
+++ b/packages/entry/src/tests/connection-relay.test.ts
@@ -137,6 +137,23 @@
   }, { isUnwanted: true })
 })
 
+// Guards against requests to an upstream that told the relaying entry meanwhile that it leaves (DRAIN).
+test('a relay does not use a connection to an upstream that wants no requests once it is connected', async () => {
+  const state = { isUnwanted: false }
+  const direct = DirectConnector.create(clock, CONNECT_TIMEOUT_MILLISECONDS)
+  const connector: Connector = {
+    connect: async (target, signal) => {
+      const opened = await direct.connect(target, signal)
+      state.isUnwanted = true
+      return opened
+    }
+  }
+  await withRelay((socket) => socket.write(okResponse('x')), async (fixture) => {
+    assert.is(await requestThrough(fixture), 'connect_refused')
+    assert.is(fixture.upstream.requests.length, 0)
+  }, { connector, get isUnwanted () { return state.isUnwanted } })
+})
+
 test('a relay that is not there is unavailable', async () => {
   assert.is((await connectThroughRelay(await freeAddress(), '127.0.0.1:1', neverAborted)).unwrapErr().code, 'relay_unavailable')
 })
