--- a/packages/bench/src/tests/departure-while-connecting.test.ts
+++ b/packages/bench/src/tests/departure-while-connecting.test.ts
@@ -57,4 +57,26 @@
   }
 })
 
+// Guards against requests that run although the configuration that allowed them was replaced, as their connection took long (CONFIG).
+test('a request whose route is removed while the entry connects does not run', async () => {
+  const connector = HoldingConnector.create()
+  const fleet = await DispatchedFleet.create(1, 1, undefined, { 'entry-1': connector })
+  const upstream = await RawUpstream.create((socket) => socket.write(okResponse('ran')))
+  connector.heldAddress = upstream.address
+  try {
+    await fleet.publish(fleetConfiguration(1, [{}]))
+    await fleet.announce('i-1', upstream.address)
+    await fleet.waitUntilReady()
+    const response = fetch(fleet.entries[0]?.url ?? '', { method: 'POST', body: 'x' })
+    await waitFor(() => connector.isHolding ? true : undefined)
+    await fleet.publish(fleetConfiguration(2, [{ prefix: '/other/' }]))
+    connector.releaseAll()
+    assert.is((await response).status, 404)
+    assert.is(upstream.requests.length, 0)
+  } finally {
+    await fleet.stop()
+    await upstream.close()
+  }
+})
+
 test.run()
--- a/packages/control/src/dispatching-control.ts
+++ b/packages/control/src/dispatching-control.ts
@@ -193,14 +193,6 @@
     return isRecorded && isKnown && await this.confirmNumber() !== undefined
   }
 
-  /** Makes a departure part of the replicated state; false if that could not be confirmed. */
-  private async recordDeparture (instance: string): Promise<boolean> {
-    const announced = this.registry.find(instance)?.announced
-    if (announced === undefined || !isLeaving(announced) || this.state.departures.covers(announced)) return true
-    const { born, sequence, gone } = announced
-    return (await this.replica.propose(encodeDepartureCommand({ instance, born, sequence, gone }))).isOk()
-  }
-
   /** Reads the newest document, as of some moment after the call. */
   async read (): Promise<Result<PublishedDocument | undefined, ReplicationFailure>> {
     const barrier = await this.replica.readBarrier()
@@ -248,6 +240,14 @@
     for (const { announced } of expired) this.options.logger.info('silent upstream taken out', { upstream: announced.instance, pool: announced.pool })
   }
 
+  /** Makes a departure part of the replicated state; false if that could not be confirmed. */
+  private async recordDeparture (instance: string): Promise<boolean> {
+    const announced = this.registry.find(instance)?.announced
+    if (announced === undefined || !isLeaving(announced) || this.state.departures.covers(announced)) return true
+    const { born, sequence, gone } = announced
+    return (await this.replica.propose(encodeDepartureCommand({ instance, born, sequence, gone }))).isOk()
+  }
+
   /** Number of the newest document, 0 for none; undefined when leadership cannot be confirmed. */
   private async confirmNumber (): Promise<number | undefined> {
     const barrier = await this.replica.readBarrier()
--- a/packages/request/src/dispatched-run.ts
+++ b/packages/request/src/dispatched-run.ts
@@ -141,6 +141,8 @@
       if (end.kind === 'answer' && !this.shouldRetryResponse(admitted, end)) return await this.relay(admitted, end.answer)
       const last = end.kind === 'failure' ? end.failure : undefined
       if (!this.mayRepeat(admitted, end)) return await this.respondWithLastResult(admitted, refusalOfFailure(last, this.history.mayHaveRun))
+      const refusedSince = this.recheck(admitted)
+      if (refusedSince !== undefined) return await this.respondWithLastResult(admitted, refusedSince)
     }
   }
 
@@ -196,7 +198,7 @@
       body: admitted.body.forAttempt(),
       maximumIdleMilliseconds: 0,
       acceptsCloseDelimited: true,
-      mayStillSend: () => this.options.inForce.isFresh() && this.options.placementClient.mayUse(instance)
+      mayStillSend: () => this.recheck(admitted) === undefined && this.options.placementClient.mayUse(instance)
     }, this.caller)
     const cancellation = new AbortController()
     this.history.begin(placed)
--- a/packages/request/src/upstream-exchange.ts
+++ b/packages/request/src/upstream-exchange.ts
@@ -66,7 +66,7 @@
   }
   if (request.mayStillSend?.() === false) {
     connections.release(connection.value, true)
-    return Err(AttemptFailure.create('placement_outdated', 'the upstream leaves, or this entry no longer knows'))
+    return Err(AttemptFailure.create('placement_outdated', 'what allowed the request to be sent there has changed'))
   }
   return await ExchangeHandler.create(clock, connections, connection.value, request, signal).run()
 }
