--- a/packages/control/src/dispatching-control.ts
+++ b/packages/control/src/dispatching-control.ts
@@ -2,11 +2,11 @@
 import { Server } from '@grpc/grpc-js'
 import { LeaderConnection } from '@hickoryspoke/dispatch/leader-connection'
 import { DispatchService } from '@hickoryspoke/dispatch/dispatch-service'
-import { isLeaving, UpstreamRegistry } from '@hickoryspoke/dispatch/upstream-registry'
+import { UpstreamRegistry } from '@hickoryspoke/dispatch/upstream-registry'
 import { DispatchMessage, DispatchService as DispatchDefinition, EntryMessage } from '@hickoryspoke/protocol/generated/dispatch'
 import { FramedConnection } from '@hickoryspoke/protocol/framed-connection'
 import { InnerListener } from '@hickoryspoke/protocol/inner-listener'
-import { ControlState, encodeDepartureCommand } from '@hickoryspoke/replication/control-state'
+import { ControlState } from '@hickoryspoke/replication/control-state'
 import { GrpcReplicaNetwork } from '@hickoryspoke/replication/grpc-replica-network'
 import { encodeDocument, type PublishedDocument } from '@hickoryspoke/replication/published-document'
 import { Replica } from '@hickoryspoke/replication/replica'
@@ -18,6 +18,7 @@
 import type { Metrics } from '@hickoryspoke/telemetry/metrics'
 import { Ok, type Result } from 'ts-results-es'
 import { AnnouncementRelay } from './announcement-relay.ts'
+import { DepartureLog } from './departure-log.ts'
 import type { DispatchingControlOptions, DispatchingControlSettings } from './dispatching-control-settings.ts'
 import { createControlMetrics } from './dispatching-control-metrics.ts'
 import { reportLoad } from './load-report.ts'
@@ -40,6 +41,7 @@
   /** Announcements accepted here while another process leads. */
   readonly announcements: AnnouncementRelay
   private readonly service: DispatchService
+  private readonly departures: DepartureLog
   private readonly stopping = new AbortController()
   private readonly mirror: LeaderConnection
   private readonly listener: InnerListener
@@ -107,8 +109,7 @@
       }
     })
     this.announcements = AnnouncementRelay.create(this.registry, this.mirror)
-    for (const departure of state.departures.all()) this.registry.recordDeparture(departure)
-    state.departures.onAdd((departure) => this.registry.recordDeparture(departure))
+    this.departures = DepartureLog.create({ registry: this.registry, committed: state.departures, log: replica })
     state.documents.onChange(() => this.schedulePublish())
     this.metrics = createControlMetrics(replica, state.documents, this.service)
     server.addService(DispatchDefinition, this.service.handlers())
@@ -189,7 +190,7 @@
   /** The same for the departure of an upstream. */
   async isDepartureKnown (instance: string): Promise<boolean> {
     this.service.updateLeadership()
-    const [isRecorded, isKnown] = await Promise.all([this.recordDeparture(instance), this.service.isDepartureKnown(instance)])
+    const [isRecorded, isKnown] = await Promise.all([this.departures.record(instance), this.service.isDepartureKnown(instance)])
     return isRecorded && isKnown && await this.confirmNumber() !== undefined
   }
 
@@ -240,14 +241,6 @@
     for (const { announced } of expired) this.options.logger.info('silent upstream taken out', { upstream: announced.instance, pool: announced.pool })
   }
 
-  /** Makes a departure part of the replicated state; false if that could not be confirmed. */
-  private async recordDeparture (instance: string): Promise<boolean> {
-    const announced = this.registry.find(instance)?.announced
-    if (announced === undefined || !isLeaving(announced) || this.state.departures.covers(announced)) return true
-    const { born, sequence, gone } = announced
-    return (await this.replica.propose(encodeDepartureCommand({ instance, born, sequence, gone }))).isOk()
-  }
-
   /** Number of the newest document, 0 for none; undefined when leadership cannot be confirmed. */
   private async confirmNumber (): Promise<number | undefined> {
     const barrier = await this.replica.readBarrier()
