--- a/packages/dispatch/src/stream-liveness.ts
+++ b/packages/dispatch/src/stream-liveness.ts
@@ -1,10 +1,12 @@
 /**
  * Tells when a client asks the leader for a sign of life, and when it gives the leader up. A leader owes messages only while
- * something waits for them, so that a client without requests needs no more than the question that it asks anyway.
+ * something waits for them, so a client without requests asks it less often.
  */
 
 /** A client whose requests wait for the leader asks it for a sign of life after this time without a message. */
 const QUIET_QUESTION_MILLISECONDS = 250
+/** The same for a client without requests. It notices later that the leader is lost, and its next request waits for that. */
+const IDLE_QUESTION_MILLISECONDS = 500
 /** A leader from which something is expected is given up after this time without a message. */
 const SILENCE_TIMEOUT_MILLISECONDS = 650
 
@@ -39,7 +41,7 @@
 
   /** Whether to ask for a sign of life, if the last question was sent at `askedAt`. */
   isQuiet (now: number, askedAt: number): boolean {
-    return this.owesSince !== undefined && now >= this.quietAt(askedAt)
+    return now >= this.quietAt(askedAt)
   }
 
   /** Whether the leader is to be given up. */
@@ -47,13 +49,14 @@
     return this.owesSince !== undefined && now - this.owesSince > SILENCE_TIMEOUT_MILLISECONDS
   }
 
-  /** When to look again; Infinity while the leader owes nothing. */
+  /** When to look again. */
   nextCheckAt (askedAt: number): number {
-    if (this.owesSince === undefined) return Infinity
-    return Math.min(this.quietAt(askedAt), this.owesSince + SILENCE_TIMEOUT_MILLISECONDS + 1)
+    const quietAt = this.quietAt(askedAt)
+    return this.owesSince === undefined ? quietAt : Math.min(quietAt, this.owesSince + SILENCE_TIMEOUT_MILLISECONDS + 1)
   }
 
   private quietAt (askedAt: number): number {
-    return Math.max(this.receivedAt, askedAt, this.owesSince ?? 0) + QUIET_QUESTION_MILLISECONDS
+    const quiet = this.owesSince === undefined ? IDLE_QUESTION_MILLISECONDS : QUIET_QUESTION_MILLISECONDS
+    return Math.max(this.receivedAt, askedAt, this.owesSince ?? 0) + quiet
   }
 }
