--- a/packages/bench/src/tests/left-after-restart.test.ts
+++ b/packages/bench/src/tests/left-after-restart.test.ts
@@ -37,4 +37,28 @@
   }
 })
 
+for (const isKnown of [true, false]) {
+  // Guards against requests to an upstream that left and announces itself until it ends: its call to leave does not name its start (DRAIN).
+  test(`an upstream that ${isKnown ? 'is' : 'is not'} known and leaves without naming its start gets no request, whatever it announces later`, async () => {
+    const fleet = await DispatchedFleet.create(1, 1)
+    const left = await RawUpstream.create((socket) => socket.write(okResponse('left')))
+    const stays = await RawUpstream.create((socket) => socket.write(okResponse('stays')))
+    try {
+      await fleet.publish(fleetConfiguration(1, [{}]))
+      if (isKnown) await fleet.announce('i-left', left.address, { sequence: ANNOUNCED })
+      await fleet.announce('i-stays', stays.address)
+      await fleet.waitUntilReady()
+      const { api } = await fleet.leader()
+      assert.is((await api.leave('i-left', undefined)).kind, 'done')
+      for (const sequence of [DELAYED, DELAYED + 1]) await fleet.announce('i-left', left.address, { sequence })
+      for (let sent = 0; sent < REQUESTS; sent += 1) await fetch(fleet.entries[0]?.url ?? '', { method: 'POST', body: 'x' })
+      assert.is(left.requests.length, 0)
+      assert.is(stays.requests.length, REQUESTS)
+    } finally {
+      await fleet.stop()
+      await Promise.all([left.close(), stays.close()])
+    }
+  })
+}
+
 test.run()
