--- a/packages/control/src/control-api.ts
+++ b/packages/control/src/control-api.ts
@@ -78,17 +78,11 @@
   async leave (instance: string, born: number | undefined): Promise<ControlApiAnswer> {
     const redirection = this.redirectUnlessLeader<undefined>()
     if (redirection !== undefined) return redirection
-    this.options.control.registry.leave(instance, born ?? this.latestStart(instance))
+    this.options.control.registry.leave(instance, born)
     this.options.logger.info('upstream left', { upstream: instance })
     return await this.confirmDeparture(instance)
   }
 
-  /** The latest start that an upstream which does not name its own can mean. It may go on announcing itself until it ends. */
-  private latestStart (instance: string): number {
-    const { control, clock } = this.options
-    return control.registry.find(instance)?.announced.born ?? Math.floor(clock.wallMilliseconds())
-  }
-
   private async confirmDocument (number: number): Promise<ControlApiAnswer> {
     return await this.confirmNews('document', number, async () => await this.options.control.isDocumentKnown())
   }
--- a/packages/dispatch/src/local-placer.ts
+++ b/packages/dispatch/src/local-placer.ts
@@ -136,7 +136,7 @@
   recordEnd (instance: string, end: Omit<PlacementEnd, 'notice'>, local: boolean): void {
     const standing = this.standingOf(instance)
     if (local) standing.inFlight = Math.max(0, standing.inFlight - 1)
-    if (end.outcome === PlacementOutcome.PLACEMENT_OUTCOME_MISDIRECTED) this.options.registry.leave(instance, undefined)
+    if (end.outcome === PlacementOutcome.PLACEMENT_OUTCOME_MISDIRECTED) this.options.registry.takeOut(instance)
     const now = this.options.clock.monotonicMilliseconds()
     const { outcome, milliseconds, statedLimit } = end
     if (statedLimit !== undefined) standing.limit.record(statedLimit, now - milliseconds, now)
--- a/packages/dispatch/src/tests/upstream-registry.test.ts
+++ b/packages/dispatch/src/tests/upstream-registry.test.ts
@@ -51,7 +51,8 @@
 test('an instance that another process took out may announce itself again', () => {
   const registry = UpstreamRegistry.create(FakeClock.create())
   registry.announce(announcement({ instance: 'a', sequence: 5 }))
-  registry.leave('a', undefined)
+  registry.takeOut('a')
+  assert.equal(present(registry), [])
   assert.is(registry.announce(announcement({ instance: 'a', sequence: 7 })), true)
   assert.equal(present(registry), ['a'])
 })
@@ -122,4 +123,18 @@
   assert.not.ok(registry.isLeaving('a'))
 })
 
+// Guards against requests to an upstream that left and goes on announcing itself: its call to leave does not name its start (DRAIN).
+for (const isKnown of [true, false]) {
+  test(`an instance that ${isKnown ? 'is' : 'is not'} known and leaves without naming its start is out until it starts again`, () => {
+    const clock = FakeClock.create()
+    const registry = UpstreamRegistry.create(clock)
+    if (isKnown) registry.announce(announcement({ instance: 'a', sequence: 5 }))
+    registry.leave('a', undefined)
+    for (const sequence of [6, 7, 20]) assert.is(registry.announce(announcement({ instance: 'a', sequence })), false)
+    assert.equal(present(registry), [])
+    registry.announce(announcement({ instance: 'a', sequence: 1, born: clock.wallMilliseconds() + 1 }))
+    assert.equal(present(registry), ['a'])
+  })
+}
+
 test.run()
--- a/packages/dispatch/src/upstream-registry.ts
+++ b/packages/dispatch/src/upstream-registry.ts
@@ -100,32 +100,34 @@
   }
 
   /**
-   * Marks an upstream as left, also an unknown one; ignored when `born` is older than the known start of the instance. Where the
-   * start is named, it has left for good: a delayed announcement of it may have any sequence number.
+   * One start of an upstream has left for good, also of an unknown one: announcements of it that arrive late, or that it goes on
+   * sending until it ends, do not count. A call to leave that does not name the start means the known one, or any before now.
    */
   leave (instance: string, born: number | undefined): void {
-    const known = this.byInstance.get(instance)?.announced
-    if (known !== undefined && born !== undefined && born < known.born) return
-    const announced = known ?? createTombstone(instance, born ?? 0)
-    const sequence = born === undefined ? Math.min(announced.sequence + 1, LAST_SEQUENCE) : LAST_SEQUENCE
-    const departed = { ...announced, gone: true, born: born ?? announced.born, sequence }
-    if (!this.isSound(departed)) return
-    const held = this.store(departed)
-    this.notifyListeners([held])
+    const start = born ?? this.find(instance)?.announced.born ?? Math.floor(this.clock.wallMilliseconds())
+    this.recordDeparture({ instance, born: start, sequence: LAST_SEQUENCE, gone: true })
   }
 
   /** Records that one start of an upstream leaves or has left, whether it is known here or not. A later start is not affected. */
   recordDeparture ({ instance, born, sequence, gone }: Pick<AnnouncedUpstream, 'instance' | 'born' | 'sequence' | 'gone'>): void {
-    const known = this.byInstance.get(instance)?.announced
+    const known = this.find(instance)?.announced
     if (known !== undefined && known.born > born) return
     const departed = known?.born === born
       ? { ...known, draining: true, gone: known.gone || gone, sequence: Math.max(known.sequence, sequence) }
-      : { ...createTombstone(instance, born), sequence }
+      : { ...(known ?? createTombstone(instance, born)), draining: true, gone: true, born, sequence }
+    if (!this.isSound(departed)) return
     const isNews = known === undefined || differs(known, departed)
     const held = this.store(departed)
     if (isNews) this.notifyListeners([held])
   }
 
+  /** Takes out an upstream until it announces itself again, as another one seems to be at its address. */
+  takeOut (instance: string): void {
+    const known = this.find(instance)?.announced
+    if (known === undefined || known.gone) return
+    this.notifyListeners([this.store({ ...known, gone: true, sequence: Math.min(known.sequence + 1, LAST_SEQUENCE) })])
+  }
+
   /** Applies the announcements known to another process; upstreams that it does not list are kept. */
   merge (list: readonly AnnouncedUpstream[]): void {
     const changed = new Map<string, RegisteredUpstream>()
