--- a/packages/dispatch/src/upstream-registry.ts
+++ b/packages/dispatch/src/upstream-registry.ts
@@ -1,6 +1,6 @@
 /** Registry of announced upstreams. Start times and sequence numbers order announcements, so that late or repeated ones change nothing. */
 import { createHash } from 'node:crypto'
-import type { AnnouncedUpstream } from '@hickoryspoke/protocol/generated/dispatch'
+import type { AnnouncedUpstream, Departure } from '@hickoryspoke/protocol/generated/dispatch'
 import type { Clock } from '@hickoryspoke/runtime/clock'
 import { silentLogger, type Logger } from '@hickoryspoke/telemetry/logger'
 import { checkAnnounced, createTombstone, decodeAnnounced, encodeAnnounced } from './announced-upstream.ts'
@@ -109,7 +109,7 @@
   }
 
   /** Records that one start of an upstream leaves or has left, whether it is known here or not. A later start is not affected. */
-  recordDeparture ({ instance, born, sequence, gone }: Pick<AnnouncedUpstream, 'instance' | 'born' | 'sequence' | 'gone'>): void {
+  recordDeparture ({ instance, born, sequence, gone }: Departure): void {
     const known = this.find(instance)?.announced
     if (known !== undefined && known.born > born) return
     const departed = known?.born === born
--- a/packages/replication/src/control-state.ts
+++ b/packages/replication/src/control-state.ts
@@ -3,7 +3,8 @@
  * snapshots that begin with a document's number hold a document, as written by versions that know nothing else; number 0,
  * which no document has, tells that departures follow. Those versions ignore a command with it.
  */
-import { decodeDeparture, DepartureRegister, encodeDeparture, type Departure } from './departure-register.ts'
+import { Departure } from '@hickoryspoke/protocol/generated/dispatch'
+import { DepartureRegister } from './departure-register.ts'
 import { PublishedDocumentState } from './published-document.ts'
 import type { StateMachine } from './replicated-log.ts'
 
@@ -25,7 +26,7 @@
 
   apply (index: number, command: Uint8Array): Uint8Array {
     if (!holdsDepartures(command)) return this.documents.apply(index, command)
-    this.departures.add(decodeDeparture(command.subarray(NUMBER_BYTES)))
+    this.departures.add(Departure.decode(command.subarray(NUMBER_BYTES)))
     return EMPTY
   }
 
@@ -50,7 +51,7 @@
 
 /** Encodes the command that records a departure. */
 export function encodeDepartureCommand (departure: Departure): Buffer {
-  return Buffer.concat([NO_DOCUMENT, encodeDeparture(departure)])
+  return Buffer.concat([NO_DOCUMENT, Departure.encode(departure).finish()])
 }
 
 function holdsDepartures (bytes: Uint8Array): boolean {
--- a/packages/replication/src/departure-register.ts
+++ b/packages/replication/src/departure-register.ts
@@ -1,20 +1,8 @@
 /** The departures of upstreams that were acknowledged. They are part of the replicated state, so that no restart and no change of leader forgets one. */
-import { AnnouncedUpstream, UpstreamUpdate } from '@hickoryspoke/protocol/generated/dispatch'
-
-/** One start of an upstream leaves, or has left. */
-export interface Departure {
-  readonly instance: string
-  /** When it started, in Unix milliseconds; 0 if it did not say. */
-  readonly born: number
-  /** Its announcements up to this sequence number no longer count. */
-  readonly sequence: number
-  /** Whether it has left, and does not only serve what it has. */
-  readonly gone: boolean
-}
+import { DepartureList, type Departure } from '@hickoryspoke/protocol/generated/dispatch'
 
 /** Departures beyond this number are forgotten, oldest first; announcements that old no longer arrive. */
 const MAXIMUM_DEPARTURES = 1_000
-const NOT_NEEDED = { pool: '', address: '', zone: '', slots: 0, draining: true, warmupMilliseconds: 0, version: '' }
 
 /** The newest departure of each upstream, in the order in which they were added. */
 export class DepartureRegister {
@@ -58,28 +46,16 @@
 
   /** Serializes all departures. */
   encode (): Uint8Array {
-    const upstreams = this.all().map((departure) => encodeDeparture(departure))
-    return UpstreamUpdate.encode({ whole: true, upstreams, revision: 0 }).finish()
+    return DepartureList.encode({ departures: this.all() }).finish()
   }
 
   /** Replaces all departures by serialized ones. */
   restore (bytes: Uint8Array): void {
     this.byInstance.clear()
-    for (const encoded of UpstreamUpdate.decode(bytes).upstreams) this.add(decodeDeparture(encoded))
+    for (const departure of DepartureList.decode(bytes).departures) this.add(departure)
   }
 }
 
-/** Encodes one departure. */
-export function encodeDeparture (departure: Departure): Buffer {
-  return Buffer.from(AnnouncedUpstream.encode({ ...NOT_NEEDED, ...departure }).finish())
-}
-
-/** Decodes one departure. */
-export function decodeDeparture (bytes: Uint8Array): Departure {
-  const { instance, born, sequence, gone } = AnnouncedUpstream.decode(bytes)
-  return { instance, born, sequence, gone }
-}
-
 function merge (held: Departure, added: Departure): Departure {
   return { ...added, sequence: Math.max(held.sequence, added.sequence), gone: held.gone || added.gone }
 }
--- a/packages/replication/src/tests/control-state.test.ts
+++ b/packages/replication/src/tests/control-state.test.ts
@@ -1,7 +1,7 @@
+import type { Departure } from '@hickoryspoke/protocol/generated/dispatch'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import { ControlState, encodeDepartureCommand } from '../control-state.ts'
-import type { Departure } from '../departure-register.ts'
 import { encodeDocument, PublishedDocumentState } from '../published-document.ts'
 
 const DOCUMENT = encodeDocument({ number: 3, content: Buffer.from('three') })
