--- a/packages/dispatch/src/leader-connection.ts
+++ b/packages/dispatch/src/leader-connection.ts
@@ -80,7 +80,7 @@
     if (!this.isConnected || this.stream === undefined) return false
     this.stream.call.write(message)
     this.sent.record(message.body?.$case ?? '')
-    if (ANSWERED.has(message.body?.$case) && this.stream.liveness.expect(this.options.clock.monotonicMilliseconds())) this.stream.wake()
+    if (ANSWERED.has(message.body?.$case) && this.stream.liveness.asked(this.options.clock.monotonicMilliseconds())) this.stream.wake()
     return true
   }
 
@@ -148,7 +148,7 @@
     const confirmations = NewsConfirmations.create(clock, (revision) => {
       if (this.stream === stream && !stream.isClosed) this.send({ body: { $case: 'confirmation', value: { revision } } })
     })
-    const liveness = StreamLiveness.create(clock.monotonicMilliseconds())
+    const liveness = StreamLiveness.create(clock.monotonicMilliseconds(), this.options.isWaiting)
     const stream: Stream = { call, acceptTimeoutMilliseconds, liveness, confirmations, ...unanswered }
     this.stream = stream
     signal.addEventListener('abort', finish, { once: true })
@@ -171,17 +171,21 @@
     while (!stream.isClosed && stream.isServing) {
       const now = clock.monotonicMilliseconds()
       if (stream.liveness.isLost(now)) return
-      if (now - this.lastQuestionAt >= QUESTION_INTERVAL_MILLISECONDS || stream.liveness.isQuiet(now, this.lastQuestionAt)) this.requestNumber()
+      if (now >= this.questionDueAt(stream)) this.requestNumber()
       await this.waitForCheck(stream)
     }
   }
 
+  private questionDueAt ({ liveness }: Stream): number {
+    return Math.min(this.lastQuestionAt + QUESTION_INTERVAL_MILLISECONDS, liveness.questionDueAt(this.lastQuestionAt))
+  }
+
   /** Resolves when a question may be due or the leader may be lost, also when that comes to be sooner while it waits. */
   private async waitForCheck (stream: Stream): Promise<void> {
     const { clock } = this.options
     const woken = new AbortController()
     stream.wake = () => woken.abort()
-    const checkAt = Math.min(this.lastQuestionAt + QUESTION_INTERVAL_MILLISECONDS, stream.liveness.nextCheckAt(this.lastQuestionAt))
+    const checkAt = Math.min(this.questionDueAt(stream), stream.liveness.lostAt())
     await sleep(clock, checkAt - clock.monotonicMilliseconds(), woken.signal)
   }
 
@@ -224,13 +228,9 @@
     if (stream.isClosed || body === undefined) return
     stream.isAnswered = true
     this.received.record(body.$case)
-    const now = this.options.clock.monotonicMilliseconds()
-    if (body.$case === 'leader') {
-      stream.liveness.receive(now, this.options.isWaiting())
-      return this.handleLeaderNotice(stream, body.value)
-    }
+    stream.liveness.received(this.options.clock.monotonicMilliseconds())
+    if (body.$case === 'leader') return this.handleLeaderNotice(stream, body.value)
     this.deliver(body)
-    stream.liveness.receive(now, this.options.isWaiting())
     const revision = 'revision' in body.value ? body.value.revision : 0
     if (revision > 0) stream.confirmations.applied(revision)
   }
--- a/packages/dispatch/src/stream-liveness.ts
+++ b/packages/dispatch/src/stream-liveness.ts
@@ -1,24 +1,25 @@
 /**
- * Tells when a client asks the leader for a sign of life, and when it gives the leader up. A leader owes messages only while
- * something waits for them, so a client without requests asks it less often.
+ * Tells when a client asks the leader for a sign of life, and when it gives the leader up. The leader owes messages while a
+ * question is open or requests wait, so a client without either asks it less often. Times are monotonic milliseconds.
  */
 
-/** A client whose requests wait for the leader asks it for a sign of life after this time without a message. */
+/** A client to which the leader owes a message asks for a sign of life after this time without one. */
 const QUIET_QUESTION_MILLISECONDS = 250
-/** The same for a client without requests. It notices later that the leader is lost, and its next request waits for that. */
+/** The same for a client to which it owes none. It notices later that the leader is lost, and its next request waits for that. */
 const IDLE_QUESTION_MILLISECONDS = 500
-/** A leader from which something is expected is given up after this time without a message. */
+/** A leader that owes a message is given up after this time without one. */
 const SILENCE_TIMEOUT_MILLISECONDS = 650
 
-/** The state of one stream. Times are monotonic milliseconds. */
+/** The state of one stream. */
 export class StreamLiveness {
-  /** Since when the leader owes a message; undefined while it owes none. */
-  private owesSince: number | undefined
+  /** When the first question since the last message was sent; undefined if none was. */
+  private askedAt: number | undefined
 
-  private constructor (private receivedAt: number) {}
+  private constructor (private receivedAt: number, private readonly isWaiting: () => boolean) {}
 
-  static create (now: number): StreamLiveness {
-    return new StreamLiveness(now)
+  /** `isWaiting` tells whether requests wait for the leader. */
+  static create (now: number, isWaiting: () => boolean): StreamLiveness {
+    return new StreamLiveness(now, isWaiting)
   }
 
   /** When the last message was received; at first when the stream was opened. */
@@ -26,37 +27,37 @@
     return this.receivedAt
   }
 
-  /** Something was sent that the leader answers. Returns whether it owed nothing before. */
-  expect (now: number): boolean {
-    const wasIdle = this.owesSince === undefined
-    this.owesSince ??= now
-    return wasIdle
+  /** Something was sent that the leader answers. Returns whether it is the first since the last message. */
+  asked (now: number): boolean {
+    const isFirst = this.askedAt === undefined
+    this.askedAt ??= now
+    return isFirst
   }
 
-  /** A message arrived; `isWaiting` tells whether requests still wait for the leader. */
-  receive (now: number, isWaiting: boolean): void {
+  /** A message arrived. */
+  received (now: number): void {
     this.receivedAt = now
-    this.owesSince = isWaiting ? now : undefined
-  }
-
-  /** Whether to ask for a sign of life, if the last question was sent at `askedAt`. */
-  isQuiet (now: number, askedAt: number): boolean {
-    return now >= this.quietAt(askedAt)
+    this.askedAt = undefined
   }
 
   /** Whether the leader is to be given up. */
   isLost (now: number): boolean {
-    return this.owesSince !== undefined && now - this.owesSince > SILENCE_TIMEOUT_MILLISECONDS
+    return now >= this.lostAt()
   }
 
-  /** When to look again. */
-  nextCheckAt (askedAt: number): number {
-    const quietAt = this.quietAt(askedAt)
-    return this.owesSince === undefined ? quietAt : Math.min(quietAt, this.owesSince + SILENCE_TIMEOUT_MILLISECONDS + 1)
+  /** When to ask for a sign of life, if the leader was last asked for one at `questionAt`. */
+  questionDueAt (questionAt: number): number {
+    const quiet = this.owesSince() === undefined ? IDLE_QUESTION_MILLISECONDS : QUIET_QUESTION_MILLISECONDS
+    return Math.max(this.receivedAt, this.askedAt ?? -Infinity, questionAt) + quiet
   }
 
-  private quietAt (askedAt: number): number {
-    const quiet = this.owesSince === undefined ? IDLE_QUESTION_MILLISECONDS : QUIET_QUESTION_MILLISECONDS
-    return Math.max(this.receivedAt, askedAt, this.owesSince ?? 0) + quiet
+  /** When the leader is lost if no message arrives; Infinity while it owes none. */
+  lostAt (): number {
+    return (this.owesSince() ?? Infinity) + SILENCE_TIMEOUT_MILLISECONDS
+  }
+
+  /** Since when the leader owes a message; undefined while it owes none. */
+  private owesSince (): number | undefined {
+    return this.askedAt ?? (this.isWaiting() ? this.receivedAt : undefined)
   }
 }
--- a/packages/dispatch/src/tests/leader-connection.test.ts
+++ b/packages/dispatch/src/tests/leader-connection.test.ts
@@ -1,42 +1,18 @@
 import { createServer, type AddressInfo, type Socket } from 'node:net'
 import { Server, type ServerDuplexStream } from '@grpc/grpc-js'
 import { DispatchService, type DispatchMessage, type EntryMessage } from '@hickoryspoke/protocol/generated/dispatch'
-import { InnerCredentials } from '@hickoryspoke/protocol/inner-credentials'
-import type { Clock } from '@hickoryspoke/runtime/clock'
-import { SeededRandom } from '@hickoryspoke/runtime/random'
-import { silentLogger } from '@hickoryspoke/telemetry/logger'
+import type { InnerCredentials } from '@hickoryspoke/protocol/inner-credentials'
 import { FakeClock, flushPromises } from '@hickoryspoke/testing/fake-clock'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import type { DispatchStreamListener } from '../dispatch-stream.ts'
-import { question } from './fixture.ts'
-import { LeaderConnection } from '../leader-connection.ts'
-import type { LeaderConnectionListener, LeaderConnectionOptions } from '../leader-connection-options.ts'
+import { connectTo, CREDENTIALS, ignore } from './leader-connection-fixture.ts'
 
 type Call = ServerDuplexStream<EntryMessage, DispatchMessage>
 
-const CREDENTIALS = InnerCredentials.create({ kind: 'plain_text' })
 /** Real time for a connection on loopback that should not be made. */
 const SETTLE_MILLISECONDS = 50
 
-/** A question for a placement, of which only the kind matters here. */
-const WAITING_QUESTION = question(1)
-
-const ignore = (): void => {}
-const LISTENER: LeaderConnectionListener = {
-  placed: ignore,
-  denied: ignore,
-  overdue: ignore,
-  configured: ignore,
-  upstreamsChanged: ignore,
-  limited: ignore,
-  suspected: ignore,
-  connected: ignore,
-  lost: ignore,
-  questionSent: ignore,
-  confirmed: ignore
-}
-
 /** A control VM that answers only when the test says so, and a connection to it in simulated time. */
 async function createConnection (isSeedKnown = true) {
   const clock = FakeClock.create()
@@ -59,35 +35,6 @@
   return { clock, calls, messages, connection, running, stop }
 }
 
-/** Starts a connection to the control VMs at the given addresses. */
-function connectTo (clock: Clock, seeds: readonly string[], options: Partial<Pick<LeaderConnectionOptions, 'openStream' | 'isWaiting'>> = {}) {
-  const stopping = new AbortController()
-  const connection = LeaderConnection.create({
-    name: 'entry',
-    zone: 'zone-a',
-    mirror: false,
-    relay: '',
-    isRelaying: () => false,
-    seeds: () => seeds,
-    credentials: CREDENTIALS,
-    clock,
-    random: SeededRandom.create(1),
-    logger: silentLogger(),
-    listener: LISTENER,
-    held: () => 0,
-    running: () => [],
-    knownUpstreams: () => [],
-    upstreamDigest: () => '',
-    knownLimits: () => [],
-    admissionReport: () => ({ admitted: [], fleetShare: 0 }),
-    isWaiting: () => false,
-    wanted: () => true,
-    ...options
-  })
-  const running = connection.run(stopping.signal)
-  return { connection, running, stop: () => stopping.abort() }
-}
-
 async function waitUntil (isMet: () => boolean): Promise<void> {
   while (!isMet()) await flushPromises()
 }
@@ -224,78 +171,4 @@
   stop()
 })
 
-/** A leader in simulated time that answers questions for the number until it falls silent, and the wake-ups of its client. */
-function createAnsweringLeader (isWaiting: () => boolean) {
-  const clock = FakeClock.create()
-  const questions: number[] = []
-  const opened: number[] = []
-  const state = { isSilent: false, timers: 0 }
-  const openStream = (_: string, __: InnerCredentials, listener: DispatchStreamListener) => {
-    opened.push(clock.monotonicMilliseconds())
-    clock.schedule(1, () => listener.received({ body: { $case: 'leader', value: { leader: 'one:1', control: [], serving: true } } }))
-    const write = ({ body }: EntryMessage): void => {
-      if (body?.$case !== 'number') return
-      questions.push(clock.monotonicMilliseconds())
-      const answer = { question: body.value.question, number: 1, entries: 1, relays: [] }
-      if (!state.isSilent) clock.schedule(5, () => listener.received({ body: { $case: 'number', value: answer } }))
-    }
-    return { write, end: ignore, cancel: ignore, isConnected: () => true, isAccepted: () => true }
-  }
-  const counting = {
-    monotonicMilliseconds: () => clock.monotonicMilliseconds(),
-    wallMilliseconds: () => clock.wallMilliseconds(),
-    schedule: (delay: number, task: () => void) => {
-      state.timers += 1
-      return clock.schedule(delay, task)
-    }
-  }
-  const { stop, connection } = connectTo(counting, ['one:1'], { openStream, isWaiting })
-  return { clock, questions, opened, state, stop, connection }
-}
-
-// Guards against entries that use up the processor of the leader and their own while they have nothing to do (SHORT).
-test('an entry without requests asks the leader twice a second and hardly wakes up', async () => {
-  const { clock, questions, state, stop } = createAnsweringLeader(() => false)
-  await clock.advanceAsync(1_000)
-  const [questionsBefore, timersBefore] = [questions.length, state.timers]
-  await clock.advanceAsync(10_000)
-  assert.ok(questions.length - questionsBefore <= 20, `${questions.length - questionsBefore} questions in 10 s`)
-  assert.ok(state.timers - timersBefore <= 60, `${state.timers - timersBefore} timers in 10 s`)
-  stop()
-})
-
-// Guards against entries that learn only from their next request that the leader is lost (SHORT).
-test('an entry without requests notices soon that the leader is lost', async () => {
-  for (const silentAt of [3_000, 3_100, 3_250, 3_400]) {
-    const { clock, opened, state, stop } = createAnsweringLeader(() => false)
-    await clock.advanceAsync(silentAt)
-    state.isSilent = true
-    await clock.advanceAsync(1_250)
-    assert.is(opened.length, 2, `the leader falls silent at ${silentAt} ms`)
-    stop()
-  }
-})
-
-test('an entry whose requests wait notices within a second that the leader is lost', async () => {
-  const { clock, opened, state, stop } = createAnsweringLeader(() => true)
-  await clock.advanceAsync(3_000)
-  state.isSilent = true
-  await clock.advanceAsync(1_000)
-  assert.is(opened.length, 2)
-  stop()
-})
-
-test('a request that begins to wait for a leader that was lost unnoticed waits no longer than one that waits all along', async () => {
-  let isWaiting = false
-  const { clock, opened, state, stop, connection } = createAnsweringLeader(() => isWaiting)
-  await clock.advanceAsync(3_050)
-  state.isSilent = true
-  await clock.advanceAsync(100)
-  isWaiting = true
-  connection.send({ body: { $case: 'question', value: WAITING_QUESTION } })
-  await clock.advanceAsync(800)
-  assert.is(opened.length, 2)
-  stop()
-})
-
 test.run()
