--- a/packages/entry/src/connection-relay.ts
+++ b/packages/entry/src/connection-relay.ts
@@ -22,6 +22,8 @@
   readonly isReaching: () => boolean
 }
 
+const FORBIDDEN_STATUS = 403
+const UNAVAILABLE_STATUS = 503
 const DRAIN_CHECK_MILLISECONDS = 20
 
 /** HTTP server that answers CONNECT requests for upstreams. */
@@ -75,11 +77,17 @@
     this.server.closeAllConnections()
   }
 
+  /** Status with which a connection to an address is refused now; undefined if it may be used. */
+  private refusalOf (address: string): number | undefined {
+    if (!this.options.isUpstream(address)) return FORBIDDEN_STATUS
+    if (!this.isAvailable) return UNAVAILABLE_STATUS
+    return this.options.isUnwanted(address) ? UPSTREAM_UNREACHABLE_STATUS : undefined
+  }
+
   private async accept (address: string, socket: Socket): Promise<void> {
     socket.on('error', () => {})
-    if (!this.options.isUpstream(address)) return refuse(socket, 403)
-    if (!this.isAvailable) return refuse(socket, 503)
-    if (this.options.isUnwanted(address)) return refuse(socket, UPSTREAM_UNREACHABLE_STATUS)
+    const refusal = this.refusalOf(address)
+    if (refusal !== undefined) return refuse(socket, refusal)
     const aborted = new AbortController()
     const abort = (): void => aborted.abort()
     socket.once('end', abort).once('close', abort)
@@ -91,9 +99,11 @@
       socket.destroy()
       return
     }
-    if (this.options.isUnwanted(address)) {
+    // Connecting takes time, in which the upstream may have left, or this entry begun to stop.
+    const refusalSince = this.refusalOf(address)
+    if (refusalSince !== undefined) {
       opened.value.socket.destroy()
-      return refuse(socket, UPSTREAM_UNREACHABLE_STATUS)
+      return refuse(socket, refusalSince)
     }
     this.relayed.add(socket)
     socket.once('close', () => this.relayed.delete(socket))
--- a/packages/request/src/dispatched-runner.ts
+++ b/packages/request/src/dispatched-runner.ts
@@ -19,8 +19,6 @@
   private readonly running = new Set<DispatchedRun>()
   private readonly stop: StopDeadline
   private sequence = 0
-  /** Number of requests that have ended. */
-  ended = 0
 
   private constructor (private readonly options: DispatchedRunOptions, private readonly logger: Logger, private readonly observer: DispatchedObserver) {
     this.lifecycle = RequestLifecycle.create(options.clock)
@@ -36,6 +34,11 @@
     return this.lifecycle.running.length
   }
 
+  /** Number of requests that have ended. */
+  get ended (): number {
+    return this.sequence - this.inFlight
+  }
+
   /** Announces that requests in flight are cut off after this time, so that those that wait for an upstream do not wait longer. */
   announceStop (cutMilliseconds: number): void {
     this.stop.announce(cutMilliseconds)
@@ -54,7 +57,6 @@
     const key = `${this.sequence}`
     const end = await this.runTracked(key, run, exchange)
     const milliseconds = this.options.clock.monotonicMilliseconds() - startedAt
-    this.ended += 1
     this.observer.finished(end, milliseconds)
     this.log(run, end, milliseconds)
     if (end.code === 'answered') this.followDelivery(run, end, exchange)
--- a/packages/request/src/undici-client.ts
+++ b/packages/request/src/undici-client.ts
@@ -1,4 +1,4 @@
-/** The client of undici alone: its main module also loads fetch, web sockets and caches, which would be a fourth of the start of an entry. */
+/** The client of undici alone: its main module also loads fetch, web sockets and caches, which an entry does not use. */
 import type { Client as UndiciClient } from 'undici'
 // @ts-expect-error The module has no types of its own.
 import UntypedClient from 'undici/lib/dispatcher/client.js'
