--- a/packages/control/src/control-api.ts
+++ b/packages/control/src/control-api.ts
@@ -95,8 +95,7 @@
     const { clock, logger } = this.options
     const receivedAt = clock.monotonicMilliseconds()
     const known = await isKnown()
-    const milliseconds = Math.round(clock.monotonicMilliseconds() - receivedAt)
-    logger.info(known ? 'news acknowledged' : 'news not acknowledged', { kind, subject, milliseconds, unconfirmedEntries: this.options.control.unconfirmedEntries })
+    logger.info(known ? 'news acknowledged' : 'news not acknowledged', { kind, subject, milliseconds: Math.round(clock.monotonicMilliseconds() - receivedAt) })
     return known ? { kind: 'done', value: undefined } : { kind: 'unavailable', reason: 'not_confirmed' }
   }
 
--- a/packages/control/src/dispatching-control.ts
+++ b/packages/control/src/dispatching-control.ts
@@ -170,11 +170,6 @@
     return this.replica.status().members.filter((member) => member.voter).length
   }
 
-  /** Number of entries that have not confirmed the newest configuration and departures; 0 while another process leads. */
-  get unconfirmedEntries (): number {
-    return this.service.delivery?.unconfirmed ?? 0
-  }
-
   /** Publishes a document; resolves once it, or one with a higher number, is committed. */
   async publish (document: PublishedDocument): Promise<Result<void, ReplicationFailure>> {
     const answer = await this.replica.propose(encodeDocument(document))
--- a/packages/dispatch/src/leader-state.ts
+++ b/packages/dispatch/src/leader-state.ts
@@ -25,7 +25,9 @@
     rates.setLimits((name) => history.rateLimitOf(name))
     registry.refresh()
     const dispatcher = Dispatcher.create({ clock, logger, registry, rates, budget, floorShare })
-    const news = NewsDelivery.create(clock, newsLimitMilliseconds, !isFirst)
+    const news = NewsDelivery.create(clock, newsLimitMilliseconds, !isFirst, (revision, entries) => {
+      logger.info('views presumed expired', { revision, entries })
+    })
     const upstreams = UpstreamBroadcast.create(clock, registry, news, sessions)
     return new LeaderState(dispatcher, news, upstreams, news.add())
   }
--- a/packages/dispatch/src/news-delivery.ts
+++ b/packages/dispatch/src/news-delivery.ts
@@ -33,15 +33,23 @@
   private readonly entries = new Map<string, TrackedEntry>()
   private waiters: Waiter[] = []
 
-  private constructor (private readonly clock: Clock, private readonly limitMilliseconds: number, private readonly earliestAt: number) {}
+  private constructor (
+    private readonly clock: Clock,
+    private readonly limitMilliseconds: number,
+    private readonly earliestAt: number,
+    private readonly presumed: (revision: number, entries: number) => void
+  ) {}
 
   /**
    * `limitMilliseconds` is how long after its last confirmation an entry must be waited for. `hasPredecessor` tells that
-   * entries may still act on the view of an earlier leader; nothing is acknowledged before those views expire.
+   * entries may still act on the view of an earlier leader; nothing is acknowledged before those views expire. `presumed` is
+   * called when news is known although some entries have not confirmed it, as their views expire in time.
    */
-  static create (clock: Clock, limitMilliseconds: number, hasPredecessor: boolean): NewsDelivery {
+  static create (
+    clock: Clock, limitMilliseconds: number, hasPredecessor: boolean, presumed: (revision: number, entries: number) => void = () => {}
+  ): NewsDelivery {
     const earliestAt = hasPredecessor ? clock.monotonicMilliseconds() + limitMilliseconds : -Infinity
-    return new NewsDelivery(clock, limitMilliseconds, earliestAt)
+    return new NewsDelivery(clock, limitMilliseconds, earliestAt, presumed)
   }
 
   get newestRevision (): number {
@@ -49,8 +57,7 @@
   }
 
   get progress (): DeliveryProgress {
-    const unconfirmed = [...this.entries.values()].filter((entry) => entry.confirmedRevision < this.revision).length
-    return { revision: this.revision, unconfirmed, waiting: this.waiters.length }
+    return { revision: this.revision, unconfirmed: this.unconfirmed(this.revision), waiting: this.waiters.length }
   }
 
   /** Records news and returns its revision. */
@@ -99,7 +106,11 @@
     const now = this.clock.monotonicMilliseconds()
     const known = this.waiters.filter((waiter) => this.isKnown(waiter, now))
     this.waiters = this.waiters.filter((waiter) => !known.includes(waiter))
-    for (const waiter of known) waiter.resolve(true)
+    for (const waiter of known) {
+      const unconfirmed = this.unconfirmed(waiter.revision)
+      if (unconfirmed > 0) this.presumed(waiter.revision, unconfirmed)
+      waiter.resolve(true)
+    }
     this.prune(now)
   }
 
@@ -108,6 +119,11 @@
     for (const waiter of this.waiters.splice(0)) waiter.resolve(false)
   }
 
+  /** Number of entries that have not confirmed a revision. */
+  private unconfirmed (revision: number): number {
+    return [...this.entries.values()].filter((entry) => entry.confirmedRevision < revision).length
+  }
+
   private isKnown ({ revision, newsAt }: Waiter, now: number): boolean {
     if (now < this.earliestAt) return false
     for (const entry of this.entries.values()) {
--- a/packages/dispatch/src/tests/news-delivery.test.ts
+++ b/packages/dispatch/src/tests/news-delivery.test.ts
@@ -7,12 +7,13 @@
 
 function createDelivery (hasPredecessor = false) {
   const clock = FakeClock.create()
-  const news = NewsDelivery.create(clock, LIMIT_MILLISECONDS, hasPredecessor)
+  const presumed: Array<{ readonly revision: number, readonly entries: number }> = []
+  const news = NewsDelivery.create(clock, LIMIT_MILLISECONDS, hasPredecessor, (revision, entries) => presumed.push({ revision, entries }))
   const advance = (milliseconds: number): void => {
     clock.advance(milliseconds)
     news.check()
   }
-  return { news, advance }
+  return { news, advance, presumed }
 }
 
 /** Records what a promise resolved with; undefined while it is pending. */
@@ -103,4 +104,19 @@
   assert.is(known.result, false)
 })
 
+test('it is told of which news some entries were presumed to have dropped their view, and not of other news', async () => {
+  const { news, advance, presumed } = createDelivery()
+  for (const entry of ['one', 'two', 'silent']) news.attach(entry)
+  const known = follow(news.whenKnown(news.add()))
+  for (const entry of ['one', 'two']) news.confirmNews(entry, 1)
+  assert.equal(presumed, [])
+  advance(LIMIT_MILLISECONDS)
+  await flushPromises()
+  assert.is(known.result, true)
+  assert.equal(presumed, [{ revision: 1, entries: 1 }])
+  news.confirmNews('silent', 1)
+  follow(news.whenKnown(1))
+  assert.is(presumed.length, 1)
+})
+
 test.run()
