--- a/packages/bench/src/tests/departures-after-restart.test.ts
+++ b/packages/bench/src/tests/departures-after-restart.test.ts
@@ -1,7 +1,7 @@
-import { RawUpstream, okResponse } from '@hickoryspoke/testing/raw-upstream'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
-import { DispatchedFleet, fleetConfiguration, type FleetControl } from './dispatched-fleet.ts'
+import { DispatchedFleet, type FleetControl } from './dispatched-fleet.ts'
+import { sendRequests, withTwoUpstreams } from './leaving-upstream.ts'
 
 const REQUESTS = 20
 /** Sequence numbers of an announcement that is delivered twice, and of the departure that follows it. */
@@ -20,10 +20,7 @@
   // Guards against requests to an upstream whose departure was acknowledged before all VMs lost power, when an earlier announcement arrives late (DRAIN).
   test(`an upstream that ${name} gets no request after all processes have lost their memory`, async () => {
     const fleet = await DispatchedFleet.create(3, 1)
-    const left = await RawUpstream.create((socket) => socket.write(okResponse('left')))
-    const stays = await RawUpstream.create((socket) => socket.write(okResponse('stays')))
-    try {
-      await fleet.publish(fleetConfiguration(1, [{}]))
+    await withTwoUpstreams(fleet, async ({ left, stays }) => {
       await fleet.announce('i-left', left.address, { sequence: ANNOUNCED })
       await fleet.announce('i-stays', stays.address)
       await depart(fleet, await fleet.leader(), left.address)
@@ -31,14 +28,10 @@
       await fleet.announce('i-left', left.address, { sequence: ANNOUNCED })
       await fleet.announce('i-stays', stays.address, { sequence: DEPARTED })
       await fleet.waitUntilReady()
-      const url = fleet.entries[0]?.url ?? ''
-      for (let sent = 0; sent < REQUESTS; sent += 1) await fetch(url, { method: 'POST', body: 'x' })
+      assert.equal([...new Set(await sendRequests(fleet, REQUESTS))], [200])
       assert.is(left.requests.length, 0)
       assert.is(stays.requests.length, REQUESTS)
-    } finally {
-      await fleet.stop()
-      await Promise.all([left.close(), stays.close()])
-    }
+    })
   })
 }
 
