Optional decisions of the dispatcher have switches

Placement by expected cost and fair admission are decided by a policy that comes from the settings (contract of a deployment under pressure) and from the configuration (routes with large bodies). Nothing depends on it yet, so every deployment is served as before.

--- a/packages/configuration/src/serving-configuration.ts
+++ b/packages/configuration/src/serving-configuration.ts
@@ -45,6 +45,8 @@
   readonly maximumAttempts: number
   /** Whether requests are accepted without a key. */
   readonly open: boolean
+  /** Whether callers send large bodies; absent means that they do not. */
+  readonly hasLargeBodies?: true
 }
 
 /** Limits on what callers send. Sizes in bytes, times in milliseconds. */
--- a/packages/control/src/dispatching-control-settings.ts
+++ b/packages/control/src/dispatching-control-settings.ts
@@ -1,6 +1,7 @@
 /** Settings and dependencies of a dispatching control process. */
 import type { ServingConfiguration } from '@hickoryspoke/configuration/serving-configuration'
 import type { OverageAllowance } from '@hickoryspoke/dispatch/customer-rate-limiter'
+import type { DispatchPolicy } from '@hickoryspoke/dispatch/dispatch-policy'
 import type { FleetRetryBudgetSettings } from '@hickoryspoke/dispatch/fleet-retry-budget'
 import type { InnerCredentials } from '@hickoryspoke/protocol/inner-credentials'
 import type { PublishedDocument } from '@hickoryspoke/replication/published-document'
@@ -31,6 +32,8 @@
   readonly overage: OverageAllowance
   /** Share of a pool's sound upstreams that must receive requests; 0 for none. */
   readonly floorShare: number
+  /** Which optional decisions the dispatcher makes; none by default. */
+  readonly policy?: DispatchPolicy
   /** How long an entry may serve after its view was last confirmed. */
   readonly freshMilliseconds: number
   /** Time after an acknowledgement within which all entries must act on what was acknowledged. */
--- a/packages/control/src/dispatching-control.ts
+++ b/packages/control/src/dispatching-control.ts
@@ -65,6 +65,7 @@
       budget: settings.budget,
       overage: settings.overage,
       floorShare: settings.floorShare,
+      policy: settings.policy,
       newsLimitMilliseconds: Math.max(0, settings.freshMilliseconds - settings.applyMilliseconds + PLACED_REQUEST_MILLISECONDS),
       startsWithFullBursts: () => settings.firstOfFleet && this.held === undefined,
       control: {
--- a/packages/dispatch/src/configuration-history.ts
+++ b/packages/dispatch/src/configuration-history.ts
@@ -3,6 +3,7 @@
 import type { ServingConfiguration } from '@hickoryspoke/configuration/serving-configuration'
 import type { ServingUpdate } from '@hickoryspoke/protocol/generated/dispatch'
 import type { RateLimit } from './customer-rate-limiter.ts'
+import { combinePolicies, DEFAULT_DISPATCH_POLICY, policyOf, type DispatchPolicy } from './dispatch-policy.ts'
 
 /** An update without the revision that is to be confirmed, which depends on when it is sent. */
 export type ConfigurationUpdate = Omit<ServingUpdate, 'revision'>
@@ -15,6 +16,8 @@
   private readonly cachedUpdates = new Map<number, ConfigurationUpdate>()
   /** Rate limits by customer, of the newest configuration. */
   private limits = new Map<string, RateLimit>()
+  /** What the newest configuration asks of the dispatcher. */
+  private asked = DEFAULT_DISPATCH_POLICY
 
   static create (): ConfigurationHistory {
     return new ConfigurationHistory()
@@ -31,6 +34,12 @@
     if (this.recent.length > KEPT_CONFIGURATIONS) this.recent.shift()
     this.cachedUpdates.clear()
     this.limits = new Map(configuration.customers.map((customer) => [customer.name, customer]))
+    this.asked = policyOf(configuration)
+  }
+
+  /** The policy that the settings or the newest configuration ask for. */
+  policy (settings: DispatchPolicy): DispatchPolicy {
+    return combinePolicies(settings, this.asked)
   }
 
   /** Rate limit of a customer under the newest configuration. */
--- a/packages/dispatch/src/dispatch-service-options.ts
+++ b/packages/dispatch/src/dispatch-service-options.ts
@@ -2,6 +2,7 @@
 import type { Clock } from '@hickoryspoke/runtime/clock'
 import type { Logger } from '@hickoryspoke/telemetry/logger'
 import type { OverageAllowance } from './customer-rate-limiter.ts'
+import type { DispatchPolicy } from './dispatch-policy.ts'
 import type { FleetRetryBudgetSettings } from './fleet-retry-budget.ts'
 import type { UpstreamRegistry } from './upstream-registry.ts'
 
@@ -24,6 +25,8 @@
   readonly overage: OverageAllowance
   /** Share of a pool's sound upstreams that must receive requests; 0 for none. */
   readonly floorShare: number
+  /** Which optional decisions the dispatcher makes; none by default. */
+  readonly policy?: DispatchPolicy | undefined
   /** Whether it is certain that no earlier dispatcher spent any customer's burst. */
   readonly startsWithFullBursts: () => boolean
   /** How long after its last confirmation an entry that has not confirmed news is waited for, in milliseconds. */
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -8,6 +8,7 @@
 import { CrashTracker } from './crash-tracker.ts'
 import type { CustomerRateLimiter } from './customer-rate-limiter.ts'
 import { DenialLog } from './denial-log.ts'
+import type { PolicySource } from './dispatch-policy.ts'
 import { logEvidence, logLimit, logNotice, logOverdue } from './dispatcher-log.ts'
 import type { EntryConnection, EntryHandover } from './entry-connection.ts'
 import { isEarlyTimeout, placementKey, Placements, type ActivePlacement, type EndedPlacement } from './placements.ts'
@@ -29,6 +30,8 @@
   readonly budget: FleetRetryBudgetSettings
   /** Share of a pool's sound upstreams that must receive requests; 0 for none. */
   readonly floorShare: number
+  /** Which optional decisions are made; none by default. */
+  readonly policy?: PolicySource
 }
 
 const MINIMUM_RETRY_AFTER_MILLISECONDS = 200
@@ -55,7 +58,7 @@
   private constructor (private readonly options: DispatcherOptions) {
     this.startedAt = options.clock.monotonicMilliseconds()
     this.limits = UpstreamLimits.create(options.clock)
-    this.pools = PoolSet.create(options.clock, this.limits, options.budget, options.floorShare)
+    this.pools = PoolSet.create(options.clock, this.limits, options.budget, options.floorShare, options.policy)
     this.denials = DenialLog.create(options.clock, options.logger)
     this.waiting = WaitingRequests.create(options.clock, this.pools, {
       placed: (connection, question, choice) => this.place(connection, question, choice),
--- a/packages/dispatch/src/leader-state.ts
+++ b/packages/dispatch/src/leader-state.ts
@@ -2,6 +2,7 @@
 import type { ClientSession } from './client-session.ts'
 import type { ConfigurationHistory } from './configuration-history.ts'
 import { CustomerRateLimiter } from './customer-rate-limiter.ts'
+import { DEFAULT_DISPATCH_POLICY } from './dispatch-policy.ts'
 import type { DispatchServiceOptions } from './dispatch-service-options.ts'
 import { Dispatcher } from './dispatcher.ts'
 import { NewsDelivery } from './news-delivery.ts'
@@ -19,12 +20,12 @@
 
   /** Begins a leadership. `sessions` returns the clients that are attached. */
   static create (options: DispatchServiceOptions, history: ConfigurationHistory, sessions: () => Iterable<ClientSession>): LeaderState {
-    const { clock, logger, registry, budget, overage, floorShare, newsLimitMilliseconds } = options
+    const { clock, logger, registry, budget, overage, floorShare, newsLimitMilliseconds, policy = DEFAULT_DISPATCH_POLICY } = options
     const isFirst = options.startsWithFullBursts()
     const rates = isFirst ? CustomerRateLimiter.createWithFullBursts() : CustomerRateLimiter.createAfterPredecessor(overage)
     rates.setLimits((name) => history.rateLimitOf(name))
     registry.refresh()
-    const dispatcher = Dispatcher.create({ clock, logger, registry, rates, budget, floorShare })
+    const dispatcher = Dispatcher.create({ clock, logger, registry, rates, budget, floorShare, policy: () => history.policy(policy) })
     const news = NewsDelivery.create(clock, newsLimitMilliseconds, !isFirst, (revision, entries) => {
       logger.info('views presumed expired', { revision, entries })
     })
--- a/packages/dispatch/src/pool-dispatcher.ts
+++ b/packages/dispatch/src/pool-dispatcher.ts
@@ -1,6 +1,7 @@
 /** Places the requests of one pool on its upstreams, and queues requests that must wait. */
 import type { PlacementQuestion, Suspicion } from '@hickoryspoke/protocol/generated/dispatch'
 import type { Clock } from '@hickoryspoke/runtime/clock'
+import { defaultPolicy, type PolicySource } from './dispatch-policy.ts'
 import { InstanceStanding, STANDING, type Standing } from './instance-standing.ts'
 import { ResponseTimes } from './response-times.ts'
 import { SoundShares } from './sound-shares.ts'
@@ -81,11 +82,16 @@
   private readonly sample: Candidate[] = []
   private state: PoolState = { at: -Infinity, effectiveSlots: 0, hasSound: false, bestSuccess: 0, activeShare: 0 }
 
-  private constructor (private readonly clock: Clock, private readonly limits: UpstreamLimits, private readonly minimumActiveShare: number) {}
+  private constructor (
+    private readonly clock: Clock,
+    private readonly limits: UpstreamLimits,
+    private readonly minimumActiveShare: number,
+    readonly policy: PolicySource
+  ) {}
 
   /** `floorShare` is the share of sound upstreams that must receive requests; 0 for none. */
-  static create (clock: Clock, limits: UpstreamLimits, floorShare: number): PoolDispatcher {
-    return new PoolDispatcher(clock, limits, floorShare === 0 ? 0 : 1 - (1 - floorShare) * IDLE_SHARE)
+  static create (clock: Clock, limits: UpstreamLimits, floorShare: number, policy: PolicySource = defaultPolicy): PoolDispatcher {
+    return new PoolDispatcher(clock, limits, floorShare === 0 ? 0 : 1 - (1 - floorShare) * IDLE_SHARE, policy)
   }
 
   /** Adds, updates or removes an upstream. */
--- a/packages/dispatch/src/pool-set.ts
+++ b/packages/dispatch/src/pool-set.ts
@@ -1,6 +1,7 @@
 /** All pools of a dispatcher, each with its retry budget. */
 import type { Suspicion } from '@hickoryspoke/protocol/generated/dispatch'
 import type { Clock } from '@hickoryspoke/runtime/clock'
+import { defaultPolicy, type PolicySource } from './dispatch-policy.ts'
 import { PoolDispatcher, type PoolSnapshot } from './pool-dispatcher.ts'
 import { FleetRetryBudget, type FleetRetryBudgetSettings } from './fleet-retry-budget.ts'
 import type { UpstreamLimits } from './upstream-limits.ts'
@@ -15,18 +16,21 @@
     private readonly clock: Clock,
     private readonly limits: UpstreamLimits,
     private readonly budgetSettings: FleetRetryBudgetSettings,
-    private readonly floorShare: number
+    private readonly floorShare: number,
+    private readonly policy: PolicySource
   ) {}
 
   /** `floorShare` is the share of a pool's sound upstreams that must receive requests; 0 for none. */
-  static create (clock: Clock, limits: UpstreamLimits, budgetSettings: FleetRetryBudgetSettings, floorShare: number): PoolSet {
-    return new PoolSet(clock, limits, budgetSettings, floorShare)
+  static create (
+    clock: Clock, limits: UpstreamLimits, budgetSettings: FleetRetryBudgetSettings, floorShare: number, policy: PolicySource = defaultPolicy
+  ): PoolSet {
+    return new PoolSet(clock, limits, budgetSettings, floorShare, policy)
   }
 
   pool (name: string): PoolDispatcher {
     const known = this.pools.get(name)
     if (known !== undefined) return known
-    const created = PoolDispatcher.create(this.clock, this.limits, this.floorShare)
+    const created = PoolDispatcher.create(this.clock, this.limits, this.floorShare, this.policy)
     this.pools.set(name, created)
     return created
   }
