Cold upstreams get no more requests than they tolerate

Cause: an upstream is cold for some time after its start, and may become cold again. Until it is warm it crashes when it gets many more requests than `warmup-per-s`. Nothing limited them: warm-up only made an upstream a little dearer.

Change: `warmup` and `warmup-per-s` of a service become a field of the pool that is absent where the document has none; `warmup-overage` and `warmup-slack` are read from the settings. RequestLimit holds the stated limit and a ColdLimit, and the lower rate applies. The leader grants single requests at the whole rate and begins without tokens. Entries without a leader share the rest of the allowance: each may send one request in its turn by the wall clock, in the order of the places that the leader gives them with the number in force. ColdUpstreams.isCold is the only place that says whether an upstream is cold. An upstream that became cold again is news: control VMs leave it to the leader, which sends it to every client at once, also to those with the same digest, and lists say how much of a warm-up is left. A cold upstream without requests for 1.6 s is used before others, as it would otherwise be avoided in a quiet pool until it is warm.

--- a/packages/configuration/src/serving-configuration.ts
+++ b/packages/configuration/src/serving-configuration.ts
@@ -7,6 +7,16 @@
   readonly healthPath: string
   /** Connections that one upstream accepts from all entries together. */
   readonly maximumConnections: number
+  /** How the upstreams are spared after their start; absent means that they need not be. */
+  readonly warmup?: PoolWarmup
+}
+
+/** What the upstreams of a pool tolerate while they are cold. */
+export interface PoolWarmup {
+  /** How long an upstream is cold after its start. */
+  readonly milliseconds: number
+  /** Requests per second that a cold upstream tolerates from all entries together; above 0. */
+  readonly requestsPerSecond: number
 }
 
 /** The owner of API keys. `rate` is in requests per second over the whole fleet; 0 means no limit. */
--- a/packages/control/src/announcement-relay.ts
+++ b/packages/control/src/announcement-relay.ts
@@ -40,13 +40,19 @@
     return true
   }
 
+  /** The announcement with the rest of its warm-up as of now, unless the leader has sent a newer one since. */
+  private encodeNow (announced: AnnouncedUpstream): Buffer[] {
+    const held = this.registry.find(announced.instance)
+    return held?.announced === announced ? this.registry.encodeNow([held]) : encodeAnnounced([announced])
+  }
+
   /** Keeps what cannot be sent now. Leaves out upstreams that have since said that they leave, as a report says that they serve. */
   private report (): void {
     if (this.heard.size === 0) return
     for (const instance of this.heard.keys()) {
       if (this.registry.isLeaving(instance)) this.heard.delete(instance)
     }
-    const upstreams = encodeAnnounced([...this.heard.values()])
+    const upstreams = [...this.heard.values()].flatMap((announced) => this.encodeNow(announced))
     if (this.link.send({ body: { $case: 'known', value: { whole: false, upstreams, revision: 0 } } })) this.heard.clear()
   }
 }
--- a/packages/control/src/dispatching-control-metrics.ts
+++ b/packages/control/src/dispatching-control-metrics.ts
@@ -31,5 +31,8 @@
   metrics.gauge('hickoryspoke_limited_upstreams', 'upstreams of a pool that state a limit on the requests that they accept', ['pool'], (gauge) => {
     for (const pool of service.pools()) gauge.set({ pool: pool.name }, pool.limited)
   })
+  metrics.gauge('hickoryspoke_cold_upstreams', 'upstreams of a pool that are cold, so that their use is limited', ['pool'], (gauge) => {
+    for (const pool of service.pools()) gauge.set({ pool: pool.name }, pool.cold)
+  })
   return metrics
 }
--- a/packages/control/src/dispatching-control-settings.ts
+++ b/packages/control/src/dispatching-control-settings.ts
@@ -1,5 +1,6 @@
 /** Settings and dependencies of a dispatching control process. */
 import type { ServingConfiguration } from '@hickoryspoke/configuration/serving-configuration'
+import type { WarmupAllowance } from '@hickoryspoke/dispatch/cold-upstreams'
 import type { OverageAllowance } from '@hickoryspoke/dispatch/customer-rate-limiter'
 import type { DispatchPolicy } from '@hickoryspoke/dispatch/dispatch-policy'
 import type { FleetRetryBudgetSettings } from '@hickoryspoke/dispatch/fleet-retry-budget'
@@ -34,6 +35,8 @@
   readonly floorShare: number
   /** Which optional decisions the dispatcher makes; none by default. */
   readonly policy?: DispatchPolicy
+  /** By how much cold upstreams may get more requests in a second than they tolerate; nothing by default. */
+  readonly warmup?: WarmupAllowance
   /** How long an entry may serve after its view was last confirmed. */
   readonly freshMilliseconds: number
   /** Time after an acknowledgement within which all entries must act on what was acknowledged. */
--- a/packages/control/src/dispatching-control.ts
+++ b/packages/control/src/dispatching-control.ts
@@ -1,5 +1,6 @@
 /** A control process that replicates the published document and, while it leads, dispatches the fleet's requests. */
 import { Server } from '@grpc/grpc-js'
+import { ColdUpstreams } from '@hickoryspoke/dispatch/cold-upstreams'
 import { LeaderConnection } from '@hickoryspoke/dispatch/leader-connection'
 import { DispatchService } from '@hickoryspoke/dispatch/dispatch-service'
 import { UpstreamRegistry } from '@hickoryspoke/dispatch/upstream-registry'
@@ -57,7 +58,7 @@
     private readonly state: ControlState
   ) {
     const { clock, random, logger, credentials } = options
-    this.registry = UpstreamRegistry.create(clock, logger)
+    this.registry = UpstreamRegistry.create(clock, logger, ColdUpstreams.create(settings.warmup))
     this.service = DispatchService.create({
       clock,
       logger,
--- a/packages/control/src/tests/announcement-relay.test.ts
+++ b/packages/control/src/tests/announcement-relay.test.ts
@@ -64,6 +64,41 @@
   })
 }
 
+/** Lets the pool of the upstream limit the use of cold ones. */
+function limitWarmup ({ registry }: ReturnType<typeof createRelay>): void {
+  registry.useWarmupLimits([{ name: 'ledger', healthPath: '/', maximumConnections: 0, warmup: { milliseconds: 8_000, requestsPerSecond: 5.8 } }])
+}
+
+// Guards against an upstream that became cold and gets too many requests, as the leader learns of it with the next report only.
+test('news that an upstream became cold again is left to the leader', () => {
+  const created = createRelay()
+  limitWarmup(created)
+  assert.not.ok(created.relay.accept({ ...KNOWN, sequence: 2, warmupMilliseconds: 8_000 }))
+  created.stop()
+})
+
+test('where no pool limits the use of cold upstreams, an upstream that became cold is accepted here', () => {
+  const { relay, stop } = createRelay()
+  assert.ok(relay.accept({ ...KNOWN, sequence: 2, warmupMilliseconds: 8_000 }))
+  stop()
+})
+
+// Guards against reports that prolong a warm-up by the time that they waited, so that each of them counts as news.
+test('a report says how much of a warm-up is left when it is sent', async () => {
+  const created = createRelay()
+  const { clock, registry, relay, link } = created
+  limitWarmup(created)
+  const sent: EntryMessage[] = []
+  link.send = (message) => sent.push(message) > 0
+  registry.announce({ ...KNOWN, sequence: 2, warmupMilliseconds: 8_000 })
+  await clock.advanceAsync(1_500)
+  assert.ok(relay.accept({ ...KNOWN, sequence: 3, warmupMilliseconds: 6_500 }))
+  await clock.advanceAsync(500)
+  const [body] = sent.map((message) => message.body)
+  assert.equal(body?.$case === 'known' ? body.value.upstreams.map((element) => AnnouncedUpstream.decode(element).warmupMilliseconds) : [], [6_000])
+  created.stop()
+})
+
 test('nothing is accepted for an upstream that has left, or without a leader', () => {
   const { relay, registry, link, stop } = createRelay()
   link.isConnected = false
--- a/packages/dispatch/src/client-sessions.ts
+++ b/packages/dispatch/src/client-sessions.ts
@@ -23,6 +23,12 @@
     return count
   }
 
+  /** Place of each entry in the order of their names, from 0. */
+  positions (): Map<string, number> {
+    const names = [...this.byName].filter(([, { mirror }]) => !mirror).map(([name]) => name)
+    return new Map(names.sort().map((name, position) => [name, position]))
+  }
+
   /** Adds a session and returns the one that it replaces. */
   add (session: ClientSession): ClientSession | undefined {
     const { entry } = session.connection
--- a/packages/dispatch/src/dispatch-service.ts
+++ b/packages/dispatch/src/dispatch-service.ts
@@ -25,6 +25,7 @@
 /** A message that is not about a placement. */
 type ControlBody = Exclude<NonNullable<EntryMessage['body']>, { readonly $case: 'question' | 'end' }>
 
+const NO_POSITIONS: ReadonlyMap<string, number> = new Map()
 const QUEUE_TICK_MILLISECONDS = 50
 /** Clients ask for the number in force at least once a second. */
 const SILENT_SESSION_MILLISECONDS = 5_000
@@ -48,6 +49,7 @@
       clock: options.clock,
       confirmNumber: () => this.confirmNumber(),
       entries: () => this.entries,
+      positions: () => options.registry.cold.isActive ? this.sessions.positions() : NO_POSITIONS,
       relays: RelayDirectory.create(() => this.sessions.all()),
       answering: (session) => this.leading?.news.confirmView(session.connection.entry),
       unanswered: (questions) => options.logger.warn('leadership not confirmed', { questions })
@@ -125,6 +127,7 @@
   /** Sends a new configuration to the entries. */
   publish (configuration: ServingConfiguration): void {
     this.history.add(configuration)
+    if (this.history.newest === configuration) this.options.registry.useWarmupLimits(configuration.pools)
     if (this.leading !== undefined) this.leading.configurationRevision = this.leading.news.add()
     for (const session of this.sessions.all()) this.sendConfiguration(session)
   }
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -5,6 +5,7 @@
 } from '@hickoryspoke/protocol/generated/dispatch'
 import type { Clock } from '@hickoryspoke/runtime/clock'
 import type { Logger } from '@hickoryspoke/telemetry/logger'
+import { ColdLimit, GrantedShare } from './cold-limit.ts'
 import { CrashTracker } from './crash-tracker.ts'
 import type { CustomerRateLimiter } from './customer-rate-limiter.ts'
 import { DenialLog } from './denial-log.ts'
@@ -57,7 +58,8 @@
 
   private constructor (private readonly options: DispatcherOptions) {
     this.startedAt = options.clock.monotonicMilliseconds()
-    this.limits = UpstreamLimits.create(options.clock)
+    const { registry } = options
+    this.limits = UpstreamLimits.create(options.clock, (instance) => ColdLimit.create(registry, instance, GrantedShare.create(registry.cold.allowance)))
     this.pools = PoolSet.create(options.clock, this.limits, options.budget, options.floorShare, options.policy)
     this.denials = DenialLog.create(options.clock, options.logger)
     this.waiting = WaitingRequests.create(options.clock, this.pools, {
--- a/packages/dispatch/src/local-placer.ts
+++ b/packages/dispatch/src/local-placer.ts
@@ -5,7 +5,9 @@
 } from '@hickoryspoke/protocol/generated/dispatch'
 import type { Clock } from '@hickoryspoke/runtime/clock'
 import { pickOne, type RandomSource } from '@hickoryspoke/runtime/random'
+import { ColdLimit, TurnShare } from './cold-limit.ts'
 import { CustomerRateLimiter, type AdmissionReport, type RateLimit } from './customer-rate-limiter.ts'
+import { FleetSeat } from './fleet-seat.ts'
 import { InstanceStanding, STANDING } from './instance-standing.ts'
 import { SoundShares } from './sound-shares.ts'
 import { RecentAdmissions } from './recent-admissions.ts'
@@ -28,12 +30,15 @@
   private readonly standings = new Map<string, InstanceStanding>()
   private readonly shares = SoundShares.create()
   private readonly limits: UpstreamLimits
+  private readonly seat = FleetSeat.create()
   private rates = CustomerRateLimiter.createWithFullBursts()
   private readonly recentAdmissions: RecentAdmissions
   private limitOf: (customer: string) => RateLimit | undefined = () => undefined
 
   private constructor (private readonly options: LocalPlacerOptions) {
-    this.limits = UpstreamLimits.create(options.clock)
+    const { clock, registry } = options
+    const turns = { clock, allowance: registry.cold.allowance, seat: () => this.seat.current }
+    this.limits = UpstreamLimits.create(clock, (instance) => ColdLimit.create(registry, instance, TurnShare.create(turns, instance)))
     this.recentAdmissions = RecentAdmissions.create(options.clock.monotonicMilliseconds(), options.windowMilliseconds)
     options.registry.onChange((changed) => this.forgetEarlierStarts(changed))
   }
@@ -50,7 +55,8 @@
   /**
    * Starts a period without a dispatcher. This entry gets an equal share of every rate limit, or the rate at which it
    * recently admitted a customer's requests if that is higher. The parts of all entries together exceed the limit
-   * only if a customer's requests move to other entries. Bursts are divided equally, and so are the limits of upstreams.
+   * only if a customer's requests move to other entries. Bursts are divided equally, and so are the limits of upstreams; cold
+   * ones are used in turn.
    * An entry begins with a random part of a request to each limited upstream, so that the entries do not all send at once.
    */
   startStandalone (entries: number, limitOf: (customer: string) => RateLimit | undefined): void {
@@ -66,6 +72,11 @@
     this.limits.usePart(() => ({ share: 1 / entryCount, initialTokens: this.options.random.next() }))
   }
 
+  /** Takes over this entry's place among the entries that the leader knows; undefined where none is needed. */
+  takeSeat (entries: number, position: number | undefined): void {
+    this.seat.receive(entries, position, this.options.clock.monotonicMilliseconds())
+  }
+
   /** Takes one request from this entry's part of the customer's rate limit; false when it is used up. */
   admit (customer: string): boolean {
     if (customer === '') return true
--- a/packages/dispatch/src/number-confirmations.ts
+++ b/packages/dispatch/src/number-confirmations.ts
@@ -10,6 +10,8 @@
   readonly confirmNumber: () => Promise<number | undefined>
   /** Number of entries that are connected. */
   readonly entries: () => number
+  /** Places of the entries by which they take turns, by name; absent where they need none. */
+  readonly positions?: () => ReadonlyMap<string, number>
   /** Entries that relay connections; an answer names some of them. */
   readonly relays: RelayDirectory
   /** Called before the answer is sent. */
@@ -58,9 +60,12 @@
   private answer (pending: readonly NumberRequest[], number: number): void {
     const entries = this.options.entries()
     const available = this.options.relays.available()
+    const positions = this.options.positions?.()
     for (const { session, question } of pending) {
       this.options.answering(session)
-      session.call.write({ body: { $case: 'number', value: { question, number, entries, relays: this.options.relays.relaysFor(session, available) } } })
+      const relays = this.options.relays.relaysFor(session, available)
+      const position = positions?.get(session.connection.entry)
+      session.call.write({ body: { $case: 'number', value: { question, number, entries, relays, position } } })
     }
   }
 }
--- a/packages/dispatch/src/pool-dispatcher.ts
+++ b/packages/dispatch/src/pool-dispatcher.ts
@@ -20,6 +20,8 @@
   readonly waitingSince: number
   /** Number of upstreams that state a limit on the requests that they accept. */
   readonly limited: number
+  /** Number of upstreams that are cold and whose use is limited for that. */
+  readonly cold: number
   /** Number of upstreams by standing. */
   readonly standings: Readonly<Record<Standing, number>>
 }
@@ -110,12 +112,14 @@
     const standings = { sound: 0, suspect: 0 }
     let inFlight = 0
     let limited = 0
+    let cold = 0
     for (const { standing } of this.serving) {
       standings[standing.standing(now)] += 1
       inFlight += standing.inFlight
       if (standing.limit.requestsPerSecond !== undefined) limited += 1
+      if (standing.limit.isCold(now)) cold += 1
     }
-    return { name, inFlight, limited, waiting: this.line.length, waitingSince: this.line.oldest, standings }
+    return { name, inFlight, limited, cold, waiting: this.line.length, waitingSince: this.line.oldest, standings }
   }
 
   /** Suspect upstreams, with their probability of failure. */
@@ -263,7 +267,7 @@
     for (const candidate of this.serving) {
       const { standing } = candidate
       const success = successProbability(standing, now)
-      effectiveSlots += this.usableSlots(candidate) * success
+      effectiveSlots += this.usableSlots(candidate, now) * success
       bestSuccess = Math.max(bestSuccess, success)
       if (standing.standing(now) === STANDING.sound) hasSound = true
       if (standing.millisecondsSincePlacement(now) < IDLE_MILLISECONDS) active += 1
@@ -272,11 +276,11 @@
     return this.state
   }
 
-  /** Mean number of slots that requests can use, given the limit that the upstream states. */
-  private usableSlots ({ upstream, standing }: Candidate): number {
+  /** Mean number of slots that requests can use, given the limit that the upstream states and that of a cold one. */
+  private usableSlots ({ upstream, standing }: Candidate, now: number): number {
     const { slots } = upstream.announced
-    const { requestsPerSecond } = standing.limit
-    return requestsPerSecond === undefined ? slots : Math.min(slots, requestsPerSecond * this.responseTimes.meanMilliseconds() / 1_000)
+    const rate = standing.limit.currentRate(now)
+    return rate === Infinity ? slots : Math.min(slots, rate * this.responseTimes.meanMilliseconds() / 1_000)
   }
 }
 
--- a/packages/dispatch/src/request-limit.ts
+++ b/packages/dispatch/src/request-limit.ts
@@ -1,5 +1,7 @@
-/** The rate of requests that an upstream accepts, as it states in its responses. */
+/** The rate of requests that an upstream accepts: as it states in its responses, and while it is cold. The lower one applies. */
 import type { StatedLimit } from '@hickoryspoke/protocol/generated/dispatch'
+import type { ColdLimit } from './cold-limit.ts'
+import { TokenBucket, type TokenRate } from './token-bucket.ts'
 
 /** Part of a limit that one process may use, as a share of 1, and the tokens that it starts with. */
 export interface LimitShare {
@@ -12,18 +14,18 @@
 /** Lowest rate at which an upstream is tried: whether its limit still holds shows only in a response. */
 const MINIMUM_REQUESTS_PER_SECOND = 0.1
 
-/** The limit of one upstream, as a token bucket. Without a limit, any number of requests may be sent. */
+/** The limits of one upstream. Without a limit, any number of requests may be sent. */
 export class RequestLimit {
   private rate: number | undefined
   /** When the limit was last stated, in monotonic milliseconds. */
   private statedAt = -Infinity
-  private tokens = 0
-  private refilledAt = -Infinity
+  private readonly bucket = TokenBucket.create(0)
 
-  private constructor (private part: LimitShare) {}
+  private constructor (private part: LimitShare, private readonly cold: ColdLimit | undefined) {}
 
-  static create (part: LimitShare): RequestLimit {
-    return new RequestLimit(part)
+  /** Without a `ColdLimit` only the stated limit applies. */
+  static create (part: LimitShare, cold?: ColdLimit): RequestLimit {
+    return new RequestLimit(part, cold)
   }
 
   /** Requests per second from all entries together; undefined while the upstream states no limit. */
@@ -31,6 +33,16 @@
     return this.rate
   }
 
+  /** The same, with the warm-up limit while the upstream is cold; Infinity without a limit. */
+  currentRate (now: number): number {
+    return Math.min(this.rate ?? Infinity, this.cold?.requestsPerSecond(now) ?? Infinity)
+  }
+
+  /** Whether the upstream is cold and its pool has a warm-up limit. */
+  isCold (now: number): boolean {
+    return this.cold?.requestsPerSecond(now) !== undefined
+  }
+
   /**
    * Records what a response states; true if the limit changed. Only the response to a request that was placed after the
    * limit was last stated can show that it no longer holds, as responses arrive in any order. An infinite limit tells nothing.
@@ -52,43 +64,29 @@
   /** Changes the part of the limit that this process may use. */
   usePart (part: LimitShare, now: number): void {
     this.part = part
-    this.tokens = part.initialTokens
-    this.refilledAt = now
+    this.bucket.reset(part.initialTokens, now)
   }
 
   /** Whether another request may be sent now. */
   allows (now: number): boolean {
-    if (this.rate === undefined) return true
-    this.refill(now)
-    return this.tokens >= 1
+    return (this.rate === undefined || this.bucket.has(this.tokenRate, now)) && (this.cold?.allows(now) ?? true)
   }
 
   /** Counts a request that is sent, whether it was allowed or not. */
   take (now: number): void {
-    if (this.rate === undefined) return
-    this.refill(now)
-    this.tokens = Math.max(-this.capacity, this.tokens - 1)
+    this.cold?.take(now)
+    if (this.rate !== undefined) this.bucket.take(this.tokenRate, now)
   }
 
   private setRate (requestsPerSecond: number | undefined, now: number): void {
-    this.refill(now)
-    if (this.rate === undefined) this.tokens = this.part.initialTokens
+    if (this.rate === undefined) this.bucket.reset(this.part.initialTokens, now)
+    else this.bucket.refill(this.tokenRate, now)
     this.rate = requestsPerSecond
-    this.refilledAt = now
-  }
-
-  private refill (now: number): void {
-    const elapsed = Math.max(0, now - this.refilledAt)
-    this.tokens = Math.min(this.capacity, this.tokens + elapsed * this.tokensPerMillisecond)
-    this.refilledAt = now
-  }
-
-  private get capacity (): number {
-    return Math.max(1, this.tokensPerMillisecond * BURST_MILLISECONDS)
   }
 
-  private get tokensPerMillisecond (): number {
-    return Math.max(MINIMUM_REQUESTS_PER_SECOND, this.rate ?? 0) * this.part.share / 1_000
+  private get tokenRate (): TokenRate {
+    const tokensPerMillisecond = Math.max(MINIMUM_REQUESTS_PER_SECOND, this.rate ?? 0) * this.part.share / 1_000
+    return { tokensPerMillisecond, capacity: Math.max(1, tokensPerMillisecond * BURST_MILLISECONDS) }
   }
 }
 
--- a/packages/dispatch/src/tests/denial-log.test.ts
+++ b/packages/dispatch/src/tests/denial-log.test.ts
@@ -16,7 +16,7 @@
   let snapshots = 0
   const snapshot = () => {
     snapshots += 1
-    return { name: 'ledger', inFlight: 3, waiting: 7, waitingSince: 0, limited: 1, standings: { sound: 5, suspect: 2 } }
+    return { name: 'ledger', inFlight: 3, waiting: 7, waitingSince: 0, limited: 1, cold: 0, standings: { sound: 5, suspect: 2 } }
   }
   const deny = (ticket: number): void => log.record('one', question(ticket), { ticket, reason: DenialReason.DENIAL_REASON_OVERLOADED, retryAfterMilliseconds: 300 }, snapshot)
   for (let ticket = 1; ticket <= DENIED_A_SECOND; ticket += 1) deny(ticket)
--- a/packages/dispatch/src/tests/fixture.ts
+++ b/packages/dispatch/src/tests/fixture.ts
@@ -1,7 +1,9 @@
+import type { ServingPool } from '@hickoryspoke/configuration/serving-configuration'
 import type { AnnouncedUpstream, DispatchMessage, EntryMessage, PlacementQuestion } from '@hickoryspoke/protocol/generated/dispatch'
 import { silentLogger } from '@hickoryspoke/telemetry/logger'
 import type { Clock } from '@hickoryspoke/runtime/clock'
 import { FakeClock } from '@hickoryspoke/testing/fake-clock'
+import { ColdUpstreams, type WarmupAllowance } from '../cold-upstreams.ts'
 import { CustomerRateLimiter } from '../customer-rate-limiter.ts'
 import { DispatchService } from '../dispatch-service.ts'
 import { Dispatcher } from '../dispatcher.ts'
@@ -69,9 +71,9 @@
 }
 
 /** Creates a dispatcher with the given upstreams; `rate` is the rate and burst of every customer. */
-export function createDispatcher (upstreams: readonly AnnouncedUpstream[], rate = 1_000, floorShare = 0) {
-  const clock = FakeClock.create()
-  const registry = UpstreamRegistry.create(clock)
+export function createDispatcher (
+  upstreams: readonly AnnouncedUpstream[], rate = 1_000, floorShare = 0, clock = FakeClock.create(), registry = UpstreamRegistry.create(clock)
+) {
   const rates = CustomerRateLimiter.createWithFullBursts()
   rates.setLimits(() => ({ rate, burst: rate }))
   for (const upstream of upstreams) registry.announce(upstream)
@@ -81,6 +83,18 @@
   return { clock, registry, dispatcher }
 }
 
+/** The only pool of a configuration, with a warm-up limit in requests per second. */
+export function warmupPool (requestsPerSecond: number): ServingPool {
+  return { name: 'ledger', healthPath: '/', maximumConnections: 0, warmup: { milliseconds: 8_000, requestsPerSecond } }
+}
+
+/** A registry whose pool has a warm-up limit. */
+export function createWarmupRegistry (clock: Clock, requestsPerSecond: number, allowance: WarmupAllowance): UpstreamRegistry {
+  const registry = UpstreamRegistry.create(clock, silentLogger(), ColdUpstreams.create(allowance))
+  registry.useWarmupLimits([warmupPool(requestsPerSecond)])
+  return registry
+}
+
 /** Creates a dispatch service on the leader, without rate limits and with its own upstreams unless a registry is given. */
 export function createLeadingService (clock: Clock, registry: UpstreamRegistry = UpstreamRegistry.create(clock)): DispatchService {
   return DispatchService.create({
--- a/packages/dispatch/src/upstream-broadcast.ts
+++ b/packages/dispatch/src/upstream-broadcast.ts
@@ -1,7 +1,6 @@
 /** Sends changes of the announced upstreams to the connected clients, and assigns revisions to departures. */
 import type { UpstreamUpdate } from '@hickoryspoke/protocol/generated/dispatch'
 import type { Clock } from '@hickoryspoke/runtime/clock'
-import { encodeAnnounced } from './announced-upstream.ts'
 import type { ClientSession } from './client-session.ts'
 import type { NewsDelivery } from './news-delivery.ts'
 import { isLeaving, type RegisteredUpstream, type UpstreamRegistry } from './upstream-registry.ts'
@@ -43,13 +42,13 @@
   }
 
   /**
-   * Brings a new client up to date, and asks it to confirm what it was sent so far. A client with the same view is sent no
-   * list. One that knows upstreams while its view differs may be asked for them, as all control VMs may have been restarted.
+   * Brings a new client up to date, and asks it to confirm what it was sent so far. A client with the same view is sent only
+   * the upstreams that are cold. One that knows upstreams while its view differs may be asked for them, as all control VMs may have been restarted.
    */
   welcome (session: ClientSession): void {
     const { upstreamDigest } = session
     const isSame = upstreamDigest === this.registry.digest()
-    if (isSame) this.write(session, [])
+    if (isSame) this.write(session, this.registry.encodeNow(this.registry.coldOnes()))
     else this.sendAll(session)
     if (!isSame && upstreamDigest !== '') this.differing.add(session)
     this.queryDiffering()
@@ -85,13 +84,13 @@
     this.queryDiffering()
   }
 
-  /** Sends changes to all clients: departures at once, others together with those that follow closely. */
+  /** Sends changes to all clients: departures and upstreams that became cold at once, others together with those that follow closely. */
   send (changed: readonly RegisteredUpstream[]): void {
     const now = this.clock.monotonicMilliseconds()
     for (const upstream of changed) this.unsent.set(upstream.announced.instance, upstream)
-    const hasDeparture = changed.some(({ announced }) => isLeaving(announced))
+    const isUrgent = changed.some(({ announced, isColdAgain }) => isLeaving(announced) || isColdAgain === true)
     if (now - this.sentAt >= COLLECT_MILLISECONDS) this.recentMessages = 0
-    if (hasDeparture || this.recentMessages < MAXIMUM_IMMEDIATE_MESSAGES) this.sendCollected(now)
+    if (isUrgent || this.recentMessages < MAXIMUM_IMMEDIATE_MESSAGES) this.sendCollected(now)
   }
 
   /** Revision of the news that an upstream is leaving; sends it again if this leadership has not sent it yet. */
@@ -104,7 +103,8 @@
   }
 
   private sendCollected (now: number): void {
-    const announced = [...this.unsent.values()].map((upstream) => upstream.announced)
+    const upstreams = [...this.unsent.values()]
+    const announced = upstreams.map((upstream) => upstream.announced)
     this.unsent = new Map()
     this.sentAt = now
     const departed = announced.filter(isLeaving)
@@ -112,11 +112,13 @@
     const revision = departed.length > 0 ? this.news.add() : 0
     for (const { instance } of departed) this.recordDeparture(instance, revision)
     const digest = this.registry.digest()
-    const encoded = encodeAnnounced(announced)
+    const encoded = this.registry.encodeNow(upstreams)
+    const encodedCold = this.registry.encodeNow(upstreams.filter(({ isColdAgain }) => isColdAgain))
     for (const session of this.sessions()) {
       this.recentMessages += 1
       const isSame = session.upstreamDigest === digest
-      this.write(session, isSame ? [] : encoded, revision)
+      // The digest does not cover warm-ups.
+      this.write(session, isSame ? encodedCold : encoded, revision)
       if (isSame) this.differing.delete(session)
       else session.upstreamDigest = undefined
     }
--- a/packages/dispatch/src/upstream-choice.ts
+++ b/packages/dispatch/src/upstream-choice.ts
@@ -88,10 +88,17 @@
 }
 
 function newUpstreamCost ({ standing }: Candidate, { now, mayProbe }: ChoiceContext): number | undefined {
-  const isDue = standing.placed === 0 && (mayProbe || now - standing.firstSeenAt >= NEW_UPSTREAM_MILLISECONDS)
+  const isUnused = standing.placed === 0 || isIdleCold(standing, now)
+  const isDue = isUnused && (mayProbe || now - standing.firstSeenAt >= NEW_UPSTREAM_MILLISECONDS)
   return isDue ? 0 : undefined
 }
 
+/** Whether it is cold and without requests. One that has returned would get none before it is warm, as cold upstreams cost more. */
+function isIdleCold (standing: InstanceStanding, now: number): boolean {
+  if (standing.millisecondsSincePlacement(now) < IDLE_MILLISECONDS || !standing.limit.isCold(now)) return false
+  return standing.standing(now) === STANDING.sound
+}
+
 /** Sends requests that may be repeated to suspect upstreams, to detect when they have recovered. */
 function probeCost ({ standing }: Candidate, { now, mayProbe }: ChoiceContext): number | undefined {
   if (!mayProbe || standing.inFlight > 0 || standing.standing(now) !== STANDING.suspect) return undefined
--- a/packages/dispatch/src/upstream-limits.ts
+++ b/packages/dispatch/src/upstream-limits.ts
@@ -1,6 +1,7 @@
-/** The limits that upstreams state, as known to one process. Kept by instance, as a limit may be known before its upstream is announced here. */
+/** The limits of upstreams, stated and while cold, as known to one process. Kept by instance, as one may be known before its upstream is announced here. */
 import type { UpstreamLimit } from '@hickoryspoke/protocol/generated/dispatch'
 import type { Clock } from '@hickoryspoke/runtime/clock'
+import type { ColdLimit } from './cold-limit.ts'
 import { RequestLimit, type LimitShare } from './request-limit.ts'
 
 /** The dispatcher sends all requests of the fleet. It begins without tokens, as its predecessor may just have used them. */
@@ -11,17 +12,18 @@
   private readonly limits = new Map<string, RequestLimit>()
   private nextPart: () => LimitShare = () => WHOLE
 
-  private constructor (private readonly clock: Clock) {}
+  private constructor (private readonly clock: Clock, private readonly coldLimitOf: (instance: string) => ColdLimit | undefined) {}
 
-  static create (clock: Clock): UpstreamLimits {
-    return new UpstreamLimits(clock)
+  /** `coldLimitOf` creates the limit of an upstream while it is cold; without one, only stated limits apply. */
+  static create (clock: Clock, coldLimitOf: (instance: string) => ColdLimit | undefined = () => undefined): UpstreamLimits {
+    return new UpstreamLimits(clock, coldLimitOf)
   }
 
   /** The limit of an upstream, which is created on first use. */
   of (instance: string): RequestLimit {
     const known = this.limits.get(instance)
     if (known !== undefined) return known
-    const created = RequestLimit.create(this.nextPart())
+    const created = RequestLimit.create(this.nextPart(), this.coldLimitOf(instance))
     this.limits.set(instance, created)
     return created
   }
--- a/packages/dispatch/src/upstream-registry.ts
+++ b/packages/dispatch/src/upstream-registry.ts
@@ -1,9 +1,11 @@
 /** Registry of announced upstreams. Start times and sequence numbers order announcements, so that late or repeated ones change nothing. */
 import { createHash } from 'node:crypto'
+import type { ServingPool } from '@hickoryspoke/configuration/serving-configuration'
 import type { AnnouncedUpstream, Departure } from '@hickoryspoke/protocol/generated/dispatch'
 import type { Clock } from '@hickoryspoke/runtime/clock'
 import { silentLogger, type Logger } from '@hickoryspoke/telemetry/logger'
 import { checkAnnounced, createTombstone, decodeAnnounced, encodeAnnounced } from './announced-upstream.ts'
+import { ColdUpstreams } from './cold-upstreams.ts'
 import { OddAnnouncementLog } from './odd-announcement-log.ts'
 
 /** An announced upstream. Times are monotonic milliseconds of this process. */
@@ -11,6 +13,8 @@
   readonly announced: AnnouncedUpstream
   readonly warmupEndsAt: number
   readonly heardAt: number
+  /** Whether this announcement said that an upstream which was in use became cold. Processes that use it must know at once. */
+  readonly isColdAgain?: boolean
 }
 
 /** Called with the upstreams that changed. */
@@ -18,6 +22,8 @@
 
 /** How long upstreams that left or were replaced are kept as tombstones, so that late announcements do not bring them back. */
 const TOMBSTONE_MILLISECONDS = 60_000
+/** How old the rest of a warm-up in a list may be; an upstream counts as cold for as much longer. */
+const WARMING_LIST_MILLISECONDS = 250
 const LAST_SEQUENCE = Number.MAX_SAFE_INTEGER
 
 /** Upstreams by instance and address. */
@@ -27,11 +33,15 @@
   private readonly listeners = new Set<RegistryListener>()
   private cachedDigest: string | undefined
   private cachedList: Buffer[] | undefined
+  /** Until when the cached list says of cold upstreams what is right. */
+  private cachedUntil = -Infinity
 
-  private constructor (private readonly clock: Clock, private readonly logger: Logger, private readonly odd: OddAnnouncementLog) {}
+  private constructor (
+    private readonly clock: Clock, private readonly logger: Logger, private readonly odd: OddAnnouncementLog, readonly cold: ColdUpstreams
+  ) {}
 
-  static create (clock: Clock, logger: Logger = silentLogger()): UpstreamRegistry {
-    return new UpstreamRegistry(clock, logger, OddAnnouncementLog.create(clock, logger))
+  static create (clock: Clock, logger: Logger = silentLogger(), cold: ColdUpstreams = ColdUpstreams.create()): UpstreamRegistry {
+    return new UpstreamRegistry(clock, logger, OddAnnouncementLog.create(clock, logger), cold)
   }
 
   onChange (listener: RegistryListener): void {
@@ -55,10 +65,39 @@
 
   /** The same, encoded for a list; sequence numbers may be those of earlier announcements with the same content. */
   encodedAnnouncements (): Buffer[] {
-    this.cachedList ??= encodeAnnounced(this.announcements())
+    const now = this.clock.monotonicMilliseconds()
+    if (this.cachedList === undefined || now >= this.cachedUntil) {
+      this.cachedList = this.encodeNow(this.all())
+      const isWarming = this.cold.isActive && this.all().some((held) => this.cold.isCold(held, now))
+      this.cachedUntil = isWarming ? now + WARMING_LIST_MILLISECONDS : Infinity
+    }
     return this.cachedList
   }
 
+  /** Encodes announcements as they would be made now, so that the receiver counts the rest of a warm-up from now on. */
+  encodeNow (upstreams: readonly RegisteredUpstream[]): Buffer[] {
+    const now = this.clock.monotonicMilliseconds()
+    return encodeAnnounced(upstreams.map((held) => this.cold.asOf(held, now)))
+  }
+
+  /** Takes over the warm-up limits of a configuration. */
+  useWarmupLimits (pools: readonly ServingPool[]): void {
+    this.cold.usePools(pools)
+    this.cachedUntil = -Infinity
+  }
+
+  /** Upstreams that are cold now and whose pools have a warm-up limit. */
+  coldOnes (): RegisteredUpstream[] {
+    const now = this.clock.monotonicMilliseconds()
+    return this.cold.isActive ? this.present().filter((held) => this.cold.isCold(held, now)) : []
+  }
+
+  /** Requests per second that an upstream tolerates now from all entries together; undefined while it is not cold. */
+  coldRate (instance: string, now: number): number | undefined {
+    const held = this.cold.isActive ? this.byInstance.get(instance) : undefined
+    return held === undefined ? undefined : this.cold.rateOf(held, now)
+  }
+
   /** Digest of what matters to requests in the announcements of all upstreams that have not left; empty when there are none. */
   digest (): string {
     this.cachedDigest ??= digestOf(this.present().map((held) => held.announced))
@@ -87,8 +126,10 @@
 
   /** Whether an announcement only says again what is known of an upstream that has not left. */
   isRenewal (announced: AnnouncedUpstream): boolean {
-    const known = this.find(announced.instance)?.announced
-    return known !== undefined && !known.gone && !differs(known, announced) && isNewer(announced, known)
+    const held = this.find(announced.instance)
+    if (held === undefined || this.cold.isColdAgain(held, announced, this.clock.monotonicMilliseconds())) return false
+    const known = held.announced
+    return !known.gone && !differs(known, announced) && isNewer(announced, known)
   }
 
   /** Applies an announcement; false when its values cannot be right, or a newer one is known for the instance or its address. */
@@ -180,14 +221,16 @@
   private apply (announced: AnnouncedUpstream, changed: Map<string, RegisteredUpstream>): boolean {
     if (!this.isSound(announced)) return false
     const known = this.byInstance.get(announced.instance)
+    const isColdAgain = this.cold.isColdAgain(known, announced, this.clock.monotonicMilliseconds())
     if (known !== undefined && !isNewer(announced, known.announced)) {
       this.recordLateDeparture(known.announced, announced)
       return false
     }
     if (!announced.gone && !this.claimAddress(announced, changed)) return false
-    const held = this.store(announced)
+    const held = this.store(announced, isColdAgain)
     if (known !== undefined && isLeaving(known.announced) && !isLeaving(announced)) this.logReturn(known.announced, announced)
-    if (known === undefined || differs(known.announced, announced)) changed.set(announced.instance, held)
+    if (isColdAgain) this.logCold(announced)
+    if (known === undefined || isColdAgain || differs(known.announced, announced)) changed.set(announced.instance, held)
     return true
   }
 
@@ -202,6 +245,10 @@
     })
   }
 
+  private logCold ({ instance, pool, sequence, warmupMilliseconds }: AnnouncedUpstream): void {
+    this.logger.info('upstream became cold again', { upstream: instance, pool, sequence, warmupMilliseconds })
+  }
+
   /** Whether the values can be right; logs it otherwise. */
   private isSound (announced: AnnouncedUpstream): boolean {
     const checked = checkAnnounced(announced)
@@ -220,12 +267,12 @@
     return true
   }
 
-  private store (announced: AnnouncedUpstream): RegisteredUpstream {
+  private store (announced: AnnouncedUpstream, isColdAgain = false): RegisteredUpstream {
     const now = this.clock.monotonicMilliseconds()
-    const held = { announced, warmupEndsAt: now + announced.warmupMilliseconds, heardAt: now }
     const known = this.byInstance.get(announced.instance)
+    const held = { announced, warmupEndsAt: this.cold.endOf(known, announced, now), heardAt: now, ...(isColdAgain ? { isColdAgain } : {}) }
     this.byInstance.set(announced.instance, held)
-    if (known === undefined || differs(known.announced, announced)) this.forgetCaches()
+    if (known === undefined || isColdAgain || differs(known.announced, announced)) this.forgetCaches()
     return held
   }
 
--- a/packages/entry/src/dispatched-entry.ts
+++ b/packages/entry/src/dispatched-entry.ts
@@ -1,6 +1,7 @@
 import { createServer, type Server } from 'node:http'
 import type { ServingConfiguration } from '@hickoryspoke/configuration/serving-configuration'
 import { ActiveConfiguration } from '@hickoryspoke/dispatch/active-configuration'
+import { ColdUpstreams, type WarmupAllowance } from '@hickoryspoke/dispatch/cold-upstreams'
 import { LeaderConnection } from '@hickoryspoke/dispatch/leader-connection'
 import { LocalPlacer } from '@hickoryspoke/dispatch/local-placer'
 import { PlacementClient } from '@hickoryspoke/dispatch/placement-client'
@@ -38,6 +39,8 @@
   readonly freshMilliseconds: number
   /** Window over which a customer's rate is measured. */
   readonly rateWindowMilliseconds: number
+  /** By how much cold upstreams may get more requests in a second than they tolerate; nothing by default. */
+  readonly warmup?: WarmupAllowance
   /** Time from the stop signal until the process must have ended. */
   readonly stopMilliseconds: number
   /** Inner addresses of control VMs; called for each new connection. */
@@ -84,7 +87,7 @@
     const { clock, random, logger, credentials, dialect } = options
     const { name, zone } = settings
     this.lifecycle = EntryLifecycle.create((phase) => logger.info('phase changed', { phase }))
-    this.registry = UpstreamRegistry.create(clock, logger)
+    this.registry = UpstreamRegistry.create(clock, logger, ColdUpstreams.create(settings.warmup))
     this.inForce = ActiveConfiguration.create(clock, settings.freshMilliseconds)
     this.inForce.onChange((configuration) => this.applyConfiguration(configuration))
     this.placer = LocalPlacer.create({ clock, random, registry: this.registry, entry: name, zone, windowMilliseconds: settings.rateWindowMilliseconds })
@@ -125,8 +128,9 @@
         connected: () => this.placementClient.connected(),
         lost: () => this.lost(),
         questionSent: (question) => this.inForce.recordQuestion(question),
-        confirmed: ({ question, number, entries, relays }) => {
+        confirmed: ({ question, number, entries, relays, position }) => {
           this.entries = entries
+          this.placer.takeSeat(entries, position)
           this.upstreams.useRelays(relays)
           this.inForce.confirm(question, number)
         }
@@ -232,6 +236,7 @@
 
   private applyConfiguration (configuration: ServingConfiguration): void {
     this.table = ServingTable.create(configuration)
+    this.registry.useWarmupLimits(configuration.pools)
     const { bounds } = configuration
     this.callers.updateLimits({
       maximumHeaderBytes: bounds.maximumHeaderBytes,
