--- a/packages/dispatch/src/leader-connection.ts
+++ b/packages/dispatch/src/leader-connection.ts
@@ -23,6 +23,8 @@
 const RECONNECT_DELAY_MILLISECONDS = 40
 const MAXIMUM_RECONNECT_DELAY_MILLISECONDS = 640
 const IDLE_CHECK_MILLISECONDS = 200
+/** Reason of an aborted sleep. Without one, an exception with a stack trace is created each time. */
+const WOKEN = 'woken'
 
 /** Kinds of messages that the leader answers. */
 const ANSWERED: ReadonlySet<string | undefined> = new Set<NonNullable<EntryMessage['body']>['$case']>(['number', 'question'])
@@ -184,7 +186,7 @@
   private async waitForCheck (stream: Stream): Promise<void> {
     const { clock } = this.options
     const woken = new AbortController()
-    stream.wake = () => woken.abort()
+    stream.wake = () => woken.abort(WOKEN)
     const checkAt = Math.min(this.questionDueAt(stream), stream.liveness.lostAt())
     await sleep(clock, checkAt - clock.monotonicMilliseconds(), woken.signal)
   }
--- a/packages/request/src/hedged-attempt.ts
+++ b/packages/request/src/hedged-attempt.ts
@@ -24,13 +24,16 @@
   readonly result: Result
 }
 
+/** Reason of an aborted wait. Without one, an exception with a stack trace is created for each request. */
+const FINISHED = 'finished'
+
 /** Resolves with the first usable result, and cancels the other attempt; with the last result if none is usable. */
 export async function runHedged<Result, Attempt extends RunningAttempt<Result>> (
   { first, overdue, startSecond, isUsable }: HedgedAttemptOptions<Attempt, Result>
 ): Promise<FinishedAttempt<Attempt, Result>> {
   const wait = new AbortController()
   const finished = finish<Result, Attempt>(first)
-  void finished.then(() => wait.abort())
+  void finished.then(() => wait.abort(FINISHED))
   const isOverdue = await Promise.race([finished.then(() => false), overdue.then(() => true)])
   if (!isOverdue) return await finished
   const second = await startSecond(wait.signal)
--- a/packages/telemetry/src/logger.ts
+++ b/packages/telemetry/src/logger.ts
@@ -11,6 +11,8 @@
 const SECRET_FIELD_NAME = /key$|token|secret|password|authorization/i
 const SECRET_VALUE = /bearer\s+\S+/gi
 const MASK = '[masked]'
+/** Whether a field's value is masked, by the field's name. Names are constants of the code, so there are few. */
+const secretNames = new Map<string, boolean>()
 
 /** Structured logger that writes one JSON object per line. */
 export class Logger {
@@ -18,7 +20,17 @@
 
   /** `write` receives each line without its newline; the default writes to standard error. */
   static create (program: string, level: LogLevel, write: (line: string) => void = writeToStandardError): Logger {
-    const target = new StructuredLogger<unknown>({ type: 'hidden', minLevel: LEVEL_NUMBERS[level], hideLogPositionForProduction: true })
+    const target = new StructuredLogger<unknown>({
+      type: 'hidden',
+      minLevel: LEVEL_NUMBERS[level],
+      hideLogPositionForProduction: true,
+      maskValuesOfKeys: [],
+      // The fields of a line are flat and are masked below, so the recursive copy that the library makes of them is not needed.
+      overwrite: {
+        toLogObj: ([fields]) => fields as object,
+        addMeta: (fields, _, logLevelName) => ({ ...fields as object, _meta: { date: new Date(), logLevelName } } as never)
+      }
+    })
     target.attachTransport((record) => write(formatRecord(program, record as unknown as TransportRecord)))
     return new Logger(target, {})
   }
@@ -56,10 +68,18 @@
 }
 
 function maskValue (name: string, value: unknown): unknown {
-  if (SECRET_FIELD_NAME.test(name)) return MASK
+  if (isSecretName(name)) return MASK
   return typeof value === 'string' ? value.replace(SECRET_VALUE, MASK) : value
 }
 
+function isSecretName (name: string): boolean {
+  const known = secretNames.get(name)
+  if (known !== undefined) return known
+  const isSecret = SECRET_FIELD_NAME.test(name)
+  secretNames.set(name, isSecret)
+  return isSecret
+}
+
 interface TransportRecord {
   readonly _meta: { readonly date: Date, readonly logLevelName: string }
   readonly [name: string]: unknown
