Decisions on the evacuation of zones are part of the replicated state

Cause: an acknowledged evacuation of an availability zone must survive the loss of the leader, of disks within the tolerance and of all power (docs/design/demanding-deployments.md, part 1).

Change: ControlState holds a register of decisions beside the document and the departures. A decision is written as a departure of /zone/ZONE, a name that no upstream can have.

--- a/packages/replication/src/control-state.ts
+++ b/packages/replication/src/control-state.ts
@@ -1,12 +1,14 @@
 /**
- * The replicated state of control VMs that dispatch: the published document, and the departures of upstreams. Commands and
- * snapshots that begin with a document's number hold a document, as written by versions that know nothing else; number 0,
- * which no document has, tells that departures follow. Those versions ignore a command with it.
+ * The replicated state of control VMs that dispatch: the published document, the departures of upstreams, and the decisions on
+ * availability zones. Commands and snapshots that begin with a document's number hold a document, as written by versions that
+ * know nothing else; number 0, which no document has, tells that departures follow. Those versions ignore a command with it.
+ * Decisions on zones are written as departures that concern no upstream, so that versions without evacuations keep them.
  */
-import { Departure } from '@hickoryspoke/protocol/generated/dispatch'
+import { Departure, DepartureList } from '@hickoryspoke/protocol/generated/dispatch'
 import { DepartureRegister } from './departure-register.ts'
 import { PublishedDocumentState } from './published-document.ts'
 import type { StateMachine } from './replicated-log.ts'
+import { readRecord, toRecord, ZoneRegister, type ZoneDecision } from './zone-register.ts'
 
 const NUMBER_BYTES = 8
 const LENGTH_BYTES = 4
@@ -17,6 +19,7 @@
 export class ControlState implements StateMachine {
   readonly documents = PublishedDocumentState.create()
   readonly departures = DepartureRegister.create()
+  readonly zones = ZoneRegister.create()
 
   private constructor () {}
 
@@ -26,14 +29,19 @@
 
   apply (index: number, command: Uint8Array): Uint8Array {
     if (!holdsDepartures(command)) return this.documents.apply(index, command)
-    this.departures.add(Departure.decode(command.subarray(NUMBER_BYTES)))
+    const departure = Departure.decode(command.subarray(NUMBER_BYTES))
+    const decision = readRecord(departure)
+    if (decision === undefined) this.departures.add(departure)
+    else this.zones.add(decision)
     return EMPTY
   }
 
   snapshot (): Uint8Array {
     const document = this.documents.snapshot()
-    if (this.departures.all().length === 0) return document
-    const departures = this.departures.encode()
+    // Versions that know no evacuations forget the oldest of very many departures, so the zones come last.
+    const records = [...this.departures.all(), ...this.zones.all().map(toRecord)]
+    if (records.length === 0) return document
+    const departures = DepartureList.encode({ departures: records }).finish()
     const length = Buffer.alloc(LENGTH_BYTES)
     length.writeUInt32BE(departures.length)
     return Buffer.concat([NO_DOCUMENT, length, departures, document])
@@ -44,7 +52,9 @@
     const bytes = Buffer.from(snapshot)
     const begin = NUMBER_BYTES + LENGTH_BYTES
     const end = begin + bytes.readUInt32BE(NUMBER_BYTES)
-    this.departures.restore(bytes.subarray(begin, end))
+    const { departures } = DepartureList.decode(bytes.subarray(begin, end))
+    this.departures.restore(departures.filter((departure) => readRecord(departure) === undefined))
+    this.zones.restore(departures.map(readRecord).filter((decision) => decision !== undefined))
     this.documents.restore(bytes.subarray(end))
   }
 }
@@ -54,6 +64,11 @@
   return Buffer.concat([NO_DOCUMENT, Departure.encode(departure).finish()])
 }
 
+/** Encodes the command that records a decision on a zone. */
+export function encodeZoneCommand (decision: ZoneDecision): Buffer {
+  return encodeDepartureCommand(toRecord(decision))
+}
+
 function holdsDepartures (bytes: Uint8Array): boolean {
   return bytes.length >= NUMBER_BYTES && NO_DOCUMENT.equals(bytes.subarray(0, NUMBER_BYTES))
 }
--- a/packages/replication/src/departure-register.ts
+++ b/packages/replication/src/departure-register.ts
@@ -1,5 +1,5 @@
 /** The departures of upstreams that were acknowledged. They are part of the replicated state, so that no restart and no change of leader forgets one. */
-import { DepartureList, type Departure } from '@hickoryspoke/protocol/generated/dispatch'
+import type { Departure } from '@hickoryspoke/protocol/generated/dispatch'
 
 /** Departures beyond this number are forgotten, oldest first; announcements that old no longer arrive. */
 const MAXIMUM_DEPARTURES = 1_000
@@ -44,15 +44,10 @@
     for (const listener of this.listeners) listener(added)
   }
 
-  /** Serializes all departures. */
-  encode (): Uint8Array {
-    return DepartureList.encode({ departures: this.all() }).finish()
-  }
-
-  /** Replaces all departures by serialized ones. */
-  restore (bytes: Uint8Array): void {
+  /** Replaces all departures. */
+  restore (departures: readonly Departure[]): void {
     this.byInstance.clear()
-    for (const departure of DepartureList.decode(bytes).departures) this.add(departure)
+    for (const departure of departures) this.add(departure)
   }
 }
 
