Zones can be evacuated and taken back

Change: the calls Evacuate.Start and Evacuate.End, present only where the settings hold the bound evacuate, record a decision in the replicated log. The dispatcher places nothing in an evacuated zone, and refuses at once what no other zone can take. The leader sends the zones to the entries when they attach and on each change, before later confirmations of the configuration number. Where evacuate is shorter than the time for which an entry may act on an older view, the acknowledgement waits for confirmations.

The fixture of leader-connection tests has the new callback of the listener.

--- a/packages/control/src/control-api.ts
+++ b/packages/control/src/control-api.ts
@@ -2,6 +2,7 @@
 import type { AnnouncedUpstream } from '@hickoryspoke/protocol/generated/dispatch'
 import type { PublishedDocument } from '@hickoryspoke/replication/published-document'
 import type { Clock } from '@hickoryspoke/runtime/clock'
+import { InvalidInput } from '@hickoryspoke/runtime/failure'
 import type { Logger } from '@hickoryspoke/telemetry/logger'
 import type { DispatchingControl } from './dispatching-control.ts'
 
@@ -10,6 +11,7 @@
   | { readonly kind: 'done', readonly value: Value }
   | { readonly kind: 'elsewhere', readonly leader: string }
   | { readonly kind: 'unavailable', readonly reason: string }
+  | { readonly kind: 'refused', readonly error: InvalidInput }
 
 /** Dependencies and settings of a `ControlApi`. */
 export interface ControlApiOptions {
@@ -18,6 +20,8 @@
   readonly logger: Logger
   /** Number of voting replicas that a new fleet needs before it acknowledges a document. */
   readonly requiredVoters: number
+  /** Availability zones that may be evacuated; none by default. */
+  readonly zones?: readonly string[]
 }
 
 /** How long after the start a fleet with too few voters refuses documents; afterwards it accepts them with those it has. */
@@ -83,6 +87,27 @@
     return await this.confirmDeparture(instance)
   }
 
+  /**
+   * Evacuates a zone or takes it back. Done means that the decision survives the loss of a minority of replicas, and that no entry
+   * sends requests to an upstream of an evacuated zone for longer than the settings allow after an acknowledgement.
+   */
+  async setEvacuation (zone: string, isEvacuated: boolean): Promise<ControlApiAnswer> {
+    const { clock, control, logger, zones = [] } = this.options
+    if (!zones.includes(zone)) {
+      return { kind: 'refused', error: InvalidInput.create([{ code: 'unknown_zone', path: ['zone'], message: 'not a zone of the network' }]) }
+    }
+    const redirection = this.redirectUnlessLeader<undefined>()
+    if (redirection !== undefined) return redirection
+    if (this.isForming()) return { kind: 'unavailable', reason: 'the control VMs are still forming' }
+    const receivedAt = clock.monotonicMilliseconds()
+    const result = await control.setEvacuation(zone, isEvacuated)
+    const reason = result.isErr() ? result.error.code : 'not_confirmed'
+    const isDone = result.isOk() && result.value
+    const milliseconds = Math.round(clock.monotonicMilliseconds() - receivedAt)
+    logger.info(isEvacuated ? 'zone evacuation called' : 'zone return called', { zone, milliseconds, outcome: isDone ? 'acknowledged' : reason })
+    return isDone ? { kind: 'done', value: undefined } : { kind: 'unavailable', reason }
+  }
+
   private async confirmDocument (number: number): Promise<ControlApiAnswer> {
     return await this.confirmNews('document', number, async () => await this.options.control.isDocumentKnown())
   }
--- a/packages/control/src/dispatching-control-metrics.ts
+++ b/packages/control/src/dispatching-control-metrics.ts
@@ -1,12 +1,13 @@
 /** Metrics of a control process that dispatches requests. */
 import type { DispatchService } from '@hickoryspoke/dispatch/dispatch-service'
+import type { ZoneEvacuations } from '@hickoryspoke/dispatch/zone-evacuations'
 import type { PublishedDocumentState } from '@hickoryspoke/replication/published-document'
 import type { Replica } from '@hickoryspoke/replication/replica'
 import { REPLICA_ROLE } from '@hickoryspoke/replication/replicated-log'
 import { Metrics } from '@hickoryspoke/telemetry/metrics'
 
 /** Creates gauges that read their values when they are scraped. */
-export function createControlMetrics (replica: Replica, state: PublishedDocumentState, service: DispatchService): Metrics {
+export function createControlMetrics (replica: Replica, state: PublishedDocumentState, service: DispatchService, zones: ZoneEvacuations): Metrics {
   const metrics = Metrics.create()
   metrics.gauge('hickoryspoke_leader', '1 on the leader', [], (gauge) => gauge.set(replica.role() === REPLICA_ROLE.Leader ? 1 : 0))
   metrics.gauge('hickoryspoke_document_number', 'number of the document held', [], (gauge) => gauge.set(state.document?.number ?? 0))
@@ -31,5 +32,8 @@
   metrics.gauge('hickoryspoke_limited_upstreams', 'upstreams of a pool that state a limit on the requests that they accept', ['pool'], (gauge) => {
     for (const pool of service.pools()) gauge.set({ pool: pool.name }, pool.limited)
   })
+  metrics.gauge('hickoryspoke_evacuated_zones', '1 while upstreams of an availability zone get no requests', ['zone'], (gauge) => {
+    for (const zone of zones.known()) gauge.set({ zone }, zones.isEvacuated(zone) ? 1 : 0)
+  })
   return metrics
 }
--- a/packages/control/src/dispatching-control-settings.ts
+++ b/packages/control/src/dispatching-control-settings.ts
@@ -38,6 +38,8 @@
   readonly freshMilliseconds: number
   /** Time after an acknowledgement within which all entries must act on what was acknowledged. */
   readonly applyMilliseconds: number
+  /** The same for the evacuation of a zone; undefined where zones cannot be evacuated. */
+  readonly evacuateMilliseconds?: number | undefined
   /** An upstream without announcements for this long is removed, unless it answers requests. */
   readonly silentUpstreamMilliseconds: number
 }
--- a/packages/control/src/dispatching-control.ts
+++ b/packages/control/src/dispatching-control.ts
@@ -3,6 +3,7 @@
 import { LeaderConnection } from '@hickoryspoke/dispatch/leader-connection'
 import { DispatchService } from '@hickoryspoke/dispatch/dispatch-service'
 import { UpstreamRegistry } from '@hickoryspoke/dispatch/upstream-registry'
+import { ZoneEvacuations } from '@hickoryspoke/dispatch/zone-evacuations'
 import { DispatchMessage, DispatchService as DispatchDefinition, EntryMessage } from '@hickoryspoke/protocol/generated/dispatch'
 import { FramedConnection } from '@hickoryspoke/protocol/framed-connection'
 import { InnerListener } from '@hickoryspoke/protocol/inner-listener'
@@ -24,6 +25,7 @@
 import { reportLoad } from './load-report.ts'
 import { logReplicaEvent, logStorageFailure } from './replica-event-log.ts'
 import { shutDownServer } from './server-shutdown.ts'
+import { ZoneEvacuationLog } from './zone-evacuation-log.ts'
 
 /** Codecs of the server's side of a framed connection. */
 const SERVER_CODECS = { sent: DispatchMessage, received: EntryMessage }
@@ -42,6 +44,7 @@
   readonly announcements: AnnouncementRelay
   private readonly service: DispatchService
   private readonly departures: DepartureLog
+  private readonly evacuations: ZoneEvacuationLog
   private readonly stopping = new AbortController()
   private readonly mirror: LeaderConnection
   private readonly listener: InnerListener
@@ -58,6 +61,8 @@
   ) {
     const { clock, random, logger, credentials } = options
     this.registry = UpstreamRegistry.create(clock, logger)
+    const zones = ZoneEvacuations.create(clock, this.registry)
+    this.evacuations = ZoneEvacuationLog.create({ clock, logger, zones, committed: state.zones, log: replica })
     this.service = DispatchService.create({
       clock,
       logger,
@@ -67,6 +72,8 @@
       floorShare: settings.floorShare,
       policy: settings.policy,
       newsLimitMilliseconds: Math.max(0, settings.freshMilliseconds - settings.applyMilliseconds + PLACED_REQUEST_MILLISECONDS),
+      zones,
+      zoneLimitMilliseconds: Math.max(0, settings.freshMilliseconds - (settings.evacuateMilliseconds ?? Infinity) + PLACED_REQUEST_MILLISECONDS),
       startsWithFullBursts: () => settings.firstOfFleet && this.held === undefined,
       control: {
         isLeader: () => this.isLeader,
@@ -103,6 +110,8 @@
         upstreamsChanged: (update) => this.registry.mergeEncoded(update.upstreams),
         suspected: (suspicions) => this.service.handover.receiveSuspicions(suspicions),
         limited: (limits) => this.service.handover.receiveLimits(limits),
+        // Control VMs know the zones from the log.
+        zonesChanged: () => {},
         connected: () => {},
         lost: () => {},
         questionSent: () => {},
@@ -112,7 +121,7 @@
     this.announcements = AnnouncementRelay.create(this.registry, this.mirror)
     this.departures = DepartureLog.create({ registry: this.registry, committed: state.departures, log: replica })
     state.documents.onChange(() => this.schedulePublish())
-    this.metrics = createControlMetrics(replica, state.documents, this.service)
+    this.metrics = createControlMetrics(replica, state.documents, this.service, zones)
     server.addService(DispatchDefinition, this.service.handlers())
     this.listener = InnerListener.create({
       credentials, grpc: server, logger, framed: (socket) => this.service.acceptStream(FramedConnection.accept(socket, SERVER_CODECS))
@@ -190,6 +199,14 @@
     return isRecorded && isKnown && await this.confirmNumber() !== undefined
   }
 
+  /** Evacuates a zone or takes it back. Resolves once that may be acknowledged, with false when this process does not lead until then. */
+  async setEvacuation (zone: string, isEvacuated: boolean): Promise<Result<boolean, ReplicationFailure>> {
+    const recorded = await this.evacuations.set(zone, isEvacuated)
+    if (recorded.isErr()) return recorded
+    this.service.updateLeadership()
+    return Ok(await this.service.isEvacuationKnown())
+  }
+
   /** Reads the newest document, as of some moment after the call. */
   async read (): Promise<Result<PublishedDocument | undefined, ReplicationFailure>> {
     const barrier = await this.replica.readBarrier()
--- a/packages/dispatch/src/dispatch-service-options.ts
+++ b/packages/dispatch/src/dispatch-service-options.ts
@@ -5,6 +5,7 @@
 import type { DispatchPolicy } from './dispatch-policy.ts'
 import type { FleetRetryBudgetSettings } from './fleet-retry-budget.ts'
 import type { UpstreamRegistry } from './upstream-registry.ts'
+import type { ZoneEvacuations } from './zone-evacuations.ts'
 
 /** The state of the replicated log that the service needs. Addresses are IP:PORT of inner ports. */
 export interface ClusterView {
@@ -31,4 +32,8 @@
   readonly startsWithFullBursts: () => boolean
   /** How long after its last confirmation an entry that has not confirmed news is waited for, in milliseconds. */
   readonly newsLimitMilliseconds: number
+  /** The same for changes of the evacuated zones; 0 by default. */
+  readonly zoneLimitMilliseconds?: number
+  /** The evacuated zones; none by default. */
+  readonly zones?: ZoneEvacuations
 }
--- a/packages/dispatch/src/dispatch-service.ts
+++ b/packages/dispatch/src/dispatch-service.ts
@@ -122,6 +122,11 @@
     return await this.leading?.news.whenKnown(this.leading.upstreams.departureRevision(instance)) ?? false
   }
 
+  /** The same for the newest change of the evacuated zones. */
+  async isEvacuationKnown (): Promise<boolean> {
+    return await this.leading?.zones.whenKnown() ?? false
+  }
+
   /** Sends a new configuration to the entries. */
   publish (configuration: ServingConfiguration): void {
     this.history.add(configuration)
@@ -192,6 +197,7 @@
     const session = this.registerSession(call, hello)
     call.write({ body: { $case: 'leader', value: this.notice(true) } })
     this.sendConfiguration(session)
+    this.leading.zones.welcome(session)
     this.leading.upstreams.welcome(session)
     for (const message of this.handover.welcome(this.leading.dispatcher)) call.write(message)
     if (!session.mirror) this.leading.dispatcher.restoreEntry(session.connection, hello)
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -20,6 +20,7 @@
 import type { RegisteredUpstream, UpstreamRegistry } from './upstream-registry.ts'
 import type { UpstreamChoice } from './upstream-choice.ts'
 import { WaitingRequests } from './waiting-requests.ts'
+import { NO_EVACUATIONS, type DispatcherZoneView } from './zone-view.ts'
 
 /** Dependencies and settings of a `Dispatcher`. */
 export interface DispatcherOptions {
@@ -32,6 +33,8 @@
   readonly floorShare: number
   /** Which optional decisions are made; none by default. */
   readonly policy?: PolicySource
+  /** The evacuated zones; none by default. */
+  readonly zones?: DispatcherZoneView
 }
 
 const MINIMUM_RETRY_AFTER_MILLISECONDS = 200
@@ -58,7 +61,7 @@
   private constructor (private readonly options: DispatcherOptions) {
     this.startedAt = options.clock.monotonicMilliseconds()
     this.limits = UpstreamLimits.create(options.clock)
-    this.pools = PoolSet.create(options.clock, this.limits, options.budget, options.floorShare, options.policy)
+    this.pools = PoolSet.create(options.clock, this.limits, options.budget, options.floorShare, options.policy, options.zones ?? NO_EVACUATIONS)
     this.denials = DenialLog.create(options.clock, options.logger)
     this.waiting = WaitingRequests.create(options.clock, this.pools, {
       placed: (connection, question, choice) => this.place(connection, question, choice),
@@ -81,6 +84,15 @@
     for (const pool of pools) this.waiting.drain(pool)
   }
 
+  /** Applies a change of the evacuated zones. Requests that only upstreams of evacuated zones could take are refused. */
+  updateZones (): void {
+    this.pools.updateZones()
+    for (const name of this.pools.waitingPools()) {
+      this.refuseUnservable(name)
+      this.waiting.drain(name)
+    }
+  }
+
   /** Takes over an entry's running requests and recent admissions, and the limits that it knows. Placements that it does not list have ended. */
   restoreEntry (connection: EntryConnection, { running, limits, ...report }: EntryHandover): void {
     this.adoptLimits(limits)
@@ -130,7 +142,10 @@
 
   /** Tries the queues again, since an upstream may become acceptable as time passes. */
   tick (): void {
-    for (const name of this.pools.waitingPools()) this.waiting.drain(name)
+    for (const name of this.pools.waitingPools()) {
+      if (this.pools.pool(name).isEvacuated) this.refuseUnservable(name)
+      this.waiting.drain(name)
+    }
   }
 
   /** Drops all waiting requests and placements; the entries ask the next leader. */
@@ -173,6 +188,14 @@
     return this.pools.pool(pool).standingOf(instance).isInUse(this.options.clock.monotonicMilliseconds())
   }
 
+  /** Just after a change of leader, upstreams of other zones may be announced yet. */
+  private refuseUnservable (poolName: string): void {
+    if (this.isStartingUp(this.options.clock.monotonicMilliseconds())) return
+    for (const { requester, question } of this.waiting.withdrawUnservable(poolName)) {
+      this.refundAndDeny(requester, question, DenialReason.DENIAL_REASON_NO_UPSTREAM)
+    }
+  }
+
   private isStartingUp (now: number): boolean {
     return now - this.startedAt < STARTUP_MILLISECONDS
   }
--- a/packages/dispatch/src/leader-connection-options.ts
+++ b/packages/dispatch/src/leader-connection-options.ts
@@ -1,6 +1,6 @@
 /** What a `LeaderConnection` depends on, and whom it tells what it receives. */
 import type {
-  Denial, NumberAnswer, Placement, RunningRequest, ServingUpdate, Suspicion, UpstreamLimit, UpstreamUpdate
+  Denial, NumberAnswer, Placement, RunningRequest, ServingUpdate, Suspicion, UpstreamLimit, UpstreamUpdate, ZoneList
 } from '@hickoryspoke/protocol/generated/dispatch'
 import type { InnerCredentials } from '@hickoryspoke/protocol/inner-credentials'
 import type { Clock } from '@hickoryspoke/runtime/clock'
@@ -21,6 +21,8 @@
   suspected (suspicions: readonly Suspicion[]): void
   /** Receives all limits that upstreams state, as known to the dispatcher. */
   limited (limits: readonly UpstreamLimit[]): void
+  /** Receives the evacuated zones; without this call none ever was. */
+  zonesChanged (list: ZoneList): void
   /** The stream reached the leader. */
   connected (): void
   /** The stream to the leader ended; questions sent on it will not be answered. */
--- a/packages/dispatch/src/leader-connection.ts
+++ b/packages/dispatch/src/leader-connection.ts
@@ -245,6 +245,7 @@
       case 'upstreams': return listener.upstreamsChanged(body.value)
       case 'suspicions': return listener.suspected(body.value.suspicions)
       case 'limits': return listener.limited(body.value.limits)
+      case 'zones': return listener.zonesChanged(body.value)
       case 'number': return listener.confirmed(body.value)
       case 'upstreamQuery': return this.sendKnownUpstreams()
     }
--- a/packages/dispatch/src/local-placer.ts
+++ b/packages/dispatch/src/local-placer.ts
@@ -11,6 +11,7 @@
 import { RecentAdmissions } from './recent-admissions.ts'
 import { UpstreamLimits } from './upstream-limits.ts'
 import type { RegisteredUpstream, UpstreamRegistry } from './upstream-registry.ts'
+import { NO_EVACUATIONS, type ZoneView } from './zone-view.ts'
 
 /** Dependencies and settings of a `LocalPlacer`. */
 export interface LocalPlacerOptions {
@@ -21,6 +22,8 @@
   readonly zone: string
   /** Window within which admitted requests are remembered, in milliseconds. */
   readonly windowMilliseconds: number
+  /** The evacuated zones; none by default. */
+  readonly zones?: ZoneView
 }
 
 /** An entry's own view of the upstreams and of the rate limits. */
@@ -31,8 +34,10 @@
   private rates = CustomerRateLimiter.createWithFullBursts()
   private readonly recentAdmissions: RecentAdmissions
   private limitOf: (customer: string) => RateLimit | undefined = () => undefined
+  private readonly zones: ZoneView
 
   private constructor (private readonly options: LocalPlacerOptions) {
+    this.zones = options.zones ?? NO_EVACUATIONS
     this.limits = UpstreamLimits.create(options.clock)
     this.recentAdmissions = RecentAdmissions.create(options.clock.monotonicMilliseconds(), options.windowMilliseconds)
     options.registry.onChange((changed) => this.forgetEarlierStarts(changed))
@@ -127,9 +132,9 @@
     return this.standings.get(instance)?.availability.noticeFor(this.options.entry, this.options.clock.monotonicMilliseconds())
   }
 
-  /** Whether an upstream told this entry that it leaves, or asked it for a pause that is not over. */
+  /** Whether an upstream told this entry that it leaves, or asked it for a pause that is not over, or its zone is evacuated. */
   isUnwanted (instance: string): boolean {
-    return this.noticeOf(instance) !== undefined
+    return this.noticeOf(instance) !== undefined || this.zones.isEvacuated(this.options.registry.find(instance)?.announced.zone ?? '')
   }
 
   /** Records the outcome of any request of this entry; `local` means that this placer chose its upstream. */
--- a/packages/dispatch/src/news-delivery.ts
+++ b/packages/dispatch/src/news-delivery.ts
@@ -15,6 +15,7 @@
 interface Waiter {
   readonly revision: number
   readonly newsAt: number
+  readonly limitMilliseconds: number
   readonly resolve: (isKnown: boolean) => void
 }
 
@@ -36,7 +37,8 @@
   private constructor (
     private readonly clock: Clock,
     private readonly limitMilliseconds: number,
-    private readonly earliestAt: number,
+    /** When views of an earlier leader may still have been confirmed, in monotonic milliseconds. */
+    private readonly predecessorAt: number,
     private readonly presumed: (revision: number, entries: number) => void
   ) {}
 
@@ -48,8 +50,7 @@
   static create (
     clock: Clock, limitMilliseconds: number, hasPredecessor: boolean, presumed: (revision: number, entries: number) => void = () => {}
   ): NewsDelivery {
-    const earliestAt = hasPredecessor ? clock.monotonicMilliseconds() + limitMilliseconds : -Infinity
-    return new NewsDelivery(clock, limitMilliseconds, earliestAt, presumed)
+    return new NewsDelivery(clock, limitMilliseconds, hasPredecessor ? clock.monotonicMilliseconds() : -Infinity, presumed)
   }
 
   get newestRevision (): number {
@@ -92,11 +93,13 @@
     this.check()
   }
 
-  /** Resolves with true once news of the revision may be acknowledged, and with false when the leadership ends before. */
-  whenKnown (revision: number): Promise<boolean> {
+  /**
+   * Resolves with true once news of the revision may be acknowledged, and with false when the leadership ends before. News whose
+   * acknowledgement promises another time has its own limit, and says when it was added, as that is not kept here for as long.
+   */
+  whenKnown (revision: number, limitMilliseconds = this.limitMilliseconds, newsAt = this.newsTimes.get(revision) ?? -Infinity): Promise<boolean> {
     return new Promise((resolve) => {
-      const newsAt = this.newsTimes.get(revision) ?? -Infinity
-      this.waiters.push({ revision, newsAt, resolve })
+      this.waiters.push({ revision, newsAt, limitMilliseconds, resolve })
       this.check()
     })
   }
@@ -124,10 +127,10 @@
     return [...this.entries.values()].filter((entry) => entry.confirmedRevision < revision).length
   }
 
-  private isKnown ({ revision, newsAt }: Waiter, now: number): boolean {
-    if (now < this.earliestAt) return false
+  private isKnown ({ revision, newsAt, limitMilliseconds }: Waiter, now: number): boolean {
+    if (now < this.predecessorAt + limitMilliseconds) return false
     for (const entry of this.entries.values()) {
-      const expiresAt = Math.min(newsAt, entry.confirmedAt) + this.limitMilliseconds
+      const expiresAt = Math.min(newsAt, entry.confirmedAt) + limitMilliseconds
       if (entry.confirmedRevision < revision && now < expiresAt) return false
     }
     return true
--- a/packages/dispatch/src/pool-dispatcher.ts
+++ b/packages/dispatch/src/pool-dispatcher.ts
@@ -10,6 +10,7 @@
 import type { UpstreamLimits } from './upstream-limits.ts'
 import type { RegisteredUpstream } from './upstream-registry.ts'
 import { WaitingQueue, type WaitingQuestion } from './waiting-queue.ts'
+import { NO_EVACUATIONS, type DispatcherZoneView } from './zone-view.ts'
 
 /** The state of a pool at one moment, for logs and metrics. */
 export interface PoolSnapshot {
@@ -86,12 +87,15 @@
     private readonly clock: Clock,
     private readonly limits: UpstreamLimits,
     private readonly minimumActiveShare: number,
-    readonly policy: PolicySource
+    readonly policy: PolicySource,
+    private readonly zones: DispatcherZoneView
   ) {}
 
   /** `floorShare` is the share of sound upstreams that must receive requests; 0 for none. */
-  static create (clock: Clock, limits: UpstreamLimits, floorShare: number, policy: PolicySource = defaultPolicy): PoolDispatcher {
-    return new PoolDispatcher(clock, limits, floorShare === 0 ? 0 : 1 - (1 - floorShare) * IDLE_SHARE, policy)
+  static create (
+    clock: Clock, limits: UpstreamLimits, floorShare: number, policy: PolicySource = defaultPolicy, zones: DispatcherZoneView = NO_EVACUATIONS
+  ): PoolDispatcher {
+    return new PoolDispatcher(clock, limits, floorShare === 0 ? 0 : 1 - (1 - floorShare) * IDLE_SHARE, policy, zones)
   }
 
   /** Adds, updates or removes an upstream. */
@@ -101,10 +105,20 @@
     standing.availability.recordStart(born)
     if (gone) this.upstreams.delete(instance)
     else this.upstreams.set(instance, { upstream, standing })
-    this.serving = [...this.upstreams.values()].filter((candidate) => !isLeaving(candidate))
+    this.updateServing()
+  }
+
+  /** Determines again which upstreams accept new requests, as after a change of the evacuated zones. */
+  updateServing (): void {
+    this.serving = [...this.upstreams.values()].filter((candidate) => this.isServing(candidate))
     this.invalidateState()
   }
 
+  /** Whether all upstreams that would accept requests are in evacuated zones. */
+  get isEvacuated (): boolean {
+    return this.serving.length === 0 && [...this.upstreams.values()].some((candidate) => !isLeaving(candidate))
+  }
+
   /** The current state of the pool. */
   snapshot (name: string, now: number): PoolSnapshot {
     const standings = { sound: 0, suspect: 0 }
@@ -159,7 +173,7 @@
 
   /** Chooses one upstream, which may just have become free, for a waiting request; undefined when the request should wait on. */
   private chooseOnly (candidate: Candidate, { question, requester }: WaitingQuestion, now: number, terms: ChoiceConstraints): UpstreamChoice | undefined {
-    if (!isFree(candidate, question, requester, now)) return undefined
+    if (!this.isFree(candidate, question, requester, now)) return undefined
     return chooseUpstream([candidate], this.contextOf(question, requester, now, terms))
   }
 
@@ -171,7 +185,7 @@
       this.nextExamined = (this.nextExamined + 1) % this.serving.length
       examined += 1
       const candidate = this.serving[this.nextExamined] as Candidate
-      if (isFree(candidate, question, requester, now)) this.sample.push(candidate)
+      if (this.isFree(candidate, question, requester, now)) this.sample.push(candidate)
     }
     return examined
   }
@@ -208,7 +222,7 @@
 
   /** Places waiting requests while suitable upstreams are free. */
   drainQueue (now: number, constraintsOf: (waiting: WaitingQuestion) => ChoiceConstraints): void {
-    const hasRoom = (): boolean => this.serving.some((candidate) => hasFreeSlot(candidate, now))
+    const hasRoom = (): boolean => this.serving.some((candidate) => this.hasFreeSlot(candidate, now))
     this.drainWith(hasRoom, (waiting) => this.choose(waiting.question, waiting.requester, now, constraintsOf(waiting)))
   }
 
@@ -223,8 +237,8 @@
   drainTo (instance: string, now: number, constraintsOf: (waiting: WaitingQuestion) => ChoiceConstraints): void {
     if (this.isSmall) return this.drainQueue(now, constraintsOf)
     const candidate = this.upstreams.get(instance)
-    if (candidate === undefined || isLeaving(candidate)) return
-    this.drainWith(() => hasFreeSlot(candidate, now), (waiting) => this.chooseOnly(candidate, waiting, now, constraintsOf(waiting)))
+    if (candidate === undefined || !this.isServing(candidate)) return
+    this.drainWith(() => this.hasFreeSlot(candidate, now), (waiting) => this.chooseOnly(candidate, waiting, now, constraintsOf(waiting)))
   }
 
   /** Offers upstreams to the first waiting requests, as long as any of them has room. */
@@ -274,10 +288,22 @@
 
   /** Mean number of slots that requests can use, given the limit that the upstream states. */
   private usableSlots ({ upstream, standing }: Candidate): number {
-    const { slots } = upstream.announced
+    const slots = this.zones.usableSlots(upstream.announced.zone, upstream.announced.slots)
     const { requestsPerSecond } = standing.limit
     return requestsPerSecond === undefined ? slots : Math.min(slots, requestsPerSecond * this.responseTimes.meanMilliseconds() / 1_000)
   }
+
+  private isServing (candidate: Candidate): boolean {
+    return !isLeaving(candidate) && !this.zones.isEvacuated(candidate.upstream.announced.zone)
+  }
+
+  private isFree (candidate: Candidate, question: PlacementQuestion, requester: RequestingEntry, now: number): boolean {
+    return this.hasFreeSlot(candidate, now) && isEligible(candidate, question, requester, now)
+  }
+
+  private hasFreeSlot ({ upstream, standing }: Candidate, now: number): boolean {
+    return !standing.isFull(this.zones.usableSlots(upstream.announced.zone, upstream.announced.slots), now)
+  }
 }
 
 /** Whether it announced that it leaves, or said so in a response. */
@@ -285,14 +311,6 @@
   return upstream.announced.draining || standing.availability.isLeaving
 }
 
-function isFree (candidate: Candidate, question: PlacementQuestion, requester: RequestingEntry, now: number): boolean {
-  return hasFreeSlot(candidate, now) && isEligible(candidate, question, requester, now)
-}
-
-function hasFreeSlot ({ upstream, standing }: Candidate, now: number): boolean {
-  return !standing.isFull(upstream.announced.slots, now)
-}
-
 function isEligible ({ upstream, standing }: Candidate, question: PlacementQuestion, requester: RequestingEntry, now: number): boolean {
   return !question.excluded.includes(upstream.announced.instance) && standing.isReachableFrom(requester.entry, now)
 }
--- a/packages/dispatch/src/pool-set.ts
+++ b/packages/dispatch/src/pool-set.ts
@@ -6,6 +6,7 @@
 import { FleetRetryBudget, type FleetRetryBudgetSettings } from './fleet-retry-budget.ts'
 import type { UpstreamLimits } from './upstream-limits.ts'
 import type { RegisteredUpstream } from './upstream-registry.ts'
+import { NO_EVACUATIONS, type DispatcherZoneView } from './zone-view.ts'
 
 /** Pools by name, created on first use. */
 export class PoolSet {
@@ -17,20 +18,22 @@
     private readonly limits: UpstreamLimits,
     private readonly budgetSettings: FleetRetryBudgetSettings,
     private readonly floorShare: number,
-    private readonly policy: PolicySource
+    private readonly policy: PolicySource,
+    private readonly zones: DispatcherZoneView
   ) {}
 
   /** `floorShare` is the share of a pool's sound upstreams that must receive requests; 0 for none. */
   static create (
-    clock: Clock, limits: UpstreamLimits, budgetSettings: FleetRetryBudgetSettings, floorShare: number, policy: PolicySource = defaultPolicy
+    clock: Clock, limits: UpstreamLimits, budgetSettings: FleetRetryBudgetSettings, floorShare: number, policy: PolicySource = defaultPolicy,
+    zones: DispatcherZoneView = NO_EVACUATIONS
   ): PoolSet {
-    return new PoolSet(clock, limits, budgetSettings, floorShare, policy)
+    return new PoolSet(clock, limits, budgetSettings, floorShare, policy, zones)
   }
 
   pool (name: string): PoolDispatcher {
     const known = this.pools.get(name)
     if (known !== undefined) return known
-    const created = PoolDispatcher.create(this.clock, this.limits, this.floorShare, this.policy)
+    const created = PoolDispatcher.create(this.clock, this.limits, this.floorShare, this.policy, this.zones)
     this.pools.set(name, created)
     return created
   }
@@ -59,6 +62,11 @@
     return announced.pool
   }
 
+  /** Applies a change of the evacuated zones to all pools. */
+  updateZones (): void {
+    for (const pool of this.pools.values()) pool.updateServing()
+  }
+
   /** The current state of every pool. */
   snapshots (now: number): PoolSnapshot[] {
     return [...this.pools].map(([name, pool]) => pool.snapshot(name, now))
--- a/packages/dispatch/src/tests/leader-connection-fixture.ts
+++ b/packages/dispatch/src/tests/leader-connection-fixture.ts
@@ -18,6 +18,7 @@
   upstreamsChanged: ignore,
   limited: ignore,
   suspected: ignore,
+  zonesChanged: ignore,
   connected: ignore,
   lost: ignore,
   questionSent: ignore,
--- a/packages/dispatch/src/waiting-requests.ts
+++ b/packages/dispatch/src/waiting-requests.ts
@@ -79,6 +79,16 @@
     for (const key of [...this.waiting.keys()]) this.cancel(key)
   }
 
+  /** Withdraws the waiting requests of a pool that none of its upstreams may take, and returns them. */
+  withdrawUnservable (poolName: string): Array<{ readonly question: PlacementQuestion, readonly requester: EntryConnection }> {
+    const pool = this.pools.pool(poolName)
+    const now = this.clock.monotonicMilliseconds()
+    const unservable = [...this.waiting.values()].filter(({ question, requester }) => {
+      return question.pool === poolName && !pool.hasEligibleUpstream(question, requester, now)
+    })
+    return unservable.filter(({ key }) => this.cancel(key))
+  }
+
   /** Offers all upstreams of a pool to its waiting requests. */
   drain (poolName: string): void {
     const pool = this.pools.pool(poolName)
--- a/packages/entry/src/dispatched-entry-metrics.ts
+++ b/packages/entry/src/dispatched-entry-metrics.ts
@@ -15,6 +15,8 @@
   readonly isCutOff: () => boolean
   /** Number of connections to upstreams that are relayed for other entries. */
   readonly relayedConnections: () => number
+  /** Zones whose upstreams get no requests. */
+  readonly evacuatedZones: () => readonly string[]
 }
 
 /** Age reported for a configuration that was never confirmed, whose real age is infinite. */
@@ -40,6 +42,9 @@
     metrics.gauge('hickoryspoke_relayed_connections', 'connections to upstreams that are relayed for other entries', [], (gauge) => {
       gauge.set(sources.relayedConnections())
     })
+    metrics.gauge('hickoryspoke_evacuated_zones', 'availability zones whose upstreams get no requests', [], (gauge) => {
+      gauge.set(sources.evacuatedZones().length)
+    })
     metrics.gauge('hickoryspoke_configuration_number', 'number of the configuration held', [], (gauge) => gauge.set(sources.inForce.number))
     metrics.gauge('hickoryspoke_configuration_age_seconds', 'since the configuration was confirmed', [], (gauge) => {
       gauge.set(Math.min(MAXIMUM_AGE_SECONDS, sources.inForce.ageMilliseconds() / 1000))
--- a/packages/entry/src/dispatched-entry.ts
+++ b/packages/entry/src/dispatched-entry.ts
@@ -4,8 +4,9 @@
 import { LeaderConnection } from '@hickoryspoke/dispatch/leader-connection'
 import { LocalPlacer } from '@hickoryspoke/dispatch/local-placer'
 import { PlacementClient } from '@hickoryspoke/dispatch/placement-client'
+import { ReceivedZones } from '@hickoryspoke/dispatch/received-zones'
 import { UpstreamRegistry } from '@hickoryspoke/dispatch/upstream-registry'
-import type { ServingUpdate } from '@hickoryspoke/protocol/generated/dispatch'
+import type { ServingUpdate, ZoneList } from '@hickoryspoke/protocol/generated/dispatch'
 import type { InnerCredentials } from '@hickoryspoke/protocol/inner-credentials'
 import type { Connector } from '@hickoryspoke/request/connector'
 import type { Dialect } from '@hickoryspoke/request/dialect'
@@ -69,6 +70,7 @@
   private readonly entryMetrics = DispatchedEntryMetrics.create()
   private readonly registry: UpstreamRegistry
   private readonly inForce: ActiveConfiguration
+  private readonly zones: ReceivedZones
   private readonly placer: LocalPlacer
   private readonly placementClient: PlacementClient
   private readonly link: LeaderConnection
@@ -87,7 +89,10 @@
     this.registry = UpstreamRegistry.create(clock, logger)
     this.inForce = ActiveConfiguration.create(clock, settings.freshMilliseconds)
     this.inForce.onChange((configuration) => this.applyConfiguration(configuration))
-    this.placer = LocalPlacer.create({ clock, random, registry: this.registry, entry: name, zone, windowMilliseconds: settings.rateWindowMilliseconds })
+    this.zones = ReceivedZones.create(this.registry)
+    this.placer = LocalPlacer.create({
+      clock, random, registry: this.registry, entry: name, zone, windowMilliseconds: settings.rateWindowMilliseconds, zones: this.zones
+    })
     this.placementClient = PlacementClient.create({
       clock,
       placer: this.placer,
@@ -122,6 +127,7 @@
         upstreamsChanged: (update) => this.registry.mergeEncoded(update.upstreams),
         suspected: (suspicions) => this.placer.adoptSuspicions(suspicions),
         limited: (limits) => this.placer.adoptLimits(limits),
+        zonesChanged: (list) => this.receiveZones(list),
         connected: () => this.placementClient.connected(),
         lost: () => this.lost(),
         questionSent: (question) => this.inForce.recordQuestion(question),
@@ -148,7 +154,8 @@
       inFlight: () => this.runner.inFlight,
       isReady: () => this.isReady,
       isCutOff: () => this.upstreams.isCutOff,
-      relayedConnections: () => this.upstreams.relay.connections
+      relayedConnections: () => this.upstreams.relay.connections,
+      evacuatedZones: () => this.zones.zones()
     })
     const { host, port } = splitAddress(settings.callers)
     this.callers = CallerServer.create({ clock, runner: this.runner, host, port })
@@ -248,6 +255,10 @@
     this.link.reconnect()
   }
 
+  private receiveZones (list: ZoneList): void {
+    if (this.zones.receive(list)) this.options.logger.info('evacuated zones changed', { zones: list.evacuated.join(' ') })
+  }
+
   /** Lets this entry place requests by itself until it has a dispatcher again. */
   private lost (): void {
     this.placer.startStandalone(this.entries, (customer) => this.table?.rateTermsOf(customer))
