Tests of zone evacuation in a fleet, of its calls and of its settings

Cause: what an acknowledgement of an evacuation promises spans the replicated log, the dispatcher and the entries.

--- a/packages/bench/src/tests/dispatched-fleet.ts
+++ b/packages/bench/src/tests/dispatched-fleet.ts
@@ -18,6 +18,9 @@
 const WAIT_TIMEOUT_MILLISECONDS = 20_000
 const POLL_MILLISECONDS = 25
 
+/** Zones that can be evacuated. */
+const ZONES = ['zone-a', 'zone-b']
+
 /** Header names in these tests: `request`, `key`, `instance`, `not-run`, `leaving` and `unavailable-milliseconds`. */
 const TEST_DIALECT: Dialect = {
   readCaller: (headers) => ({ requestId: headerValue(headers, 'request') ?? '', key: headerValue(headers, 'key'), patienceMilliseconds: undefined }),
@@ -45,6 +48,7 @@
 export interface AnnouncementChanges {
   readonly draining?: boolean
   readonly sequence?: number
+  readonly zone?: string
 }
 
 /** A control node with its request interface. */
@@ -109,6 +113,14 @@
     })
   }
 
+  /** Evacuates a zone or takes it back, by calls to the leader until one is acknowledged. */
+  async setEvacuation (zone: string, isEvacuated: boolean): Promise<void> {
+    await waitFor(async () => {
+      const answer = await (await this.leader()).api.setEvacuation(zone, isEvacuated)
+      return answer.kind === 'done' ? true : undefined
+    })
+  }
+
   /** Waits until every entry is ready. */
   async waitUntilReady (): Promise<void> {
     await waitFor(() => this.entries.every(({ entry }) => entry.isReady) ? true : undefined)
@@ -154,11 +166,12 @@
       floorShare: 0.7,
       freshMilliseconds: this.freshMilliseconds,
       applyMilliseconds: 2_000,
+      evacuateMilliseconds: 5_000,
       overage: { windowMilliseconds: 5_000, share: 0.1, requests: 20 },
       silentUpstreamMilliseconds: 60_000
     }, { ...parts, decode: (document) => Ok(JSON.parse(document.content.toString()) as ServingConfiguration) })
     const control = started.unwrap()
-    const fleetControl = { address, control, api: ControlApi.create({ control, ...parts, requiredVoters: this.addresses.length }) }
+    const fleetControl = { address, control, api: ControlApi.create({ control, ...parts, requiredVoters: this.addresses.length, zones: ZONES }) }
     this.controls.push(fleetControl)
     return fleetControl
   }
