--- a/packages/dispatch/src/cold-upstreams.ts
+++ b/packages/dispatch/src/cold-upstreams.ts
@@ -27,6 +27,7 @@
 /** The warm-up limits in force. */
 export class ColdUpstreams {
   private limits = new Map<string, PoolWarmup>()
+  private isPresumedCold: (instance: string) => boolean = () => false
 
   private constructor (readonly allowance: WarmupAllowance) {}
 
@@ -44,10 +45,16 @@
     this.limits = new Map(pools.flatMap(({ name, warmup }) => warmup === undefined ? [] : [[name, warmup]]))
   }
 
+  /** Sets which upstreams count as cold whatever they announced, as those of a zone whose evacuation has just ended. */
+  presume (isPresumedCold: (instance: string) => boolean): void {
+    this.isPresumedCold = isPresumedCold
+  }
+
   /** Whether the upstream is cold now, so that the warm-up limit of its pool applies. */
   isCold ({ announced, warmupEndsAt }: WarmingUpstream, now: number): boolean {
-    if (announced.warmupMilliseconds === 0 || now >= warmupEndsAt + TOLERANCE_MILLISECONDS) return false
-    return !announced.gone && this.limits.has(announced.pool)
+    if (announced.gone || !this.limits.has(announced.pool)) return false
+    if (this.isPresumedCold(announced.instance)) return true
+    return announced.warmupMilliseconds > 0 && now < warmupEndsAt + TOLERANCE_MILLISECONDS
   }
 
   /** Requests per second that the upstream tolerates now from all entries together; undefined while it is not cold. */
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -21,6 +21,7 @@
 import type { RegisteredUpstream, UpstreamRegistry } from './upstream-registry.ts'
 import type { UpstreamChoice } from './upstream-choice.ts'
 import { WaitingRequests } from './waiting-requests.ts'
+import { NO_EVACUATIONS, type DispatcherZoneView } from './zone-view.ts'
 
 /** Dependencies and settings of a `Dispatcher`. */
 export interface DispatcherOptions {
@@ -33,6 +34,8 @@
   readonly floorShare: number
   /** Which optional decisions are made; none by default. */
   readonly policy?: PolicySource
+  /** The evacuated zones; none by default. */
+  readonly zones?: DispatcherZoneView
 }
 
 const MINIMUM_RETRY_AFTER_MILLISECONDS = 200
@@ -60,7 +63,7 @@
     this.startedAt = options.clock.monotonicMilliseconds()
     const { registry } = options
     this.limits = UpstreamLimits.create(options.clock, (instance) => ColdLimit.create(registry, instance, GrantedShare.create(registry.cold.allowance)))
-    this.pools = PoolSet.create(options.clock, this.limits, options.budget, options.floorShare, options.policy)
+    this.pools = PoolSet.create(options.clock, this.limits, options.budget, options.floorShare, options.policy, options.zones ?? NO_EVACUATIONS)
     this.denials = DenialLog.create(options.clock, options.logger)
     this.waiting = WaitingRequests.create(options.clock, this.pools, {
       placed: (connection, question, choice) => this.place(connection, question, choice),
@@ -83,6 +86,15 @@
     for (const pool of pools) this.waiting.drain(pool)
   }
 
+  /** Applies a change of the evacuated zones. Requests that only upstreams of evacuated zones could take are refused. */
+  updateZones (): void {
+    this.pools.updateZones()
+    for (const name of this.pools.waitingPools()) {
+      this.refuseUnservable(name)
+      this.waiting.drain(name)
+    }
+  }
+
   /** Takes over an entry's running requests and recent admissions, and the limits that it knows. Placements that it does not list have ended. */
   restoreEntry (connection: EntryConnection, { running, limits, ...report }: EntryHandover): void {
     this.adoptLimits(limits)
@@ -132,7 +144,10 @@
 
   /** Tries the queues again, since an upstream may become acceptable as time passes. */
   tick (): void {
-    for (const name of this.pools.waitingPools()) this.waiting.drain(name)
+    for (const name of this.pools.waitingPools()) {
+      if (this.pools.pool(name).isEvacuated) this.refuseUnservable(name)
+      this.waiting.drain(name)
+    }
   }
 
   /** Drops all waiting requests and placements; the entries ask the next leader. */
@@ -175,6 +190,14 @@
     return this.pools.pool(pool).standingOf(instance).isInUse(this.options.clock.monotonicMilliseconds())
   }
 
+  /** Just after a change of leader, upstreams of other zones may be announced yet. */
+  private refuseUnservable (poolName: string): void {
+    if (this.isStartingUp(this.options.clock.monotonicMilliseconds())) return
+    for (const { requester, question } of this.waiting.withdrawUnservable(poolName)) {
+      this.refundAndDeny(requester, question, DenialReason.DENIAL_REASON_NO_UPSTREAM)
+    }
+  }
+
   private isStartingUp (now: number): boolean {
     return now - this.startedAt < STARTUP_MILLISECONDS
   }
--- a/packages/dispatch/src/tests/cold-upstreams.test.ts
+++ b/packages/dispatch/src/tests/cold-upstreams.test.ts
@@ -7,6 +7,7 @@
 import type { Dispatcher } from '../dispatcher.ts'
 import { LocalPlacer } from '../local-placer.ts'
 import { UpstreamRegistry } from '../upstream-registry.ts'
+import { ZoneEvacuations } from '../zone-evacuations.ts'
 import { announcement, createDispatcher, createWarmupRegistry, question, recordingEntry } from './fixture.ts'
 
 const RATE = 5.8
@@ -284,6 +285,22 @@
   assert.is(placer.choose(question(1)), undefined)
 })
 
+// Guards against a burst to the upstreams of a zone that is taken back: they may have become cold while nobody used them.
+test('an upstream of a returning zone is limited until it announces itself, although it last said that it is warm', () => {
+  const clock = FakeClock.create()
+  const registry = createWarmupRegistry(clock, RATE, ALLOWANCE)
+  const zones = ZoneEvacuations.create(clock, registry)
+  registry.cold.presume((instance) => zones.isPresumedCold(instance))
+  registry.merge([WARM])
+  const coldRate = (): number | undefined => registry.coldRate('warm', clock.monotonicMilliseconds())
+  assert.is(coldRate(), undefined)
+  zones.apply({ zone: WARM.zone, isEvacuated: true, decidedAt: clock.wallMilliseconds() })
+  zones.apply({ zone: WARM.zone, isEvacuated: false, decidedAt: clock.wallMilliseconds() })
+  assert.is(coldRate(), RATE)
+  registry.announce({ ...WARM, sequence: WARM.sequence + 1 })
+  assert.is(coldRate(), undefined)
+})
+
 test('an unknown pool or upstream has no warm-up limit', () => {
   assert.is(UpstreamRegistry.create(FakeClock.create()).coldRate('cold', 0), undefined)
 })
