A response whose status is no HTTP status is a malformed one

Cause: a caller in front of a dispatched entry, with the raw upstream of packages/testing, got before this change: - 600 and 999, with a Content-Length and in chunks: the response, with this status and its body, as an answer; the dispatcher was told of a server error. A repeatable request was sent to another upstream, as for 500 and above. - 000, 042 and 099, with both framings: 502 at once (20 to 90 ms), as undici asserts that a status is at least 100. The failure was `closed_after_sending` with the text of the assertion. No request was kept waiting.

Change: a status above 599, and the failed assertion of undici, are `malformed_answer`, and the connection is closed.

--- a/packages/request/src/upstream-exchange.ts
+++ b/packages/request/src/upstream-exchange.ts
@@ -40,8 +40,9 @@
   cut_off: 'entry_cut_off'
 }
 
-/** Names of the errors of undici for bytes that are no response. */
-const PARSER_ERRORS: ReadonlySet<string> = new Set(['HTTPParserError', 'HeadersOverflowError'])
+/** Names of the errors of undici for bytes that are no response. It asserts that a status is at least 100. */
+const PARSER_ERRORS: ReadonlySet<string> = new Set(['HTTPParserError', 'HeadersOverflowError', 'AssertionError'])
+const LAST_STATUS = 599
 const NOT_RUN_STATUS = 503
 const MAXIMUM_DRAINED_BYTES = 16_384
 
@@ -121,7 +122,8 @@
     if (/(^|,)\s*close\s*(,|$)/i.test(headerValue(headers, 'connection') ?? '')) this.keepsConnection = false
     this.answer = UpstreamResponse.create(this.clock, status, headers, framing, this.control(controller))
     const refusal = failureOfHead(status, headers, framing, this.request.acceptsCloseDelimited === true)
-    if (refusal === undefined) this.resolveHead(Ok(this.answer))
+    if (status > LAST_STATUS) controller.abort(AttemptFailure.create('malformed_answer', `${status} is not an HTTP status`))
+    else if (refusal === undefined) this.resolveHead(Ok(this.answer))
     else this.refuse(controller, refusal, framing)
   }
 
