Repeatable requests use connections that upstreams keep, where a deployment asks for it

A first attempt of a repeatable request that may be followed by another uses an idle connection for as long as the upstream's Keep-Alive states, less 1 s. One that ends within 100 ms without a byte of a response is sent once more on a new connection, within the retry budget, and is no evidence against the upstream. Connections of refused, foreign or failed responses are not used again. One idle connection is kept to each upstream.

Shown (kept-connections.test.ts, 25 tests): 4 repeatable requests use 1 connection, 3 use 3 without the switch, with one attempt or where they run at most once. Each of these changes to the code made a test fail: using the connections of refused responses, kept connections for second attempts, use beyond the stated time, counting drops as evidence. Not measured: what it saves in the deployment. A preference of the dispatcher for upstreams with a kept connection is weighed in docs/design/requests.md and not built.

Changed tests: settings and dispatch-policy name the new field of the policy; response-deadline gives its control the new function. invalid-status has a longer timeout, so that it does not depend on a busy machine.

--- a/packages/dispatch/src/dispatch-policy.ts
+++ b/packages/dispatch/src/dispatch-policy.ts
@@ -1,4 +1,4 @@
-/** Decisions of the dispatcher that a deployment asks for by its settings or its configuration. */
+/** Decisions of the dispatcher and of entries that a deployment asks for by its settings or its configuration. */
 import type { ServingConfiguration } from '@hickoryspoke/configuration/serving-configuration'
 
 /** Which of these decisions are made. */
@@ -7,13 +7,15 @@
   readonly expectedCost: boolean
   /** Customers share scarce room, and refused callers are told to return at different times. */
   readonly fairAdmission: boolean
+  /** Entries send requests that may be repeated on connections that upstreams keep open. */
+  readonly reuseConnections: boolean
 }
 
 /** Returns the policy in force, which may change with the configuration. */
 export type PolicySource = () => DispatchPolicy
 
 /** The policy of a deployment that asks for nothing. */
-export const DEFAULT_DISPATCH_POLICY: DispatchPolicy = { expectedCost: false, fairAdmission: false }
+export const DEFAULT_DISPATCH_POLICY: DispatchPolicy = { expectedCost: false, fairAdmission: false, reuseConnections: false }
 
 /** The policy of a deployment without settings for it. */
 export const defaultPolicy: PolicySource = () => DEFAULT_DISPATCH_POLICY
@@ -25,5 +27,9 @@
 
 /** The policy of a deployment whose settings and configuration ask for these. */
 export function combinePolicies (first: DispatchPolicy, second: DispatchPolicy): DispatchPolicy {
-  return { expectedCost: first.expectedCost || second.expectedCost, fairAdmission: first.fairAdmission || second.fairAdmission }
+  return {
+    expectedCost: first.expectedCost || second.expectedCost,
+    fairAdmission: first.fairAdmission || second.fairAdmission,
+    reuseConnections: first.reuseConnections || second.reuseConnections
+  }
 }
--- a/packages/entry/src/dispatched-entry.ts
+++ b/packages/entry/src/dispatched-entry.ts
@@ -41,6 +41,8 @@
   readonly rateWindowMilliseconds: number
   /** By how much cold upstreams may get more requests in a second than they tolerate; nothing by default. */
   readonly warmup?: WarmupAllowance
+  /** Whether requests that may be repeated use connections that upstreams keep open; not by default. */
+  readonly reuseConnections?: boolean
   /** Time from the stop signal until the process must have ended. */
   readonly stopMilliseconds: number
   /** Inner addresses of control VMs; called for each new connection. */
@@ -140,11 +142,18 @@
       clock,
       logger,
       connector: options.connector,
+      reuseConnections: settings.reuseConnections,
       isUpstream: (address) => this.registry.isPresent(address),
       isUnwanted: (address) => this.placer.isUnwanted(this.registry.instanceAt(address))
     })
     this.runner = DispatchedRunner.create({
-      clock, random, dialect, connections: this.upstreams.connections, placementClient: this.placementClient, inForce: this.inForce, table: () => this.table
+      clock,
+      random,
+      dialect,
+      connections: this.upstreams.connections,
+      placementClient: this.placementClient,
+      inForce: this.inForce,
+      table: () => this.table
     }, logger, this.entryMetrics)
     this.entryMetrics.follow({
       inForce: this.inForce,
--- a/packages/entry/src/upstream-access.ts
+++ b/packages/entry/src/upstream-access.ts
@@ -2,6 +2,7 @@
 import { DirectConnector, type Connector } from '@hickoryspoke/request/connector'
 import { connectThroughRelay } from '@hickoryspoke/request/relay-client'
 import { RelayedConnector } from '@hickoryspoke/request/relayed-connector'
+import { KEPT_CONNECTION_SETTINGS } from '@hickoryspoke/request/kept-connections'
 import { UpstreamConnections } from '@hickoryspoke/request/upstream-connections'
 import { LinkedConnector, UpstreamLinks } from '@hickoryspoke/request/upstream-links'
 import type { Clock } from '@hickoryspoke/runtime/clock'
@@ -14,6 +15,8 @@
   readonly logger: Logger
   /** Opens connections over this VM's own network; by default TCP connections. */
   readonly connector?: Connector
+  /** Whether connections are kept for as long as upstreams state; not by default. */
+  readonly reuseConnections?: boolean | undefined
   /** Whether an upstream announced this IP:PORT. */
   readonly isUpstream: (address: string) => boolean
   /** Whether the upstream at this IP:PORT told this entry that it wants no requests. */
@@ -43,7 +46,7 @@
       relays: () => this.relays,
       timeoutMilliseconds: CONNECT_TIMEOUT_MILLISECONDS
     })
-    this.connections = UpstreamConnections.create(clock, {}, this.connector)
+    this.connections = UpstreamConnections.create(clock, options.reuseConnections === true ? KEPT_CONNECTION_SETTINGS : {}, this.connector)
     this.relay = ConnectionRelay.create({
       clock, logger, connector: this.directConnector(RELAY_CONNECT_TIMEOUT_MILLISECONDS), isUpstream, isUnwanted, isReaching: () => !this.isCutOff
     })
--- a/packages/request/src/attempt-failure.ts
+++ b/packages/request/src/attempt-failure.ts
@@ -19,6 +19,10 @@
   aborted_before_sending: { provenNotRun: true, kind: ATTEMPT_KINDS.cancelled, refusal: 'deadline_before_sending' },
   placement_outdated: { provenNotRun: true, kind: ATTEMPT_KINDS.cancelled, refusal: 'upstream_refused' },
   closed_before_sending: { provenNotRun: true, kind: ATTEMPT_KINDS.cancelled, refusal: 'upstream_unreachable' },
+  /** A kept connection had ended before the request was sent on it. */
+  kept_connection_gone: { provenNotRun: true, kind: ATTEMPT_KINDS.cancelled, refusal: 'upstream_unreachable' },
+  /** A kept connection ended just after the request was sent on it, without a byte of a response. */
+  kept_connection_dropped: { provenNotRun: false, kind: ATTEMPT_KINDS.cancelled, refusal: 'upstream_failed' },
   refused_not_run: { provenNotRun: true, kind: ATTEMPT_KINDS.refusedNotRun, refusal: 'upstream_refused' },
   closed_after_sending: { provenNotRun: false, kind: ATTEMPT_KINDS.reset, refusal: 'upstream_failed' },
   malformed_answer: { provenNotRun: false, kind: ATTEMPT_KINDS.reset, refusal: 'upstream_failed' },
--- a/packages/request/src/dispatched-attempt.ts
+++ b/packages/request/src/dispatched-attempt.ts
@@ -37,7 +37,8 @@
 }
 
 const NOT_SENT: ReadonlySet<AttemptFailureCode> = new Set([
-  'connect_refused', 'connect_timeout', 'entry_cut_off', 'too_many_connections', 'aborted_before_sending', 'placement_outdated', 'closed_before_sending'
+  'connect_refused', 'connect_timeout', 'entry_cut_off', 'too_many_connections', 'aborted_before_sending', 'placement_outdated', 'closed_before_sending',
+  'kept_connection_gone'
 ])
 
 /** Informs the dispatcher that a placement is not used. */
@@ -80,7 +81,7 @@
     if (metadata.notice !== undefined) this.options.placementClient.recordNotice(this.placed.instance, metadata.notice)
     const headFailure = failureOfHead(answer, metadata)
     if (headFailure !== undefined) {
-      answer.discard()
+      answer.reject()
       return this.failed(ticket, headFailure)
     }
     await Promise.race([answer.whole, answer.bufferFull])
--- a/packages/request/src/dispatched-run.ts
+++ b/packages/request/src/dispatched-run.ts
@@ -15,6 +15,7 @@
 import { correctRunState, refusalOfDenial, refusalOfFailure } from './dispatched-refusal.ts'
 import { relayDispatchedResponse } from './dispatched-relay.ts'
 import { runHedged, type RunningAttempt } from './hedged-attempt.ts'
+import { maximumIdleOf } from './kept-connections.ts'
 import { Refusal } from './refusal.ts'
 import { RequestAdmission, type AdmittedRequest } from './request-admission.ts'
 import { ResponseDeadline } from './response-deadline.ts'
@@ -196,7 +197,7 @@
       path: this.exchange.target,
       headers: dialect.upstreamHeaders(this.exchange.headers, { instance, customer: this.customer, remainingMilliseconds }),
       body: admitted.body.forAttempt(),
-      maximumIdleMilliseconds: 0,
+      maximumIdleMilliseconds: this.maximumIdle(admitted, placed),
       acceptsCloseDelimited: true,
       mayStillSend: () => this.recheck(admitted) === undefined && this.options.placementClient.mayUse(instance)
     }, this.caller)
@@ -252,6 +253,12 @@
     return this.history.attempts >= admitted.route.maximumAttempts || this.remaining(admitted.route) <= 0
   }
 
+  private maximumIdle (admitted: TimedRequest, placed: PlacedRequest): number {
+    if (!this.options.connections.keepsAsStated) return 0
+    const mayRetry = this.canRetry(admitted) && admitted.route.maximumAttempts > 1
+    return maximumIdleOf({ mayRetry, attemptsBegun: this.attemptsBegun, isPlacedLocally: placed.local })
+  }
+
   /** Returns why an admitted request may not be sent any more; undefined if it may. */
   private recheck (admitted: TimedRequest): Refusal | undefined {
     const refusal = this.admission.recheck(admitted)
--- a/packages/request/src/upstream-connections.ts
+++ b/packages/request/src/upstream-connections.ts
@@ -3,6 +3,7 @@
 import { Failure } from '@hickoryspoke/runtime/failure'
 import { Err, Ok, type Result } from 'ts-results-es'
 import { ConnectFailure, DirectConnector, endedByReset, type Connector, type OpenConnection } from './connector.ts'
+import type { KeepingSettings } from './kept-connections.ts'
 import { ResponseProgress } from './response-progress.ts'
 import { Client } from './undici-client.ts'
 
@@ -12,6 +13,8 @@
   readonly maximumPerUpstream: number
   readonly idleMilliseconds: number
   readonly maximumAnswerHeaderBytes: number
+  /** Keeps connections only for as long as upstreams state. Without it, each is kept for `idleMilliseconds`. */
+  readonly keeping?: KeepingSettings
 }
 
 export const DEFAULT_CONNECTION_SETTINGS: ConnectionSettings = {
@@ -55,6 +58,10 @@
 export class UpstreamConnection {
   openedAtMilliseconds = 0
   idleSinceMilliseconds = 0
+  /** How long the upstream said that it keeps the connection; 0 if it did not. */
+  statedKeepAliveMilliseconds = 0
+  /** Whether an earlier request used it. */
+  isReused = false
   /** The connection was closed by this entry rather than by the upstream. */
   isClosedLocally = false
   /** Called at the end of the upstream's side, before undici learns of it. */
@@ -89,6 +96,7 @@
       bodyTimeout: 0,
       keepAliveTimeout: settings.idleMilliseconds,
       keepAliveMaxTimeout: settings.idleMilliseconds,
+      ...(settings.keeping === undefined ? {} : { keepAliveTimeoutThreshold: settings.keeping.marginMilliseconds }),
       maxHeaderSize: settings.maximumAnswerHeaderBytes
     })
     return new UpstreamConnection(address, relay, client, socket)
@@ -103,6 +111,11 @@
     return ResponseProgress.watch(this.socket, onExceeded)
   }
 
+  /** Bytes read from the socket so far. */
+  get bytesRead (): number {
+    return this.socket.bytesRead
+  }
+
   /** Bytes written to the socket so far. */
   get bytesWritten (): number {
     return this.socket.bytesWritten
@@ -143,6 +156,11 @@
     return new UpstreamConnections(clock, complete, connector ?? DirectConnector.create(clock, complete.connectTimeoutMilliseconds))
   }
 
+  /** Whether connections are kept only for as long as upstreams state. */
+  get keepsAsStated (): boolean {
+    return this.settings.keeping !== undefined
+  }
+
   /** Returns a sufficiently fresh idle connection or a new one. An error proves that nothing was sent. */
   async acquire (question: ConnectionOptions): Promise<Result<UpstreamConnection, ConnectFailure>> {
     const pool = this.poolOf(question.address)
@@ -155,7 +173,7 @@
 
   /** Returns a connection to the pool after its request, or closes it if it is not reusable. */
   release (connection: UpstreamConnection, reusable: boolean): void {
-    if (!reusable || !connection.isOpen || this.isOutdated(connection)) {
+    if (!reusable || !connection.isOpen || this.isOutdated(connection) || !this.mayKeep(connection)) {
       connection.destroy()
       return
     }
@@ -202,12 +220,28 @@
       const connection = pool.idle[index] as UpstreamConnection
       if (connection.idleSinceMilliseconds < oldest) return undefined
       pool.idle.splice(index, 1)
-      if (connection.isOpen && !this.isOutdated(connection)) return connection
+      if (connection.isOpen && !this.isOutdated(connection) && !this.isKeptTooLong(connection)) {
+        connection.isReused = true
+        return connection
+      }
       connection.destroy()
     }
     return undefined
   }
 
+  private mayKeep ({ address, statedKeepAliveMilliseconds }: UpstreamConnection): boolean {
+    const { keeping } = this.settings
+    if (keeping === undefined) return true
+    return statedKeepAliveMilliseconds > keeping.marginMilliseconds && this.poolOf(address).idle.length < keeping.maximumIdlePerUpstream
+  }
+
+  /** Whether the upstream may be about to close it. */
+  private isKeptTooLong ({ idleSinceMilliseconds, statedKeepAliveMilliseconds }: UpstreamConnection): boolean {
+    const { keeping } = this.settings
+    if (keeping === undefined) return false
+    return this.clock.monotonicMilliseconds() - idleSinceMilliseconds >= statedKeepAliveMilliseconds - keeping.marginMilliseconds
+  }
+
   private isOutdated ({ relay, openedAtMilliseconds }: UpstreamConnection): boolean {
     return relay !== '' && this.clock.monotonicMilliseconds() - openedAtMilliseconds > RELAYED_USE_MILLISECONDS
   }
--- a/packages/request/src/upstream-exchange.ts
+++ b/packages/request/src/upstream-exchange.ts
@@ -5,6 +5,7 @@
 import { AttemptFailure, type AttemptFailureCode } from './attempt-failure.ts'
 import type { ConnectFailure } from './connector.ts'
 import { headerValue, type RawHeaders } from './header-filter.ts'
+import { DROPPED_WITHIN_MILLISECONDS, statedKeepAliveMilliseconds } from './kept-connections.ts'
 import { responseFraming, FRAMINGS, type ResponseFraming } from './response-framing.ts'
 import type { ResponseProgress } from './response-progress.ts'
 import type { UpstreamConnection, UpstreamConnections } from './upstream-connections.ts'
@@ -43,6 +44,7 @@
 /** Names of the errors of undici for bytes that are no response. It asserts that a status is at least 100. */
 const PARSER_ERRORS: ReadonlySet<string> = new Set(['HTTPParserError', 'HeadersOverflowError', 'AssertionError'])
 const LAST_STATUS = 599
+const FIRST_SERVER_ERROR = 500
 const NOT_RUN_STATUS = 503
 const MAXIMUM_DRAINED_BYTES = 16_384
 
@@ -82,6 +84,8 @@
   private refused = false
   private hasUpstreamEnded = false
   private progress: ResponseProgress | undefined
+  /** When the first byte was written, and how much had been read from the connection by then. */
+  private sent: { readonly at: number, readonly bytesRead: number } | undefined
 
   private constructor (
     private readonly clock: Clock,
@@ -109,6 +113,7 @@
   /** Called by undici just before the first byte is written. */
   onRequestStart (controller: Dispatcher.DispatchController): void {
     this.controller = controller
+    this.sent = { at: this.clock.monotonicMilliseconds(), bytesRead: this.connection.bytesRead }
     this.connection.beforeEnd = () => this.readToEnd(controller)
     this.progress = this.connection.watchProgress(() => controller.abort(AttemptFailure.create('malformed_answer', 'the response does not get further')))
     if (this.abortFailure !== undefined) controller.abort(this.abortFailure)
@@ -120,6 +125,8 @@
     const headers = decodeHeaders(controller.rawHeaders as Buffer[])
     const framing = responseFraming(this.request.method, status, headers)
     if (/(^|,)\s*close\s*(,|$)/i.test(headerValue(headers, 'connection') ?? '')) this.keepsConnection = false
+    this.connection.statedKeepAliveMilliseconds = statedKeepAliveMilliseconds(headers)
+    if (this.connections.keepsAsStated && (this.request.maximumIdleMilliseconds === 0 || status >= FIRST_SERVER_ERROR)) this.keepsConnection = false
     this.answer = UpstreamResponse.create(this.clock, status, headers, framing, this.control(controller))
     const refusal = failureOfHead(status, headers, framing, this.request.acceptsCloseDelimited === true)
     if (status > LAST_STATUS) controller.abort(AttemptFailure.create('malformed_answer', `${status} is not an HTTP status`))
@@ -136,8 +143,8 @@
     this.stopWatching()
     if (this.endedByReset()) this.answer?.fail(AttemptFailure.create('truncated_answer', 'the connection was reset before the response ended'))
     this.answer?.complete(decodeHeaders((controller.rawTrailers ?? []) as Buffer[]))
-    const { connection, keepsConnection } = this
-    setImmediate(() => this.connections.release(connection, keepsConnection))
+    // Whoever receives the response may still find that its connection must not be used again.
+    setImmediate(() => this.connections.release(this.connection, this.keepsConnection))
   }
 
   onResponseError (_: Dispatcher.DispatchController | null, error: Error): void {
@@ -188,11 +195,23 @@
     return {
       pause: () => { if (!this.hasUpstreamEnded) controller.pause() },
       resume: () => controller.resume(),
-      abort: (failure) => controller.abort(failure)
+      abort: (failure) => controller.abort(failure),
+      forgetConnection: () => { if (this.connections.keepsAsStated) this.keepsConnection = false }
     }
   }
 
+  /** Why a kept connection failed that its upstream had dropped; undefined for any other failure. */
+  private failureOfKeptConnection (error: Error): AttemptFailure | undefined {
+    if (!this.connections.keepsAsStated || !this.connection.isReused || this.abortFailure !== undefined || error instanceof AttemptFailure) return undefined
+    if (this.sent === undefined) return AttemptFailure.create('kept_connection_gone', error.message)
+    const { at, bytesRead } = this.sent
+    const isDropped = this.connection.bytesRead === bytesRead && this.clock.monotonicMilliseconds() - at < DROPPED_WITHIN_MILLISECONDS
+    return isDropped ? AttemptFailure.create('kept_connection_dropped', error.message) : undefined
+  }
+
   private toFailure (error: Error): AttemptFailure {
+    const dropped = this.failureOfKeptConnection(error)
+    if (dropped !== undefined) return dropped
     if (this.controller === undefined) {
       return AttemptFailure.create(this.abortFailure === undefined ? 'closed_before_sending' : 'aborted_before_sending', error.message)
     }
--- a/packages/request/src/upstream-response.ts
+++ b/packages/request/src/upstream-response.ts
@@ -15,6 +15,8 @@
   pause (): void
   resume (): void
   abort (failure: AttemptFailure): void
+  /** Keeps later requests from using the connection. */
+  forgetConnection (): void
 }
 
 type BodyResult = Result<RawHeaders, AttemptFailure>
@@ -139,6 +141,12 @@
     if (!this.isEnded) this.control.abort(failure)
   }
 
+  /** Discards a response that is not to be believed. Its connection is not used again even if the response was read to its end. */
+  reject (): void {
+    this.control.forgetConnection()
+    this.discard()
+  }
+
   /** Closes the connection of a response that is not used. Does nothing if the response was read to its end. */
   discard (): void {
     this.abort(AttemptFailure.create('hedge_lost', 'the response is not used'))
