News of a longer warm-up is collected while the upstream counts as cold anyway

Cause: found on reading again: an upstream that names the same long warm-up in each announcement makes news every 1.5 s, and each piece was sent to every client at once. From many upstreams this would use up the leader's processor. Change: such news is sent with other changes, unless the clients count less than 500 ms as left. An upstream that was warm is news at once, as before.

--- a/packages/dispatch/src/cold-upstreams.ts
+++ b/packages/dispatch/src/cold-upstreams.ts
@@ -21,6 +21,13 @@
  */
 const TOLERANCE_MILLISECONDS = 250
 
+/** An upstream that was warm, or nearly so, became cold; or one that is cold stays so for longer. */
+export const COLD_NEWS = { began: 'began', longer: 'longer' } as const
+export type ColdNews = typeof COLD_NEWS[keyof typeof COLD_NEWS]
+
+/** Processes must learn at once of a longer warm-up when they count less than this as left. */
+const URGENT_MILLISECONDS = 500
+
 /** The upstream and when the process that holds it counts its warm-up as ended. */
 type WarmingUpstream = Pick<RegisteredUpstream, 'announced' | 'warmupEndsAt'>
 
@@ -55,11 +62,13 @@
     return this.isCold(upstream, now) ? this.limits.get(upstream.announced.pool)?.requestsPerSecond : undefined
   }
 
-  /** Whether an announcement says that an upstream which is in use is cold for longer than was known. */
-  isColdAgain (known: WarmingUpstream | undefined, announced: AnnouncedUpstream, now: number): boolean {
-    if (known === undefined || known.announced.gone || announced.gone || announced.draining) return false
-    if (announced.warmupMilliseconds === 0 || !this.limits.has(announced.pool)) return false
-    return now + announced.warmupMilliseconds > latestEnd(known, now) + TOLERANCE_MILLISECONDS
+  /** What an announcement says of the warm-up of an upstream that is in use, beyond what was known; undefined for nothing. */
+  newsOf (known: WarmingUpstream | undefined, announced: AnnouncedUpstream, now: number): ColdNews | undefined {
+    if (known === undefined || known.announced.gone || announced.gone || announced.draining) return undefined
+    if (announced.warmupMilliseconds === 0 || !this.limits.has(announced.pool)) return undefined
+    const end = latestEnd(known, now)
+    if (now + announced.warmupMilliseconds <= end + TOLERANCE_MILLISECONDS) return undefined
+    return end - now < URGENT_MILLISECONDS ? COLD_NEWS.began : COLD_NEWS.longer
   }
 
   /** When the warm-up that is announced ends. One that differs no more than transit times do keeps the end that was passed on. */
--- a/packages/dispatch/src/tests/cold-news.test.ts
+++ b/packages/dispatch/src/tests/cold-news.test.ts
@@ -98,6 +98,20 @@
   assert.equal(coldOf(received), [['i-1', WARMUP_MILLISECONDS], ['i-1', WARMUP_MILLISECONDS]])
 })
 
+// Guards against upstreams that always name a long warm-up, so that the leader sends a message to each entry for each announcement.
+test('a longer warm-up of upstreams that are cold is collected', () => {
+  const { clock, registry, broadcast, attach } = createWarmupLeader()
+  const [received] = Array.from({ length: MANY_CLIENTS }, () => attach('')) as [AnnouncedUpstream[]]
+  for (const { instance, address } of [KNOWN, OTHER]) registry.announce({ ...COLD, instance, address })
+  clock.advance(1_500)
+  received.length = 0
+  for (const { instance, address } of [KNOWN, OTHER]) registry.announce({ ...COLD, instance, address, sequence: 7 })
+  assert.equal(coldOf(received), [['i-1', WARMUP_MILLISECONDS]])
+  clock.advance(100)
+  broadcast.check()
+  assert.equal(coldOf(received), [['i-1', WARMUP_MILLISECONDS], ['i-2', WARMUP_MILLISECONDS - 100]])
+})
+
 // Guards against an entry that reconnects with the view that it had, and does not learn what became cold meanwhile.
 test('an entry that attaches with the same view is sent the upstreams that are cold, with the rest of their warm-up', () => {
   const { clock, registry, attach } = createWarmupLeader()
--- a/packages/dispatch/src/upstream-broadcast.ts
+++ b/packages/dispatch/src/upstream-broadcast.ts
@@ -2,6 +2,7 @@
 import type { UpstreamUpdate } from '@hickoryspoke/protocol/generated/dispatch'
 import type { Clock } from '@hickoryspoke/runtime/clock'
 import type { ClientSession } from './client-session.ts'
+import { COLD_NEWS } from './cold-upstreams.ts'
 import type { NewsDelivery } from './news-delivery.ts'
 import { isLeaving, type RegisteredUpstream, type UpstreamRegistry } from './upstream-registry.ts'
 
@@ -88,7 +89,7 @@
   send (changed: readonly RegisteredUpstream[]): void {
     const now = this.clock.monotonicMilliseconds()
     for (const upstream of changed) this.unsent.set(upstream.announced.instance, upstream)
-    const isUrgent = changed.some(({ announced, isColdAgain }) => isLeaving(announced) || isColdAgain === true)
+    const isUrgent = changed.some(({ announced, coldNews }) => isLeaving(announced) || coldNews === COLD_NEWS.began)
     if (now - this.sentAt >= COLLECT_MILLISECONDS) this.recentMessages = 0
     if (isUrgent || this.recentMessages < MAXIMUM_IMMEDIATE_MESSAGES) this.sendCollected(now)
   }
@@ -113,7 +114,7 @@
     for (const { instance } of departed) this.recordDeparture(instance, revision)
     const digest = this.registry.digest()
     const encoded = this.registry.encodeNow(upstreams)
-    const encodedCold = this.registry.encodeNow(upstreams.filter(({ isColdAgain }) => isColdAgain))
+    const encodedCold = this.registry.encodeNow(upstreams.filter(({ coldNews }) => coldNews !== undefined))
     for (const session of this.sessions()) {
       this.recentMessages += 1
       const isSame = session.upstreamDigest === digest
--- a/packages/dispatch/src/upstream-registry.ts
+++ b/packages/dispatch/src/upstream-registry.ts
@@ -5,7 +5,7 @@
 import type { Clock } from '@hickoryspoke/runtime/clock'
 import { silentLogger, type Logger } from '@hickoryspoke/telemetry/logger'
 import { checkAnnounced, createTombstone, decodeAnnounced, encodeAnnounced } from './announced-upstream.ts'
-import { ColdUpstreams } from './cold-upstreams.ts'
+import { COLD_NEWS, ColdUpstreams, type ColdNews } from './cold-upstreams.ts'
 import { OddAnnouncementLog } from './odd-announcement-log.ts'
 
 /** An announced upstream. Times are monotonic milliseconds of this process. */
@@ -13,8 +13,8 @@
   readonly announced: AnnouncedUpstream
   readonly warmupEndsAt: number
   readonly heardAt: number
-  /** Whether this announcement said that an upstream which was in use became cold. Processes that use it must know at once. */
-  readonly isColdAgain?: boolean
+  /** What this announcement said of the warm-up of an upstream that was in use, beyond what was known. */
+  readonly coldNews?: ColdNews
 }
 
 /** Called with the upstreams that changed. */
@@ -127,7 +127,7 @@
   /** Whether an announcement only says again what is known of an upstream that has not left. */
   isRenewal (announced: AnnouncedUpstream): boolean {
     const held = this.find(announced.instance)
-    if (held === undefined || this.cold.isColdAgain(held, announced, this.clock.monotonicMilliseconds())) return false
+    if (held === undefined || this.cold.newsOf(held, announced, this.clock.monotonicMilliseconds()) !== undefined) return false
     const known = held.announced
     return !known.gone && !differs(known, announced) && isNewer(announced, known)
   }
@@ -221,16 +221,16 @@
   private apply (announced: AnnouncedUpstream, changed: Map<string, RegisteredUpstream>): boolean {
     if (!this.isSound(announced)) return false
     const known = this.byInstance.get(announced.instance)
-    const isColdAgain = this.cold.isColdAgain(known, announced, this.clock.monotonicMilliseconds())
+    const coldNews = this.cold.newsOf(known, announced, this.clock.monotonicMilliseconds())
     if (known !== undefined && !isNewer(announced, known.announced)) {
       this.recordLateDeparture(known.announced, announced)
       return false
     }
     if (!announced.gone && !this.claimAddress(announced, changed)) return false
-    const held = this.store(announced, isColdAgain)
+    const held = this.store(announced, coldNews)
     if (known !== undefined && isLeaving(known.announced) && !isLeaving(announced)) this.logReturn(known.announced, announced)
-    if (isColdAgain) this.logCold(announced)
-    if (known === undefined || isColdAgain || differs(known.announced, announced)) changed.set(announced.instance, held)
+    if (coldNews === COLD_NEWS.began) this.logCold(announced)
+    if (known === undefined || coldNews !== undefined || differs(known.announced, announced)) changed.set(announced.instance, held)
     return true
   }
 
@@ -267,12 +267,12 @@
     return true
   }
 
-  private store (announced: AnnouncedUpstream, isColdAgain = false): RegisteredUpstream {
+  private store (announced: AnnouncedUpstream, coldNews?: ColdNews): RegisteredUpstream {
     const now = this.clock.monotonicMilliseconds()
     const known = this.byInstance.get(announced.instance)
-    const held = { announced, warmupEndsAt: this.cold.endOf(known, announced, now), heardAt: now, ...(isColdAgain ? { isColdAgain } : {}) }
+    const held = { announced, warmupEndsAt: this.cold.endOf(known, announced, now), heardAt: now, ...(coldNews === undefined ? {} : { coldNews }) }
     this.byInstance.set(announced.instance, held)
-    if (known === undefined || isColdAgain || differs(known.announced, announced)) this.forgetCaches()
+    if (known === undefined || coldNews !== undefined || differs(known.announced, announced)) this.forgetCaches()
     return held
   }
 
