The warm-up limit costs a placement little

Each candidate was looked up in the registry, and its tokens were counted again. Change: a limit remembers that its upstream was warm until something may have become cold, and until when it has no token. The leader's tokens are kept as the time at which all have returned. Without the record of changes two new tests fail.

--- a/packages/dispatch/src/cold-limit.ts
+++ b/packages/dispatch/src/cold-limit.ts
@@ -6,7 +6,6 @@
 import { hashName } from '@hickoryspoke/runtime/hashing'
 import type { WarmupAllowance } from './cold-upstreams.ts'
 import type { Seat } from './fleet-seat.ts'
-import { TokenBucket, type TokenRate } from './token-bucket.ts'
 import type { UpstreamRegistry } from './upstream-registry.ts'
 
 /** Requests that the leader may send beyond the rate in one second, at the least. */
@@ -15,18 +14,27 @@
 const ENTRY_BURST = 2
 /** Waiting requests are offered to an upstream whose token returned after this time at the latest; tokens return on during it. */
 const OFFER_MILLISECONDS = 50
+/** An entry without a leader looks again whether it has the turn after this time; a turn lasts many times as long. */
+const NEXT_LOOK_MILLISECONDS = 10
+/** Milliseconds that sums of times may miss. */
+const ROUNDING = 1e-6
 /** Both bursts stay within this share of the slack. The rest is for requests whose time to arrive differs. */
 const BURST_SHARE_OF_SLACK = 0.5
 
-/** Decides whether this process may send a request to an upstream that tolerates `rate` requests per second. */
+/** Decides when this process may send a request to an upstream that tolerates `rate` requests per second. */
 export interface ColdShare {
-  allows (rate: number, now: number): boolean
+  /** Returns a time until which none may be sent; `now` or an earlier time if one may be sent now. */
+  blockedUntil (rate: number, now: number): number
   take (rate: number, now: number): void
 }
 
-/** The leader's share: single requests at the whole rate. A new leader begins without tokens, as its predecessor may just have used them. */
+/**
+ * The leader's share: single requests at the whole rate. A new leader begins without tokens, as its predecessor may just have used them.
+ * All upstreams of a pool may be cold and are asked for each request, so the tokens are kept as the time at which all have returned.
+ */
 export class GrantedShare implements ColdShare {
-  private readonly bucket = TokenBucket.create(0)
+  /** When all tokens will have returned, in monotonic milliseconds; undefined before the first use. */
+  private fullAt: number | undefined
 
   private constructor (private readonly allowance: WarmupAllowance) {}
 
@@ -34,18 +42,22 @@
     return new GrantedShare(allowance)
   }
 
-  allows (rate: number, now: number): boolean {
-    return this.bucket.has(this.tokenRate(rate), now)
+  blockedUntil (rate: number, now: number): number {
+    const capacity = this.capacity(rate)
+    this.fullAt ??= now + capacity * 1_000 / rate
+    return this.fullAt - (capacity - 1) * 1_000 / rate
   }
 
   take (rate: number, now: number): void {
-    this.bucket.take(this.tokenRate(rate), now)
+    const capacityMilliseconds = this.capacity(rate) * 1_000 / rate
+    const taken = Math.max(now, this.fullAt ?? now + capacityMilliseconds) + 1_000 / rate
+    this.fullAt = Math.min(taken, now + 2 * capacityMilliseconds)
   }
 
-  private tokenRate (rate: number): TokenRate {
+  /** Number of tokens that accumulate. */
+  private capacity (rate: number): number {
     const offered = MINIMUM_LEADER_BURST + rate * OFFER_MILLISECONDS / 1_000
-    const capacity = Math.max(MINIMUM_LEADER_BURST, Math.min(offered, burstsWithin(this.allowance) - ENTRY_BURST))
-    return { tokensPerMillisecond: rate / 1_000, capacity }
+    return Math.max(MINIMUM_LEADER_BURST, Math.min(offered, burstsWithin(this.allowance) - ENTRY_BURST))
   }
 }
 
@@ -74,7 +86,15 @@
     return new TurnShare(options, instance)
   }
 
-  allows (rate: number, now: number): boolean {
+  blockedUntil (rate: number, now: number): number {
+    return this.isTurn(rate, now) ? now : now + NEXT_LOOK_MILLISECONDS
+  }
+
+  take (_: number, now: number): void {
+    this.usedAt = now
+  }
+
+  private isTurn (rate: number, now: number): boolean {
     const seat = this.options.seat()
     const turnMilliseconds = this.turnMilliseconds(rate)
     if (seat === undefined || turnMilliseconds === undefined || now - this.usedAt < turnMilliseconds) return false
@@ -82,10 +102,6 @@
     return turn % seat.entries === seat.position
   }
 
-  take (_: number, now: number): void {
-    this.usedAt = now
-  }
-
   /** Undefined where the allowance leaves nothing for entries without a leader. */
   private turnMilliseconds (rate: number): number | undefined {
     const { allowance } = this.options
@@ -97,6 +113,12 @@
 
 /** The warm-up limit of one upstream as one process keeps it. */
 export class ColdLimit {
+  /** Version of what is cold at which the upstream was found not to be. */
+  private warmAt = -1
+  /** Until when no request may be sent, and the version at which that was found. */
+  private blockedUntil = -Infinity
+  private blockedAt = -1
+
   private constructor (private readonly registry: UpstreamRegistry, private readonly instance: string, private readonly share: ColdShare) {}
 
   static create (registry: UpstreamRegistry, instance: string, share: ColdShare): ColdLimit {
@@ -105,13 +127,22 @@
 
   /** Requests per second from all entries together; undefined while the upstream is not cold. */
   requestsPerSecond (now: number): number | undefined {
-    return this.registry.coldRate(this.instance, now)
+    const { version } = this.registry.cold
+    if (this.warmAt === version) return undefined
+    const rate = this.registry.coldRate(this.instance, now)
+    if (rate === undefined) this.warmAt = version
+    return rate
   }
 
   /** Whether this process may send another request now. */
   allows (now: number): boolean {
+    const { version } = this.registry.cold
+    if (now < this.blockedUntil && this.blockedAt === version) return false
     const rate = this.requestsPerSecond(now)
-    return rate === undefined || this.share.allows(rate, now)
+    if (rate === undefined) return true
+    this.blockedUntil = this.share.blockedUntil(rate, now) - ROUNDING
+    this.blockedAt = version
+    return now >= this.blockedUntil
   }
 
   /** Counts a request that is sent, whether it was allowed or not. */
--- a/packages/dispatch/src/cold-upstreams.ts
+++ b/packages/dispatch/src/cold-upstreams.ts
@@ -34,6 +34,7 @@
 /** The warm-up limits in force. */
 export class ColdUpstreams {
   private limits = new Map<string, PoolWarmup>()
+  private changes = 0
 
   private constructor (readonly allowance: WarmupAllowance) {}
 
@@ -46,8 +47,19 @@
     return this.limits.size > 0
   }
 
+  /** Increases when an upstream may have become cold. One that was found not to be cold is not cold before that. */
+  get version (): number {
+    return this.changes
+  }
+
+  /** Call when an upstream may have become cold. */
+  recordChange (): void {
+    this.changes += 1
+  }
+
   /** Takes over the warm-up limits of a configuration. */
   usePools (pools: readonly ServingPool[]): void {
+    this.recordChange()
     this.limits = new Map(pools.flatMap(({ name, warmup }) => warmup === undefined ? [] : [[name, warmup]]))
   }
 
--- a/packages/dispatch/src/tests/cold-upstreams.test.ts
+++ b/packages/dispatch/src/tests/cold-upstreams.test.ts
@@ -7,7 +7,7 @@
 import type { Dispatcher } from '../dispatcher.ts'
 import { LocalPlacer } from '../local-placer.ts'
 import { UpstreamRegistry } from '../upstream-registry.ts'
-import { announcement, createDispatcher, createWarmupRegistry, question, recordingEntry } from './fixture.ts'
+import { announcement, createDispatcher, createWarmupRegistry, question, recordingEntry, warmupPool } from './fixture.ts'
 
 const RATE = 5.8
 const ALLOWANCE = { overage: 1.5, slack: 8 }
@@ -237,6 +237,44 @@
   })
 }
 
+const BECOMES_COLD: Record<string, (registry: UpstreamRegistry) => void> = {
+  'an announcement says so': (registry) => {
+    registry.useWarmupLimits([warmupPool(RATE)])
+    registry.announce({ ...COLD, sequence: 2 })
+  },
+  'a configuration limits its pool': (registry) => {
+    registry.announce({ ...COLD, sequence: 2 })
+    registry.useWarmupLimits([warmupPool(RATE)])
+  }
+}
+
+// Guards against an upstream that was found to be warm and is not looked at again.
+for (const [name, becomeCold] of Object.entries(BECOMES_COLD)) {
+  test(`an upstream in use is limited from the moment at which ${name}`, () => {
+    const clock = FakeClock.create()
+    const registry = createWarmupRegistry(clock, RATE, ALLOWANCE)
+    registry.useWarmupLimits([])
+    const { dispatcher } = createDispatcher([{ ...COLD, slots: 100, warmupMilliseconds: 0 }], 1_000, 0, clock, registry)
+    const entry = recordingEntry('one')
+    let placed = 0
+    entry.send = ({ body }) => {
+      if (body?.$case !== 'placement') return
+      const { ticket } = body.value
+      placed += 1
+      clock.schedule(ANSWER_MILLISECONDS, () => dispatcher.end(entry, answered(ticket, 'cold')))
+    }
+    for (let ticket = 1; ticket <= 20; ticket += 1) dispatcher.ask(entry, question(ticket))
+    assert.is(placed, 20)
+    becomeCold(registry)
+    for (let ticket = 21; ticket <= 60; ticket += 1) {
+      dispatcher.ask(entry, question(ticket))
+      clock.advance(25)
+      dispatcher.tick()
+    }
+    assert.ok(placed - 20 <= RATE + 1.3 && placed - 20 >= RATE - 2, `${placed - 20} in one second`)
+  })
+}
+
 test('an upstream counts as cold until the end that it last named, when its announcements are lost', () => {
   const clock = FakeClock.create()
   const registry = createWarmupRegistry(clock, RATE, ALLOWANCE)
--- a/packages/dispatch/src/upstream-registry.ts
+++ b/packages/dispatch/src/upstream-registry.ts
@@ -272,6 +272,7 @@
     const known = this.byInstance.get(announced.instance)
     const held = { announced, warmupEndsAt: this.cold.endOf(known, announced, now), heardAt: now, ...(coldNews === undefined ? {} : { coldNews }) }
     this.byInstance.set(announced.instance, held)
+    if (announced.warmupMilliseconds > 0) this.cold.recordChange()
     if (known === undefined || coldNews !== undefined || differs(known.announced, announced)) this.forgetCaches()
     return held
   }
