--- a/packages/control/src/dispatching-control.ts
+++ b/packages/control/src/dispatching-control.ts
@@ -64,6 +64,7 @@
     this.registry = UpstreamRegistry.create(clock, logger, ColdUpstreams.create(settings.warmup))
     const zones = ZoneEvacuations.create(clock, this.registry)
     this.registry.cold.presume((instance) => zones.isPresumedCold(instance))
+    zones.onChange(() => this.registry.cold.recordChange())
     this.evacuations = ZoneEvacuationLog.create({ clock, logger, zones, committed: state.zones, log: replica })
     this.service = DispatchService.create({
       clock,
--- a/packages/dispatch/src/cold-upstreams.ts
+++ b/packages/dispatch/src/cold-upstreams.ts
@@ -21,6 +21,13 @@
  */
 const TOLERANCE_MILLISECONDS = 250
 
+/** An upstream that was warm, or nearly so, became cold; or one that is cold stays so for longer. */
+export const COLD_NEWS = { began: 'began', longer: 'longer' } as const
+export type ColdNews = typeof COLD_NEWS[keyof typeof COLD_NEWS]
+
+/** Processes must learn at once of a longer warm-up when they count less than this as left. */
+const URGENT_MILLISECONDS = 500
+
 /** The upstream and when the process that holds it counts its warm-up as ended. */
 type WarmingUpstream = Pick<RegisteredUpstream, 'announced' | 'warmupEndsAt'>
 
@@ -28,6 +35,7 @@
 export class ColdUpstreams {
   private limits = new Map<string, PoolWarmup>()
   private isPresumedCold: (instance: string) => boolean = () => false
+  private changes = 0
 
   private constructor (readonly allowance: WarmupAllowance) {}
 
@@ -40,8 +48,19 @@
     return this.limits.size > 0
   }
 
+  /** Increases when an upstream may have become cold. One that was found not to be cold is not cold before that. */
+  get version (): number {
+    return this.changes
+  }
+
+  /** Call when an upstream may have become cold. */
+  recordChange (): void {
+    this.changes += 1
+  }
+
   /** Takes over the warm-up limits of a configuration. */
   usePools (pools: readonly ServingPool[]): void {
+    this.recordChange()
     this.limits = new Map(pools.flatMap(({ name, warmup }) => warmup === undefined ? [] : [[name, warmup]]))
   }
 
@@ -62,11 +81,13 @@
     return this.isCold(upstream, now) ? this.limits.get(upstream.announced.pool)?.requestsPerSecond : undefined
   }
 
-  /** Whether an announcement says that an upstream which is in use is cold for longer than was known. */
-  isColdAgain (known: WarmingUpstream | undefined, announced: AnnouncedUpstream, now: number): boolean {
-    if (known === undefined || known.announced.gone || announced.gone || announced.draining) return false
-    if (announced.warmupMilliseconds === 0 || !this.limits.has(announced.pool)) return false
-    return now + announced.warmupMilliseconds > latestEnd(known, now) + TOLERANCE_MILLISECONDS
+  /** What an announcement says of the warm-up of an upstream that is in use, beyond what was known; undefined for nothing. */
+  newsOf (known: WarmingUpstream | undefined, announced: AnnouncedUpstream, now: number): ColdNews | undefined {
+    if (known === undefined || known.announced.gone || announced.gone || announced.draining) return undefined
+    if (announced.warmupMilliseconds === 0 || !this.limits.has(announced.pool)) return undefined
+    const end = latestEnd(known, now)
+    if (now + announced.warmupMilliseconds <= end + TOLERANCE_MILLISECONDS) return undefined
+    return end - now < URGENT_MILLISECONDS ? COLD_NEWS.began : COLD_NEWS.longer
   }
 
   /** When the warm-up that is announced ends. One that differs no more than transit times do keeps the end that was passed on. */
--- a/packages/entry/src/dispatched-entry.ts
+++ b/packages/entry/src/dispatched-entry.ts
@@ -42,6 +42,8 @@
   readonly rateWindowMilliseconds: number
   /** By how much cold upstreams may get more requests in a second than they tolerate; nothing by default. */
   readonly warmup?: WarmupAllowance
+  /** Whether requests that may be repeated use connections that upstreams keep open; not by default. */
+  readonly reuseConnections?: boolean
   /** Time from the stop signal until the process must have ended. */
   readonly stopMilliseconds: number
   /** Inner addresses of control VMs; called for each new connection. */
@@ -147,11 +149,18 @@
       clock,
       logger,
       connector: options.connector,
+      reuseConnections: settings.reuseConnections,
       isUpstream: (address) => this.registry.isPresent(address),
       isUnwanted: (address) => this.placer.isUnwanted(this.registry.instanceAt(address))
     })
     this.runner = DispatchedRunner.create({
-      clock, random, dialect, connections: this.upstreams.connections, placementClient: this.placementClient, inForce: this.inForce, table: () => this.table
+      clock,
+      random,
+      dialect,
+      connections: this.upstreams.connections,
+      placementClient: this.placementClient,
+      inForce: this.inForce,
+      table: () => this.table
     }, logger, this.entryMetrics)
     this.entryMetrics.follow({
       inForce: this.inForce,
@@ -262,7 +271,9 @@
   }
 
   private receiveZones (list: ZoneList): void {
-    if (this.zones.receive(list)) this.options.logger.info('evacuated zones changed', { zones: list.evacuated.join(' ') })
+    const isChanged = this.zones.receive(list)
+    this.registry.cold.recordChange()
+    if (isChanged) this.options.logger.info('evacuated zones changed', { zones: list.evacuated.join(' ') })
   }
 
   /** Lets this entry place requests by itself until it has a dispatcher again. */
