Requests can be restricted to regions

Change: the entry combines both lists and sends them with its question; the pool and the local placer offer only upstreams of zones in these regions, and the entry checks a placement again before it sends. Relays are named with their zones, and a relay in another region is not used for a restricted request. A request without region or upstream is refused at once. Waiting requests that are restricted are passed over up to 32 places, so that they do not hold up others.

--- a/packages/bench/src/tests/dispatched-fleet.ts
+++ b/packages/bench/src/tests/dispatched-fleet.ts
@@ -18,8 +18,9 @@
 const WAIT_TIMEOUT_MILLISECONDS = 20_000
 const POLL_MILLISECONDS = 25
 
-/** Zones that can be evacuated. */
-const ZONES = ['zone-a', 'zone-b']
+/** Region of each zone; the zones can be evacuated. */
+const REGIONS = new Map([['zone-a', 'region-a'], ['zone-b', 'region-b']])
+const DEFAULT_ZONE = 'zone-a'
 
 /** Header names in these tests: `request`, `key`, `instance`, `not-run`, `leaving` and `unavailable-milliseconds`. */
 const TEST_DIALECT: Dialect = {
@@ -72,12 +73,18 @@
   private constructor (
     private readonly addresses: readonly string[],
     private readonly freshMilliseconds: number,
-    private readonly connectors: EntryConnectors
+    private readonly connectors: EntryConnectors,
+    private readonly entryZones: Readonly<Record<string, string>>
   ) {}
 
-  /** Starts the given numbers of control nodes and entries and waits for a leader. Views of entries expire after `freshMilliseconds`. */
-  static async create (controls: number, entries: number, freshMilliseconds = 3_500, connectors: EntryConnectors = {}): Promise<DispatchedFleet> {
-    const fleet = new DispatchedFleet(await findFreeAddresses(controls), freshMilliseconds, connectors)
+  /**
+   * Starts the given numbers of control nodes and entries and waits for a leader. Views of entries expire after `freshMilliseconds`.
+   * `entryZones` holds the zones of entries by name; the others are in `zone-a`.
+   */
+  static async create (
+    controls: number, entries: number, freshMilliseconds = 3_500, connectors: EntryConnectors = {}, entryZones: Readonly<Record<string, string>> = {}
+  ): Promise<DispatchedFleet> {
+    const fleet = new DispatchedFleet(await findFreeAddresses(controls), freshMilliseconds, connectors, entryZones)
     await Promise.all(fleet.addresses.map(async (address) => await fleet.startControl(address, true)))
     for (let number = 1; number <= entries; number += 1) await fleet.startEntry(`entry-${number}`)
     await fleet.leader()
@@ -154,7 +161,8 @@
     const parts = createDependencies()
     const started = await DispatchingControl.start({
       address,
-      zone: 'zone-a',
+      zone: DEFAULT_ZONE,
+      zoneRegions: REGIONS,
       cluster: 'test',
       folder,
       onEmptyFolder: firstOfFleet ? 'form' : 'join',
@@ -171,7 +179,7 @@
       silentUpstreamMilliseconds: 60_000
     }, { ...parts, decode: (document) => Ok(JSON.parse(document.content.toString()) as ServingConfiguration) })
     const control = started.unwrap()
-    const fleetControl = { address, control, api: ControlApi.create({ control, ...parts, requiredVoters: this.addresses.length, zones: ZONES }) }
+    const fleetControl = { address, control, api: ControlApi.create({ control, ...parts, requiredVoters: this.addresses.length, zones: [...REGIONS.keys()] }) }
     this.controls.push(fleetControl)
     return fleetControl
   }
@@ -186,7 +194,8 @@
     const [callers, readiness, relay] = await findFreeAddresses(3) as [string, string, string]
     const started = await DispatchedEntry.start({
       name,
-      zone: 'zone-a',
+      zone: this.entryZones[name] ?? DEFAULT_ZONE,
+      zoneRegions: REGIONS,
       callers,
       readiness,
       readinessPath: '/ready',
--- a/packages/configuration/src/serving-configuration.ts
+++ b/packages/configuration/src/serving-configuration.ts
@@ -18,6 +18,8 @@
   readonly priority: number | undefined
   readonly rate: number
   readonly burst: number
+  /** Regions to whose upstreams its requests may go; absent means all. */
+  readonly allowedRegions?: readonly string[]
 }
 
 /** Rate limit of a customer. */
@@ -47,6 +49,8 @@
   readonly open: boolean
   /** Whether callers send large bodies; absent means that they do not. */
   readonly hasLargeBodies?: true
+  /** Regions to whose upstreams requests may go; absent means all. */
+  readonly allowedRegions?: readonly string[]
 }
 
 /** Limits on what callers send. Sizes in bytes, times in milliseconds. */
--- a/packages/control/src/dispatching-control-settings.ts
+++ b/packages/control/src/dispatching-control-settings.ts
@@ -17,6 +17,8 @@
   /** Own inner address, which is also the name of the replica. */
   readonly address: string
   readonly zone: string
+  /** Region by availability zone; none is known by default. */
+  readonly zoneRegions?: ReadonlyMap<string, string>
   readonly cluster: string
   readonly folder: string
   readonly onEmptyFolder: OnEmptyFolder
--- a/packages/control/src/dispatching-control.ts
+++ b/packages/control/src/dispatching-control.ts
@@ -61,7 +61,7 @@
   ) {
     const { clock, random, logger, credentials } = options
     this.registry = UpstreamRegistry.create(clock, logger)
-    const zones = ZoneEvacuations.create(clock, this.registry)
+    const zones = ZoneEvacuations.create(clock, this.registry, settings.zoneRegions)
     this.evacuations = ZoneEvacuationLog.create({ clock, logger, zones, committed: state.zones, log: replica })
     this.service = DispatchService.create({
       clock,
--- a/packages/dispatch/src/local-placer.ts
+++ b/packages/dispatch/src/local-placer.ts
@@ -91,6 +91,7 @@
     const now = this.options.clock.monotonicMilliseconds()
     const eligible = this.options.registry.present().filter(({ announced }) => {
       return announced.pool === question.pool && !announced.draining && !question.excluded.includes(announced.instance) &&
+        this.zones.isAllowed(announced.zone, question.allowedRegions) &&
         !this.isUnwanted(announced.instance) && this.standingOf(announced.instance).isReachableFrom(this.options.entry, now) &&
         this.limits.of(announced.instance).allows(now)
     })
@@ -137,6 +138,11 @@
     return this.noticeOf(instance) !== undefined || this.zones.isEvacuated(this.options.registry.find(instance)?.announced.zone ?? '')
   }
 
+  /** Whether a request that may go only to these regions may go to the upstream; an empty list is no restriction. */
+  isAllowed (instance: string, allowedRegions: readonly string[]): boolean {
+    return this.zones.isAllowed(this.options.registry.find(instance)?.announced.zone ?? '', allowedRegions)
+  }
+
   /** Records the outcome of any request of this entry; `local` means that this placer chose its upstream. */
   recordEnd (instance: string, end: Omit<PlacementEnd, 'notice'>, local: boolean): void {
     const standing = this.standingOf(instance)
--- a/packages/dispatch/src/number-confirmations.ts
+++ b/packages/dispatch/src/number-confirmations.ts
@@ -60,7 +60,9 @@
     const available = this.options.relays.available()
     for (const { session, question } of pending) {
       this.options.answering(session)
-      session.call.write({ body: { $case: 'number', value: { question, number, entries, relays: this.options.relays.relaysFor(session, available) } } })
+      const relays = this.options.relays.relaysFor(session, available)
+      const relayZones = relays.map(({ connection }) => connection.zone)
+      session.call.write({ body: { $case: 'number', value: { question, number, entries, relays: relays.map(({ relay }) => relay), relayZones } } })
     }
   }
 }
--- a/packages/dispatch/src/placement-client.ts
+++ b/packages/dispatch/src/placement-client.ts
@@ -131,7 +131,7 @@
     const unwanted: string[] = []
     while (!signal.aborted && clock.monotonicMilliseconds() < until) {
       const reply = await this.askDispatcher(excludeUnwanted(question, unwanted), signal)
-      if (reply?.isOk() === true && !this.mayUse(reply.value.instance)) {
+      if (reply?.isOk() === true && !this.mayUse(reply.value.instance, question.allowedRegions)) {
         unwanted.push(reply.value.instance)
         this.sendOrKeepEnd(unusedPlacementEnd(reply.value.ticket, reply.value.instance))
         continue
@@ -159,9 +159,13 @@
     this.sendOrKeepEnd(endWithInstance)
   }
 
-  /** Whether the upstream wants requests as far as this entry knows. A dispatcher may not know yet that it does not. */
-  mayUse (instance: string): boolean {
-    return !this.options.isLeaving(instance) && !this.options.placer.isUnwanted(instance)
+  /**
+   * Whether the upstream wants requests as far as this entry knows, and is in one of the allowed regions, if there are any. A
+   * dispatcher may not know yet that it does not, and one of an earlier version knows no regions.
+   */
+  mayUse (instance: string, allowedRegions: readonly string[] = []): boolean {
+    const { isLeaving, placer } = this.options
+    return !isLeaving(instance) && !placer.isUnwanted(instance) && placer.isAllowed(instance, allowedRegions)
   }
 
   private sendOrKeepEnd (end: ReportedEnd): void {
--- a/packages/dispatch/src/pool-dispatcher.ts
+++ b/packages/dispatch/src/pool-dispatcher.ts
@@ -66,6 +66,8 @@
 const SAMPLE_UPSTREAMS = 32
 /** A group of waiting requests is no longer drained after this many could not be placed. */
 const MAXIMUM_FAILED_TRIES = 4
+/** Requests that wait for upstreams of some regions only are passed over without counting, up to this place in their group. */
+const MAXIMUM_PASSED_OVER = 32
 
 /** The upstreams and the queue of one pool. */
 export class PoolDispatcher {
@@ -211,7 +213,7 @@
 
   /** Whether any upstream, full or not, may take the request. */
   hasEligibleUpstream (question: PlacementQuestion, requester: RequestingEntry, now: number): boolean {
-    return this.serving.some((candidate) => isEligible(candidate, question, requester, now))
+    return this.serving.some((candidate) => this.isEligible(candidate, question, requester, now))
   }
 
   /** Expected wait of a new request with this priority, in milliseconds. */
@@ -245,13 +247,18 @@
   private drainWith (hasRoom: () => boolean, choose: (waiting: WaitingQuestion) => UpstreamChoice | undefined): void {
     for (const group of this.line.groups()) {
       let failedTries = 0
-      while (failedTries < MAXIMUM_FAILED_TRIES) {
-        const waiting = group.at(failedTries)
+      let place = 0
+      while (failedTries < MAXIMUM_FAILED_TRIES && place < MAXIMUM_PASSED_OVER) {
+        const waiting = group.at(place)
         if (waiting === undefined) break
         if (!hasRoom()) return
         const choice = choose(waiting)
-        if (choice === undefined) failedTries += 1
-        else this.placeWaiting(waiting, choice)
+        if (choice !== undefined) {
+          this.placeWaiting(waiting, choice)
+          continue
+        }
+        place += 1
+        if (waiting.question.allowedRegions.length === 0) failedTries += 1
       }
     }
   }
@@ -298,7 +305,12 @@
   }
 
   private isFree (candidate: Candidate, question: PlacementQuestion, requester: RequestingEntry, now: number): boolean {
-    return this.hasFreeSlot(candidate, now) && isEligible(candidate, question, requester, now)
+    return this.hasFreeSlot(candidate, now) && this.isEligible(candidate, question, requester, now)
+  }
+
+  private isEligible ({ upstream, standing }: Candidate, question: PlacementQuestion, requester: RequestingEntry, now: number): boolean {
+    const { instance, zone } = upstream.announced
+    return !question.excluded.includes(instance) && this.zones.isAllowed(zone, question.allowedRegions) && standing.isReachableFrom(requester.entry, now)
   }
 
   private hasFreeSlot ({ upstream, standing }: Candidate, now: number): boolean {
@@ -311,10 +323,6 @@
   return upstream.announced.draining || standing.availability.isLeaving
 }
 
-function isEligible ({ upstream, standing }: Candidate, question: PlacementQuestion, requester: RequestingEntry, now: number): boolean {
-  return !question.excluded.includes(upstream.announced.instance) && standing.isReachableFrom(requester.entry, now)
-}
-
 /** Share of the slack that is left after a wait, from 1 down to 0. */
 function remainingSlackShare (waitMilliseconds: number, slackMilliseconds: number): number {
   return Math.max(0, 1 - waitMilliseconds / slackMilliseconds)
--- a/packages/dispatch/src/received-zones.ts
+++ b/packages/dispatch/src/received-zones.ts
@@ -1,17 +1,17 @@
 /** The evacuated zones as an entry knows them from the leader. The list is kept while there is no leader. */
 import type { ZoneList } from '@hickoryspoke/protocol/generated/dispatch'
 import type { UpstreamRegistry } from './upstream-registry.ts'
-import type { ZoneView } from './zone-view.ts'
+import { isInRegions, type ZoneRegions, type ZoneView } from './zone-view.ts'
 
 /** The newest list that was received. */
 export class ReceivedZones implements ZoneView {
   private evacuated: ReadonlySet<string> = new Set()
   private presumedCold: ReadonlySet<string> = new Set()
 
-  private constructor (private readonly registry: UpstreamRegistry) {}
+  private constructor (private readonly registry: UpstreamRegistry, private readonly regions: ZoneRegions) {}
 
-  static create (registry: UpstreamRegistry): ReceivedZones {
-    return new ReceivedZones(registry)
+  static create (registry: UpstreamRegistry, regions: ZoneRegions = new Map()): ReceivedZones {
+    return new ReceivedZones(registry, regions)
   }
 
   /** Replaces the list; true when other zones are evacuated than before. */
@@ -31,6 +31,10 @@
     return this.evacuated.has(zone)
   }
 
+  isAllowed (zone: string, allowedRegions: readonly string[]): boolean {
+    return isInRegions(this.regions, zone, allowedRegions)
+  }
+
   isPresumedCold (instance: string): boolean {
     if (this.presumedCold.has(instance)) return true
     return this.evacuated.size > 0 && this.isEvacuated(this.registry.find(instance)?.announced.zone ?? '')
--- a/packages/dispatch/src/relay-directory.ts
+++ b/packages/dispatch/src/relay-directory.ts
@@ -19,12 +19,12 @@
   }
 
   /** Some of the available relays, without the client's own. */
-  relaysFor (session: ClientSession, available: readonly ClientSession[]): string[] {
-    const relays: string[] = []
+  relaysFor (session: ClientSession, available: readonly ClientSession[]): ClientSession[] {
+    const relays: ClientSession[] = []
     for (let examined = 0; examined < available.length && relays.length < RELAYS_EACH; examined += 1) {
       this.next = (this.next + 1) % available.length
       const candidate = available[this.next] as ClientSession
-      if (candidate !== session) relays.push(candidate.relay)
+      if (candidate !== session) relays.push(candidate)
     }
     return relays
   }
--- a/packages/dispatch/src/tests/leader-silence.test.ts
+++ b/packages/dispatch/src/tests/leader-silence.test.ts
@@ -25,7 +25,7 @@
       if (body?.$case === 'confirmation') confirmations.push(body.value.revision)
       if (body?.$case !== 'number') return
       questions.push(clock.monotonicMilliseconds())
-      const answer = { question: body.value.question, number: 1, entries: 1, relays: [] }
+      const answer = { question: body.value.question, number: 1, entries: 1, relays: [], relayZones: [] }
       if (!state.isSilent) clock.schedule(5, () => listener.received({ body: { $case: 'number', value: answer } }))
     }
     return { write, end: ignore, cancel: ignore, isConnected: () => true, isAccepted: () => true }
--- a/packages/dispatch/src/zone-evacuations.ts
+++ b/packages/dispatch/src/zone-evacuations.ts
@@ -1,7 +1,7 @@
 /** The evacuated zones as a control process knows them from the replicated log, and how far its upstreams are in use again afterwards. */
 import type { Clock } from '@hickoryspoke/runtime/clock'
 import type { RegisteredUpstream, UpstreamRegistry } from './upstream-registry.ts'
-import type { DispatcherZoneView } from './zone-view.ts'
+import { isInRegions, type DispatcherZoneView, type ZoneRegions } from './zone-view.ts'
 
 /** A committed decision on one zone. */
 export interface ZoneState {
@@ -40,12 +40,12 @@
   private readonly earlier = new Map<string, Announced>()
   private readonly listeners = new Set<() => void>()
 
-  private constructor (private readonly clock: Clock, private readonly registry: UpstreamRegistry) {
+  private constructor (private readonly clock: Clock, private readonly registry: UpstreamRegistry, private readonly regions: ZoneRegions) {
     registry.onChange((changed) => this.recordFirst(changed))
   }
 
-  static create (clock: Clock, registry: UpstreamRegistry): ZoneEvacuations {
-    return new ZoneEvacuations(clock, registry)
+  static create (clock: Clock, registry: UpstreamRegistry, regions: ZoneRegions = new Map()): ZoneEvacuations {
+    return new ZoneEvacuations(clock, registry, regions)
   }
 
   /** Whether there was ever a decision. */
@@ -95,6 +95,10 @@
     return earlier !== undefined && earlier.born === announced.born && announced.sequence <= earlier.sequence
   }
 
+  isAllowed (zone: string, allowedRegions: readonly string[]): boolean {
+    return isInRegions(this.regions, zone, allowedRegions)
+  }
+
   /** Upstreams of zones that were taken back which have not announced themselves since. */
   presumedCold (): string[] {
     this.prune()
--- a/packages/dispatch/src/zone-view.ts
+++ b/packages/dispatch/src/zone-view.ts
@@ -1,6 +1,9 @@
-/** What is known of evacuated availability zones where requests are placed. */
+/** What is known of availability zones where requests are placed. */
 
-/** Evacuated zones, and the upstreams that may have become cold while their zone was evacuated. */
+/** Region by availability zone. */
+export type ZoneRegions = ReadonlyMap<string, string>
+
+/** The regions of zones, the evacuated zones, and the upstreams that may have become cold while their zone was evacuated. */
 export interface ZoneView {
   /** Whether upstreams of the zone get no requests. */
   isEvacuated (zone: string): boolean
@@ -9,6 +12,8 @@
    * since the evacuation ended. From then on its announcement decides.
    */
   isPresumedCold (instance: string): boolean
+  /** Whether a request that may go only to these regions may go to the zone; an empty list is no restriction. A zone of unknown region is in none. */
+  isAllowed (zone: string, allowedRegions: readonly string[]): boolean
 }
 
 /** The dispatcher's view, which also lets load return to a zone gradually. */
@@ -17,9 +22,17 @@
   usableSlots (zone: string, slots: number): number
 }
 
-/** The view where no zone was ever evacuated. */
+/** Whether a zone is in one of the allowed regions; an empty list allows all. */
+export function isInRegions (regions: ZoneRegions, zone: string, allowedRegions: readonly string[]): boolean {
+  if (allowedRegions.length === 0) return true
+  const region = regions.get(zone)
+  return region !== undefined && allowedRegions.includes(region)
+}
+
+/** The view where no zone was ever evacuated and no region is known. */
 export const NO_EVACUATIONS: DispatcherZoneView = {
   isEvacuated: () => false,
   isPresumedCold: () => false,
+  isAllowed: (_, allowedRegions) => allowedRegions.length === 0,
   usableSlots: (_, slots) => slots
 }
--- a/packages/entry/src/dispatched-entry.ts
+++ b/packages/entry/src/dispatched-entry.ts
@@ -30,6 +30,8 @@
 export interface DispatchedEntrySettings {
   readonly name: string
   readonly zone: string
+  /** Region by availability zone; none is known by default. */
+  readonly zoneRegions?: ReadonlyMap<string, string>
   readonly callers: string
   readonly readiness: string
   readonly readinessPath: string
@@ -89,7 +91,7 @@
     this.registry = UpstreamRegistry.create(clock, logger)
     this.inForce = ActiveConfiguration.create(clock, settings.freshMilliseconds)
     this.inForce.onChange((configuration) => this.applyConfiguration(configuration))
-    this.zones = ReceivedZones.create(this.registry)
+    this.zones = ReceivedZones.create(this.registry, settings.zoneRegions)
     this.placer = LocalPlacer.create({
       clock, random, registry: this.registry, entry: name, zone, windowMilliseconds: settings.rateWindowMilliseconds, zones: this.zones
     })
@@ -131,9 +133,9 @@
         connected: () => this.placementClient.connected(),
         lost: () => this.lost(),
         questionSent: (question) => this.inForce.recordQuestion(question),
-        confirmed: ({ question, number, entries, relays }) => {
+        confirmed: ({ question, number, entries, relays, relayZones }) => {
           this.entries = entries
-          this.upstreams.useRelays(relays)
+          this.upstreams.useRelays(relays, relayZones)
           this.inForce.confirm(question, number)
         }
       }
@@ -146,7 +148,14 @@
       isUnwanted: (address) => this.placer.isUnwanted(this.registry.instanceAt(address))
     })
     this.runner = DispatchedRunner.create({
-      clock, random, dialect, connections: this.upstreams.connections, placementClient: this.placementClient, inForce: this.inForce, table: () => this.table
+      clock,
+      random,
+      dialect,
+      connections: this.upstreams.connections,
+      placementClient: this.placementClient,
+      inForce: this.inForce,
+      table: () => this.table,
+      mayRelayThrough: (relay, allowedRegions) => this.zones.isAllowed(this.upstreams.zoneOfRelay(relay), allowedRegions)
     }, logger, this.entryMetrics)
     this.entryMetrics.follow({
       inForce: this.inForce,
--- a/packages/entry/src/tests/dispatched-fixture.ts
+++ b/packages/entry/src/tests/dispatched-fixture.ts
@@ -68,7 +68,8 @@
   inForce.recordQuestion(1)
   inForce.confirm(1, 0)
   const table = ServingTable.create({ ...CONFIGURATION, routes: [{ ...ROUTE, ...options }, SLOW_ROUTE] })
-  const runOptions = { clock, random, dialect: DIALECT, connections: UpstreamConnections.create(clock), placementClient, inForce, table: () => table }
+  const connections = UpstreamConnections.create(clock)
+  const runOptions = { clock, random, dialect: DIALECT, connections, placementClient, inForce, table: () => table, mayRelayThrough: () => true }
   const outcomes: DispatchedOutcome[] = []
   const lines: string[] = []
   const logger = Logger.create('entry', LogLevel.Info, (line) => lines.push(line))
--- a/packages/entry/src/upstream-access.ts
+++ b/packages/entry/src/upstream-access.ts
@@ -31,6 +31,8 @@
   private readonly links: UpstreamLinks
   private readonly connector: RelayedConnector
   private relays: readonly string[] = []
+  /** Availability zone of each relay that was reported with one, by IP:PORT. */
+  private relayZones: ReadonlyMap<string, string> = new Map()
 
   private constructor (private readonly options: UpstreamAccessOptions) {
     const { clock, logger, isUpstream, isUnwanted } = options
@@ -68,9 +70,15 @@
     return this.relays.length
   }
 
-  /** Uses these relays of other entries, given as IP:PORT, from now on. */
-  useRelays (relays: readonly string[]): void {
+  /** Uses these relays of other entries, given as IP:PORT, from now on. A leader of an earlier version does not say in which zones they are. */
+  useRelays (relays: readonly string[], zones: readonly string[]): void {
     this.relays = relays
+    this.relayZones = new Map(zones.map((zone, index) => [relays[index] ?? '', zone]))
+  }
+
+  /** Availability zone of a relay; empty while unknown. */
+  zoneOfRelay (relay: string): string {
+    return this.relayZones.get(relay) ?? ''
   }
 
   close (): void {
--- a/packages/request/src/connector.ts
+++ b/packages/request/src/connector.ts
@@ -36,9 +36,9 @@
 /** Result of an attempt to connect. */
 export type ConnectResult = Result<OpenConnection, ConnectFailure>
 
-/** Connects to an IP:PORT. The signal aborts the attempt. */
+/** Connects to an IP:PORT. The signal aborts the attempt. `mayRelayThrough` tells which other entries may be used, by default all. */
 export interface Connector {
-  connect (address: string, signal: AbortSignal): Promise<ConnectResult>
+  connect (address: string, signal: AbortSignal, mayRelayThrough?: (relay: string) => boolean): Promise<ConnectResult>
 }
 
 /** Connects over this VM's own network. */
--- a/packages/request/src/dispatched-run.ts
+++ b/packages/request/src/dispatched-run.ts
@@ -34,6 +34,8 @@
   readonly inForce: ActiveConfiguration
   /** Tables of the current configuration; undefined before the first. */
   readonly table: () => ServingTable | undefined
+  /** Whether a request that may go only to these regions may go through the entry at this IP:PORT; an empty list is no restriction. */
+  readonly mayRelayThrough: (relay: string, allowedRegions: readonly string[]) => boolean
 }
 
 /** An admitted request whose time runs. */
@@ -198,7 +200,8 @@
       body: admitted.body.forAttempt(),
       maximumIdleMilliseconds: 0,
       acceptsCloseDelimited: true,
-      mayStillSend: () => this.recheck(admitted) === undefined && this.options.placementClient.mayUse(instance)
+      mayRelayThrough: (relay) => this.options.mayRelayThrough(relay, this.admission.allowedRegions),
+      mayStillSend: () => this.recheck(admitted) === undefined && this.options.placementClient.mayUse(instance, this.admission.allowedRegions)
     }, this.caller)
     const cancellation = new AbortController()
     this.history.begin(placed)
@@ -274,7 +277,8 @@
       attempt: this.attemptsBegun,
       fingerprint: hashName([this.customer, this.exchange.method, this.exchange.target, this.admission.bodyDigest(admitted)].join('\n')) % FINGERPRINT_MODULUS,
       route: route.name,
-      charged: this.history.excluded.length > 0 || this.isCharged
+      charged: this.history.excluded.length > 0 || this.isCharged,
+      allowedRegions: [...this.admission.allowedRegions]
     }
   }
 
--- a/packages/request/src/relayed-connector.ts
+++ b/packages/request/src/relayed-connector.ts
@@ -46,21 +46,22 @@
     return !this.options.links.isCutOff || this.isRelayWorking
   }
 
-  async connect (address: string, signal: AbortSignal): Promise<ConnectResult> {
+  async connect (address: string, signal: AbortSignal, mayRelayThrough: (relay: string) => boolean = () => true): Promise<ConnectResult> {
     const { clock, links, timeoutMilliseconds } = this.options
-    const attempts = this.attemptsFor(address)
+    const known = this.options.relays()
+    const relays = known.filter(mayRelayThrough)
+    const attempts = this.attemptsFor(address, this.inOrder(relays))
     // While this VM seems to be cut off, the relay that does not reach an upstream may be cut off as well.
     const isDecided = ({ code }: ConnectFailure): boolean => code === 'upstream_unreachable' && !links.isCutOff
     const result = await ConnectionRace.run({ clock, attempts, timeoutMilliseconds, isDecided }, signal)
-    if (result.isErr()) return Err(this.explain(result.error))
+    if (result.isErr()) return Err(this.explain(result.error, relays.length === known.length))
     if (result.value.relay !== '') this.rememberRelay(result.value.relay)
     return result
   }
 
   /** The own network first, unless this VM seems to be cut off and tried it recently; then relays. */
-  private attemptsFor (address: string): ConnectionAttempt[] {
+  private attemptsFor (address: string, relays: readonly string[]): ConnectionAttempt[] {
     const { isCutOff } = this.options.links
-    const relays = this.relaysInOrder()
     const isDirectTried = !isCutOff || relays.length === 0 || this.isTrialDue()
     const firstRelayAfter = isCutOff ? RELAY_AFTER_TRIAL_MILLISECONDS : RELAY_AFTER_MILLISECONDS
     const relayed = relays.map((relay, index): ConnectionAttempt => ({
@@ -86,8 +87,7 @@
   }
 
   /** The relay that worked last goes first. */
-  private relaysInOrder (): string[] {
-    const relays = this.options.relays()
+  private inOrder (relays: readonly string[]): string[] {
     const others = relays.filter((relay) => relay !== this.lastRelay)
     const ordered = others.length < relays.length ? [this.lastRelay, ...others] : others
     return ordered.slice(0, MAXIMUM_RELAYS)
@@ -98,11 +98,13 @@
     this.isRelayWorking = true
   }
 
-  /** Tells an upstream that is out of everyone's reach from one that is only out of this VM's. */
-  private explain (failure: ConnectFailure): ConnectFailure {
+  /** Tells an upstream that is out of everyone's reach from one that is only out of this VM's. A failure without some of the relays says nothing of those. */
+  private explain (failure: ConnectFailure, isAnyRelayAllowed: boolean): ConnectFailure {
     if (failure.code === 'connect_aborted' || failure.code === 'upstream_unreachable') return failure
-    this.lastRelay = ''
-    this.isRelayWorking = !this.options.links.isCutOff
+    if (isAnyRelayAllowed) {
+      this.lastRelay = ''
+      this.isRelayWorking = !this.options.links.isCutOff
+    }
     if (this.options.links.isCutOff) return ConnectFailure.create('cut_off', `neither the own network nor a relay works: ${failure.message}`)
     return failure.code === 'relay_unavailable' ? ConnectFailure.create('connect_refused', failure.message) : failure
   }
--- a/packages/request/src/request-admission.ts
+++ b/packages/request/src/request-admission.ts
@@ -4,6 +4,7 @@
 import type { Clock } from '@hickoryspoke/runtime/clock'
 import type { RandomSource } from '@hickoryspoke/runtime/random'
 import { Err, Ok, type Result } from 'ts-results-es'
+import { allowedRegionsOf } from './allowed-regions.ts'
 import type { CallerExchange } from './caller-exchange.ts'
 import type { CallerMetadata } from './dialect.ts'
 import { retryableRefusal } from './dispatched-refusal.ts'
@@ -40,6 +41,8 @@
   route: ServingRoute | undefined
   /** Name of the customer that was found last; empty if there is none. */
   customer = ''
+  /** Regions to which the request may be sent by the configuration that was looked at last; empty for all. */
+  allowedRegions: readonly string[] = []
 
   private constructor (
     private readonly options: RequestAdmissionOptions,
@@ -90,10 +93,18 @@
     const route = table.findRoute(this.exchange.host, this.exchange.target)
     if (route === undefined) return Err(Refusal.create('no_route'))
     this.route = route
-    if (route.open || !table.configuration.keyed) return Ok({ route, customer: undefined })
+    if (route.open || !table.configuration.keyed) return this.restrict(route, undefined)
     const customer = this.caller.key === undefined ? undefined : table.customerOfKey(this.caller.key)
     this.customer = customer?.name ?? ''
-    return customer === undefined ? Err(Refusal.create('unauthorized')) : Ok({ route, customer })
+    return customer === undefined ? Err(Refusal.create('unauthorized')) : this.restrict(route, customer)
+  }
+
+  /** Refuses a request that may be sent to no region. */
+  private restrict (route: ServingRoute, customer: ServingCustomer | undefined): Result<Pick<AdmittedRequest, 'route' | 'customer'>, Refusal> {
+    const regions = allowedRegionsOf(route, customer)
+    if (regions?.length === 0) return Err(Refusal.create('no_healthy_upstream', 'the route and the customer have no region in common'))
+    this.allowedRegions = regions ?? []
+    return Ok({ route, customer })
   }
 
   private async waitUntilFresh (): Promise<boolean> {
--- a/packages/request/src/tests/relayed-connector.test.ts
+++ b/packages/request/src/tests/relayed-connector.test.ts
@@ -45,10 +45,10 @@
     timeoutMilliseconds: TIMEOUT_MILLISECONDS
   })
   /** Connects; returns the path, which is direct or the number of a relay, or the failure, and the simulated time that it took. */
-  const attempt = async (address: string): Promise<{ path: string, milliseconds: number }> => {
+  const attempt = async (address: string, mayRelayThrough?: (relay: string) => boolean): Promise<{ path: string, milliseconds: number }> => {
     const beganAt = clock.monotonicMilliseconds()
     const outcome = { path: '', milliseconds: 0 }
-    const pending = connector.connect(address, neverAborted).then((result) => {
+    const pending = connector.connect(address, neverAborted, mayRelayThrough).then((result) => {
       const path = result.isErr() ? result.error.code : result.value.relay || 'direct'
       Object.assign(outcome, { path, milliseconds: clock.monotonicMilliseconds() - beganAt })
     })
@@ -126,4 +126,21 @@
   assert.is((await pending).unwrapErr().code, 'connect_aborted')
 })
 
+// Guards against a body that is sent through a machine in another region.
+test('a relay that may not be used is not asked', async () => {
+  const { attempt, state } = createConnector('refuses', ['works', 'works'])
+  assert.is((await attempt('a', () => false)).path, 'connect_refused')
+  assert.equal(state.asked, [])
+  assert.is((await attempt('a', (relay) => relay === '1')).path, '1')
+  assert.equal(state.asked, ['1'])
+})
+
+// Guards against an entry that counts as out of reach of all upstreams because of requests that may use no relay.
+test('a failure without relays that may be used does not count against the others', async () => {
+  const { attempt, connector, links } = createConnector('refuses', ['works'])
+  for (let upstream = 0; !links.isCutOff; upstream += 1) await attempt(`u-${upstream}`, () => false)
+  await attempt('x', () => false)
+  assert.ok(connector.isReaching)
+})
+
 test.run()
--- a/packages/request/src/upstream-connections.ts
+++ b/packages/request/src/upstream-connections.ts
@@ -45,6 +45,8 @@
   readonly maximumIdleMilliseconds: number
   /** Maximum number of connections to the upstream; evaluated only before opening another one. */
   readonly maximumOpen?: () => number
+  /** Whether the connection may go through the entry at this IP:PORT; through any by default. */
+  readonly mayRelayThrough?: (relay: string) => boolean
   readonly signal: AbortSignal
 }
 
@@ -146,7 +148,7 @@
   /** Returns a sufficiently fresh idle connection or a new one. An error proves that nothing was sent. */
   async acquire (question: ConnectionOptions): Promise<Result<UpstreamConnection, ConnectFailure>> {
     const pool = this.poolOf(question.address)
-    const idle = this.takeIdle(pool, question.maximumIdleMilliseconds)
+    const idle = this.takeIdle(pool, question)
     if (idle !== undefined) return Ok(idle)
     const maximum = Math.min(this.settings.maximumPerUpstream, question.maximumOpen?.() ?? Infinity)
     if (pool.open >= maximum) return Err(ConnectFailure.create('too_many_connections', 'too many connections to this upstream'))
@@ -196,11 +198,12 @@
     return created
   }
 
-  private takeIdle (pool: AddressPool, maximumIdleMilliseconds: number): UpstreamConnection | undefined {
+  private takeIdle (pool: AddressPool, { maximumIdleMilliseconds, mayRelayThrough }: ConnectionOptions): UpstreamConnection | undefined {
     const oldest = this.clock.monotonicMilliseconds() - maximumIdleMilliseconds
     for (let index = pool.idle.length - 1; index >= 0; index -= 1) {
       const connection = pool.idle[index] as UpstreamConnection
       if (connection.idleSinceMilliseconds < oldest) return undefined
+      if (connection.relay !== '' && mayRelayThrough?.(connection.relay) === false) continue
       pool.idle.splice(index, 1)
       if (connection.isOpen && !this.isOutdated(connection)) return connection
       connection.destroy()
@@ -214,7 +217,7 @@
 
   private async open (question: ConnectionOptions, pool: AddressPool): Promise<Result<UpstreamConnection, ConnectFailure>> {
     pool.open += 1
-    const opened = await this.connector.connect(question.address, question.signal)
+    const opened = await this.connector.connect(question.address, question.signal, question.mayRelayThrough)
     if (opened.isErr()) {
       this.countClosed(question.address, pool)
       return opened
--- a/packages/request/src/upstream-exchange.ts
+++ b/packages/request/src/upstream-exchange.ts
@@ -22,6 +22,8 @@
   readonly maximumOpen?: () => number
   /** Whether a response may be delimited by the close of its connection. It is complete only if the close was orderly. */
   readonly acceptsCloseDelimited?: boolean
+  /** Whether the request may go through the entry at this IP:PORT; through any by default. */
+  readonly mayRelayThrough?: (relay: string) => boolean
   /** Asked once there is a connection, as that may take long: whether the request may still be sent there. */
   readonly mayStillSend?: () => boolean
   /** Called once there is a connection, with the entry that relays it; empty for none. */
@@ -56,8 +58,8 @@
   signal: AbortSignal
 ): Promise<HeadResult> {
   if (signal.aborted) return Err(AttemptFailure.create('aborted_before_sending'))
-  const { address, maximumIdleMilliseconds, maximumOpen } = request
-  const connection = await connections.acquire({ address, maximumIdleMilliseconds, maximumOpen, signal })
+  const { address, maximumIdleMilliseconds, maximumOpen, mayRelayThrough } = request
+  const connection = await connections.acquire({ address, maximumIdleMilliseconds, maximumOpen, mayRelayThrough, signal })
   if (connection.isErr()) return Err(AttemptFailure.create(FAILURE_CODE_BY_CONNECT_FAILURE[connection.error.code], connection.error.message))
   request.onConnected?.(connection.value.relay)
   if (signal.aborted) {
