--- a/packages/request/src/tests/upstream-exchange.test.ts
+++ b/packages/request/src/tests/upstream-exchange.test.ts
@@ -2,6 +2,7 @@
 import { RawUpstream, type UpstreamScript } from '@hickoryspoke/testing/raw-upstream'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
+import { DirectConnector } from '../connector.ts'
 import { UpstreamConnections } from '../upstream-connections.ts'
 import { exchange } from '../upstream-exchange.ts'
 
@@ -62,4 +63,24 @@
   assert.is(await requestOnce((socket) => socket.end('HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n7\r\npart of\r\n')), 'truncated_answer')
 })
 
+// Guards against a body that is sent through a machine in another region, as the configuration changed while the entry connected.
+test('a request is not sent through an entry that may no longer be used', async () => {
+  const clock = SystemClock.create()
+  const direct = DirectConnector.create(clock, 400)
+  const state = { isAllowed: true }
+  const connect = async (address: string, signal: AbortSignal) => {
+    const opened = await direct.connect(address, signal)
+    state.isAllowed = false
+    return opened.map(({ socket }) => ({ socket, relay: '10.0.0.1:80' }))
+  }
+  const connections = UpstreamConnections.create(clock, {}, { connect })
+  const upstream = await RawUpstream.create((socket) => socket.end('HTTP/1.1 200 OK\r\n\r\n'))
+  const request = { address: upstream.address, method: 'POST', path: '/', headers: ['host', 'a'], body: Buffer.from('x'), maximumIdleMilliseconds: 0 }
+  const head = await exchange(clock, connections, { ...request, mayRelayThrough: () => state.isAllowed }, new AbortController().signal)
+  connections.close()
+  await upstream.close()
+  assert.is(head.unwrapErr().code, 'placement_outdated')
+  assert.equal(upstream.requests, [])
+})
+
 test.run()
--- a/packages/request/src/upstream-exchange.ts
+++ b/packages/request/src/upstream-exchange.ts
@@ -66,7 +66,9 @@
     connections.release(connection.value, true)
     return Err(AttemptFailure.create('aborted_before_sending'))
   }
-  if (request.mayStillSend?.() === false) {
+  const { relay } = connection.value
+  // What may still be sent, and through which entries, can have changed while the connection was made.
+  if (request.mayStillSend?.() === false || (relay !== '' && mayRelayThrough?.(relay) === false)) {
     connections.release(connection.value, true)
     return Err(AttemptFailure.create('placement_outdated', 'what allowed the request to be sent there has changed'))
   }
