--- a/packages/configuration/src/serving-configuration.ts
+++ b/packages/configuration/src/serving-configuration.ts
@@ -28,6 +28,8 @@
   readonly priority: number | undefined
   readonly rate: number
   readonly burst: number
+  /** Regions to whose upstreams its requests may go; absent means all. */
+  readonly allowedRegions?: readonly string[]
 }
 
 /** Rate limit of a customer. */
@@ -57,6 +59,8 @@
   readonly open: boolean
   /** Whether callers send large bodies; absent means that they do not. */
   readonly hasLargeBodies?: true
+  /** Regions to whose upstreams requests may go; absent means all. */
+  readonly allowedRegions?: readonly string[]
 }
 
 /** Limits on what callers send. Sizes in bytes, times in milliseconds. */
--- a/packages/control/src/dispatching-control.ts
+++ b/packages/control/src/dispatching-control.ts
@@ -62,7 +62,7 @@
   ) {
     const { clock, random, logger, credentials } = options
     this.registry = UpstreamRegistry.create(clock, logger, ColdUpstreams.create(settings.warmup))
-    const zones = ZoneEvacuations.create(clock, this.registry)
+    const zones = ZoneEvacuations.create(clock, this.registry, settings.zoneRegions)
     this.registry.cold.presume((instance) => zones.isPresumedCold(instance))
     zones.onChange(() => this.registry.cold.recordChange())
     this.evacuations = ZoneEvacuationLog.create({ clock, logger, zones, committed: state.zones, log: replica })
--- a/packages/dispatch/src/number-confirmations.ts
+++ b/packages/dispatch/src/number-confirmations.ts
@@ -65,7 +65,8 @@
       this.options.answering(session)
       const relays = this.options.relays.relaysFor(session, available)
       const position = positions?.get(session.connection.entry)
-      session.call.write({ body: { $case: 'number', value: { question, number, entries, relays, position } } })
+      const relayZones = relays.map(({ connection }) => connection.zone)
+      session.call.write({ body: { $case: 'number', value: { question, number, entries, relays: relays.map(({ relay }) => relay), relayZones, position } } })
     }
   }
 }
--- a/packages/entry/src/dispatched-entry.ts
+++ b/packages/entry/src/dispatched-entry.ts
@@ -31,6 +31,8 @@
 export interface DispatchedEntrySettings {
   readonly name: string
   readonly zone: string
+  /** Region by availability zone; none is known by default. */
+  readonly zoneRegions?: ReadonlyMap<string, string>
   readonly callers: string
   readonly readiness: string
   readonly readinessPath: string
@@ -94,7 +96,7 @@
     this.registry = UpstreamRegistry.create(clock, logger, ColdUpstreams.create(settings.warmup))
     this.inForce = ActiveConfiguration.create(clock, settings.freshMilliseconds)
     this.inForce.onChange((configuration) => this.applyConfiguration(configuration))
-    this.zones = ReceivedZones.create(this.registry)
+    this.zones = ReceivedZones.create(this.registry, settings.zoneRegions)
     this.registry.cold.presume((instance) => this.zones.isPresumedCold(instance))
     this.placer = LocalPlacer.create({
       clock, random, registry: this.registry, entry: name, zone, windowMilliseconds: settings.rateWindowMilliseconds, zones: this.zones
@@ -137,10 +139,10 @@
         connected: () => this.placementClient.connected(),
         lost: () => this.lost(),
         questionSent: (question) => this.inForce.recordQuestion(question),
-        confirmed: ({ question, number, entries, relays, position }) => {
+        confirmed: ({ question, number, entries, relays, relayZones, position }) => {
           this.entries = entries
           this.placer.takeSeat(entries, position)
-          this.upstreams.useRelays(relays)
+          this.upstreams.useRelays(relays, relayZones)
           this.inForce.confirm(question, number)
         }
       }
@@ -160,7 +162,8 @@
       connections: this.upstreams.connections,
       placementClient: this.placementClient,
       inForce: this.inForce,
-      table: () => this.table
+      table: () => this.table,
+      mayRelayThrough: (relay, allowedRegions) => this.zones.isAllowed(this.upstreams.zoneOfRelay(relay), allowedRegions)
     }, logger, this.entryMetrics)
     this.entryMetrics.follow({
       inForce: this.inForce,
--- a/packages/entry/src/tests/dispatched-fixture.ts
+++ b/packages/entry/src/tests/dispatched-fixture.ts
@@ -73,7 +73,7 @@
   inForce.confirm(1, 0)
   const table = ServingTable.create({ ...CONFIGURATION, routes: [{ ...ROUTE, ...options }, SLOW_ROUTE] })
   const connections = UpstreamConnections.create(clock, options.keepsConnections === true ? KEPT_CONNECTION_SETTINGS : {})
-  const runOptions = { clock, random, dialect: DIALECT, connections, placementClient, inForce, table: () => table }
+  const runOptions = { clock, random, dialect: DIALECT, connections, placementClient, inForce, table: () => table, mayRelayThrough: () => true }
   const outcomes: DispatchedOutcome[] = []
   const lines: string[] = []
   const logger = Logger.create('entry', LogLevel.Info, (line) => lines.push(line))
