Measurement of the dispatcher's queue announces upstreams that are accepted

Since announcements are checked, the measurement's addresses (reads-0:80) were refused as they are not IP:PORT. So every question was denied and no end was measured (question 3.8, end 0 microseconds).

--- a/packages/bench/src/measure-dispatch-queue.ts
+++ b/packages/bench/src/measure-dispatch-queue.ts
@@ -190,7 +190,7 @@
       this.registry.announce({
         instance: `${pool}-${index}`,
         pool,
-        address: `${pool}-${index}:80`,
+        address: `10.${Object.keys(POOLS).indexOf(pool)}.0.${index + 1}:80`,
         zone: `zone-${index % 3}`,
         slots: SLOTS,
         draining: false,
