State derived from all upstreams of a pool has a module of its own

The cached values and how they are computed move to pool-state.ts; no change of behaviour. Shown by the tests of packages/dispatch (204 passed).

--- a/packages/dispatch/src/pool-dispatcher.ts
+++ b/packages/dispatch/src/pool-dispatcher.ts
@@ -3,10 +3,11 @@
 import type { Clock } from '@hickoryspoke/runtime/clock'
 import { defaultPolicy, type PolicySource } from './dispatch-policy.ts'
 import { InstanceStanding, STANDING, type Standing } from './instance-standing.ts'
+import { PoolStateCache } from './pool-state.ts'
 import { ResponseTimes } from './response-times.ts'
 import { SoundShares } from './sound-shares.ts'
 import { UnservedShare } from './unserved-share.ts'
-import { chooseUpstream, IDLE_MILLISECONDS, successProbability, type Candidate, type ChoiceContext, type UpstreamChoice } from './upstream-choice.ts'
+import { chooseUpstream, type Candidate, type ChoiceContext, type UpstreamChoice } from './upstream-choice.ts'
 import type { UpstreamLimits } from './upstream-limits.ts'
 import type { RegisteredUpstream } from './upstream-registry.ts'
 import { WaitingQueue, type WaitingQuestion } from './waiting-queue.ts'
@@ -47,20 +48,6 @@
 /** Value of a late answer, relative to one in time. */
 const LATE_VALUE = 0.55
 
-/** Values derived from all upstreams of a pool, cached for a short time. */
-interface PoolState {
-  readonly at: number
-  /** Slots of all upstreams, weighted by their probability of success. */
-  readonly effectiveSlots: number
-  /** Whether any upstream is sound. */
-  readonly hasSound: boolean
-  /** Share of the upstreams that recently received a request. */
-  readonly activeShare: number
-  /** Highest probability of success among the upstreams, free or not. */
-  readonly bestSuccess: number
-}
-
-const STATE_CACHE_MILLISECONDS = 10
 /** Free upstreams that a request is offered at once; larger pools are examined in turn. */
 const SAMPLE_UPSTREAMS = 32
 /** A group of waiting requests is no longer drained after this many could not be placed. */
@@ -80,7 +67,7 @@
   private nextExamined = -1
   /** The free upstreams among which a request is placed; kept, as it is filled for each request. */
   private readonly sample: Candidate[] = []
-  private state: PoolState = { at: -Infinity, effectiveSlots: 0, hasSound: false, bestSuccess: 0, activeShare: 0 }
+  private readonly state = PoolStateCache.create(this.responseTimes)
 
   private constructor (
     private readonly clock: Clock,
@@ -178,7 +165,7 @@
 
   private contextOf (question: PlacementQuestion, requester: RequestingEntry, now: number, terms: ChoiceConstraints): ChoiceContext {
     const isStressed = this.unserved.isStressed(now)
-    const { activeShare, hasSound, bestSuccess } = this.stateAt(now)
+    const { activeShare, hasSound, bestSuccess } = this.state.at(this.serving, now)
     return {
       now,
       zone: requester.zone,
@@ -192,7 +179,7 @@
 
   /** Discards the cached pool state, as after a failure. */
   invalidateState (): void {
-    this.state = { ...this.state, at: -Infinity }
+    this.state.invalidate()
   }
 
   /** Whether any upstream, full or not, may take the request. */
@@ -202,7 +189,7 @@
 
   /** Expected wait of a new request with this priority, in milliseconds. */
   expectedWait (priority: number, now: number): number {
-    const { effectiveSlots } = this.stateAt(now)
+    const { effectiveSlots } = this.state.at(this.serving, now)
     return effectiveSlots === 0 ? 0 : (this.line.ahead(priority) + 1) * this.responseTimes.meanMilliseconds() / effectiveSlots
   }
 
@@ -253,31 +240,6 @@
     if (slackMilliseconds <= 0) return LATE_VALUE * remainingSlackShare(this.expectedWait(Infinity, now), lateSlackMilliseconds)
     return Math.max(LATE_VALUE, MAXIMUM_SUCCESS_THRESHOLD * remainingSlackShare(this.expectedWait(priority, now), slackMilliseconds))
   }
-
-  private stateAt (now: number): PoolState {
-    if (now - this.state.at < STATE_CACHE_MILLISECONDS) return this.state
-    let effectiveSlots = 0
-    let bestSuccess = 0
-    let active = 0
-    let hasSound = false
-    for (const candidate of this.serving) {
-      const { standing } = candidate
-      const success = successProbability(standing, now)
-      effectiveSlots += this.usableSlots(candidate) * success
-      bestSuccess = Math.max(bestSuccess, success)
-      if (standing.standing(now) === STANDING.sound) hasSound = true
-      if (standing.millisecondsSincePlacement(now) < IDLE_MILLISECONDS) active += 1
-    }
-    this.state = { at: now, effectiveSlots, hasSound, bestSuccess, activeShare: active / Math.max(1, this.serving.length) }
-    return this.state
-  }
-
-  /** Mean number of slots that requests can use, given the limit that the upstream states. */
-  private usableSlots ({ upstream, standing }: Candidate): number {
-    const { slots } = upstream.announced
-    const { requestsPerSecond } = standing.limit
-    return requestsPerSecond === undefined ? slots : Math.min(slots, requestsPerSecond * this.responseTimes.meanMilliseconds() / 1_000)
-  }
 }
 
 /** Whether it announced that it leaves, or said so in a response. */
--- /dev/null
+++ b/packages/dispatch/src/pool-state.ts
@@ -0,0 +1,61 @@
+/** Values derived from all upstreams of a pool, kept for a short time, as computing them costs more than placing a request. */
+import { STANDING } from './instance-standing.ts'
+import type { ResponseTimes } from './response-times.ts'
+import { IDLE_MILLISECONDS, successProbability, type Candidate } from './upstream-choice.ts'
+
+/** The values at one moment. */
+export interface PoolState {
+  readonly at: number
+  /** Slots of all upstreams, weighted by their probability of success. */
+  readonly effectiveSlots: number
+  /** Whether any upstream is sound. */
+  readonly hasSound: boolean
+  /** Share of the upstreams that recently received a request. */
+  readonly activeShare: number
+  /** Highest probability of success among the upstreams, free or not. */
+  readonly bestSuccess: number
+}
+
+const STATE_CACHE_MILLISECONDS = 10
+
+/** The latest values of one pool. */
+export class PoolStateCache {
+  private state: PoolState = { at: -Infinity, effectiveSlots: 0, hasSound: false, bestSuccess: 0, activeShare: 0 }
+
+  private constructor (private readonly responseTimes: ResponseTimes) {}
+
+  static create (responseTimes: ResponseTimes): PoolStateCache {
+    return new PoolStateCache(responseTimes)
+  }
+
+  /** Discards the values, as after a failure. */
+  invalidate (): void {
+    this.state = { ...this.state, at: -Infinity }
+  }
+
+  /** The values for the upstreams that accept requests. */
+  at (serving: readonly Candidate[], now: number): PoolState {
+    if (now - this.state.at < STATE_CACHE_MILLISECONDS) return this.state
+    let effectiveSlots = 0
+    let bestSuccess = 0
+    let active = 0
+    let hasSound = false
+    for (const candidate of serving) {
+      const { standing } = candidate
+      const success = successProbability(standing, now)
+      effectiveSlots += this.usableSlots(candidate) * success
+      bestSuccess = Math.max(bestSuccess, success)
+      if (standing.standing(now) === STANDING.sound) hasSound = true
+      if (standing.millisecondsSincePlacement(now) < IDLE_MILLISECONDS) active += 1
+    }
+    this.state = { at: now, effectiveSlots, hasSound, bestSuccess, activeShare: active / Math.max(1, serving.length) }
+    return this.state
+  }
+
+  /** Mean number of slots that requests can use, given the limit that the upstream states. */
+  private usableSlots ({ upstream, standing }: Candidate): number {
+    const { slots } = upstream.announced
+    const { requestsPerSecond } = standing.limit
+    return requestsPerSecond === undefined ? slots : Math.min(slots, requestsPerSecond * this.responseTimes.meanMilliseconds() / 1_000)
+  }
+}
