The question for an upstream states the size of the request's body

Requests of one route with bodies of different sizes differ in cost, so the dispatcher has to know the size to learn this. Streams without a Content-Length have none. Shown by typecheck; nothing reads the field yet.

--- a/packages/bench/src/dispatch-simulation.ts
+++ b/packages/bench/src/dispatch-simulation.ts
@@ -153,7 +153,8 @@
       attempt: 0,
       fingerprint: this.lastTicket,
       route: kind.name,
-      charged: false
+      charged: false,
+      bodyBytes: undefined
     }
     const connection = this.entries[this.lastTicket % ENTRIES] as EntryConnection
     const running = { kind, arrivedAt: this.clock.monotonicMilliseconds(), question, attempt: 0 }
--- a/packages/bench/src/measure-dispatch-queue.ts
+++ b/packages/bench/src/measure-dispatch-queue.ts
@@ -150,7 +150,8 @@
       attempt: 0,
       fingerprint: ticket,
       route: `${pool}-${priority}`,
-      charged: false
+      charged: false,
+      bodyBytes: undefined
     }
   }
 
--- a/packages/dispatch/src/tests/fixture.ts
+++ b/packages/dispatch/src/tests/fixture.ts
@@ -40,6 +40,7 @@
     fingerprint: ticket,
     route: 'withdraw',
     charged: false,
+    bodyBytes: undefined,
     ...changes
   }
 }
--- a/packages/request/src/dispatched-run.ts
+++ b/packages/request/src/dispatched-run.ts
@@ -274,7 +274,8 @@
       attempt: this.attemptsBegun,
       fingerprint: hashName([this.customer, this.exchange.method, this.exchange.target, this.admission.bodyDigest(admitted)].join('\n')) % FINGERPRINT_MODULUS,
       route: route.name,
-      charged: this.history.excluded.length > 0 || this.isCharged
+      charged: this.history.excluded.length > 0 || this.isCharged,
+      bodyBytes: admitted.body.bytes
     }
   }
 
--- a/packages/request/src/request-body.ts
+++ b/packages/request/src/request-body.ts
@@ -17,19 +17,24 @@
 
 /** A request body: either buffered completely, or a buffered start followed by a stream that can be read once. */
 export class RequestBody {
-  private constructor (private readonly buffered: Buffer, private readonly streamed: StreamedBody | undefined) {}
+  private constructor (
+    private readonly buffered: Buffer,
+    private readonly streamed: StreamedBody | undefined,
+    /** Size of the whole body; undefined for a stream whose sender did not state it. */
+    readonly bytes: number | undefined
+  ) {}
 
   /** Buffers a body up to `bufferBytes`. The rest of a longer body stays a stream. */
   static async read (exchange: CallerExchange, limits: BodyLimits, bufferBytes: number): Promise<Result<RequestBody, Refusal>> {
-    if (exchange.bodyBytes === 0) return Ok(new RequestBody(Buffer.alloc(0), undefined))
+    if (exchange.bodyBytes === 0) return Ok(new RequestBody(Buffer.alloc(0), undefined, 0))
     if ((exchange.bodyBytes ?? 0) > limits.maximumBytes) return Err(Refusal.create('body_too_large'))
     exchange.sendContinue()
     const head = await readHead(exchange, bufferBytes)
     if (head.isErr()) return head
     const buffered = Buffer.concat(head.value.chunks)
     if (buffered.length > limits.maximumBytes) return Err(Refusal.create('body_too_large'))
-    if (head.value.ended) return Ok(new RequestBody(buffered, undefined))
-    return Ok(new RequestBody(buffered, StreamedBody.create(exchange, buffered, limits.maximumBytes)))
+    if (head.value.ended) return Ok(new RequestBody(buffered, undefined, buffered.length))
+    return Ok(new RequestBody(buffered, StreamedBody.create(exchange, buffered, limits.maximumBytes), exchange.bodyBytes))
   }
 
   /** Whether the body can be sent more than once. */
