Upstreams are chosen by expected cost where the policy asks for it

Requests that look alike cost very different amounts of work, and upstreams differ in speed. With DispatchPolicy.expectedCost, the dispatcher learns the distribution of costs (by route, size of the body and customer), the speed of each upstream and its slowdown when nearly full, and tracks the work that is left at each. Choice, expected wait and reserved time use this. Without the policy nothing changes.

--- a/packages/bench/src/measure-dispatch-queue.ts
+++ b/packages/bench/src/measure-dispatch-queue.ts
@@ -15,6 +15,8 @@
   readonly waiting: number
   /** Share of the requests that upstreams refuse. */
   readonly refusedShare: number
+  /** Whether upstreams are chosen by expected cost. */
+  readonly expectedCost: boolean
 }
 
 interface Kind {
@@ -45,7 +47,7 @@
 const STEP_MILLISECONDS = 10
 const MAXIMUM_ARRIVALS = 100
 const REFUSAL_MILLISECONDS = 5
-const SCENARIOS: readonly QueueScenario[] = [
+const LOADS: readonly Omit<QueueScenario, 'expectedCost'>[] = [
   { name: 'none waiting', waiting: 0, refusedShare: 0 },
   { name: '800 waiting', waiting: 800, refusedShare: 0 },
   { name: '3,000 waiting', waiting: 3_000, refusedShare: 0 },
@@ -53,6 +55,9 @@
   { name: '800 waiting, upstreams refuse 0.3', waiting: 800, refusedShare: 0.3 },
   { name: '3,000 waiting, upstreams refuse 0.3', waiting: 3_000, refusedShare: 0.3 }
 ]
+const SCENARIOS: readonly QueueScenario[] = [false, true].flatMap((expectedCost) => {
+  return LOADS.map((load) => ({ ...load, expectedCost, name: expectedCost ? `${load.name}, expected cost` : load.name }))
+})
 
 /** Processor time of one kind of call. */
 class CallCost {
@@ -94,7 +99,10 @@
     const budget = { ratio: 0.2, slack: 208, windowMilliseconds: 10_000 }
     this.entries = Array.from({ length: ENTRIES }, (_, index) => this.createEntry(`entry-${index}`, `zone-${index % 3}`))
     for (const [pool, count] of Object.entries(POOLS)) this.announce(pool, count)
-    this.dispatcher = Dispatcher.create({ clock: this.clock, logger: silentLogger(), registry: this.registry, rates, budget, floorShare: 0.7 })
+    const policy = { expectedCost: scenario.expectedCost, fairAdmission: false }
+    this.dispatcher = Dispatcher.create({
+      clock: this.clock, logger: silentLogger(), registry: this.registry, rates, budget, floorShare: 0.7, policy: () => policy
+    })
   }
 
   static create (scenario: QueueScenario): QueueRun {
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -234,6 +234,7 @@
     if (outcome !== PlacementOutcome.PLACEMENT_OUTCOME_ANSWERED) pool.invalidateState()
     if (end.load !== undefined) standing.recordLoad(end.load, now)
     if (question !== undefined) this.recordRequestEnd(question, end, pool, now)
+    if (placed?.work !== undefined && outcome === PlacementOutcome.PLACEMENT_OUTCOME_ANSWERED) pool.costs.learn(placed.work, end.milliseconds, now)
     if (end.outcome === PlacementOutcome.PLACEMENT_OUTCOME_MISDIRECTED) this.options.registry.takeOut(end.instance)
     if (before !== standing.standing(now) || FAILED_OUTCOMES.has(end.outcome)) logEvidence(this.options.logger, connection.entry, poolName, end, standing, now)
   }
--- a/packages/dispatch/src/placements.ts
+++ b/packages/dispatch/src/placements.ts
@@ -3,6 +3,7 @@
 import type { Clock } from '@hickoryspoke/runtime/clock'
 import { Deadlines } from './deadlines.ts'
 import type { EntryConnection } from './entry-connection.ts'
+import type { StartedWork } from './pool-costs.ts'
 import type { PoolDispatcher } from './pool-dispatcher.ts'
 
 /** A request that was placed on an upstream and has not ended. */
@@ -17,10 +18,12 @@
   readonly question: PlacementQuestion | undefined
   /** Whether it was placed only to keep the upstream from being idle. */
   readonly isForced: boolean
+  /** Its work at the upstream, where this is tracked. */
+  readonly work: StartedWork | undefined
 }
 
 /** A placement to be added. */
-export type NewPlacement = Omit<ActivePlacement, 'placedAt'> & { readonly key: string }
+export type NewPlacement = Omit<ActivePlacement, 'placedAt' | 'work'> & { readonly key: string }
 
 /** A placement that has been removed. */
 export interface EndedPlacement extends ActivePlacement {
@@ -77,8 +80,9 @@
     const placedAt = this.clock.monotonicMilliseconds()
     const lifetimeMilliseconds = question === undefined ? RESTORED_PLACEMENT_MILLISECONDS : question.patienceMilliseconds + EXPIRY_GRACE_MILLISECONDS
     const expiresAt = placedAt + lifetimeMilliseconds
-    const held: TrackedPlacement = { key, connection, instance, pool, poolName, placedAt, question, isForced, expiresAt, wasOverdue: false }
     pool.standingOf(instance).place(placedAt)
+    const work = question === undefined ? undefined : pool.startWork(question, instance, placedAt)
+    const held: TrackedPlacement = { key, connection, instance, pool, poolName, placedAt, question, isForced, work, expiresAt, wasOverdue: false }
     this.held.set(key, held)
     this.checks.set(held, nextCheckOf(held))
   }
@@ -91,6 +95,7 @@
     this.checks.cancel(held)
     const standing = held.pool.standingOf(held.instance)
     standing.inFlight = Math.max(0, standing.inFlight - 1)
+    if (held.work !== undefined) held.pool.costs.end(held.work)
     return held
   }
 
--- a/packages/dispatch/src/pool-dispatcher.ts
+++ b/packages/dispatch/src/pool-dispatcher.ts
@@ -2,8 +2,11 @@
 import type { PlacementQuestion, Suspicion } from '@hickoryspoke/protocol/generated/dispatch'
 import type { Clock } from '@hickoryspoke/runtime/clock'
 import { defaultPolicy, type PolicySource } from './dispatch-policy.ts'
+import { expectedFinishOf } from './expected-finish.ts'
 import { InstanceStanding, STANDING, type Standing } from './instance-standing.ts'
+import { PoolCosts, type StartedWork } from './pool-costs.ts'
 import { PoolStateCache } from './pool-state.ts'
+import type { CostEstimate } from './request-costs.ts'
 import { ResponseTimes } from './response-times.ts'
 import { SoundShares } from './sound-shares.ts'
 import { UnservedShare } from './unserved-share.ts'
@@ -39,6 +42,10 @@
   readonly slackMilliseconds: number
   /** How long it can wait and still be answered at all, in milliseconds. */
   readonly lateSlackMilliseconds: number
+  /** Time left until its target, in milliseconds; below 0 it is late. */
+  readonly targetLeftMilliseconds: number
+  /** Time left until its deadline, in milliseconds. */
+  readonly patienceLeftMilliseconds: number
 }
 
 /** Highest required probability of success, relative to the best upstream; low enough that an upstream without evidence always qualifies. */
@@ -57,6 +64,7 @@
 export class PoolDispatcher {
   readonly standings = new Map<string, InstanceStanding>()
   readonly responseTimes = ResponseTimes.create()
+  readonly costs: PoolCosts
   readonly unserved = UnservedShare.create()
   readonly line = WaitingQueue.create()
   private readonly shares = SoundShares.create()
@@ -67,14 +75,17 @@
   private nextExamined = -1
   /** The free upstreams among which a request is placed; kept, as it is filled for each request. */
   private readonly sample: Candidate[] = []
-  private readonly state = PoolStateCache.create(this.responseTimes)
+  private readonly state: PoolStateCache
 
   private constructor (
     private readonly clock: Clock,
     private readonly limits: UpstreamLimits,
     private readonly minimumActiveShare: number,
     readonly policy: PolicySource
-  ) {}
+  ) {
+    this.costs = PoolCosts.create(policy)
+    this.state = PoolStateCache.create(this.responseTimes, this.costs)
+  }
 
   /** `floorShare` is the share of sound upstreams that must receive requests; 0 for none. */
   static create (clock: Clock, limits: UpstreamLimits, floorShare: number, policy: PolicySource = defaultPolicy): PoolDispatcher {
@@ -86,8 +97,12 @@
     const { instance, gone, born } = upstream.announced
     const standing = this.standingOf(instance)
     standing.availability.recordStart(born)
-    if (gone) this.upstreams.delete(instance)
-    else this.upstreams.set(instance, { upstream, standing })
+    if (gone) {
+      this.upstreams.delete(instance)
+      this.costs.forget(instance)
+    } else {
+      this.upstreams.set(instance, { upstream, standing, work: this.costs.upstream(instance) })
+    }
     this.serving = [...this.upstreams.values()].filter((candidate) => !isLeaving(candidate))
     this.invalidateState()
   }
@@ -120,9 +135,21 @@
     return created
   }
 
-  /** Mean duration of requests on the same route, or of all requests of the pool while that is unknown. */
+  /** The estimated cost of a request; undefined without the policy or while nothing is known. */
+  estimate (question: PlacementQuestion): CostEstimate | undefined {
+    return this.costs.estimate(question, this.clock.monotonicMilliseconds())
+  }
+
+  /** Tracks the work of a request that was placed on an upstream. */
+  startWork (question: PlacementQuestion, instance: string, now: number): StartedWork | undefined {
+    const slots = this.upstreams.get(instance)?.upstream.announced.slots ?? 0
+    return this.costs.start(question, instance, this.standingOf(instance).inFlight, slots, now)
+  }
+
+  /** Mean duration of requests on the same route, or of all requests of the pool while that is unknown; that of requests like this one where it is longer. */
   usualMilliseconds (question: PlacementQuestion): number {
-    return this.responseTimes.usualMilliseconds(question.route) || this.responseTimes.meanMilliseconds()
+    const known = this.responseTimes.usualMilliseconds(question.route) || this.responseTimes.meanMilliseconds()
+    return Math.max(known, this.estimate(question)?.mean ?? 0)
   }
 
   /** Chooses an upstream with a free slot; undefined when the request should wait. Looks at some of a large pool only, unless none of them will do. */
@@ -165,7 +192,8 @@
 
   private contextOf (question: PlacementQuestion, requester: RequestingEntry, now: number, terms: ChoiceConstraints): ChoiceContext {
     const isStressed = this.unserved.isStressed(now)
-    const { activeShare, hasSound, bestSuccess } = this.state.at(this.serving, now)
+    const { activeShare, hasSound, bestSuccess, outlook } = this.state.at(this.serving, now)
+    const estimate = this.costs.estimate(question, now)
     return {
       now,
       zone: requester.zone,
@@ -173,6 +201,7 @@
       isSpreading: isStressed || activeShare < this.minimumActiveShare,
       isStressed,
       hasSound,
+      expected: expectedFinishOf({ estimate, outlook, question, zone: requester.zone, terms, waiting: this.line.length, now }),
       minimumSuccess: this.successThreshold(question.priority, terms, now) * bestSuccess
     }
   }
@@ -189,7 +218,8 @@
 
   /** Expected wait of a new request with this priority, in milliseconds. */
   expectedWait (priority: number, now: number): number {
-    const { effectiveSlots } = this.state.at(this.serving, now)
+    const { effectiveSlots, outlook } = this.state.at(this.serving, now)
+    if (outlook !== undefined) return outlook.waitMilliseconds(this.line.ahead(priority) * this.costs.meanUpTo(priority, now))
     return effectiveSlots === 0 ? 0 : (this.line.ahead(priority) + 1) * this.responseTimes.meanMilliseconds() / effectiveSlots
   }
 
--- a/packages/dispatch/src/pool-state.ts
+++ b/packages/dispatch/src/pool-state.ts
@@ -1,5 +1,7 @@
 /** Values derived from all upstreams of a pool, kept for a short time, as computing them costs more than placing a request. */
 import { STANDING } from './instance-standing.ts'
+import type { PoolCosts } from './pool-costs.ts'
+import { PoolOutlook } from './pool-outlook.ts'
 import type { ResponseTimes } from './response-times.ts'
 import { IDLE_MILLISECONDS, successProbability, type Candidate } from './upstream-choice.ts'
 
@@ -14,18 +16,20 @@
   readonly activeShare: number
   /** Highest probability of success among the upstreams, free or not. */
   readonly bestSuccess: number
+  /** When slots become free; undefined while the cost of requests is not estimated. */
+  readonly outlook: PoolOutlook | undefined
 }
 
 const STATE_CACHE_MILLISECONDS = 10
 
 /** The latest values of one pool. */
 export class PoolStateCache {
-  private state: PoolState = { at: -Infinity, effectiveSlots: 0, hasSound: false, bestSuccess: 0, activeShare: 0 }
+  private state: PoolState = { at: -Infinity, effectiveSlots: 0, hasSound: false, bestSuccess: 0, activeShare: 0, outlook: undefined }
 
-  private constructor (private readonly responseTimes: ResponseTimes) {}
+  private constructor (private readonly responseTimes: ResponseTimes, private readonly costs: PoolCosts) {}
 
-  static create (responseTimes: ResponseTimes): PoolStateCache {
-    return new PoolStateCache(responseTimes)
+  static create (responseTimes: ResponseTimes, costs: PoolCosts): PoolStateCache {
+    return new PoolStateCache(responseTimes, costs)
   }
 
   /** Discards the values, as after a failure. */
@@ -36,6 +40,7 @@
   /** The values for the upstreams that accept requests. */
   at (serving: readonly Candidate[], now: number): PoolState {
     if (now - this.state.at < STATE_CACHE_MILLISECONDS) return this.state
+    const outlook = PoolOutlook.create(this.costs.meanMilliseconds(now))
     let effectiveSlots = 0
     let bestSuccess = 0
     let active = 0
@@ -43,12 +48,14 @@
     for (const candidate of serving) {
       const { standing } = candidate
       const success = successProbability(standing, now)
-      effectiveSlots += this.usableSlots(candidate) * success
+      const usable = this.usableSlots(candidate)
+      effectiveSlots += usable * success
+      outlook?.add(candidate, usable, success, now)
       bestSuccess = Math.max(bestSuccess, success)
       if (standing.standing(now) === STANDING.sound) hasSound = true
       if (standing.millisecondsSincePlacement(now) < IDLE_MILLISECONDS) active += 1
     }
-    this.state = { at: now, effectiveSlots, hasSound, bestSuccess, activeShare: active / Math.max(1, serving.length) }
+    this.state = { at: now, effectiveSlots, hasSound, bestSuccess, activeShare: active / Math.max(1, serving.length), outlook }
     return this.state
   }
 
--- a/packages/dispatch/src/upstream-choice.ts
+++ b/packages/dispatch/src/upstream-choice.ts
@@ -1,12 +1,15 @@
 /** Chooses the upstream for a request, by probability of success, load, speed and availability zone. */
+import type { ExpectedFinish } from './expected-finish.ts'
 import { FAILING_SHARES } from './failure-estimate.ts'
 import { STANDING, type InstanceStanding } from './instance-standing.ts'
 import type { RegisteredUpstream } from './upstream-registry.ts'
+import type { UpstreamWork } from './upstream-work.ts'
 
 /** An upstream of a pool, with its tracked state. */
 export interface Candidate {
   readonly upstream: RegisteredUpstream
   readonly standing: InstanceStanding
+  readonly work: UpstreamWork
 }
 
 /** The state of the request and its pool on which the choice depends. */
@@ -24,6 +27,8 @@
   readonly hasSound: boolean
   /** Required probability of success; below it, the request waits. */
   readonly minimumSuccess: number
+  /** What is expected of the request; undefined where it is not estimated. */
+  readonly expected: ExpectedFinish | undefined
 }
 
 // Costs are relative to the cost of a lost request, which is 1.
@@ -111,7 +116,8 @@
   const { now, minimumSuccess } = context
   const success = successProbability(candidate.standing, now)
   if (success < minimumSuccess || isTriedRecently(candidate, context)) return undefined
-  return 1 - success + placementCost(candidate, context)
+  const cost = placementCost(candidate, context)
+  return cost === undefined ? undefined : 1 - success + cost
 }
 
 /** Whether a suspect upstream was tried so recently that it is skipped. One that fails fast always has free slots and would attract all waiting requests. */
@@ -121,10 +127,16 @@
   return standing.millisecondsSincePlacement(now) < interval * standing.failureProbability(now) ** 2
 }
 
-function placementCost ({ upstream, standing }: Candidate, { now, zone }: ChoiceContext): number {
+/** Undefined where waiting for another upstream is better. */
+function placementCost (candidate: Candidate, { now, zone, expected }: ChoiceContext): number | undefined {
+  const { upstream, standing } = candidate
+  const coldCost = now < upstream.warmupEndsAt ? COLD_COST : 0
+  if (expected !== undefined) {
+    const finishCost = expected.costOf(candidate)
+    return finishCost === undefined ? undefined : coldCost + finishCost
+  }
   const utilization = (standing.inFlight + 1) / Math.max(1, upstream.announced.slots)
   const utilizationCost = utilization <= PREFERRED_UTILIZATION ? -UTILIZATION_BONUS * utilization : NEARLY_FULL_COST * utilization
-  const coldCost = now < upstream.warmupEndsAt ? COLD_COST : 0
   const zoneCost = upstream.announced.zone === zone ? 0 : OTHER_ZONE_COST
   return utilizationCost + coldCost + zoneCost + SLOWNESS_COST * Math.max(0, standing.slowness - 1)
 }
