--- a/packages/dispatch/src/cost-distribution.ts
+++ b/packages/dispatch/src/cost-distribution.ts
@@ -7,7 +7,7 @@
 export const COST_HALF_LIFE_MILLISECONDS = 15_000
 /** An observation also counts half after so many others, so that a busy group follows a change of the load within a few seconds. */
 const HALF_LIFE_OBSERVATIONS = 300
-/** Weights grow with time in place of shrinking the older ones; after this many half-lives all are scaled down. */
+/** Weights grow with time in place of shrinking the older ones; from this exponent on, all are scaled down. */
 const MAXIMUM_EXPONENT = 40
 /** The sums are brought up to date after this share of new observations. */
 const REFRESH_SHARE = 1 / 20
@@ -28,9 +28,12 @@
   private squares = 0
   private logarithms = 0
   private recorded = 0
+  /** The latest result of `quantile`, which is called with the same share for many requests. */
+  private latestShare = Number.NaN
+  private latestQuantile = 0
   /** Observations since the sums were brought up to date. */
   private unsummed = 0
-  /** Binary logarithm of the weight of an observation that is made now, as of `grownAt`. */
+  /** Natural logarithm of the weight of an observation that is made now, as of `grownAt`. */
   private exponent = 0
   private grownAt = -Infinity
 
@@ -59,7 +62,7 @@
 
   /** Number of recent requests that the distribution is worth. */
   weight (now: number): number {
-    return this.recorded === 0 ? 0 : this.weightAll * 2 ** -this.exponentAt(now)
+    return this.recorded === 0 ? 0 : this.weightAll * Math.exp(-this.exponentAt(now))
   }
 
   get mean (): number {
@@ -77,13 +80,11 @@
 
   /** The cost that this share of the requests does not exceed. */
   quantile (share: number): number {
-    const above = (1 - share) * this.weightAll
-    let index = CLASSES - 1
-    while (index > 0 && this.weightsFrom[index] as number <= above) index -= 1
-    const weight = this.weightsFrom[index] as number - (this.weightsFrom[index + 1] as number)
-    if (weight <= 0) return EDGES[index] as number
-    const part = Math.min(1, Math.max(0, (this.weightsFrom[index] as number - above) / weight))
-    return lowerEdge(index) + part * (EDGES[index + 1] as number - lowerEdge(index))
+    if (this.latestShare !== share) {
+      this.latestQuantile = this.computeQuantile(share)
+      this.latestShare = share
+    }
+    return this.latestQuantile
   }
 
   /** Share of the requests that cost more than this. */
@@ -104,6 +105,16 @@
     return Math.max(0, expected - elapsed)
   }
 
+  private computeQuantile (share: number): number {
+    const above = (1 - share) * this.weightAll
+    let index = CLASSES - 1
+    while (index > 0 && this.weightsFrom[index] as number <= above) index -= 1
+    const weight = this.weightsFrom[index] as number - (this.weightsFrom[index + 1] as number)
+    if (weight <= 0) return EDGES[index] as number
+    const part = Math.min(1, Math.max(0, (this.weightsFrom[index] as number - above) / weight))
+    return lowerEdge(index) + part * (EDGES[index + 1] as number - lowerEdge(index))
+  }
+
   private get weightAll (): number {
     return this.weightsFrom[0] as number
   }
@@ -121,23 +132,24 @@
       this.sumsFrom[index] = this.sumsFrom[index + 1] as number + (this.sums[index] as number)
     }
     this.unsummed = 0
+    this.latestShare = Number.NaN
   }
 
   private exponentAt (now: number): number {
-    return this.exponent + Math.max(0, now - this.grownAt) / COST_HALF_LIFE_MILLISECONDS
+    return this.exponent + Math.max(0, now - this.grownAt) * Math.LN2 / COST_HALF_LIFE_MILLISECONDS
   }
 
   /** Returns the weight of a new observation. */
   private growWeight (now: number): number {
-    if (this.recorded > 0) this.exponent = this.exponentAt(now) + 1 / HALF_LIFE_OBSERVATIONS
+    if (this.recorded > 0) this.exponent = this.exponentAt(now) + Math.LN2 / HALF_LIFE_OBSERVATIONS
     this.grownAt = now
     if (this.exponent >= MAXIMUM_EXPONENT) this.scaleDown()
-    return 2 ** this.exponent
+    return Math.exp(this.exponent)
   }
 
   /** Scales all weights down, before they become too large numbers. */
   private scaleDown (): void {
-    const factor = 2 ** -this.exponent
+    const factor = Math.exp(-this.exponent)
     this.weights.forEach((weight, index) => { this.weights[index] = weight * factor })
     this.sums.forEach((sum, index) => { this.sums[index] = sum * factor })
     this.squares *= factor
--- a/packages/dispatch/src/decayed-slope.ts
+++ b/packages/dispatch/src/decayed-slope.ts
@@ -6,11 +6,11 @@
   private squares = 0
   private at = 0
 
-  private constructor (private readonly halfLifeMilliseconds: number) {}
+  private constructor (private readonly meanLifeMilliseconds: number) {}
 
   /** An observation counts half after the half-life. */
   static create (halfLifeMilliseconds: number): DecayedSlope {
-    return new DecayedSlope(halfLifeMilliseconds)
+    return new DecayedSlope(halfLifeMilliseconds / Math.LN2)
   }
 
   /** Records an observation; `now` in monotonic milliseconds. */
@@ -33,6 +33,6 @@
   }
 
   private decayAt (now: number): number {
-    return now <= this.at ? 1 : 2 ** ((this.at - now) / this.halfLifeMilliseconds)
+    return now <= this.at ? 1 : Math.exp((this.at - now) / this.meanLifeMilliseconds)
   }
 }
--- a/packages/dispatch/src/expected-finish.ts
+++ b/packages/dispatch/src/expected-finish.ts
@@ -39,7 +39,8 @@
 const UTILIZATION_BONUS = 0.01
 /** Gain of learning the speed of an upstream without recent responses. */
 const EXPLORATION_BONUS = 0.03
-const UNKNOWN_WEIGHT = 1
+/** An upstream without responses for this time is tried with a request that may be repeated. */
+const UNKNOWN_MILLISECONDS = 4_000
 /** A slow upstream must be worse than the expected wait by this, as the wait may be longer than expected. */
 const WAITING_MARGIN = 0.2
 /** A request does not wait for a faster upstream for longer than this many times the expected wait. */
@@ -50,41 +51,57 @@
   /** Cost of a time as long as the mean cost of the request. */
   private readonly timeCost: number
   private readonly meanMilliseconds: number
-  /** Cost of waiting for an upstream of usual speed, with a margin; Infinity where the request should not wait for one. */
-  private readonly waitingCost: number
+  /** Undefined until it is needed. */
+  private cachedWaitingCost: number | undefined
   /** Whether the request may be used to learn the speed of an upstream that may fail. */
   private readonly mayExplore: boolean
 
   private constructor (private readonly asked: EstimatedQuestion) {
-    const { estimate, outlook, question, terms, waiting } = asked
+    const { estimate, outlook, question, terms } = asked
     this.meanMilliseconds = estimate.mean
     this.timeCost = (TIME_COST + BUSY_TIME_COST * outlook.takenShare ** 2) * this.meanMilliseconds / outlook.meanMilliseconds
     this.mayExplore = terms.mayProbe && question.attempt === 0
-    const waited = question.targetMilliseconds - terms.targetLeftMilliseconds
-    const wait = outlook.waitMilliseconds(waiting * outlook.meanMilliseconds)
-    // A request that may not use all upstreams may have no faster one to wait for.
-    const mayWait = question.excluded.length === 0 && waited <= MAXIMUM_WAIT_FACTOR * wait
-    this.waitingCost = mayWait ? this.lossOf(1, wait) + this.timeCost * wait / this.meanMilliseconds + WAITING_MARGIN : Infinity
   }
 
   static create (asked: EstimatedQuestion): ExpectedFinish {
     return new ExpectedFinish(asked)
   }
 
-  /** The cost of an upstream, in place of costs by its utilization, mean slowness and zone; undefined where it is better to wait for another one. */
-  costOf ({ upstream, standing, work }: Candidate): number | undefined {
+  /**
+   * The cost of an upstream, in place of costs by its utilization, mean slowness and zone; undefined where it is better to
+   * wait for another one. Where it is not below `limit`, a lower bound is returned, which costs less to compute.
+   */
+  costOf ({ upstream, standing, work }: Candidate, limit: number): number | undefined {
     const { zone, now } = this.asked
     const slots = Math.max(1, upstream.announced.slots)
     const inFlight = standing.inFlight + 1
     const isNearlyFull = inFlight > PREFERRED_UTILIZATION * slots
     const usual = work.speed.factor(0, now)
+    const zoneCost = upstream.announced.zone === zone ? 0 : OTHER_ZONE_COST
+    const isUnknown = this.mayExplore && standing.inFlight === 0 && now - work.speed.answeredAt >= UNKNOWN_MILLISECONDS
+    const bonus = (isNearlyFull ? 0 : UTILIZATION_BONUS * inFlight / slots) + (isUnknown ? EXPLORATION_BONUS : 0)
+    const leastCost = this.timeCost * (usual - 1) + zoneCost - bonus
+    if (leastCost >= limit) return leastCost
     const factor = isNearlyFull ? work.speed.factor(work.fullShare(inFlight, slots, this.meanMilliseconds, now), now) : usual
     const slowdownOfOthers = SHARED_SLOWDOWN * (factor / usual - 1) * standing.inFlight
-    const zoneCost = upstream.announced.zone === zone ? 0 : OTHER_ZONE_COST
     const cost = this.lossOf(factor, 0) + this.timeCost * (factor - 1 + slowdownOfOthers) + zoneCost
-    if (factor > 1 && cost > this.waitingCost) return undefined
-    const isUnknown = this.mayExplore && standing.inFlight === 0 && work.speed.weight(now) < UNKNOWN_WEIGHT
-    return cost - (isNearlyFull ? 0 : UTILIZATION_BONUS * inFlight / slots) - (isUnknown ? EXPLORATION_BONUS : 0)
+    return factor > 1 && cost > this.waitingCost ? undefined : cost - bonus
+  }
+
+  /** Cost of waiting for an upstream of usual speed, with a margin; Infinity where the request should not wait for one. */
+  private get waitingCost (): number {
+    this.cachedWaitingCost ??= this.computeWaitingCost()
+    return this.cachedWaitingCost
+  }
+
+  private computeWaitingCost (): number {
+    const { outlook, question, terms, waiting } = this.asked
+    // A request that may not use all upstreams may have no faster one to wait for.
+    if (question.excluded.length > 0) return Infinity
+    const waited = question.targetMilliseconds - terms.targetLeftMilliseconds
+    const wait = outlook.waitMilliseconds(waiting * outlook.meanMilliseconds)
+    if (waited > MAXIMUM_WAIT_FACTOR * wait) return Infinity
+    return this.lossOf(1, wait) + this.timeCost * wait / this.meanMilliseconds + WAITING_MARGIN
   }
 
   /** Expected loss of an answer from an upstream whose times are `factor` times the expected ones, after a wait. */
--- a/packages/dispatch/src/pool-dispatcher.ts
+++ b/packages/dispatch/src/pool-dispatcher.ts
@@ -57,6 +57,8 @@
 
 /** Free upstreams that a request is offered at once; larger pools are examined in turn. */
 const SAMPLE_UPSTREAMS = 32
+/** The same in larger pools where the expected end at each is compared, which costs twice as much. */
+const SAMPLE_UPSTREAMS_BY_COST = 16
 /** A group of waiting requests is no longer drained after this many could not be placed. */
 const MAXIMUM_FAILED_TRIES = 4
 
@@ -181,7 +183,8 @@
   private sampleFree (question: PlacementQuestion, requester: RequestingEntry, now: number, limit: number): number {
     this.sample.length = 0
     let examined = 0
-    while (examined < limit && this.sample.length < SAMPLE_UPSTREAMS) {
+    const wanted = this.costs.isEnabled && !this.isSmall ? SAMPLE_UPSTREAMS_BY_COST : SAMPLE_UPSTREAMS
+    while (examined < limit && this.sample.length < wanted) {
       this.nextExamined = (this.nextExamined + 1) % this.serving.length
       examined += 1
       const candidate = this.serving[this.nextExamined] as Candidate
@@ -219,7 +222,7 @@
   /** Expected wait of a new request with this priority, in milliseconds. */
   expectedWait (priority: number, now: number): number {
     const { effectiveSlots, outlook } = this.state.at(this.serving, now)
-    if (outlook !== undefined) return outlook.waitMilliseconds(this.line.ahead(priority) * this.costs.meanUpTo(priority, now))
+    if (outlook !== undefined) return outlook.waitMilliseconds(outlook.workOf(this.line.ahead(priority), priority, now))
     return effectiveSlots === 0 ? 0 : (this.line.ahead(priority) + 1) * this.responseTimes.meanMilliseconds() / effectiveSlots
   }
 
--- a/packages/dispatch/src/pool-outlook.ts
+++ b/packages/dispatch/src/pool-outlook.ts
@@ -1,4 +1,5 @@
 /** When the slots of a pool become free, from the work that is left at each upstream. */
+import type { PoolCosts } from './pool-costs.ts'
 import type { Candidate } from './upstream-choice.ts'
 
 /** Expected ends of requests in the near time and later. */
@@ -11,11 +12,14 @@
   private slots = 0
   private taken = 0
 
-  private constructor (readonly meanMilliseconds: number) {}
+  private readonly meansUpTo = new Map<number, number>()
+
+  private constructor (readonly meanMilliseconds: number, private readonly costs: PoolCosts) {}
 
   /** Undefined where the mean cost is not known. */
-  static create (meanMilliseconds: number | undefined): PoolOutlook | undefined {
-    return meanMilliseconds === undefined ? undefined : new PoolOutlook(meanMilliseconds)
+  static create (costs: PoolCosts, now: number): PoolOutlook | undefined {
+    const meanMilliseconds = costs.meanMilliseconds(now)
+    return meanMilliseconds === undefined ? undefined : new PoolOutlook(meanMilliseconds, costs)
   }
 
   /** Adds an upstream with its number of usable slots and its probability of success. */
@@ -35,6 +39,14 @@
     return this.slots === 0 ? 1 : this.taken / this.slots
   }
 
+  /** Expected work of a number of requests with this priority or a more urgent one, in milliseconds. */
+  workOf (requests: number, priority: number, now: number): number {
+    if (requests === 0) return 0
+    const mean = this.meansUpTo.get(priority) ?? this.costs.meanUpTo(priority, now)
+    this.meansUpTo.set(priority, mean)
+    return requests * mean
+  }
+
   /** Expected wait of a request behind others with this much work, in milliseconds. */
   waitMilliseconds (workAheadMilliseconds: number): number {
     const requests = workAheadMilliseconds / this.meanMilliseconds + 1
--- a/packages/dispatch/src/pool-state.ts
+++ b/packages/dispatch/src/pool-state.ts
@@ -21,11 +21,15 @@
 }
 
 const STATE_CACHE_MILLISECONDS = 10
+/** The outlook takes the running requests of all upstreams into account, which costs several times as much. */
+const OUTLOOK_CACHE_MILLISECONDS = 100
 
 /** The latest values of one pool. */
 export class PoolStateCache {
   private state: PoolState = { at: -Infinity, effectiveSlots: 0, hasSound: false, bestSuccess: 0, activeShare: 0, outlook: undefined }
 
+  private outlookAt = -Infinity
+
   private constructor (private readonly responseTimes: ResponseTimes, private readonly costs: PoolCosts) {}
 
   static create (responseTimes: ResponseTimes, costs: PoolCosts): PoolStateCache {
@@ -40,7 +44,7 @@
   /** The values for the upstreams that accept requests. */
   at (serving: readonly Candidate[], now: number): PoolState {
     if (now - this.state.at < STATE_CACHE_MILLISECONDS) return this.state
-    const outlook = PoolOutlook.create(this.costs.meanMilliseconds(now))
+    const outlook = this.dueOutlook(now)
     let effectiveSlots = 0
     let bestSuccess = 0
     let active = 0
@@ -55,10 +59,23 @@
       if (standing.standing(now) === STANDING.sound) hasSound = true
       if (standing.millisecondsSincePlacement(now) < IDLE_MILLISECONDS) active += 1
     }
-    this.state = { at: now, effectiveSlots, hasSound, bestSuccess, activeShare: active / Math.max(1, serving.length), outlook }
+    const activeShare = active / Math.max(1, serving.length)
+    this.state = { at: now, effectiveSlots, hasSound, bestSuccess, activeShare, outlook: outlook ?? this.validOutlook(now) }
     return this.state
   }
 
+  /** A new outlook to be filled, where the latest one is too old. */
+  private dueOutlook (now: number): PoolOutlook | undefined {
+    if (now - this.outlookAt < OUTLOOK_CACHE_MILLISECONDS) return undefined
+    this.outlookAt = now
+    return PoolOutlook.create(this.costs, now)
+  }
+
+  /** The latest outlook, unless it was due and could not be renewed. */
+  private validOutlook (now: number): PoolOutlook | undefined {
+    return this.outlookAt === now ? undefined : this.state.outlook
+  }
+
   /** Mean number of slots that requests can use, given the limit that the upstream states. */
   private usableSlots ({ upstream, standing }: Candidate): number {
     const { slots } = upstream.announced
--- a/packages/dispatch/src/request-costs.ts
+++ b/packages/dispatch/src/request-costs.ts
@@ -47,6 +47,9 @@
 interface CustomerCosts {
   readonly ratio: DecayedSlope
   readonly square: DecayedSlope
+  /** How much more they cost as of `scaledAt`; kept, as it is read for every request. */
+  scale: number
+  scaledAt: number
 }
 
 /** What an operator sees of the learned costs. */
@@ -68,6 +71,7 @@
 /** Bounds of a customer's ratio, so that one request of many times the usual cost says little about the others. */
 const MAXIMUM_RATIO = 8
 const HIGH_SHARE = 0.95
+const SCALE_CACHE_MILLISECONDS = 200
 
 /** Costs of one pool. */
 export class RequestCosts {
@@ -155,7 +159,7 @@
 
 function recordRatio ({ byCustomer }: RouteCosts, customer: string, ratio: number, now: number): void {
   const costs = findOrCreate(byCustomer, customer, () => ({
-    ratio: DecayedSlope.create(COST_HALF_LIFE_MILLISECONDS), square: DecayedSlope.create(COST_HALF_LIFE_MILLISECONDS)
+    ratio: DecayedSlope.create(COST_HALF_LIFE_MILLISECONDS), square: DecayedSlope.create(COST_HALF_LIFE_MILLISECONDS), scale: 1, scaledAt: -Infinity
   }))
   const bounded = Math.min(MAXIMUM_RATIO, ratio)
   costs.ratio.record(1, bounded, now)
@@ -165,8 +169,17 @@
 /** How much more the customer's requests cost than others of the same route and size; 1 where that is not certain. */
 function customerScale (route: RouteCosts | undefined, customer: string, now: number): number {
   const costs = route?.byCustomer.get(customer)
-  const weight = costs?.ratio.weight(now) ?? 0
-  if (costs === undefined || weight < MINIMUM_REQUESTS) return 1
+  if (costs === undefined) return 1
+  if (now - costs.scaledAt >= SCALE_CACHE_MILLISECONDS) {
+    costs.scale = computeScale(costs, now)
+    costs.scaledAt = now
+  }
+  return costs.scale
+}
+
+function computeScale (costs: CustomerCosts, now: number): number {
+  const weight = costs.ratio.weight(now)
+  if (weight < MINIMUM_REQUESTS) return 1
   const ratio = costs.ratio.value(now, 0, 0)
   const variance = Math.max(0, costs.square.value(now, 0, 0) - ratio ** 2)
   return tellsMore(ratio, variance, weight) ? costs.ratio.value(now, 1, MINIMUM_REQUESTS) : 1
--- a/packages/dispatch/src/upstream-choice.ts
+++ b/packages/dispatch/src/upstream-choice.ts
@@ -55,8 +55,8 @@
 /** The same interval while no upstream of the pool is sound. */
 const SUSPECT_INTERVAL_WITHOUT_SOUND_MILLISECONDS = 60
 
-/** Returns the cost of a candidate; undefined when the rule does not apply to it. */
-type Rule = (candidate: Candidate, context: ChoiceContext) => number | undefined
+/** Returns the cost of a candidate, or any value from `limit` on if it is not below that; undefined when the rule does not apply to it. */
+type Rule = (candidate: Candidate, context: ChoiceContext, limit: number) => number | undefined
 
 /** Rules by precedence: a candidate of an earlier rule is always preferred to one of a later rule. */
 const RULES: readonly Rule[] = [newUpstreamCost, probeCost, idleCost, defaultCost]
@@ -75,7 +75,7 @@
   let bestCost = Infinity
   for (const candidate of candidates) {
     for (let rule = 0; rule <= bestRule; rule += 1) {
-      const cost = (RULES[rule] as Rule)(candidate, context)
+      const cost = (RULES[rule] as Rule)(candidate, context, rule === bestRule ? bestCost : Infinity)
       if (cost === undefined) continue
       if (rule === bestRule && cost >= bestCost) break
       best = candidate
@@ -112,11 +112,11 @@
   return standing.failureProbability(now)
 }
 
-function defaultCost (candidate: Candidate, context: ChoiceContext): number | undefined {
+function defaultCost (candidate: Candidate, context: ChoiceContext, limit: number): number | undefined {
   const { now, minimumSuccess } = context
   const success = successProbability(candidate.standing, now)
   if (success < minimumSuccess || isTriedRecently(candidate, context)) return undefined
-  const cost = placementCost(candidate, context)
+  const cost = placementCost(candidate, context, limit - 1 + success)
   return cost === undefined ? undefined : 1 - success + cost
 }
 
@@ -128,11 +128,11 @@
 }
 
 /** Undefined where waiting for another upstream is better. */
-function placementCost (candidate: Candidate, { now, zone, expected }: ChoiceContext): number | undefined {
+function placementCost (candidate: Candidate, { now, zone, expected }: ChoiceContext, limit: number): number | undefined {
   const { upstream, standing } = candidate
   const coldCost = now < upstream.warmupEndsAt ? COLD_COST : 0
   if (expected !== undefined) {
-    const finishCost = expected.costOf(candidate)
+    const finishCost = expected.costOf(candidate, limit - coldCost)
     return finishCost === undefined ? undefined : coldCost + finishCost
   }
   const utilization = (standing.inFlight + 1) / Math.max(1, upstream.announced.slots)
--- a/packages/dispatch/src/upstream-speed.ts
+++ b/packages/dispatch/src/upstream-speed.ts
@@ -15,7 +15,7 @@
 /** A response in less than this share of the usual time is rather a request that was not done (a client error) than a sign of speed. */
 const MINIMUM_LOGARITHM = -Math.log(8)
 /** Values are computed again after this time, as they are read for many placements. */
-const CACHE_MILLISECONDS = 50
+const CACHE_MILLISECONDS = 200
 
 /** Slowdown of a pool's nearly full upstreams, from which those of single upstreams are estimated. */
 export class PoolSlowdown {
@@ -39,8 +39,11 @@
 export class UpstreamSpeed {
   private readonly usual = DecayedSlope.create(HALF_LIFE_MILLISECONDS)
   private readonly nearlyFull = DecayedSlope.create(HALF_LIFE_MILLISECONDS)
+  /** When the latest response came, in monotonic milliseconds; -Infinity for none. */
+  answeredAt = -Infinity
   private cachedAt = -Infinity
   private usualLogarithm = 0
+  private usualFactor = 1
   private slowdownLogarithm = INITIAL_SLOWDOWN
 
   private constructor (private readonly pool: PoolSlowdown) {}
@@ -56,30 +59,24 @@
   record (logarithm: number, fullShare: number, now: number): void {
     if (logarithm < MINIMUM_LOGARITHM) return
     const bounded = Math.min(MAXIMUM_LOGARITHM, logarithm)
-    this.refresh(now)
+    this.renew(now)
     const excess = bounded - this.usualLogarithm
     this.usual.record(1, bounded - this.slowdownLogarithm * fullShare, now)
     if (fullShare > 0) {
       this.nearlyFull.record(fullShare, excess, now)
       this.pool.record(fullShare, excess, now)
     }
-    this.cachedAt = -Infinity
+    this.answeredAt = now
   }
 
   /** Time of a response relative to the expected one, where the upstream is nearly full for this share of it. */
   factor (fullShare: number, now: number): number {
-    if (now - this.cachedAt >= CACHE_MILLISECONDS) this.refresh(now)
+    this.renew(now)
     return fullShare === 0 ? this.usualFactor : this.usualFactor * Math.exp(this.slowdownLogarithm * fullShare)
   }
 
-  /** Number of recent responses. */
-  weight (now: number): number {
-    return this.usual.weight(now)
-  }
-
-  private usualFactor = 1
-
-  private refresh (now: number): void {
+  private renew (now: number): void {
+    if (now - this.cachedAt < CACHE_MILLISECONDS) return
     this.usualLogarithm = this.usual.value(now, 0, PRIOR_WEIGHT)
     this.usualFactor = Math.exp(this.usualLogarithm)
     const slowdown = this.nearlyFull.value(now, this.pool.logarithm(now), SLOWDOWN_PRIOR_WEIGHT)
