--- a/packages/control/src/dispatching-control-metrics.ts
+++ b/packages/control/src/dispatching-control-metrics.ts
@@ -31,5 +31,19 @@
   metrics.gauge('hickoryspoke_limited_upstreams', 'upstreams of a pool that state a limit on the requests that they accept', ['pool'], (gauge) => {
     for (const pool of service.pools()) gauge.set({ pool: pool.name }, pool.limited)
   })
+  metrics.gauge('hickoryspoke_request_cost_milliseconds', 'learned cost of a route\'s requests: mean and 95th percentile', ['pool', 'route', 'statistic'], (gauge) => {
+    for (const { pool, routes } of service.costs()) {
+      for (const { route, meanMilliseconds, highMilliseconds } of routes) {
+        gauge.set({ pool, route, statistic: 'mean' }, meanMilliseconds)
+        gauge.set({ pool, route, statistic: 'p95' }, highMilliseconds)
+      }
+    }
+  })
+  metrics.gauge('hickoryspoke_upstream_time_factor', 'learned response time of a pool\'s upstreams relative to the usual one', ['pool', 'bound'], (gauge) => {
+    for (const { pool, fastest, slowest } of service.costs()) {
+      gauge.set({ pool, bound: 'fastest' }, fastest)
+      gauge.set({ pool, bound: 'slowest' }, slowest)
+    }
+  })
   return metrics
 }
--- a/packages/control/src/dispatching-control.ts
+++ b/packages/control/src/dispatching-control.ts
@@ -18,6 +18,7 @@
 import type { Metrics } from '@hickoryspoke/telemetry/metrics'
 import { Ok, type Result } from 'ts-results-es'
 import { AnnouncementRelay } from './announcement-relay.ts'
+import { reportCosts } from './cost-report.ts'
 import { DepartureLog } from './departure-log.ts'
 import type { DispatchingControlOptions, DispatchingControlSettings } from './dispatching-control-settings.ts'
 import { createControlMetrics } from './dispatching-control-metrics.ts'
@@ -224,6 +225,7 @@
     const { clock, logger } = this.options
     void this.announcements.run(clock, signal)
     void reportLoad({ clock, logger, metrics: this.metrics, service: this.service, isLeader: () => this.isLeader }, signal)
+    void reportCosts(clock, logger, this.service, signal)
     void repeatEvery(clock, EXPIRY_CHECK_MILLISECONDS, signal, () => this.expireUpstreams())
   }
 
--- a/packages/dispatch/src/dispatch-service.ts
+++ b/packages/dispatch/src/dispatch-service.ts
@@ -12,6 +12,7 @@
 import type { DispatchServiceOptions } from './dispatch-service-options.ts'
 import type { EntryConnection } from './entry-connection.ts'
 import { HandoverLists } from './handover-lists.ts'
+import type { PoolCostSummary } from './pool-costs.ts'
 import type { PoolSnapshot } from './pool-dispatcher.ts'
 import { ConfigurationHistory } from './configuration-history.ts'
 import { LeaderState } from './leader-state.ts'
@@ -102,6 +103,11 @@
     return this.leading?.dispatcher.snapshots() ?? []
   }
 
+  /** What the dispatcher learned of the costs of requests; empty where it does not run or need not know them. */
+  costs (): PoolCostSummary[] {
+    return this.leading?.dispatcher.costs() ?? []
+  }
+
   /** Whether an upstream is answering requests; true while no dispatcher runs here. */
   isInUse (upstream: RegisteredUpstream): boolean {
     return this.leading?.dispatcher.isInUse(upstream) ?? true
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -12,6 +12,7 @@
 import { logEvidence, logLimit, logNotice, logOverdue } from './dispatcher-log.ts'
 import type { EntryConnection, EntryHandover } from './entry-connection.ts'
 import { isEarlyTimeout, placementKey, Placements, type ActivePlacement, type EndedPlacement } from './placements.ts'
+import type { PoolCostSummary } from './pool-costs.ts'
 import type { PoolDispatcher, PoolSnapshot } from './pool-dispatcher.ts'
 import { PoolSet } from './pool-set.ts'
 import type { FleetRetryBudgetSettings } from './fleet-retry-budget.ts'
@@ -144,6 +145,11 @@
     return this.pools.snapshots(this.options.clock.monotonicMilliseconds())
   }
 
+  /** What is learned of the costs of each pool's requests. */
+  costs (): PoolCostSummary[] {
+    return this.pools.costs(this.options.clock.monotonicMilliseconds())
+  }
+
   /** Suspect upstreams, with their probability of failure. */
   suspicions (): Suspicion[] {
     return this.pools.suspicions(this.options.clock.monotonicMilliseconds())
--- a/packages/dispatch/src/pool-costs.ts
+++ b/packages/dispatch/src/pool-costs.ts
@@ -16,6 +16,7 @@
 
 /** What an operator sees of a pool. */
 export interface PoolCostSummary {
+  readonly pool: string
   readonly routes: readonly RouteCostSummary[]
   /** Response times relative to the expected ones of the fastest and the slowest upstream; 1 while none is known. */
   readonly fastest: number
@@ -90,9 +91,9 @@
   }
 
   /** What is known, for logs and metrics; undefined without the policy. */
-  summary (now: number): PoolCostSummary | undefined {
+  summary (pool: string, now: number): PoolCostSummary | undefined {
     if (!this.isEnabled) return undefined
     const factors = [...this.upstreams.values()].map(({ speed }) => speed.factor(0, now))
-    return { routes: this.requests.summaries(now), fastest: Math.min(1, ...factors), slowest: Math.max(1, ...factors) }
+    return { pool, routes: this.requests.summaries(now), fastest: Math.min(1, ...factors), slowest: Math.max(1, ...factors) }
   }
 }
--- a/packages/dispatch/src/pool-set.ts
+++ b/packages/dispatch/src/pool-set.ts
@@ -2,6 +2,7 @@
 import type { Suspicion } from '@hickoryspoke/protocol/generated/dispatch'
 import type { Clock } from '@hickoryspoke/runtime/clock'
 import { defaultPolicy, type PolicySource } from './dispatch-policy.ts'
+import type { PoolCostSummary } from './pool-costs.ts'
 import { PoolDispatcher, type PoolSnapshot } from './pool-dispatcher.ts'
 import { FleetRetryBudget, type FleetRetryBudgetSettings } from './fleet-retry-budget.ts'
 import type { UpstreamLimits } from './upstream-limits.ts'
@@ -64,6 +65,11 @@
     return [...this.pools].map(([name, pool]) => pool.snapshot(name, now))
   }
 
+  /** What is learned of the costs of each pool's requests; empty without the policy. */
+  costs (now: number): PoolCostSummary[] {
+    return [...this.pools].flatMap(([name, pool]) => pool.costs.summary(name, now) ?? [])
+  }
+
   /** Suspect upstreams of all pools, with their probability of failure. */
   suspicions (now: number): Suspicion[] {
     return [...this.pools.values()].flatMap((pool) => pool.suspicions(now))
