--- a/packages/dispatch/src/tests/upstream-speed.test.ts
+++ b/packages/dispatch/src/tests/upstream-speed.test.ts
@@ -7,8 +7,7 @@
 const SETTLED = 500
 
 /** Records responses 100 ms apart, with these factors and a spread of 30 %; returns a later time. */
-function learn (speed: UpstreamSpeed, factors: readonly number[], fullShare = 0, from = 0): number {
-  const random = SeededRandom.create(1)
+function learn (speed: UpstreamSpeed, factors: readonly number[], fullShare = 0, from = 0, random = SeededRandom.create(1)): number {
   factors.forEach((factor, index) => speed.record(Math.log(factor * (0.7 + 0.6 * random.next())), fullShare, from + index * 100))
   return from + factors.length * 100 + SETTLED
 }
@@ -44,10 +43,11 @@
 
 test('the slowdown of a nearly full upstream is told apart from its usual speed', () => {
   const speed = UpstreamSpeed.create(PoolSlowdown.create())
+  const random = SeededRandom.create(2)
   let now = 0
   for (let turn = 0; turn < 60; turn += 1) {
-    now = learn(speed, repeat(1, 1), 0, now) - SETTLED
-    now = learn(speed, repeat(2, 1), 1, now) - SETTLED
+    now = learn(speed, repeat(1, 1), 0, now, random) - SETTLED
+    now = learn(speed, repeat(2, 1), 1, now, random) - SETTLED
   }
   now += SETTLED
   assert.ok(speed.factor(0, now) < 1.25, `${speed.factor(0, now)}`)
