--- a/packages/bench/src/dispatch-simulation.ts
+++ b/packages/bench/src/dispatch-simulation.ts
@@ -154,7 +154,8 @@
       fingerprint: this.lastTicket,
       route: kind.name,
       charged: false,
-      allowedRegions: []
+      allowedRegions: [],
+      bodyBytes: undefined
     }
     const connection = this.entries[this.lastTicket % ENTRIES] as EntryConnection
     const running = { kind, arrivedAt: this.clock.monotonicMilliseconds(), question, attempt: 0 }
--- a/packages/bench/src/measure-dispatch-queue.ts
+++ b/packages/bench/src/measure-dispatch-queue.ts
@@ -1,5 +1,6 @@
 /** Measures the processor time of the dispatcher for a question, an end and a tick, against the number of waiting requests and refusals. */
 import { CustomerRateLimiter } from '@hickoryspoke/dispatch/customer-rate-limiter'
+import { DEFAULT_DISPATCH_POLICY } from '@hickoryspoke/dispatch/dispatch-policy'
 import { Dispatcher } from '@hickoryspoke/dispatch/dispatcher'
 import type { EntryConnection } from '@hickoryspoke/dispatch/entry-connection'
 import { UpstreamRegistry } from '@hickoryspoke/dispatch/upstream-registry'
@@ -15,6 +16,8 @@
   readonly waiting: number
   /** Share of the requests that upstreams refuse. */
   readonly refusedShare: number
+  /** Whether upstreams are chosen by expected cost. */
+  readonly expectedCost: boolean
 }
 
 interface Kind {
@@ -45,7 +48,7 @@
 const STEP_MILLISECONDS = 10
 const MAXIMUM_ARRIVALS = 100
 const REFUSAL_MILLISECONDS = 5
-const SCENARIOS: readonly QueueScenario[] = [
+const LOADS: readonly Omit<QueueScenario, 'expectedCost'>[] = [
   { name: 'none waiting', waiting: 0, refusedShare: 0 },
   { name: '800 waiting', waiting: 800, refusedShare: 0 },
   { name: '3,000 waiting', waiting: 3_000, refusedShare: 0 },
@@ -53,6 +56,9 @@
   { name: '800 waiting, upstreams refuse 0.3', waiting: 800, refusedShare: 0.3 },
   { name: '3,000 waiting, upstreams refuse 0.3', waiting: 3_000, refusedShare: 0.3 }
 ]
+const SCENARIOS: readonly QueueScenario[] = [false, true].flatMap((expectedCost) => {
+  return LOADS.map((load) => ({ ...load, expectedCost, name: expectedCost ? `${load.name}, expected cost` : load.name }))
+})
 
 /** Processor time of one kind of call. */
 class CallCost {
@@ -94,7 +100,10 @@
     const budget = { ratio: 0.2, slack: 208, windowMilliseconds: 10_000 }
     this.entries = Array.from({ length: ENTRIES }, (_, index) => this.createEntry(`entry-${index}`, `zone-${index % 3}`))
     for (const [pool, count] of Object.entries(POOLS)) this.announce(pool, count)
-    this.dispatcher = Dispatcher.create({ clock: this.clock, logger: silentLogger(), registry: this.registry, rates, budget, floorShare: 0.7 })
+    const policy = { ...DEFAULT_DISPATCH_POLICY, expectedCost: scenario.expectedCost }
+    this.dispatcher = Dispatcher.create({
+      clock: this.clock, logger: silentLogger(), registry: this.registry, rates, budget, floorShare: 0.7, policy: () => policy
+    })
   }
 
   static create (scenario: QueueScenario): QueueRun {
@@ -151,7 +160,8 @@
       fingerprint: ticket,
       route: `${pool}-${priority}`,
       charged: false,
-      allowedRegions: []
+      allowedRegions: [],
+      bodyBytes: undefined
     }
   }
 
@@ -191,7 +201,7 @@
       this.registry.announce({
         instance: `${pool}-${index}`,
         pool,
-        address: `${pool}-${index}:80`,
+        address: `10.${Object.keys(POOLS).indexOf(pool)}.0.${index + 1}:80`,
         zone: `zone-${index % 3}`,
         slots: SLOTS,
         draining: false,
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -13,6 +13,7 @@
 import { logEvidence, logLimit, logNotice, logOverdue } from './dispatcher-log.ts'
 import type { EntryConnection, EntryHandover } from './entry-connection.ts'
 import { isEarlyTimeout, placementKey, Placements, type ActivePlacement, type EndedPlacement } from './placements.ts'
+import type { PoolCostSummary } from './pool-costs.ts'
 import type { PoolDispatcher, PoolSnapshot } from './pool-dispatcher.ts'
 import { PoolSet } from './pool-set.ts'
 import type { FleetRetryBudgetSettings } from './fleet-retry-budget.ts'
@@ -161,6 +162,11 @@
     return this.pools.snapshots(this.options.clock.monotonicMilliseconds())
   }
 
+  /** What is learned of the costs of each pool's requests. */
+  costs (): PoolCostSummary[] {
+    return this.pools.costs(this.options.clock.monotonicMilliseconds())
+  }
+
   /** Suspect upstreams, with their probability of failure. */
   suspicions (): Suspicion[] {
     return this.pools.suspicions(this.options.clock.monotonicMilliseconds())
@@ -259,6 +265,7 @@
     if (outcome !== PlacementOutcome.PLACEMENT_OUTCOME_ANSWERED) pool.invalidateState()
     if (end.load !== undefined) standing.recordLoad(end.load, now)
     if (question !== undefined) this.recordRequestEnd(question, end, pool, now)
+    if (placed?.work !== undefined && outcome === PlacementOutcome.PLACEMENT_OUTCOME_ANSWERED) pool.costs.learn(placed.work, end.milliseconds, now)
     if (end.outcome === PlacementOutcome.PLACEMENT_OUTCOME_MISDIRECTED) this.options.registry.takeOut(end.instance)
     if (before !== standing.standing(now) || FAILED_OUTCOMES.has(end.outcome)) logEvidence(this.options.logger, connection.entry, poolName, end, standing, now)
   }
--- a/packages/dispatch/src/pool-dispatcher.ts
+++ b/packages/dispatch/src/pool-dispatcher.ts
@@ -2,11 +2,15 @@
 import type { PlacementQuestion, Suspicion } from '@hickoryspoke/protocol/generated/dispatch'
 import type { Clock } from '@hickoryspoke/runtime/clock'
 import { defaultPolicy, type PolicySource } from './dispatch-policy.ts'
+import { expectedFinishOf } from './expected-finish.ts'
 import { InstanceStanding, STANDING, type Standing } from './instance-standing.ts'
+import { PoolCosts, type StartedWork } from './pool-costs.ts'
+import { PoolStateCache } from './pool-state.ts'
+import type { CostEstimate } from './request-costs.ts'
 import { ResponseTimes } from './response-times.ts'
 import { SoundShares } from './sound-shares.ts'
 import { UnservedShare } from './unserved-share.ts'
-import { chooseUpstream, IDLE_MILLISECONDS, successProbability, type Candidate, type ChoiceContext, type UpstreamChoice } from './upstream-choice.ts'
+import { chooseUpstream, type Candidate, type ChoiceContext, type UpstreamChoice } from './upstream-choice.ts'
 import type { UpstreamLimits } from './upstream-limits.ts'
 import type { RegisteredUpstream } from './upstream-registry.ts'
 import { WaitingQueue, type WaitingQuestion } from './waiting-queue.ts'
@@ -41,6 +45,10 @@
   readonly slackMilliseconds: number
   /** How long it can wait and still be answered at all, in milliseconds. */
   readonly lateSlackMilliseconds: number
+  /** Time left until its target, in milliseconds; below 0 it is late. */
+  readonly targetLeftMilliseconds: number
+  /** Time left until its deadline, in milliseconds. */
+  readonly patienceLeftMilliseconds: number
 }
 
 /** Highest required probability of success, relative to the best upstream; low enough that an upstream without evidence always qualifies. */
@@ -50,22 +58,10 @@
 /** Value of a late answer, relative to one in time. */
 const LATE_VALUE = 0.55
 
-/** Values derived from all upstreams of a pool, cached for a short time. */
-interface PoolState {
-  readonly at: number
-  /** Slots of all upstreams, weighted by their probability of success. */
-  readonly effectiveSlots: number
-  /** Whether any upstream is sound. */
-  readonly hasSound: boolean
-  /** Share of the upstreams that recently received a request. */
-  readonly activeShare: number
-  /** Highest probability of success among the upstreams, free or not. */
-  readonly bestSuccess: number
-}
-
-const STATE_CACHE_MILLISECONDS = 10
 /** Free upstreams that a request is offered at once; larger pools are examined in turn. */
 const SAMPLE_UPSTREAMS = 32
+/** The same in larger pools where the expected end at each is compared, which costs twice as much. */
+const SAMPLE_UPSTREAMS_BY_COST = 16
 /** A group of waiting requests is no longer drained after this many could not be placed. */
 const MAXIMUM_FAILED_TRIES = 4
 /** Requests that wait for upstreams of some regions only are passed over without counting, up to this place in their group. */
@@ -75,6 +71,7 @@
 export class PoolDispatcher {
   readonly standings = new Map<string, InstanceStanding>()
   readonly responseTimes = ResponseTimes.create()
+  readonly costs: PoolCosts
   readonly unserved = UnservedShare.create()
   readonly line = WaitingQueue.create()
   private readonly shares = SoundShares.create()
@@ -85,7 +82,7 @@
   private nextExamined = -1
   /** The free upstreams among which a request is placed; kept, as it is filled for each request. */
   private readonly sample: Candidate[] = []
-  private state: PoolState = { at: -Infinity, effectiveSlots: 0, hasSound: false, bestSuccess: 0, activeShare: 0 }
+  private readonly state: PoolStateCache
 
   private constructor (
     private readonly clock: Clock,
@@ -93,7 +90,10 @@
     private readonly minimumActiveShare: number,
     readonly policy: PolicySource,
     private readonly zones: DispatcherZoneView
-  ) {}
+  ) {
+    this.costs = PoolCosts.create(policy)
+    this.state = PoolStateCache.create({ responseTimes: this.responseTimes, costs: this.costs, zones })
+  }
 
   /** `floorShare` is the share of sound upstreams that must receive requests; 0 for none. */
   static create (
@@ -107,8 +107,12 @@
     const { instance, gone, born } = upstream.announced
     const standing = this.standingOf(instance)
     standing.availability.recordStart(born)
-    if (gone) this.upstreams.delete(instance)
-    else this.upstreams.set(instance, { upstream, standing })
+    if (gone) {
+      this.upstreams.delete(instance)
+      this.costs.forget(instance)
+    } else {
+      this.upstreams.set(instance, { upstream, standing, work: this.costs.upstream(instance) })
+    }
     this.updateServing()
   }
 
@@ -153,9 +157,21 @@
     return created
   }
 
-  /** Mean duration of requests on the same route, or of all requests of the pool while that is unknown. */
+  /** The estimated cost of a request; undefined without the policy or while nothing is known. */
+  estimate (question: PlacementQuestion): CostEstimate | undefined {
+    return this.costs.estimate(question, this.clock.monotonicMilliseconds())
+  }
+
+  /** Tracks the work of a request that was placed on an upstream. */
+  startWork (question: PlacementQuestion, instance: string, now: number): StartedWork | undefined {
+    const slots = this.upstreams.get(instance)?.upstream.announced.slots ?? 0
+    return this.costs.start(question, instance, this.standingOf(instance).inFlight, slots, now)
+  }
+
+  /** Mean duration of requests on the same route, or of all requests of the pool while that is unknown; that of requests like this one where it is longer. */
   usualMilliseconds (question: PlacementQuestion): number {
-    return this.responseTimes.usualMilliseconds(question.route) || this.responseTimes.meanMilliseconds()
+    const known = this.responseTimes.usualMilliseconds(question.route) || this.responseTimes.meanMilliseconds()
+    return Math.max(known, this.estimate(question)?.mean ?? 0)
   }
 
   /** Chooses an upstream with a free slot; undefined when the request should wait. Looks at some of a large pool only, unless none of them will do. */
@@ -187,7 +203,8 @@
   private sampleFree (question: PlacementQuestion, requester: RequestingEntry, now: number, limit: number): number {
     this.sample.length = 0
     let examined = 0
-    while (examined < limit && this.sample.length < SAMPLE_UPSTREAMS) {
+    const wanted = this.costs.isEnabled && !this.isSmall ? SAMPLE_UPSTREAMS_BY_COST : SAMPLE_UPSTREAMS
+    while (examined < limit && this.sample.length < wanted) {
       this.nextExamined = (this.nextExamined + 1) % this.serving.length
       examined += 1
       const candidate = this.serving[this.nextExamined] as Candidate
@@ -198,7 +215,8 @@
 
   private contextOf (question: PlacementQuestion, requester: RequestingEntry, now: number, terms: ChoiceConstraints): ChoiceContext {
     const isStressed = this.unserved.isStressed(now)
-    const { activeShare, hasSound, bestSuccess } = this.stateAt(now)
+    const { activeShare, hasSound, bestSuccess, outlook } = this.state.at(this.serving, now)
+    const estimate = this.costs.estimate(question, now)
     return {
       now,
       zone: requester.zone,
@@ -206,13 +224,14 @@
       isSpreading: isStressed || activeShare < this.minimumActiveShare,
       isStressed,
       hasSound,
+      expected: expectedFinishOf({ estimate, outlook, question, zone: requester.zone, terms, waiting: this.line.length, now }),
       minimumSuccess: this.successThreshold(question.priority, terms, now) * bestSuccess
     }
   }
 
   /** Discards the cached pool state, as after a failure. */
   invalidateState (): void {
-    this.state = { ...this.state, at: -Infinity }
+    this.state.invalidate()
   }
 
   /** Whether any upstream, full or not, may take the request. */
@@ -222,7 +241,8 @@
 
   /** Expected wait of a new request with this priority, in milliseconds. */
   expectedWait (priority: number, now: number): number {
-    const { effectiveSlots } = this.stateAt(now)
+    const { effectiveSlots, outlook } = this.state.at(this.serving, now)
+    if (outlook !== undefined) return outlook.waitMilliseconds(outlook.workOf(this.line.ahead(priority), priority, now))
     return effectiveSlots === 0 ? 0 : (this.line.ahead(priority) + 1) * this.responseTimes.meanMilliseconds() / effectiveSlots
   }
 
@@ -279,31 +299,6 @@
     return Math.max(LATE_VALUE, MAXIMUM_SUCCESS_THRESHOLD * remainingSlackShare(this.expectedWait(priority, now), slackMilliseconds))
   }
 
-  private stateAt (now: number): PoolState {
-    if (now - this.state.at < STATE_CACHE_MILLISECONDS) return this.state
-    let effectiveSlots = 0
-    let bestSuccess = 0
-    let active = 0
-    let hasSound = false
-    for (const candidate of this.serving) {
-      const { standing } = candidate
-      const success = successProbability(standing, now)
-      effectiveSlots += this.usableSlots(candidate, now) * success
-      bestSuccess = Math.max(bestSuccess, success)
-      if (standing.standing(now) === STANDING.sound) hasSound = true
-      if (standing.millisecondsSincePlacement(now) < IDLE_MILLISECONDS) active += 1
-    }
-    this.state = { at: now, effectiveSlots, hasSound, bestSuccess, activeShare: active / Math.max(1, this.serving.length) }
-    return this.state
-  }
-
-  /** Mean number of slots that requests can use, given the limit that the upstream states and that of a cold one. */
-  private usableSlots ({ upstream, standing }: Candidate, now: number): number {
-    const slots = this.zones.usableSlots(upstream.announced.zone, upstream.announced.slots)
-    const rate = standing.limit.currentRate(now)
-    return rate === Infinity ? slots : Math.min(slots, rate * this.responseTimes.meanMilliseconds() / 1_000)
-  }
-
   private isServing (candidate: Candidate): boolean {
     return !isLeaving(candidate) && !this.zones.isEvacuated(candidate.upstream.announced.zone)
   }
--- a/packages/dispatch/src/tests/fixture.ts
+++ b/packages/dispatch/src/tests/fixture.ts
@@ -43,6 +43,7 @@
     route: 'withdraw',
     charged: false,
     allowedRegions: [],
+    bodyBytes: undefined,
     ...changes
   }
 }
--- a/packages/dispatch/src/upstream-choice.ts
+++ b/packages/dispatch/src/upstream-choice.ts
@@ -1,12 +1,15 @@
 /** Chooses the upstream for a request, by probability of success, load, speed and availability zone. */
+import type { ExpectedFinish } from './expected-finish.ts'
 import { FAILING_SHARES } from './failure-estimate.ts'
 import { STANDING, type InstanceStanding } from './instance-standing.ts'
 import type { RegisteredUpstream } from './upstream-registry.ts'
+import type { UpstreamWork } from './upstream-work.ts'
 
 /** An upstream of a pool, with its tracked state. */
 export interface Candidate {
   readonly upstream: RegisteredUpstream
   readonly standing: InstanceStanding
+  readonly work: UpstreamWork
 }
 
 /** The state of the request and its pool on which the choice depends. */
@@ -24,6 +27,8 @@
   readonly hasSound: boolean
   /** Required probability of success; below it, the request waits. */
   readonly minimumSuccess: number
+  /** What is expected of the request; undefined where it is not estimated. */
+  readonly expected: ExpectedFinish | undefined
 }
 
 // Costs are relative to the cost of a lost request, which is 1.
@@ -50,8 +55,8 @@
 /** The same interval while no upstream of the pool is sound. */
 const SUSPECT_INTERVAL_WITHOUT_SOUND_MILLISECONDS = 60
 
-/** Returns the cost of a candidate; undefined when the rule does not apply to it. */
-type Rule = (candidate: Candidate, context: ChoiceContext) => number | undefined
+/** Returns the cost of a candidate, or any value from `limit` on if it is not below that; undefined when the rule does not apply to it. */
+type Rule = (candidate: Candidate, context: ChoiceContext, limit: number) => number | undefined
 
 /** Rules by precedence: a candidate of an earlier rule is always preferred to one of a later rule. */
 const RULES: readonly Rule[] = [newUpstreamCost, probeCost, idleCost, defaultCost]
@@ -70,7 +75,7 @@
   let bestCost = Infinity
   for (const candidate of candidates) {
     for (let rule = 0; rule <= bestRule; rule += 1) {
-      const cost = (RULES[rule] as Rule)(candidate, context)
+      const cost = (RULES[rule] as Rule)(candidate, context, rule === bestRule ? bestCost : Infinity)
       if (cost === undefined) continue
       if (rule === bestRule && cost >= bestCost) break
       best = candidate
@@ -114,11 +119,12 @@
   return standing.failureProbability(now)
 }
 
-function defaultCost (candidate: Candidate, context: ChoiceContext): number | undefined {
+function defaultCost (candidate: Candidate, context: ChoiceContext, limit: number): number | undefined {
   const { now, minimumSuccess } = context
   const success = successProbability(candidate.standing, now)
   if (success < minimumSuccess || isTriedRecently(candidate, context)) return undefined
-  return 1 - success + placementCost(candidate, context)
+  const cost = placementCost(candidate, context, limit - 1 + success)
+  return cost === undefined ? undefined : 1 - success + cost
 }
 
 /** Whether a suspect upstream was tried so recently that it is skipped. One that fails fast always has free slots and would attract all waiting requests. */
@@ -128,10 +134,16 @@
   return standing.millisecondsSincePlacement(now) < interval * standing.failureProbability(now) ** 2
 }
 
-function placementCost ({ upstream, standing }: Candidate, { now, zone }: ChoiceContext): number {
+/** Undefined where waiting for another upstream is better. */
+function placementCost (candidate: Candidate, { now, zone, expected }: ChoiceContext, limit: number): number | undefined {
+  const { upstream, standing } = candidate
+  const coldCost = now < upstream.warmupEndsAt ? COLD_COST : 0
+  if (expected !== undefined) {
+    const finishCost = expected.costOf(candidate, limit - coldCost)
+    return finishCost === undefined ? undefined : coldCost + finishCost
+  }
   const utilization = (standing.inFlight + 1) / Math.max(1, upstream.announced.slots)
   const utilizationCost = utilization <= PREFERRED_UTILIZATION ? -UTILIZATION_BONUS * utilization : NEARLY_FULL_COST * utilization
-  const coldCost = now < upstream.warmupEndsAt ? COLD_COST : 0
   const zoneCost = upstream.announced.zone === zone ? 0 : OTHER_ZONE_COST
   return utilizationCost + coldCost + zoneCost + SLOWNESS_COST * Math.max(0, standing.slowness - 1)
 }
--- a/packages/request/src/dispatched-run.ts
+++ b/packages/request/src/dispatched-run.ts
@@ -285,7 +285,8 @@
       fingerprint: hashName([this.customer, this.exchange.method, this.exchange.target, this.admission.bodyDigest(admitted)].join('\n')) % FINGERPRINT_MODULUS,
       route: route.name,
       charged: this.history.excluded.length > 0 || this.isCharged,
-      allowedRegions: [...this.admission.allowedRegions]
+      allowedRegions: [...this.admission.allowedRegions],
+      bodyBytes: admitted.body.bytes
     }
   }
 
