Measure dispatch-queue announces upstreams with valid addresses

The registry refuses announcements whose address is not IP:PORT since announcements are checked, so the measured dispatcher had no upstreams: every end cost 0 us and questions 2.3 to 3.8 us.

--- a/packages/bench/src/measure-dispatch-queue.ts
+++ b/packages/bench/src/measure-dispatch-queue.ts
@@ -93,7 +93,7 @@
     const rates = CustomerRateLimiter.createWithFullBursts()
     const budget = { ratio: 0.2, slack: 208, windowMilliseconds: 10_000 }
     this.entries = Array.from({ length: ENTRIES }, (_, index) => this.createEntry(`entry-${index}`, `zone-${index % 3}`))
-    for (const [pool, count] of Object.entries(POOLS)) this.announce(pool, count)
+    Object.entries(POOLS).forEach(([pool, count], number) => this.announce(pool, count, number))
     this.dispatcher = Dispatcher.create({ clock: this.clock, logger: silentLogger(), registry: this.registry, rates, budget, floorShare: 0.7 })
   }
 
@@ -185,12 +185,12 @@
     return connection
   }
 
-  private announce (pool: string, count: number): void {
+  private announce (pool: string, count: number, number: number): void {
     for (let index = 0; index < count; index += 1) {
       this.registry.announce({
         instance: `${pool}-${index}`,
         pool,
-        address: `${pool}-${index}:80`,
+        address: `10.${number}.0.${index}:80`,
         zone: `zone-${index % 3}`,
         slots: SLOTS,
         draining: false,
