Fair admission where the policy asks for it

When callers compete for the slots of a pool, waiting requests were served in the order of their arrival, so a customer with many times its usual requests displaced all others, and every caller refused at one moment was told the same time.

With fairAdmission, requests of one priority wait by customer in turn (fair-line.ts), a request is decided by the wait in its own place (pool-admission.ts), and refused callers get reservations on a schedule, for slots per pool and for tokens per customer (return-schedule.ts). A returning caller is recognised by customer and fingerprint, then by customer, and goes before the other requests of its own customer only. A refund is void if the customer's bucket has been full since the charge. Off, the calls are those of before.

--- a/packages/dispatch/src/customer-rate-limiter.ts
+++ b/packages/dispatch/src/customer-rate-limiter.ts
@@ -27,6 +27,8 @@
   terms: RateLimit
   /** Tokens already added because of the entries' reports. */
   credited: number
+  /** When it was found full last, in monotonic milliseconds. */
+  fullAt: number
 }
 
 /** Share of the allowed overage that a new dispatcher hands out before the entries have reported what they admitted. */
@@ -65,20 +67,23 @@
     for (const { customer, requests } of admitted) this.reportedRequests.set(customer, (this.reportedRequests.get(customer) ?? 0) + requests)
   }
 
-  /** Takes one token from the customer's bucket; false when it is empty. */
-  tryTake (customer: string, now: number): boolean {
+  /** Takes one token from the customer's bucket; false when there is none beyond those that are `held` for others. */
+  tryTake (customer: string, now: number, held = 0): boolean {
     const terms = this.limitOf(customer)
     if (terms === undefined || terms.rate <= 0) return true
     const bucket = this.refill(customer, terms, now)
-    if (bucket.tokens < 1) return false
+    if (bucket.tokens < 1 + held) return false
     bucket.tokens -= 1
     return true
   }
 
-  /** Returns the token of a request that was not placed. */
-  refund (customer: string): void {
+  /**
+   * Returns the token of a request that was not placed. If the bucket has been full since it was charged, the token would have been lost
+   * without the charge as well; to return it would let a customer that waits exceed its burst.
+   */
+  refund (customer: string, chargedAt = Infinity): void {
     const bucket = this.buckets.get(customer)
-    if (bucket !== undefined) bucket.tokens = Math.min(bucket.terms.burst, bucket.tokens + 1)
+    if (bucket !== undefined && bucket.fullAt <= chargedAt) bucket.tokens = Math.min(bucket.terms.burst, bucket.tokens + 1)
   }
 
   /** Milliseconds until the customer's bucket has a token. */
@@ -88,12 +93,19 @@
     return Math.ceil(Math.max(0, 1 - bucket.tokens) / bucket.terms.rate * 1000)
   }
 
+  /** Milliseconds in which the customer's bucket gets one token; 0 when there is no limit. */
+  refillMilliseconds (customer: string): number {
+    const rate = this.limitOf(customer)?.rate ?? 0
+    return rate <= 0 ? 0 : 1_000 / rate
+  }
+
   private refill (customer: string, terms: RateLimit, now: number): Bucket {
     const size = Math.max(1, terms.burst)
-    const bucket = this.buckets.get(customer) ?? { tokens: this.initialTokens(terms, size), refilledAt: now, terms, credited: 0 }
+    const bucket = this.buckets.get(customer) ?? { tokens: this.initialTokens(terms, size), refilledAt: now, terms, credited: 0, fullAt: -Infinity }
     const credit = this.creditOf(customer, terms)
     bucket.terms = { rate: terms.rate, burst: size }
     bucket.tokens = Math.min(size, bucket.tokens + credit - bucket.credited + (now - bucket.refilledAt) / 1000 * terms.rate)
+    if (bucket.tokens === size) bucket.fullAt = now
     bucket.credited = credit
     bucket.refilledAt = now
     this.buckets.set(customer, bucket)
--- a/packages/dispatch/src/denial-log.ts
+++ b/packages/dispatch/src/denial-log.ts
@@ -56,6 +56,7 @@
   }
 }
 
-function reasonName (reason: DenialReason): string {
+/** Name of a reason in log lines. */
+export function reasonName (reason: DenialReason): string {
   return (DenialReason[reason] ?? 'unknown').replace('DENIAL_REASON_', '').toLowerCase()
 }
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -11,6 +11,7 @@
 import type { PolicySource } from './dispatch-policy.ts'
 import { logEvidence, logLimit, logNotice, logOverdue } from './dispatcher-log.ts'
 import type { EntryConnection, EntryHandover } from './entry-connection.ts'
+import { FairAdmission } from './fair-admission.ts'
 import { isEarlyTimeout, placementKey, Placements, type ActivePlacement, type EndedPlacement } from './placements.ts'
 import type { PoolDispatcher, PoolSnapshot } from './pool-dispatcher.ts'
 import { PoolSet } from './pool-set.ts'
@@ -51,6 +52,7 @@
   private readonly crashes = CrashTracker.create()
   private readonly placements: Placements
   private readonly waiting: WaitingRequests
+  private readonly fair: FairAdmission
   private readonly denials: DenialLog
   private readonly restoredEntries = new Set<string>()
   private readonly startedAt: number
@@ -60,9 +62,10 @@
     this.limits = UpstreamLimits.create(options.clock)
     this.pools = PoolSet.create(options.clock, this.limits, options.budget, options.floorShare, options.policy)
     this.denials = DenialLog.create(options.clock, options.logger)
-    this.waiting = WaitingRequests.create(options.clock, this.pools, {
+    this.fair = FairAdmission.create({ ...options, policy: options.policy, pools: this.pools })
+    this.waiting = WaitingRequests.create(options.clock, this.pools, this.fair, {
       placed: (connection, question, choice) => this.place(connection, question, choice),
-      expired: (connection, question, retryAfter) => this.refundAndDeny(connection, question, DenialReason.DENIAL_REASON_OVERLOADED, retryAfter)
+      expired: (connection, question, retryAfter, waited) => this.refundAndDeny(connection, question, DenialReason.DENIAL_REASON_OVERLOADED, retryAfter, waited)
     })
     this.placements = Placements.create(options.clock, {
       expired: ({ poolName, instance }) => this.waiting.drainTo(poolName, instance),
@@ -103,12 +106,13 @@
     const refusal = this.admit(question, now)
     if (refusal !== undefined) return this.deny(connection, question, refusal.reason, refusal.retryAfter)
     const pool = this.pools.pool(question.pool)
+    const isReturning = this.fair.arrive(question, pool, now)
     const choice = pool.choose(question, connection, now, constraintsOf(question, pool, this.pools.budget(question.pool), 0, now))
     if (choice !== undefined) return this.place(connection, question, choice)
     if (
       !this.isStartingUp(now) && !pool.hasEligibleUpstream(question, connection, now)
     ) return this.refundAndDeny(connection, question, DenialReason.DENIAL_REASON_NO_UPSTREAM)
-    this.waiting.add(connection, question)
+    this.waiting.add(connection, question, isReturning)
   }
 
   /** Denies a question that came in faster than questions can be handled. Only an earlier question for the request can have been charged. */
@@ -131,6 +135,7 @@
   /** Tries the queues again, since an upstream may become acceptable as time passes. */
   tick (): void {
     for (const name of this.pools.waitingPools()) this.waiting.drain(name)
+    this.fair.tick(this.options.clock.monotonicMilliseconds())
   }
 
   /** Drops all waiting requests and placements; the entries ask the next leader. */
@@ -141,7 +146,8 @@
 
   /** The current state of every pool. */
   snapshots (): PoolSnapshot[] {
-    return this.pools.snapshots(this.options.clock.monotonicMilliseconds())
+    const now = this.options.clock.monotonicMilliseconds()
+    return this.pools.snapshots(now).map((snapshot) => this.fair.extend(snapshot, now))
   }
 
   /** Suspect upstreams, with their probability of failure. */
@@ -188,7 +194,7 @@
     }
     if (question.charged) return undefined
     budget.recordRequest(now)
-    if (question.customer === '' || this.options.rates.tryTake(question.customer, now)) return undefined
+    if (question.customer === '' || this.fair.tryTake(question, now)) return undefined
     return { reason: DenialReason.DENIAL_REASON_RATE, retryAfter: this.options.rates.waitMilliseconds(question.customer) }
   }
 
@@ -198,6 +204,7 @@
     this.release(key)
     const pool = this.pools.pool(question.pool)
     this.placements.add({ key, connection, instance, pool, poolName: question.pool, question, isForced })
+    this.fair.countPlaced(question)
     connection.send({ body: { $case: 'placement', value: { ticket: question.ticket, instance, address } } })
   }
 
@@ -268,13 +275,17 @@
   }
 
   /** Denies an admitted request and returns the token that it took from its customer's rate limit. */
-  private refundAndDeny (connection: EntryConnection, question: PlacementQuestion, reason: DenialReason, retryAfter = MINIMUM_RETRY_AFTER_MILLISECONDS): void {
-    if (question.attempt === 0 && question.customer !== '') this.options.rates.refund(question.customer)
-    this.deny(connection, question, reason, Math.max(MINIMUM_RETRY_AFTER_MILLISECONDS, retryAfter))
+  private refundAndDeny (
+    connection: EntryConnection, question: PlacementQuestion, reason: DenialReason, retryAfter = MINIMUM_RETRY_AFTER_MILLISECONDS, waited = 0
+  ): void {
+    if (question.attempt === 0 && question.customer !== '') this.fair.refund(question, waited)
+    this.deny(connection, question, reason, Math.max(MINIMUM_RETRY_AFTER_MILLISECONDS, retryAfter), waited)
   }
 
-  private deny (connection: EntryConnection, question: PlacementQuestion, reason: DenialReason, retryAfter: number): void {
-    const value = { ticket: question.ticket, reason, retryAfterMilliseconds: Math.ceil(retryAfter) }
+  /** `waited` is how long the request waited, in milliseconds. */
+  private deny (connection: EntryConnection, question: PlacementQuestion, reason: DenialReason, retryAfter: number, waited = 0): void {
+    const retryAfterMilliseconds = Math.ceil(this.fair.returnMilliseconds(question, reason, waited, retryAfter))
+    const value = { ticket: question.ticket, reason, retryAfterMilliseconds }
     const pool = this.pools.pool(question.pool)
     const now = this.options.clock.monotonicMilliseconds()
     pool.unserved.count(true, now)
--- a/packages/dispatch/src/pool-dispatcher.ts
+++ b/packages/dispatch/src/pool-dispatcher.ts
@@ -22,6 +22,10 @@
   readonly limited: number
   /** Number of upstreams by standing. */
   readonly standings: Readonly<Record<Standing, number>>
+  /** Refused callers for whose return room is reserved; absent without fair admission. */
+  readonly reservations?: number
+  /** The longest wait of each priority with waiting requests; absent without fair admission. */
+  readonly longestWaits?: readonly { readonly priority: number, readonly milliseconds: number }[]
 }
 
 /** The entry that a request came from. */
@@ -200,6 +204,11 @@
     return this.serving.some((candidate) => isEligible(candidate, question, requester, now))
   }
 
+  /** Slots of all upstreams, weighted by their probability of success. */
+  effectiveSlots (now: number): number {
+    return this.stateAt(now).effectiveSlots
+  }
+
   /** Expected wait of a new request with this priority, in milliseconds. */
   expectedWait (priority: number, now: number): number {
     const { effectiveSlots } = this.stateAt(now)
@@ -243,7 +252,7 @@
   }
 
   private placeWaiting (waiting: WaitingQuestion, choice: UpstreamChoice): void {
-    this.line.withdraw(waiting)
+    this.line.serve(waiting)
     waiting.resolve(choice)
   }
 
--- a/packages/dispatch/src/tests/fixture.ts
+++ b/packages/dispatch/src/tests/fixture.ts
@@ -3,6 +3,7 @@
 import type { Clock } from '@hickoryspoke/runtime/clock'
 import { FakeClock } from '@hickoryspoke/testing/fake-clock'
 import { CustomerRateLimiter } from '../customer-rate-limiter.ts'
+import { DEFAULT_DISPATCH_POLICY } from '../dispatch-policy.ts'
 import { DispatchService } from '../dispatch-service.ts'
 import { Dispatcher } from '../dispatcher.ts'
 import type { EntryConnection } from '../entry-connection.ts'
@@ -69,14 +70,14 @@
 }
 
 /** Creates a dispatcher with the given upstreams; `rate` is the rate and burst of every customer. */
-export function createDispatcher (upstreams: readonly AnnouncedUpstream[], rate = 1_000, floorShare = 0) {
+export function createDispatcher (upstreams: readonly AnnouncedUpstream[], rate = 1_000, floorShare = 0, policy = DEFAULT_DISPATCH_POLICY) {
   const clock = FakeClock.create()
   const registry = UpstreamRegistry.create(clock)
   const rates = CustomerRateLimiter.createWithFullBursts()
   rates.setLimits(() => ({ rate, burst: rate }))
   for (const upstream of upstreams) registry.announce(upstream)
   const budget = { ratio: 0.2, slack: 10, windowMilliseconds: 10_000 }
-  const dispatcher = Dispatcher.create({ clock, logger: silentLogger(), registry, rates, budget, floorShare })
+  const dispatcher = Dispatcher.create({ clock, logger: silentLogger(), registry, rates, budget, floorShare, policy: () => policy })
   registry.onChange((changed) => dispatcher.updateUpstreams(changed))
   return { clock, registry, dispatcher }
 }
--- a/packages/dispatch/src/waiting-requests.ts
+++ b/packages/dispatch/src/waiting-requests.ts
@@ -3,6 +3,7 @@
 import type { Clock } from '@hickoryspoke/runtime/clock'
 import { Deadlines } from './deadlines.ts'
 import type { EntryConnection } from './entry-connection.ts'
+import type { FairAdmission } from './fair-admission.ts'
 import { placementKey } from './placements.ts'
 import type { ChoiceConstraints, PoolDispatcher } from './pool-dispatcher.ts'
 import type { PoolSet } from './pool-set.ts'
@@ -13,8 +14,8 @@
 /** Notified of how waits end. */
 export interface WaitingRequestsListener {
   placed (connection: EntryConnection, question: PlacementQuestion, choice: UpstreamChoice): void
-  /** It is too late to answer the request; callers may come again after this time in milliseconds. */
-  expired (connection: EntryConnection, question: PlacementQuestion, retryAfter: number): void
+  /** It is too late to answer the request, which waited for some time; callers may come again after this time. Both in milliseconds. */
+  expired (connection: EntryConnection, question: PlacementQuestion, retryAfter: number, waited: number): void
 }
 
 /** What is kept of a waiting request. Times are monotonic milliseconds. */
@@ -35,28 +36,34 @@
   /** When each becomes late or is given up. */
   private readonly deadlines: Deadlines<Wait>
 
-  private constructor (private readonly clock: Clock, private readonly pools: PoolSet, private readonly listener: WaitingRequestsListener) {
+  private constructor (
+    private readonly clock: Clock, private readonly pools: PoolSet, private readonly fair: FairAdmission, private readonly listener: WaitingRequestsListener
+  ) {
     this.deadlines = Deadlines.create(clock, (wait) => this.handleDeadline(wait))
   }
 
-  static create (clock: Clock, pools: PoolSet, listener: WaitingRequestsListener): WaitingRequests {
-    return new WaitingRequests(clock, pools, listener)
+  static create (clock: Clock, pools: PoolSet, fair: FairAdmission, listener: WaitingRequestsListener): WaitingRequests {
+    return new WaitingRequests(clock, pools, fair, listener)
   }
 
-  /** Queues a request, or reports it as expired at once where the expected wait is too long. */
-  add (connection: EntryConnection, question: PlacementQuestion): void {
+  /** Queues a request, or reports it as expired at once where the expected wait is too long. `isReturning` when room was reserved for it. */
+  add (connection: EntryConnection, question: PlacementQuestion, isReturning = false): void {
     const now = this.clock.monotonicMilliseconds()
     const pool = this.pools.pool(question.pool)
     const maximumWait = lateSlackOf(question, pool)
     const expected = pool.expectedWait(question.priority, now)
-    if (expected >= maximumWait) return this.listener.expired(connection, question, expected)
+    const isFair = this.fair.isOn
+    if (isFair ? !this.fair.mayWait(question, pool, isReturning, now) : expected >= maximumWait) {
+      return this.listener.expired(connection, question, expected, 0)
+    }
     const key = placementKey(connection.entry, question.ticket)
     const lateAt = now + Math.max(0, slackOf(question, pool))
     const resolve = (choice: UpstreamChoice | undefined): void => this.finish(wait, choice)
     const wait: Wait = { question, requester: connection, since: now, key, lateAt, givenUpAt: now + maximumWait, expected, resolve }
     this.waiting.set(key, wait)
     this.deadlines.set(wait, Math.min(lateAt, wait.givenUpAt))
-    pool.line.add(wait)
+    if (isFair) pool.line.addFair(wait, isReturning)
+    else pool.line.add(wait)
   }
 
   /** Ends the wait of a request without placing it; false when it does not wait. */
@@ -112,12 +119,13 @@
     const pool = this.poolOf(wait)
     if (!pool.line.moveToLate(wait)) return
     this.tryPlace(wait)
-    if (pool.expectedWait(Infinity, now) > lateSlackOf(wait.question, pool) - (now - wait.since)) this.giveUp(wait)
+    const expected = this.fair.isOn ? this.fair.expectedLateWait(wait.question, pool, now) : pool.expectedWait(Infinity, now)
+    if (expected > lateSlackOf(wait.question, pool) - (now - wait.since)) this.giveUp(wait)
   }
 
   private giveUp (wait: Wait): void {
     this.tryPlace(wait)
-    if (this.cancel(wait.key)) this.listener.expired(wait.requester, wait.question, wait.expected)
+    if (this.cancel(wait.key)) this.listener.expired(wait.requester, wait.question, wait.expected, this.clock.monotonicMilliseconds() - wait.since)
   }
 
   private tryPlace (waiting: WaitingQuestion): void {
