Entries name times to return that differ, to the millisecond, where the settings ask for it

An entry rounded every Retry-After up to whole seconds, at least one, so callers that the dispatcher told different times came back together, and later than most of them honour: a third of 4,000 ms is 1,333 ms. Refusals of an entry itself named 500 ms for all. Tests: whole seconds and 500 ms otherwise. The test fixtures take the new option; no existing test changed.

--- a/packages/dispatch/src/admission-report.ts
+++ b/packages/dispatch/src/admission-report.ts
@@ -1,6 +1,5 @@
 /** Log lines of what a pool refused and for whom, at most one for each pool in an interval. */
-import type { DenialReason } from '@hickoryspoke/protocol/generated/dispatch'
-import { type PlacementQuestion } from '@hickoryspoke/protocol/generated/dispatch'
+import type { DenialReason, PlacementQuestion } from '@hickoryspoke/protocol/generated/dispatch'
 import type { Logger } from '@hickoryspoke/telemetry/logger'
 import { reasonName } from './denial-log.ts'
 
--- a/packages/dispatch/src/placement-client.ts
+++ b/packages/dispatch/src/placement-client.ts
@@ -5,8 +5,10 @@
 } from '@hickoryspoke/protocol/generated/dispatch'
 import { sleep, type Clock } from '@hickoryspoke/runtime/clock'
 import { Failure } from '@hickoryspoke/runtime/failure'
+import type { RandomSource } from '@hickoryspoke/runtime/random'
 import { Err, Ok, type Result } from 'ts-results-es'
 import type { LocalPlacer } from './local-placer.ts'
+import { spreadReturn } from './return-time.ts'
 
 /** The request was denied an upstream, so this placement attempt did not send it anywhere. */
 export class PlacementDenied extends Failure {
@@ -37,6 +39,8 @@
   readonly ask: (question: PlacementQuestion) => boolean
   /** Sends the end of a placement to the dispatcher; false when none can be reached. */
   readonly sendEnd: (end: PlacementEnd) => boolean
+  /** Spreads the times at which callers are told to return while there is no dispatcher; absent where all are told the same. */
+  readonly spread?: RandomSource | undefined
 }
 
 /** The end of a placement, as reported by the request that used it. */
@@ -140,7 +144,7 @@
       if (this.withoutDispatcherMilliseconds >= LOCAL_FALLBACK_MILLISECONDS) return this.placeLocally(question)
       await sleep(clock, RETRY_INTERVAL_MILLISECONDS, signal)
     }
-    return Err(PlacementDenied.create(DenialReason.DENIAL_REASON_OVERLOADED, RETRY_AFTER_MILLISECONDS))
+    return Err(this.deny(question, DenialReason.DENIAL_REASON_OVERLOADED))
   }
 
   /** Records what the head of a response says. The end of a long response may come much later. */
@@ -191,15 +195,20 @@
   private placeLocally (question: PlacementQuestion): Result<PlacedRequest, PlacementDenied> {
     const { placer } = this.options
     if (question.attempt === 0 && !question.charged && !placer.admit(question.customer)) {
-      return Err(PlacementDenied.create(DenialReason.DENIAL_REASON_RATE, RETRY_AFTER_MILLISECONDS))
+      return Err(this.deny(question, DenialReason.DENIAL_REASON_RATE))
     }
-    if (question.attempt > 0) return Err(PlacementDenied.create(DenialReason.DENIAL_REASON_BUDGET, RETRY_AFTER_MILLISECONDS))
+    if (question.attempt > 0) return Err(this.deny(question, DenialReason.DENIAL_REASON_BUDGET))
     const upstream = placer.choose(question)
-    if (upstream === undefined) return Err(PlacementDenied.create(DenialReason.DENIAL_REASON_NO_UPSTREAM, RETRY_AFTER_MILLISECONDS))
+    if (upstream === undefined) return Err(this.deny(question, DenialReason.DENIAL_REASON_NO_UPSTREAM))
     const { instance, address } = upstream.announced
     return Ok(this.addPlacement({ ticket: question.ticket, instance, address }, true))
   }
 
+  private deny ({ patienceMilliseconds }: PlacementQuestion, reason: DenialReason): PlacementDenied {
+    const { spread } = this.options
+    return PlacementDenied.create(reason, spread === undefined ? RETRY_AFTER_MILLISECONDS : spreadReturn(spread.next(), patienceMilliseconds))
+  }
+
   private acceptPlacement (question: PlacementQuestion, placement: Placement): PlacedRequest {
     if (question.attempt === 0 && question.customer !== '') this.options.placer.countAdmission(question.customer)
     return this.addPlacement(placement, false)
--- a/packages/dispatch/src/tests/placement-client.test.ts
+++ b/packages/dispatch/src/tests/placement-client.test.ts
@@ -1,5 +1,5 @@
 import { DenialReason, PlacementOutcome, type PlacementEnd, type PlacementQuestion } from '@hickoryspoke/protocol/generated/dispatch'
-import { SeededRandom } from '@hickoryspoke/runtime/random'
+import { SeededRandom, type RandomSource } from '@hickoryspoke/runtime/random'
 import { FakeClock, flushPromises } from '@hickoryspoke/testing/fake-clock'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
@@ -8,7 +8,7 @@
 import { UpstreamRegistry } from '../upstream-registry.ts'
 import { announcement, question } from './fixture.ts'
 
-function createClient () {
+function createClient (spread?: RandomSource) {
   const clock = FakeClock.create()
   const registry = UpstreamRegistry.create(clock)
   registry.announce(announcement({ instance: 'a' }))
@@ -27,7 +27,8 @@
     sendEnd: (value) => {
       if (state.reachable) ended.push(value)
       return state.reachable
-    }
+    },
+    spread
   })
   client.connected()
   return { clock, client, asked, ended, state, placer, registry }
@@ -197,4 +198,28 @@
   assert.equal(ended.map(({ ticket, instance }) => ({ ticket, instance })), [{ ticket: 1, instance: 'a' }])
 })
 
+/** Times to return of requests that an entry without a dispatcher refuses at one moment. */
+async function localReturnTimes (spread: RandomSource | undefined): Promise<number[]> {
+  const { clock, client, state, registry } = createClient(spread)
+  registry.announce(announcement({ instance: 'a', gone: true, sequence: 2 }))
+  state.reachable = false
+  client.lost()
+  clock.advance(1_000)
+  const refused = await Promise.all(Array.from({ length: 50 }, async (_, index) => await client.place(question(index + 1), neverAborted)))
+  return refused.map((placed) => placed.isErr() ? placed.error.retryAfterMilliseconds : -1)
+}
+
+// Guards against a burst of callers that return together to a fleet without a leader.
+test('without a dispatcher, callers are told times spread over what they honour where the deployment asks for it', async () => {
+  const times = await localReturnTimes(SeededRandom.create(5))
+  assert.ok(Math.min(...times) >= 200 && Math.max(...times) <= 5_000 / 3)
+  for (let from = 200; from < 1_400; from += 400) {
+    assert.ok(times.filter((time) => time >= from && time < from + 400).length >= 5, `few return from ${from} ms on`)
+  }
+})
+
+test('otherwise all are told the same time, as before', async () => {
+  assert.equal(new Set(await localReturnTimes(undefined)), new Set([500]))
+})
+
 test.run()
--- a/packages/entry/src/dispatched-entry.ts
+++ b/packages/entry/src/dispatched-entry.ts
@@ -38,6 +38,8 @@
   readonly freshMilliseconds: number
   /** Window over which a customer's rate is measured. */
   readonly rateWindowMilliseconds: number
+  /** Whether refused callers are told different times to return, in fractions of a second; false by default. */
+  readonly spreadsReturns?: boolean
   /** Time from the stop signal until the process must have ended. */
   readonly stopMilliseconds: number
   /** Inner addresses of control VMs; called for each new connection. */
@@ -93,7 +95,8 @@
       placer: this.placer,
       isLeaving: (instance) => this.registry.isLeaving(instance),
       ask: (value) => this.link.send({ body: { $case: 'question', value } }),
-      sendEnd: (value) => this.link.send({ body: { $case: 'end', value } })
+      sendEnd: (value) => this.link.send({ body: { $case: 'end', value } }),
+      spread: settings.spreadsReturns === true ? random : undefined
     })
     this.link = LeaderConnection.create({
       name,
@@ -140,7 +143,14 @@
       isUnwanted: (address) => this.placer.isUnwanted(this.registry.instanceAt(address))
     })
     this.runner = DispatchedRunner.create({
-      clock, random, dialect, connections: this.upstreams.connections, placementClient: this.placementClient, inForce: this.inForce, table: () => this.table
+      clock,
+      random,
+      dialect,
+      connections: this.upstreams.connections,
+      placementClient: this.placementClient,
+      inForce: this.inForce,
+      table: () => this.table,
+      spreadsReturns: settings.spreadsReturns
     }, logger, this.entryMetrics)
     this.entryMetrics.follow({
       inForce: this.inForce,
--- a/packages/entry/src/tests/dispatched-fixture.ts
+++ b/packages/entry/src/tests/dispatched-fixture.ts
@@ -52,8 +52,15 @@
   readonly timeoutMilliseconds?: number
 }
 
+/** Options of the runner of an entry. */
+export interface RunFixtureOptions {
+  readonly spreadsReturns?: boolean
+}
+
 /** Starts an entry whose dispatcher receives questions. `answer` gets the client and each question. */
-export async function startDispatched (answer: (client: PlacementClient, question: PlacementQuestion) => void, options: DispatchedFixtureOptions = {}) {
+export async function startDispatched (
+  answer: (client: PlacementClient, question: PlacementQuestion) => void, options: DispatchedFixtureOptions = {}, run: RunFixtureOptions = {}
+) {
   const clock = SystemClock.create()
   const random = SeededRandom.create(1)
   const placer = LocalPlacer.create({ clock, random, registry: UpstreamRegistry.create(clock), entry: 'one', zone: 'zone-a', windowMilliseconds: 5_000 })
@@ -68,7 +75,7 @@
   inForce.recordQuestion(1)
   inForce.confirm(1, 0)
   const table = ServingTable.create({ ...CONFIGURATION, routes: [{ ...ROUTE, ...options }, SLOW_ROUTE] })
-  const runOptions = { clock, random, dialect: DIALECT, connections: UpstreamConnections.create(clock), placementClient, inForce, table: () => table }
+  const runOptions = { clock, random, dialect: DIALECT, connections: UpstreamConnections.create(clock), placementClient, inForce, table: () => table, ...run }
   const outcomes: DispatchedOutcome[] = []
   const lines: string[] = []
   const logger = Logger.create('entry', LogLevel.Info, (line) => lines.push(line))
--- a/packages/request/src/dispatched-refusal.ts
+++ b/packages/request/src/dispatched-refusal.ts
@@ -28,7 +28,7 @@
 
 /** A refusal after which the caller may soon try again. */
 export function retryableRefusal (code: RefusalCode, message?: string): Refusal {
-  return Refusal.create(code, message, RETRY_AFTER_MILLISECONDS)
+  return Refusal.create(code, message, RETRY_AFTER_MILLISECONDS, true)
 }
 
 /** Replaces a refusal that claims "not run" if an earlier attempt may have run. */
--- a/packages/request/src/dispatched-run.ts
+++ b/packages/request/src/dispatched-run.ts
@@ -2,6 +2,7 @@
 import type { ServingRoute } from '@hickoryspoke/configuration/serving-configuration'
 import type { ActiveConfiguration } from '@hickoryspoke/dispatch/active-configuration'
 import type { PlacedRequest, PlacementDenied, PlacementClient } from '@hickoryspoke/dispatch/placement-client'
+import { spreadReturn } from '@hickoryspoke/dispatch/return-time'
 import type { PlacementQuestion } from '@hickoryspoke/protocol/generated/dispatch'
 import type { Clock } from '@hickoryspoke/runtime/clock'
 import { hashName } from '@hickoryspoke/runtime/hashing'
@@ -34,6 +35,8 @@
   readonly inForce: ActiveConfiguration
   /** Tables of the current configuration; undefined before the first. */
   readonly table: () => ServingTable | undefined
+  /** Whether refused callers are told different times to return, in fractions of a second; false by default. */
+  readonly spreadsReturns?: boolean | undefined
 }
 
 /** An admitted request whose time runs. */
@@ -48,6 +51,8 @@
 const FINGERPRINT_MODULUS = 2 ** 48
 /** Priority of a request whose customer and route have none; 0 is the most urgent. */
 const DEFAULT_PRIORITY = 0
+/** Callers that state no deadline, on no known route, are told to return within a third of this. */
+const UNSTATED_PATIENCE_MILLISECONDS = 3_000
 
 /** Processes one request from its head to its outcome. */
 export class DispatchedRun {
@@ -117,10 +122,18 @@
 
   /** Sends a refusal to the caller. */
   refuse (refusal: Refusal): DispatchedOutcome {
-    relayRefusal(this.exchange, refusal, this.requestId)
+    const { spreadsReturns = false, random } = this.options
+    const named = spreadsReturns && refusal.isTimeUsual ? refusal.withRetryAfter(spreadReturn(random.next(), this.patienceMilliseconds)) : refusal
+    relayRefusal(this.exchange, named, this.requestId, spreadsReturns)
     return this.outcome(refusal.code, refusal.status)
   }
 
+  /** What the caller has left, as far as it is known. */
+  private get patienceMilliseconds (): number {
+    if (this.route !== undefined) return this.remaining(this.route)
+    return (this.caller.patienceMilliseconds ?? UNSTATED_PATIENCE_MILLISECONDS) - (this.options.clock.monotonicMilliseconds() - this.startedAt)
+  }
+
   private async send (admitted: TimedRequest): Promise<DispatchedOutcome> {
     let ticket = this.nextTicket()
     for (;;) {
--- a/packages/request/src/refusal.ts
+++ b/packages/request/src/refusal.ts
@@ -60,13 +60,22 @@
 export class Refusal extends Failure {
   readonly retryAfterMilliseconds: number | undefined
 
-  private constructor (readonly code: RefusalCode, readonly detail: string, retryAfterMilliseconds: number | undefined) {
+  private constructor (
+    readonly code: RefusalCode, readonly detail: string, retryAfterMilliseconds: number | undefined,
+    /** Whether the time is the same for all callers, so that another one may be named. */
+    readonly isTimeUsual: boolean
+  ) {
     super(detail)
     this.retryAfterMilliseconds = retryAfterMilliseconds
   }
 
-  static create (code: RefusalCode, detail: string = REFUSALS[code].title, retryAfterMilliseconds?: number): Refusal {
-    return new Refusal(code, detail, retryAfterMilliseconds)
+  static create (code: RefusalCode, detail: string = REFUSALS[code].title, retryAfterMilliseconds?: number, isTimeUsual = false): Refusal {
+    return new Refusal(code, detail, retryAfterMilliseconds, isTimeUsual)
+  }
+
+  /** The same refusal with another time to return. */
+  withRetryAfter (retryAfterMilliseconds: number): Refusal {
+    return new Refusal(this.code, this.detail, retryAfterMilliseconds, false)
   }
 
   get status (): number {
@@ -78,8 +87,11 @@
   }
 }
 
-/** Formats a refusal as headers and an `application/problem+json` body. The headers are a flat list of names and values. */
-export function formatRefusal (refusal: Refusal, requestId: string): { headers: string[], body: string } {
+/**
+ * Formats a refusal as headers and an `application/problem+json` body. The headers are a flat list of names and values. `Retry-After` is in whole
+ * seconds as HTTP has it, or exact to the millisecond for callers that accept fractions.
+ */
+export function formatRefusal (refusal: Refusal, requestId: string, isExact = false): { headers: string[], body: string } {
   const { title } = REFUSALS[refusal.code]
   const document = { type: 'about:blank', title, status: refusal.status, code: refusal.code, detail: refusal.detail, run: refusal.run, request: requestId }
   const body = JSON.stringify(document)
@@ -90,11 +102,11 @@
     'Hickoryspoke-Run', refusal.run,
     'Hickoryspoke-Request', requestId
   ]
-  if (refusal.retryAfterMilliseconds !== undefined) headers.push('Retry-After', String(retryAfterSeconds(refusal.retryAfterMilliseconds)))
+  if (refusal.retryAfterMilliseconds !== undefined) headers.push('Retry-After', retryAfterSeconds(refusal.retryAfterMilliseconds, isExact))
   if (refusal.code === 'unauthorized') headers.push('WWW-Authenticate', 'Bearer')
   return { headers, body }
 }
 
-function retryAfterSeconds (milliseconds: number): number {
-  return Math.max(1, Math.ceil(milliseconds / 1000))
+function retryAfterSeconds (milliseconds: number, isExact: boolean): string {
+  return isExact ? (Math.ceil(milliseconds) / 1000).toFixed(3) : String(Math.max(1, Math.ceil(milliseconds / 1000)))
 }
--- a/packages/request/src/response-relay.ts
+++ b/packages/request/src/response-relay.ts
@@ -44,13 +44,13 @@
   exchange.answer.end(NO_TRAILERS)
 }
 
-/** Sends a refusal, or closes the connection if a response head has already been sent. */
-export function relayRefusal (exchange: CallerExchange, refusal: Refusal, requestId: string): void {
+/** Sends a refusal, or closes the connection if a response head has already been sent. `isExact` gives the time to return in fractions of a second. */
+export function relayRefusal (exchange: CallerExchange, refusal: Refusal, requestId: string, isExact = false): void {
   if (exchange.answer.isHeadSent) {
     exchange.answer.abort()
     return
   }
-  const { headers, body } = formatRefusal(refusal, requestId)
+  const { headers, body } = formatRefusal(refusal, requestId, isExact)
   exchange.answer.writeHead(refusal.status, headers)
   if (exchange.method !== 'HEAD') exchange.answer.write(Buffer.from(body))
   exchange.answer.end(NO_TRAILERS)
