--- a/packages/dispatch/src/pool-admission.ts
+++ b/packages/dispatch/src/pool-admission.ts
@@ -3,14 +3,16 @@
 import type { Clock } from '@hickoryspoke/runtime/clock'
 import { DemandMeter } from './demand-meter.ts'
 import type { PoolDispatcher } from './pool-dispatcher.ts'
-import { lateSlackOf, slackOf } from './request-slack.ts'
+import { lateSlackOf } from './request-slack.ts'
 import { ReturnSchedule } from './return-schedule.ts'
 import { longestReturn, MINIMUM_RETURN_MILLISECONDS } from './return-time.ts'
 
-/** Reserved room is at most this share of the room that a customer or a pool gets; the rest is for first attempts. With 0.5, fewer are served in time. */
-export const RESERVED_SHARE = 0.25
+/** Reserved room is at most this share of the room that a customer or a pool gets; the rest is for first attempts. With 0.25 and 0.5, fewer are served in time. */
+export const RESERVED_SHARE = 0.1
 /** A priority that more urgent ones leave nothing is expected to get this share of the slots, so that its wait is long but finite. */
 const MINIMUM_SHARE = 0.02
+/** Late requests are expected to get at least this share of the slots, as bursts end. With less, more callers return and displace those that are not late yet. */
+const LATE_SHARE = 0.5
 
 /** Slots that a request can count on. */
 interface AvailableSlots {
@@ -35,8 +37,9 @@
     return new PoolAdmission(clock, pool)
   }
 
-  /** Counts a new request; true when room was reserved for it. */
+  /** Counts a new request; true when room was reserved for it. Further questions for one request are no new demand. */
   arrive (question: PlacementQuestion, now: number): boolean {
+    if (question.attempt > 0 || question.charged) return false
     this.demand.count(question.priority, question.customer, this.pool.usualMilliseconds(question), now)
     return this.returns.length > 0 && this.returns.take(question.customer, question.fingerprint, now)
   }
@@ -56,17 +59,14 @@
   expectedLateWait ({ priority }: PlacementQuestion, now: number): number {
     const slots = this.pool.effectiveSlots(now)
     if (slots === 0) return 0
-    const left = Math.max(MINIMUM_SHARE * slots, slots - this.demand.moreUrgent(priority, now))
+    const below = Math.max(MINIMUM_SHARE * slots, slots - this.demand.moreUrgent(priority, now))
+    const left = Math.max(LATE_SHARE * below, below - this.demand.of(priority, now))
     return (this.pool.line.fair.upTo(priority) + 1) * this.pool.responseTimes.meanMilliseconds() / left
   }
 
-  /** Whether a request may wait. One that will be late must be expected to be served even then. */
+  /** Whether a request may wait, as it is expected to be served before its deadline. */
   mayWait (question: PlacementQuestion, isReturning: boolean, now: number): boolean {
-    const expected = this.expectedWait(question, isReturning, now)
-    const lateSlack = lateSlackOf(question, this.pool)
-    if (expected >= lateSlack) return false
-    if (isReturning || expected < slackOf(question, this.pool)) return true
-    return this.expectedLateWait(question, now) < lateSlack
+    return this.expectedWait(question, isReturning, now) < lateSlackOf(question, this.pool)
   }
 
   /** Reserves room for the return of a refused caller; undefined when there is none within the time that it honours. */
