--- a/packages/bench/src/measure-dispatch-queue.ts
+++ b/packages/bench/src/measure-dispatch-queue.ts
@@ -15,6 +15,8 @@
   readonly waiting: number
   /** Share of the requests that upstreams refuse. */
   readonly refusedShare: number
+  /** Whether customers wait in turn. */
+  readonly fairAdmission?: true
 }
 
 interface Kind {
@@ -51,7 +53,10 @@
   { name: '3,000 waiting', waiting: 3_000, refusedShare: 0 },
   { name: 'none waiting, upstreams refuse 0.3', waiting: 0, refusedShare: 0.3 },
   { name: '800 waiting, upstreams refuse 0.3', waiting: 800, refusedShare: 0.3 },
-  { name: '3,000 waiting, upstreams refuse 0.3', waiting: 3_000, refusedShare: 0.3 }
+  { name: '3,000 waiting, upstreams refuse 0.3', waiting: 3_000, refusedShare: 0.3 },
+  { name: 'fair admission, none waiting', waiting: 0, refusedShare: 0, fairAdmission: true },
+  { name: 'fair admission, 800 waiting', waiting: 800, refusedShare: 0, fairAdmission: true },
+  { name: 'fair admission, 3,000 waiting', waiting: 3_000, refusedShare: 0, fairAdmission: true }
 ]
 
 /** Processor time of one kind of call. */
@@ -94,7 +99,9 @@
     const budget = { ratio: 0.2, slack: 208, windowMilliseconds: 10_000 }
     this.entries = Array.from({ length: ENTRIES }, (_, index) => this.createEntry(`entry-${index}`, `zone-${index % 3}`))
     Object.entries(POOLS).forEach(([pool, count], number) => this.announce(pool, count, number))
-    this.dispatcher = Dispatcher.create({ clock: this.clock, logger: silentLogger(), registry: this.registry, rates, budget, floorShare: 0.7 })
+    const policy = { expectedCost: false, fairAdmission: scenario.fairAdmission === true }
+    const { clock, registry } = this
+    this.dispatcher = Dispatcher.create({ clock, logger: silentLogger(), registry, rates, budget, floorShare: 0.7, policy: () => policy })
   }
 
   static create (scenario: QueueScenario): QueueRun {
--- a/packages/dispatch/src/pool-admission.ts
+++ b/packages/dispatch/src/pool-admission.ts
@@ -7,11 +7,11 @@
 import { ReturnSchedule } from './return-schedule.ts'
 import { longestReturn, MINIMUM_RETURN_MILLISECONDS } from './return-time.ts'
 
-/** Reserved room is at most this share of the room that a customer or a pool gets; the rest is for first attempts. With 0.25 and 0.5, fewer are served in time. */
-export const RESERVED_SHARE = 0.1
+/** Reserved room is at most this share of what a customer or a pool gets; the rest is for first attempts. With 0.25 and 0.5, fewer are served in time. */
+const RESERVED_SHARE = 0.1
 /** A priority that more urgent ones leave nothing is expected to get this share of the slots, so that its wait is long but finite. */
 const MINIMUM_SHARE = 0.02
-/** Late requests are expected to get at least this share of the slots, as bursts end. With less, more callers return and displace those that are not late yet. */
+/** Late requests are expected to get at least this share of the slots, as bursts end. With less, more callers return and displace first attempts. */
 const LATE_SHARE = 0.5
 
 /** Slots that a request can count on. */
--- a/packages/dispatch/src/quota-admission.ts
+++ b/packages/dispatch/src/quota-admission.ts
@@ -2,10 +2,12 @@
 import type { PlacementQuestion } from '@hickoryspoke/protocol/generated/dispatch'
 import type { Clock } from '@hickoryspoke/runtime/clock'
 import type { CustomerRateLimiter } from './customer-rate-limiter.ts'
-import { RESERVED_SHARE } from './pool-admission.ts'
 import { ReturnSchedule } from './return-schedule.ts'
 import { longestReturn, MINIMUM_RETURN_MILLISECONDS } from './return-time.ts'
 
+/** Reserved tokens are at most this share of those that a customer gets; the rest is for first attempts. With 0.5, fewer are served in time. */
+const RESERVED_SHARE = 0.25
+
 /** The quotas of all customers. */
 export class QuotaAdmission {
   readonly returns: ReturnSchedule
