--- a/packages/control/src/dispatching-control-metrics.ts
+++ b/packages/control/src/dispatching-control-metrics.ts
@@ -32,11 +32,13 @@
     for (const pool of service.pools()) gauge.set({ pool: pool.name }, pool.limited)
   })
   metrics.gauge('hickoryspoke_pool_reservations', 'refused callers of a pool for whose return room is reserved', ['pool'], (gauge) => {
+    gauge.reset()
     for (const pool of service.pools()) {
       if (pool.reservations !== undefined) gauge.set({ pool: pool.name }, pool.reservations)
     }
   })
   metrics.gauge('hickoryspoke_longest_wait_milliseconds', 'longest wait of the requests that wait, by priority', ['pool', 'priority'], (gauge) => {
+    gauge.reset()
     for (const pool of service.pools()) {
       for (const { priority, milliseconds } of pool.longestWaits ?? []) gauge.set({ pool: pool.name, priority: String(priority) }, milliseconds)
     }
