--- a/packages/dispatch/src/tests/pool-admission.test.ts
+++ b/packages/dispatch/src/tests/pool-admission.test.ts
@@ -71,6 +71,23 @@
   assert.equal([entry.answerTo(500), entry.answerTo(501)], [DenialReason.DENIAL_REASON_OVERLOADED, undefined])
 })
 
+// Guards against reservations that are lost with the entry that passed the refusal on.
+test('a caller may return through another entry when its own is lost', () => {
+  const { dispatcher, entry, clock } = createFullPool()
+  for (let ticket = 100; ticket < 400; ticket += 1) dispatcher.ask(entry, question(ticket, { customer: 'big' }))
+  const refused = Array.from({ length: 300 }, (_, index) => index + 100).find((ticket) => retryAfterOf(entry, ticket) < 5_000 / 3) ?? 0
+  clock.advance(retryAfterOf(entry, refused) + 10)
+  const running = Array.from({ length: SLOTS }, (_, index) => ({ ticket: index + 1, instance: 'a' }))
+  dispatcher.restoreEntry(entry, { running, limits: [], admitted: [], fleetShare: 0 })
+  assert.is(dispatcher.snapshots()[0]?.waiting, 0, 'its waiting requests are withdrawn')
+  const reserved = dispatcher.snapshots()[0]?.reservations ?? 0
+  const other = recordingEntry('two')
+  dispatcher.ask(other, question(1, { customer: 'big', fingerprint: refused }))
+  assert.is(dispatcher.snapshots()[0]?.reservations, reserved - 1)
+  dispatcher.end(entry, end(1))
+  assert.is(other.answerTo(1), 'a')
+})
+
 test('a new leader starts without reservations, and a caller that returns to it is an ordinary one', () => {
   const before = createFullPool()
   for (let ticket = 100; ticket < 400; ticket += 1) before.dispatcher.ask(before.entry, question(ticket, { customer: 'big' }))
