--- a/packages/bench/src/measure-dispatch-queue.ts
+++ b/packages/bench/src/measure-dispatch-queue.ts
@@ -18,6 +18,8 @@
   readonly refusedShare: number
   /** Whether upstreams are chosen by expected cost. */
   readonly expectedCost: boolean
+  /** Whether customers wait in turn. */
+  readonly fairAdmission?: true
 }
 
 interface Kind {
@@ -54,7 +56,10 @@
   { name: '3,000 waiting', waiting: 3_000, refusedShare: 0 },
   { name: 'none waiting, upstreams refuse 0.3', waiting: 0, refusedShare: 0.3 },
   { name: '800 waiting, upstreams refuse 0.3', waiting: 800, refusedShare: 0.3 },
-  { name: '3,000 waiting, upstreams refuse 0.3', waiting: 3_000, refusedShare: 0.3 }
+  { name: '3,000 waiting, upstreams refuse 0.3', waiting: 3_000, refusedShare: 0.3 },
+  { name: 'fair admission, none waiting', waiting: 0, refusedShare: 0, fairAdmission: true },
+  { name: 'fair admission, 800 waiting', waiting: 800, refusedShare: 0, fairAdmission: true },
+  { name: 'fair admission, 3,000 waiting', waiting: 3_000, refusedShare: 0, fairAdmission: true }
 ]
 const SCENARIOS: readonly QueueScenario[] = [false, true].flatMap((expectedCost) => {
   return LOADS.map((load) => ({ ...load, expectedCost, name: expectedCost ? `${load.name}, expected cost` : load.name }))
@@ -100,7 +105,7 @@
     const budget = { ratio: 0.2, slack: 208, windowMilliseconds: 10_000 }
     this.entries = Array.from({ length: ENTRIES }, (_, index) => this.createEntry(`entry-${index}`, `zone-${index % 3}`))
     for (const [pool, count] of Object.entries(POOLS)) this.announce(pool, count)
-    const policy = { ...DEFAULT_DISPATCH_POLICY, expectedCost: scenario.expectedCost }
+    const policy = { ...DEFAULT_DISPATCH_POLICY, expectedCost: scenario.expectedCost, fairAdmission: scenario.fairAdmission === true }
     this.dispatcher = Dispatcher.create({
       clock: this.clock, logger: silentLogger(), registry: this.registry, rates, budget, floorShare: 0.7, policy: () => policy
     })
--- a/packages/control/src/dispatching-control-metrics.ts
+++ b/packages/control/src/dispatching-control-metrics.ts
@@ -52,5 +52,17 @@
       gauge.set({ pool, bound: 'slowest' }, slowest)
     }
   })
+  metrics.gauge('hickoryspoke_pool_reservations', 'refused callers of a pool for whose return room is reserved', ['pool'], (gauge) => {
+    gauge.reset()
+    for (const pool of service.pools()) {
+      if (pool.reservations !== undefined) gauge.set({ pool: pool.name }, pool.reservations)
+    }
+  })
+  metrics.gauge('hickoryspoke_longest_wait_milliseconds', 'longest wait of the requests that wait, by priority', ['pool', 'priority'], (gauge) => {
+    gauge.reset()
+    for (const pool of service.pools()) {
+      for (const { priority, milliseconds } of pool.longestWaits ?? []) gauge.set({ pool: pool.name, priority: String(priority) }, milliseconds)
+    }
+  })
   return metrics
 }
--- a/packages/dispatch/src/pool-dispatcher.ts
+++ b/packages/dispatch/src/pool-dispatcher.ts
@@ -29,6 +29,10 @@
   readonly cold: number
   /** Number of upstreams by standing. */
   readonly standings: Readonly<Record<Standing, number>>
+  /** Refused callers for whose return room is reserved; absent without fair admission. */
+  readonly reservations?: number
+  /** The longest wait of each priority with waiting requests; absent without fair admission. */
+  readonly longestWaits?: readonly { readonly priority: number, readonly milliseconds: number }[]
 }
 
 /** The entry that a request came from. */
@@ -239,6 +243,11 @@
     return this.serving.some((candidate) => this.isEligible(candidate, question, requester, now))
   }
 
+  /** Slots of all upstreams, weighted by their probability of success. */
+  effectiveSlots (now: number): number {
+    return this.state.at(this.serving, now).effectiveSlots
+  }
+
   /** Expected wait of a new request with this priority, in milliseconds. */
   expectedWait (priority: number, now: number): number {
     const { effectiveSlots, outlook } = this.state.at(this.serving, now)
@@ -288,7 +297,7 @@
   }
 
   private placeWaiting (waiting: WaitingQuestion, choice: UpstreamChoice): void {
-    this.line.withdraw(waiting)
+    this.line.serve(waiting)
     waiting.resolve(choice)
   }
 
--- a/packages/dispatch/src/tests/cold-upstreams.test.ts
+++ b/packages/dispatch/src/tests/cold-upstreams.test.ts
@@ -82,7 +82,7 @@
     /** Begins another leadership, which the requests that wait at the earlier one do not reach. */
     changeLeader: (): void => {
       dispatcher?.close()
-      dispatcher = createDispatcher([], 1e9, 0, clock, registry).dispatcher
+      dispatcher = createDispatcher([], 1e9, 0, { clock, registry }).dispatcher
     },
     askLeader: (): void => {
       ticket += 1
@@ -157,7 +157,7 @@
 test('waiting requests are offered to a cold upstream as its tokens return, by the tick alone', () => {
   const clock = FakeClock.create()
   const registry = createWarmupRegistry(clock, RATE, ALLOWANCE)
-  const { dispatcher } = createDispatcher([COLD], 1_000, 0, clock, registry)
+  const { dispatcher } = createDispatcher([COLD], 1_000, 0, { clock, registry })
   const entry = recordingEntry('one')
   for (let ticket = 1; ticket <= 6; ticket += 1) dispatcher.ask(entry, question(ticket, { targetMilliseconds: 4_000 }))
   const placedAt: number[] = []
@@ -173,7 +173,7 @@
 test('a returning upstream gets requests within four seconds also while few arrive', () => {
   const clock = FakeClock.create()
   const registry = createWarmupRegistry(clock, RATE, ALLOWANCE)
-  const { dispatcher } = createDispatcher([WARM, { ...COLD, warmupMilliseconds: 0 }], 1_000, 0, clock, registry)
+  const { dispatcher } = createDispatcher([WARM, { ...COLD, warmupMilliseconds: 0 }], 1_000, 0, { clock, registry })
   const entry = recordingEntry('one')
   const placedAt: number[] = []
   for (let ticket = 1; ticket <= 40; ticket += 1) {
@@ -203,7 +203,7 @@
   test(`the lower rate applies to a cold upstream that states a limit of ${stated}`, () => {
     const clock = FakeClock.create()
     const registry = createWarmupRegistry(clock, RATE, ALLOWANCE)
-    const { dispatcher } = createDispatcher([COLD], 1_000, 0, clock, registry)
+    const { dispatcher } = createDispatcher([COLD], 1_000, 0, { clock, registry })
     dispatcher.adoptLimits([{ instance: 'cold', requestsPerSecond: stated }])
     const entry = recordingEntry('one')
     let placed = 0
@@ -254,7 +254,7 @@
     const clock = FakeClock.create()
     const registry = createWarmupRegistry(clock, RATE, ALLOWANCE)
     registry.useWarmupLimits([])
-    const { dispatcher } = createDispatcher([{ ...COLD, slots: 100, warmupMilliseconds: 0 }], 1_000, 0, clock, registry)
+    const { dispatcher } = createDispatcher([{ ...COLD, slots: 100, warmupMilliseconds: 0 }], 1_000, 0, { clock, registry })
     const entry = recordingEntry('one')
     let placed = 0
     entry.send = ({ body }) => {
--- a/packages/dispatch/src/tests/fixture.ts
+++ b/packages/dispatch/src/tests/fixture.ts
@@ -5,6 +5,7 @@
 import { FakeClock } from '@hickoryspoke/testing/fake-clock'
 import { ColdUpstreams, type WarmupAllowance } from '../cold-upstreams.ts'
 import { CustomerRateLimiter } from '../customer-rate-limiter.ts'
+import { DEFAULT_DISPATCH_POLICY, type DispatchPolicy } from '../dispatch-policy.ts'
 import { DispatchService } from '../dispatch-service.ts'
 import { Dispatcher } from '../dispatcher.ts'
 import type { EntryConnection } from '../entry-connection.ts'
@@ -72,15 +73,22 @@
   }
 }
 
+/** What a dispatcher of a test is created with, unless a test sets it. */
+export interface DispatcherFixtureOptions {
+  readonly clock?: FakeClock
+  readonly registry?: UpstreamRegistry
+  readonly policy?: DispatchPolicy
+}
+
 /** Creates a dispatcher with the given upstreams; `rate` is the rate and burst of every customer. */
-export function createDispatcher (
-  upstreams: readonly AnnouncedUpstream[], rate = 1_000, floorShare = 0, clock = FakeClock.create(), registry = UpstreamRegistry.create(clock)
-) {
+export function createDispatcher (upstreams: readonly AnnouncedUpstream[], rate = 1_000, floorShare = 0, options: DispatcherFixtureOptions = {}) {
+  const { clock = FakeClock.create(), policy = DEFAULT_DISPATCH_POLICY } = options
+  const registry = options.registry ?? UpstreamRegistry.create(clock)
   const rates = CustomerRateLimiter.createWithFullBursts()
   rates.setLimits(() => ({ rate, burst: rate }))
   for (const upstream of upstreams) registry.announce(upstream)
   const budget = { ratio: 0.2, slack: 10, windowMilliseconds: 10_000 }
-  const dispatcher = Dispatcher.create({ clock, logger: silentLogger(), registry, rates, budget, floorShare })
+  const dispatcher = Dispatcher.create({ clock, logger: silentLogger(), registry, rates, budget, floorShare, policy: () => policy })
   registry.onChange((changed) => dispatcher.updateUpstreams(changed))
   return { clock, registry, dispatcher }
 }
--- a/packages/entry/src/dispatched-entry.ts
+++ b/packages/entry/src/dispatched-entry.ts
@@ -46,6 +46,8 @@
   readonly warmup?: WarmupAllowance
   /** Whether requests that may be repeated use connections that upstreams keep open; not by default. */
   readonly reuseConnections?: boolean
+  /** Whether refused callers are told different times to return, in fractions of a second; false by default. */
+  readonly spreadsReturns?: boolean
   /** Time from the stop signal until the process must have ended. */
   readonly stopMilliseconds: number
   /** Inner addresses of control VMs; called for each new connection. */
@@ -106,7 +108,8 @@
       placer: this.placer,
       isLeaving: (instance) => this.registry.isLeaving(instance),
       ask: (value) => this.link.send({ body: { $case: 'question', value } }),
-      sendEnd: (value) => this.link.send({ body: { $case: 'end', value } })
+      sendEnd: (value) => this.link.send({ body: { $case: 'end', value } }),
+      spread: settings.spreadsReturns === true ? random : undefined
     })
     this.link = LeaderConnection.create({
       name,
@@ -163,7 +166,8 @@
       placementClient: this.placementClient,
       inForce: this.inForce,
       table: () => this.table,
-      mayRelayThrough: (relay, allowedRegions) => this.zones.isAllowed(this.upstreams.zoneOfRelay(relay), allowedRegions)
+      mayRelayThrough: (relay, allowedRegions) => this.zones.isAllowed(this.upstreams.zoneOfRelay(relay), allowedRegions),
+      spreadsReturns: settings.spreadsReturns
     }, logger, this.entryMetrics)
     this.entryMetrics.follow({
       inForce: this.inForce,
--- a/packages/entry/src/tests/dispatched-fixture.ts
+++ b/packages/entry/src/tests/dispatched-fixture.ts
@@ -56,8 +56,15 @@
   readonly keepsConnections?: boolean
 }
 
+/** Options of the runner of an entry. */
+export interface RunFixtureOptions {
+  readonly spreadsReturns?: boolean
+}
+
 /** Starts an entry whose dispatcher receives questions. `answer` gets the client and each question. */
-export async function startDispatched (answer: (client: PlacementClient, question: PlacementQuestion) => void, options: DispatchedFixtureOptions = {}) {
+export async function startDispatched (
+  answer: (client: PlacementClient, question: PlacementQuestion) => void, options: DispatchedFixtureOptions = {}, run: RunFixtureOptions = {}
+) {
   const clock = SystemClock.create()
   const random = SeededRandom.create(1)
   const placer = LocalPlacer.create({ clock, random, registry: UpstreamRegistry.create(clock), entry: 'one', zone: 'zone-a', windowMilliseconds: 5_000 })
@@ -73,7 +80,7 @@
   inForce.confirm(1, 0)
   const table = ServingTable.create({ ...CONFIGURATION, routes: [{ ...ROUTE, ...options }, SLOW_ROUTE] })
   const connections = UpstreamConnections.create(clock, options.keepsConnections === true ? KEPT_CONNECTION_SETTINGS : {})
-  const runOptions = { clock, random, dialect: DIALECT, connections, placementClient, inForce, table: () => table, mayRelayThrough: () => true }
+  const runOptions = { clock, random, dialect: DIALECT, connections, placementClient, inForce, table: () => table, mayRelayThrough: () => true, ...run }
   const outcomes: DispatchedOutcome[] = []
   const lines: string[] = []
   const logger = Logger.create('entry', LogLevel.Info, (line) => lines.push(line))
