--- a/packages/dispatch/src/pool-dispatcher.ts
+++ b/packages/dispatch/src/pool-dispatcher.ts
@@ -284,7 +284,7 @@
     for (const candidate of this.serving) {
       const { standing } = candidate
       const success = successProbability(standing, now)
-      effectiveSlots += this.usableSlots(candidate) * success
+      effectiveSlots += this.usableSlots(candidate, now) * success
       bestSuccess = Math.max(bestSuccess, success)
       if (standing.standing(now) === STANDING.sound) hasSound = true
       if (standing.millisecondsSincePlacement(now) < IDLE_MILLISECONDS) active += 1
@@ -294,8 +294,8 @@
   }
 
   /** Mean number of slots that requests can use, given the limit that the upstream states. */
-  private usableSlots ({ upstream, standing }: Candidate): number {
-    const slots = this.zones.usableSlots(upstream.announced.zone, upstream.announced.slots)
+  private usableSlots ({ upstream, standing }: Candidate, now: number): number {
+    const slots = this.zones.usableSlots(upstream.announced.zone, upstream.announced.slots, now)
     const { requestsPerSecond } = standing.limit
     return requestsPerSecond === undefined ? slots : Math.min(slots, requestsPerSecond * this.responseTimes.meanMilliseconds() / 1_000)
   }
@@ -314,7 +314,7 @@
   }
 
   private hasFreeSlot ({ upstream, standing }: Candidate, now: number): boolean {
-    return !standing.isFull(this.zones.usableSlots(upstream.announced.zone, upstream.announced.slots), now)
+    return !standing.isFull(this.zones.usableSlots(upstream.announced.zone, upstream.announced.slots, now), now)
   }
 }
 
--- a/packages/dispatch/src/tests/zone-evacuations.test.ts
+++ b/packages/dispatch/src/tests/zone-evacuations.test.ts
@@ -59,7 +59,7 @@
   zones.apply({ zone: 'north', isEvacuated: false, decidedAt: clock.wallMilliseconds() - RETURN_MILLISECONDS })
   registry.announce(announcement({ instance: 'ccc', zone: 'north' }))
   assert.equal(['a', 'ccc'].filter((instance) => zones.isPresumedCold(instance)), [])
-  assert.is(zones.usableSlots('north', 6), 6)
+  assert.is(zones.usableSlots('north', 6, clock.monotonicMilliseconds()), 6)
 })
 
 test('a second evacuation starts anew', () => {
@@ -74,16 +74,16 @@
 
 test('after the end, the usable slots rise from one to all', () => {
   const { clock, zones, decide } = createZones()
-  assert.is(zones.usableSlots('north', 6), 6)
+  assert.is(zones.usableSlots('north', 6, clock.monotonicMilliseconds()), 6)
   decide('north', true)
   decide('north', false)
   const slots = Array.from({ length: 4 }, () => {
-    const usable = zones.usableSlots('north', 6)
+    const usable = zones.usableSlots('north', 6, clock.monotonicMilliseconds())
     clock.advance(SLOW_START_MILLISECONDS / 3)
     return usable
   })
   assert.equal(slots, [1, 2, 4, 6])
-  assert.is(zones.usableSlots('south', 6), 6)
+  assert.is(zones.usableSlots('south', 6, clock.monotonicMilliseconds()), 6)
 })
 
 test('a decision that changes nothing notifies nobody', () => {
--- a/packages/dispatch/src/zone-evacuations.ts
+++ b/packages/dispatch/src/zone-evacuations.ts
@@ -39,6 +39,8 @@
   /** The last announcement before the return of its zone, or the first one after it, by instance. */
   private readonly earlier = new Map<string, Announced>()
   private readonly listeners = new Set<() => void>()
+  /** When the last slow start of any zone ends, as slots are looked at for each upstream of each request. */
+  private slowStartEndsAt = -Infinity
 
   private constructor (private readonly clock: Clock, private readonly registry: UpstreamRegistry, private readonly regions: ZoneRegions) {
     registry.onChange((changed) => this.recordFirst(changed))
@@ -76,7 +78,9 @@
     if (isEvacuated) this.forgetAnnouncements(zone)
     const isRecent = Math.abs(this.clock.wallMilliseconds() - decidedAt) < RETURN_MILLISECONDS
     const isReturning = !isEvacuated && isRecent
-    this.zones.set(zone, { isEvacuated, returnedAt: isReturning ? this.clock.monotonicMilliseconds() : -Infinity })
+    const now = this.clock.monotonicMilliseconds()
+    this.zones.set(zone, { isEvacuated, returnedAt: isReturning ? now : -Infinity })
+    if (isReturning) this.slowStartEndsAt = now + SLOW_START_MILLISECONDS
     if (isReturning) this.recordFirst(this.registry.all())
     for (const listener of [...this.listeners]) listener()
     return true
@@ -105,11 +109,11 @@
     return [...this.earlier.keys()].filter((instance) => this.isPresumedCold(instance)).sort()
   }
 
-  usableSlots (zone: string, slots: number): number {
-    if (this.zones.size === 0) return slots
+  usableSlots (zone: string, slots: number, now: number): number {
+    if (now >= this.slowStartEndsAt) return slots
     const held = this.zones.get(zone)
     if (held === undefined) return slots
-    const share = (this.clock.monotonicMilliseconds() - held.returnedAt) / SLOW_START_MILLISECONDS
+    const share = (now - held.returnedAt) / SLOW_START_MILLISECONDS
     return share >= 1 ? slots : Math.max(1, Math.floor(slots * share))
   }
 
--- a/packages/dispatch/src/zone-view.ts
+++ b/packages/dispatch/src/zone-view.ts
@@ -18,8 +18,8 @@
 
 /** The dispatcher's view, which also lets load return to a zone gradually. */
 export interface DispatcherZoneView extends ZoneView {
-  /** How many of its slots an upstream of the zone may use. */
-  usableSlots (zone: string, slots: number): number
+  /** How many of its slots an upstream of the zone may use at a monotonic time. */
+  usableSlots (zone: string, slots: number, now: number): number
 }
 
 /** Whether a zone is in one of the allowed regions; an empty list allows all. */
