--- a/packages/dispatch/src/pool-dispatcher.ts
+++ b/packages/dispatch/src/pool-dispatcher.ts
@@ -322,7 +322,7 @@
   }
 
   private hasFreeSlot ({ upstream, standing }: Candidate, now: number): boolean {
-    return !standing.isFull(this.zones.usableSlots(upstream.announced.zone, upstream.announced.slots), now)
+    return !standing.isFull(this.zones.usableSlots(upstream.announced.zone, upstream.announced.slots, now), now)
   }
 }
 
--- a/packages/dispatch/src/pool-state.ts
+++ b/packages/dispatch/src/pool-state.ts
@@ -87,7 +87,7 @@
   /** Mean number of slots that requests can use, given the limit that the upstream states and that of a cold one. */
   private usableSlots ({ upstream, standing }: Candidate, now: number): number {
     const { responseTimes, zones } = this.options
-    const slots = zones.usableSlots(upstream.announced.zone, upstream.announced.slots)
+    const slots = zones.usableSlots(upstream.announced.zone, upstream.announced.slots, now)
     const rate = standing.limit.currentRate(now)
     return rate === Infinity ? slots : Math.min(slots, rate * responseTimes.meanMilliseconds() / 1_000)
   }
