--- a/packages/dispatch/src/tests/expected-finish.test.ts
+++ b/packages/dispatch/src/tests/expected-finish.test.ts
@@ -42,7 +42,8 @@
     costs.learn(started, COST * (0.8 + 0.004 * ticket), 0)
     costs.end(started)
   }
-  const expect = (candidates: readonly Candidate[], { target = 1_000, waiting = 0, excluded = [], mayProbe = false }: Asked = {}, now = 300): ExpectedFinish => {
+  const expect = (candidates: readonly Candidate[], asking: Asked = {}, now = 300): ExpectedFinish => {
+    const { target = 1_000, waiting = 0, excluded = [], mayProbe = false } = asking
     const outlook = PoolOutlook.create(costs, now)
     const asked = question(1, { targetMilliseconds: target, excluded })
     const estimate = costs.estimate(asked, now)
