--- a/packages/entry/src/caller-connection.ts
+++ b/packages/entry/src/caller-connection.ts
@@ -1,23 +1,28 @@
 /** The requests of one caller's connection, which are answered in the order in which they were read. */
 import type { Socket } from 'node:net'
 import type { Refusal } from '@hickoryspoke/request/refusal'
+import type { ClientLimiter, LimitedConnection } from '@hickoryspoke/runtime/client-limiter'
 import type { Clock } from '@hickoryspoke/runtime/clock'
 import { closeLingering } from '@hickoryspoke/runtime/lingering-close'
+import { PacedInput } from '@hickoryspoke/runtime/paced-input'
 import type { NodeExchange } from './caller-node-exchange.ts'
 import { writeRefusal } from './caller-raw-refusal.ts'
+import type { CallerLimits } from './caller-settings.ts'
 
 /** Dependencies of a `CallerConnection`. */
 export interface CallerConnectionOptions {
   readonly clock: Clock
   /** Whether the server is being stopped. */
   readonly isDraining: () => boolean
+  readonly limiter: ClientLimiter
+  readonly limits: () => CallerLimits
 }
 
 /** How long a connection is kept for its caller to read the last response, if it is closed with its input unread. */
 const UNREAD_HOLD_MILLISECONDS = 2_000
 
 /** A connection of a caller. Node.js reports its end only to the response that is being sent, so its requests are kept here. */
-export class CallerConnection {
+export class CallerConnection implements LimitedConnection {
   /** Requests without a complete response, in the order in which they were read. */
   private readonly exchanges: NodeExchange[] = []
   /** Answer to input that is not a request, sent behind all responses. */
@@ -30,9 +35,21 @@
   /** Whether nothing more is sent on the connection. */
   private isEnded = false
   private isLingering = false
+  private readonly input: PacedInput
 
   private constructor (private readonly socket: Socket, private readonly options: CallerConnectionOptions) {
-    socket.once('close', () => this.cancelAll())
+    const { limiter } = options
+    limiter.connectionOpened(this)
+    this.input = PacedInput.attach(socket, {
+      isHeld: () => this.isHeld(),
+      isInBody: () => this.isInBody,
+      mayKeep: () => limiter.mayKeepInput,
+      onKept: (change) => limiter.hold(change)
+    })
+    socket.once('close', () => {
+      this.cancelAll()
+      limiter.connectionClosed(this)
+    })
     // Node.js handles errors of a socket only as long as its HTTP parser reads from it.
     socket.on('error', () => socket.destroy())
     // Called by Node.js behind a response that closes the connection.
@@ -61,6 +78,7 @@
 
   add (exchange: NodeExchange): void {
     this.exchanges.push(exchange)
+    this.options.limiter.requestBegun(this)
     exchange.onSent(() => this.remove(exchange))
     exchange.onBrokenOff(() => this.endIfBrokenOff())
   }
@@ -70,6 +88,16 @@
     return this.options.isDraining() && this.exchanges.at(-1) === exchange
   }
 
+  /** Reads further requests as far as the limits allow. */
+  readOn (): void {
+    this.input.feed()
+  }
+
+  /** Closes a connection on which no request has arrived. */
+  closeSilent (): void {
+    this.socket.destroy()
+  }
+
   /** Handles input that cannot be read on: aborts the request that it is part of, and answers it behind all others. */
   fail (refusal: Refusal): void {
     if (this.isEnded) return
@@ -95,11 +123,34 @@
 
   private remove (exchange: NodeExchange): void {
     const index = this.exchanges.indexOf(exchange)
-    if (index !== -1) this.exchanges.splice(index, 1)
+    if (index === -1) return
+    this.exchanges.splice(index, 1)
+    this.release(exchange)
     this.lastAnswered = exchange
     this.lastSentAt = this.options.clock.monotonicMilliseconds()
     this.finishIfIdle()
     this.endIfBrokenOff()
+    // Node.js reports that a response was sent before it reads on.
+    setImmediate(() => this.readOn())
+  }
+
+  private release (exchange: NodeExchange): void {
+    exchange.release()
+    this.options.limiter.requestEnded()
+  }
+
+  private get isInBody (): boolean {
+    return (this.exchanges.at(-1) ?? this.lastAnswered)?.isRead === false
+  }
+
+  /** Whether the next request may not be read yet. Where the connection closes in front of it, it never is. */
+  private isHeld (): boolean {
+    if (this.isClosing) return true
+    const { exchanges, options: { limits, limiter } } = this
+    const { maximumPipelinedRequests, maximumUnsentBytes } = limits()
+    if (exchanges.length >= maximumPipelinedRequests) return true
+    if (exchanges.reduce((sum, { answer }) => sum + answer.unsentBytes, 0) >= maximumUnsentBytes) return true
+    return limiter.mustWait(this, exchanges.length > 0)
   }
 
   private finishIfIdle (): void {
@@ -117,7 +168,10 @@
   private endIfBrokenOff (): void {
     if (this.exchanges[0]?.answer.isBrokenOff !== true) return
     this.close()
-    for (const exchange of this.exchanges.splice(0)) exchange.abandon()
+    for (const exchange of this.exchanges.splice(0)) {
+      this.release(exchange)
+      exchange.abandon()
+    }
   }
 
   /** Closes the connection once its caller has received everything. */
@@ -125,6 +179,7 @@
     if (this.isEnded) return
     this.isEnded = true
     this.isLingering = true
+    this.input.stop()
     closeLingering(this.socket, this.options.clock)
   }
 
@@ -135,6 +190,7 @@
   private closeUnread (): void {
     const { clock } = this.options
     this.isEnded = true
+    this.input.stop()
     this.socket.pause()
     this.socket.end()
     const holdMilliseconds = this.lastSentAt + UNREAD_HOLD_MILLISECONDS - clock.monotonicMilliseconds()
@@ -145,6 +201,9 @@
   }
 
   private cancelAll (): void {
-    for (const exchange of this.exchanges.splice(0)) exchange.cancel()
+    for (const exchange of this.exchanges.splice(0)) {
+      this.release(exchange)
+      exchange.cancel()
+    }
   }
 }
--- a/packages/entry/src/caller-node-exchange.ts
+++ b/packages/entry/src/caller-node-exchange.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { BufferingRequest, ClientLimiter } from '@hickoryspoke/runtime/client-limiter'
 import type { Clock } from '@hickoryspoke/runtime/clock'
 import type { CallerResponse, CallerExchange } from '@hickoryspoke/request/caller-exchange'
 import { AttemptFailure } from '@hickoryspoke/request/attempt-failure'
@@ -12,6 +13,7 @@
 export interface NodeExchangeOptions {
   readonly clock: Clock
   readonly limits: CallerLimits
+  readonly limiter: ClientLimiter
   /** The caller sent `Expect: 100-continue` and waits for `100 Continue` before it sends its body. */
   readonly expectsContinue: boolean
   /** Called when the response headers are sent: whether the connection is closed after the response. */
@@ -19,10 +21,12 @@
 }
 
 /** Request and response of a caller on the HTTP server of Node.js. */
-export class NodeExchange implements CallerExchange {
+export class NodeExchange implements CallerExchange, BufferingRequest {
   private readonly controller = new AbortController()
   /** Whether the rest of the request cannot be read, nor anything behind it. */
   private isBroken = false
+  private bufferedBytes = 0
+  private isReleased = false
   readonly answer: NodeAnswer
 
   private constructor (
@@ -34,6 +38,7 @@
       clock: options.clock,
       unreadTimeoutMilliseconds: options.limits.unreadAnswerTimeoutMilliseconds,
       signal: this.controller.signal,
+      hold: (bytes) => options.limiter.hold(bytes),
       ended: () => this.discardBody(),
       closesConnection: () => this.isBroken || options.closesConnection(this) || (!this.isRead && request.headers.expect !== undefined)
     })
@@ -113,6 +118,32 @@
     this.controller.abort(AttemptFailure.create('caller_gone'))
   }
 
+  /** Counts bytes of the body that are buffered to be sent again; false if there is no memory for them. */
+  takeBody (bytes: number): boolean {
+    if (this.isReleased) return true
+    if (!this.options.limiter.takeBody(this, bytes)) return false
+    this.bufferedBytes += bytes
+    return true
+  }
+
+  bodyTaken (): void {
+    this.options.limiter.bodyEnded(this)
+  }
+
+  dropStalled (): void {
+    this.release()
+    this.request.socket.destroy()
+  }
+
+  /** Counts nothing for this request any more. */
+  release (): void {
+    if (this.isReleased) return
+    this.isReleased = true
+    this.bodyTaken()
+    this.options.limiter.hold(-this.bufferedBytes)
+    this.answer.release()
+  }
+
   sendContinue (): void {
     if (this.options.expectsContinue) this.answer.sendContinue()
   }
@@ -131,6 +162,8 @@
   readonly unreadTimeoutMilliseconds: number
   /** Aborts when the caller is gone. */
   readonly signal: AbortSignal
+  /** Called with each change of the number of bytes that wait to be sent. */
+  readonly hold: (change: number) => void
   /** Called when the response is complete, although it may not have been sent yet. */
   readonly ended: () => void
   /** Called when the response headers are sent: whether the connection is closed after the response. */
@@ -143,9 +176,14 @@
   closesConnection = false
   /** Whether the response is not continued, so that the connection has to end behind what was sent of it. */
   isBrokenOff = false
+  /** Bytes that wait to be sent, as last counted. */
+  unsentBytes = 0
+  private isReleased = false
   private reportBrokenOff: () => void = () => {}
 
-  private constructor (private readonly response: ServerResponse, private readonly options: NodeAnswerOptions) {}
+  private constructor (private readonly response: ServerResponse, private readonly options: NodeAnswerOptions) {
+    response.on('drain', () => this.countUnsent())
+  }
 
   static create (response: ServerResponse, options: NodeAnswerOptions): NodeAnswer {
     return new NodeAnswer(response, options)
@@ -171,7 +209,16 @@
   }
 
   write (chunk: Buffer): boolean {
-    return this.isOver || this.response.write(chunk)
+    if (this.isOver) return true
+    const isReady = this.response.write(chunk)
+    this.countUnsent()
+    return isReady
+  }
+
+  /** Counts nothing for this response any more. */
+  release (): void {
+    this.isReleased = true
+    this.setUnsent(0)
   }
 
   /**
@@ -200,6 +247,7 @@
     if (this.isOver) return
     if (trailers.length > 0) this.response.addTrailers(toPairs(trailers))
     this.response.end()
+    this.countUnsent()
     this.options.ended()
   }
 
@@ -209,6 +257,16 @@
     this.reportBrokenOff()
   }
 
+  private countUnsent (): void {
+    if (!this.isReleased) this.setUnsent(this.response.writableLength)
+  }
+
+  private setUnsent (bytes: number): void {
+    const change = bytes - this.unsentBytes
+    this.unsentBytes = bytes
+    if (change !== 0) this.options.hold(change)
+  }
+
   private get isOver (): boolean {
     return this.isBrokenOff || this.response.destroyed
   }
--- a/packages/entry/src/caller-server.ts
+++ b/packages/entry/src/caller-server.ts
@@ -1,6 +1,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { createServer as createTlsServer, type Server as TlsServer } from 'node:https'
 import { Server as NetServer, type AddressInfo, type Socket } from 'node:net'
+import type { ClientLimiter } from '@hickoryspoke/runtime/client-limiter'
 import type { Clock } from '@hickoryspoke/runtime/clock'
 import { sleep } from '@hickoryspoke/runtime/clock'
 import { Failure } from '@hickoryspoke/runtime/failure'
@@ -12,6 +13,7 @@
 import { Err, Ok, type Result } from 'ts-results-es'
 import { NodeExchange } from './caller-node-exchange.ts'
 import { CallerConnection } from './caller-connection.ts'
+import { createCallerLimiter } from './caller-limits.ts'
 import { NO_REQUEST_ID } from './caller-raw-refusal.ts'
 import { checkRequestHead } from './caller-request-check.ts'
 import { DEFAULT_CALLER_LIMITS, type CallerLimits, type CallerTls } from './caller-settings.ts'
@@ -40,6 +42,8 @@
   readonly host: string
   readonly port: number
   readonly limits?: Partial<CallerLimits>
+  /** By default the limits of the smallest machines. */
+  readonly limiter?: ClientLimiter
   readonly tls?: CallerTls
 }
 
@@ -69,9 +73,11 @@
   private readonly server: Server | TlsServer
   private readonly connections = new Map<Socket, CallerConnection>()
   private limits: CallerLimits
+  private readonly limiter: ClientLimiter
   private isDraining = false
 
   private constructor (private readonly options: CallerServerOptions) {
+    this.limiter = options.limiter ?? createCallerLimiter(options.clock)
     this.limits = { ...DEFAULT_CALLER_LIMITS, ...options.limits }
     this.server = createNodeServer(this.limits, options.tls)
     this.server.maxHeadersCount = this.limits.maximumHeaderCount
@@ -84,7 +90,7 @@
     })
     this.server.on('upgrade', (_, socket) => this.connectionOf(socket as Socket).fail(Refusal.create('upgrade_not_supported')))
     this.server.on('connect', (_, socket) => this.connectionOf(socket as Socket).fail(Refusal.create('tunnel_not_supported')))
-    this.server.on(options.tls === undefined ? 'connection' : 'secureConnection', (socket: Socket) => { this.connectionOf(socket) })
+    this.server.on(options.tls === undefined ? 'connection' : 'secureConnection', (socket: Socket) => this.admit(socket))
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => this.handleClientError(error, socket as Socket))
   }
 
@@ -160,10 +166,18 @@
     return [...this.connections.values()].filter((connection) => !connection.isIdle).length
   }
 
+  /** Nothing has been read from a connection that is refused, so nothing of it runs. */
+  private admit (socket: Socket): void {
+    if (this.limiter.admitConnection()) this.connectionOf(socket)
+    else socket.destroy()
+  }
+
   private connectionOf (socket: Socket): CallerConnection {
     const known = this.connections.get(socket)
     if (known !== undefined) return known
-    const connection = CallerConnection.create(socket, { clock: this.options.clock, isDraining: () => this.isDraining })
+    const connection = CallerConnection.create(socket, {
+      clock: this.options.clock, isDraining: () => this.isDraining, limiter: this.limiter, limits: () => this.limits
+    })
     this.connections.set(socket, connection)
     socket.once('close', () => this.connections.delete(socket))
     return connection
@@ -194,6 +208,7 @@
     const exchange = NodeExchange.create(request, response, {
       clock: this.options.clock,
       limits: this.limits,
+      limiter: this.limiter,
       expectsContinue,
       closesConnection: (begun) => closes || connection.closesBehind(begun)
     })
--- a/packages/entry/src/caller-settings.ts
+++ b/packages/entry/src/caller-settings.ts
@@ -11,6 +11,10 @@
   readonly unreadAnswerTimeoutMilliseconds: number
   /** Interval at which the timeouts of headers and requests are checked. */
   readonly timeoutCheckMilliseconds: number
+  /** Requests of one connection that are in work at once. Further ones are read when earlier ones have been answered. */
+  readonly maximumPipelinedRequests: number
+  /** Bytes of responses that wait to be sent on one connection, above which no further request is read from it. */
+  readonly maximumUnsentBytes: number
 }
 
 export const DEFAULT_CALLER_LIMITS: CallerLimits = {
@@ -20,7 +24,9 @@
   requestTimeoutMilliseconds: 60_000,
   idleTimeoutMilliseconds: 15_000,
   unreadAnswerTimeoutMilliseconds: 30_000,
-  timeoutCheckMilliseconds: 1000
+  timeoutCheckMilliseconds: 1000,
+  maximumPipelinedRequests: 16,
+  maximumUnsentBytes: 262_144
 }
 
 /** PEM certificate chain and private key for TLS connections of callers. */
--- a/packages/entry/src/connection-relay.ts
+++ b/packages/entry/src/connection-relay.ts
@@ -20,6 +20,8 @@
   readonly isUnwanted: (address: string) => boolean
   /** Whether this entry reaches upstreams itself. */
   readonly isReaching: () => boolean
+  /** Connections of other entries; by default any number. */
+  readonly maximumConnections?: number
 }
 
 const FORBIDDEN_STATUS = 403
@@ -35,6 +37,7 @@
 
   private constructor (private readonly options: ConnectionRelayOptions) {
     this.server = createServer((_, response) => { response.writeHead(404).end() })
+    if (options.maximumConnections !== undefined) this.server.maxConnections = options.maximumConnections
     this.server.on('connect', (request: IncomingMessage, socket: Duplex) => { void this.accept(request.url ?? '', socket as Socket) })
   }
 
--- a/packages/entry/src/dispatched-entry.ts
+++ b/packages/entry/src/dispatched-entry.ts
@@ -14,11 +14,14 @@
 import { splitAddress } from '@hickoryspoke/runtime/address'
 import type { Clock } from '@hickoryspoke/runtime/clock'
 import type { Failure } from '@hickoryspoke/runtime/failure'
+import { DEFAULT_PROCESS_LIMITS, entryCapacity, type ProcessLimits } from '@hickoryspoke/runtime/process-capacity'
 import type { RandomSource } from '@hickoryspoke/runtime/random'
 import type { Logger } from '@hickoryspoke/telemetry/logger'
 import { usedProcessorMilliseconds } from '@hickoryspoke/telemetry/event-loop-monitor'
+import { registerLimiterMetrics } from '@hickoryspoke/telemetry/limiter-metrics'
 import type { Metrics } from '@hickoryspoke/telemetry/metrics'
 import { Ok, type Result } from 'ts-results-es'
+import { createCallerLimiter } from './caller-limits.ts'
 import { CallerServer } from './caller-server.ts'
 import { DispatchedEntryMetrics } from './dispatched-entry-metrics.ts'
 import { EntryLifecycle, EntryPhase } from './entry-lifecycle.ts'
@@ -30,6 +33,8 @@
   readonly name: string
   readonly zone: string
   readonly callers: string
+  /** Memory and descriptors that the process may use; by default those of the smallest machines. */
+  readonly limits?: ProcessLimits
   readonly readiness: string
   readonly readinessPath: string
   /** Where this entry connects others to upstreams that they cannot reach. */
@@ -59,6 +64,8 @@
 const READY_WITHOUT_DISPATCHER_MILLISECONDS = 2_000
 /** How long callers are still served after the stop signal, so that the load balancer can notice that the entry is not ready. */
 const ANNOUNCE_MILLISECONDS = 2_600
+/** Connections of the load balancer's checks. */
+const MAXIMUM_READINESS_CONNECTIONS = 64
 /** Time reserved at the end of a stop for closing connections. */
 const CLOSE_RESERVE_MILLISECONDS = 500
 
@@ -132,9 +139,13 @@
         }
       }
     })
+    const { limits = DEFAULT_PROCESS_LIMITS } = settings
+    const capacity = entryCapacity(limits)
     this.upstreams = UpstreamAccess.create({
       clock,
       logger,
+      maximumConnections: capacity.upstreamConnections,
+      maximumRelayed: capacity.relayedConnections,
       connector: options.connector,
       isUpstream: (address) => this.registry.isPresent(address),
       isUnwanted: (address) => this.placer.isUnwanted(this.registry.instanceAt(address))
@@ -151,11 +162,14 @@
       relayedConnections: () => this.upstreams.relay.connections
     })
     const { host, port } = splitAddress(settings.callers)
-    this.callers = CallerServer.create({ clock, runner: this.runner, host, port })
+    const limiter = createCallerLimiter(clock, limits, logger)
+    registerLimiterMetrics(this.entryMetrics.metrics, limiter)
+    this.callers = CallerServer.create({ clock, runner: this.runner, host, port, limiter })
     this.readiness = createServer((request, response) => {
       const ready = request.url === settings.readinessPath && this.isReady
       response.writeHead(ready ? 200 : 503).end()
     })
+    this.readiness.maxConnections = MAXIMUM_READINESS_CONNECTIONS
   }
 
   static async start (settings: DispatchedEntrySettings, options: DispatchedEntryOptions): Promise<Result<DispatchedEntry, Failure>> {
--- /dev/null
+++ b/packages/entry/src/tests/client-limiter.test.ts
@@ -0,0 +1,182 @@
+import { ClientLimiter, type LimitedConnection } from '@hickoryspoke/runtime/client-limiter'
+import { MemoryBudget, MemoryUse } from '@hickoryspoke/runtime/memory-budget'
+import { controlCapacity, entryCapacity } from '@hickoryspoke/runtime/process-capacity'
+import { FakeClock } from '@hickoryspoke/testing/fake-clock'
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+
+const BUDGET_BYTES = 10_000_000
+const STALLED_MILLISECONDS = 1_000
+
+class TestConnection implements LimitedConnection {
+  reads = 0
+  isClosed = false
+
+  readOn (): void {
+    this.reads += 1
+  }
+
+  closeSilent (): void {
+    this.isClosed = true
+  }
+}
+
+interface Setup {
+  readonly clock: FakeClock
+  readonly limiter: ClientLimiter
+  readonly reports: string[]
+}
+
+function setUp (maximumConnections = 3, maximumRequests = 3, heapShare = (): number => 0): Setup {
+  const clock = FakeClock.create()
+  const reports: string[] = []
+  const budget = MemoryBudget.create({ clock, bytes: BUDGET_BYTES, heapShare })
+  const limiter = ClientLimiter.create({ clock, maximumConnections, maximumRequests, budget, report: ({ kind }) => reports.push(kind) })
+  return { clock, limiter, reports }
+}
+
+async function settled (): Promise<void> {
+  await new Promise((resolve) => setImmediate(() => setImmediate(resolve)))
+}
+
+// Guards against refusals in the wrong order: what is in work must go on when nothing new is taken any more.
+test('a budget refuses new connections first, then requests read ahead, then bodies', () => {
+  const budget = MemoryBudget.create({ clock: FakeClock.create(), bytes: 100, heapShare: () => 0 })
+  const allowed = (): boolean[] => [MemoryUse.Connection, MemoryUse.ReadAhead, MemoryUse.Body].map((use) => budget.allows(use))
+  assert.equal(allowed(), [true, true, true])
+  budget.count(70)
+  assert.equal(allowed(), [false, true, true])
+  budget.count(10)
+  assert.equal(allowed(), [false, false, true])
+  budget.count(10)
+  assert.equal(allowed(), [false, false, false])
+  budget.count(-50)
+  assert.equal(allowed(), [true, true, true])
+})
+
+// Guards against counts that miss what fills the heap.
+test('a heap that is nearly full refuses too, until it has been collected', () => {
+  const clock = FakeClock.create()
+  let share = 0.96
+  const budget = MemoryBudget.create({ clock, bytes: 100, heapShare: () => share })
+  assert.not(budget.allows(MemoryUse.Body))
+  share = 0.5
+  clock.advance(100)
+  assert.ok(budget.allows(MemoryUse.Connection))
+})
+
+// Guards against limits that leave no descriptors, or that callers within their limits reach.
+test('the limits of a process leave descriptors for everything that is not limited', () => {
+  for (const descriptors of [240, 4_100, 10_250]) {
+    const { callerConnections, upstreamConnections, relayedConnections } = entryCapacity({ descriptors, megabytes: 250 })
+    assert.ok(callerConnections + upstreamConnections + 2 * relayedConnections < descriptors)
+    assert.ok(controlCapacity({ descriptors, megabytes: 346 }).callerConnections <= descriptors / 2)
+  }
+  const smallest = entryCapacity({ descriptors: 4_100, megabytes: 250 })
+  assert.ok(smallest.callerConnections >= 20 * 10 && smallest.requests >= 1_000)
+  assert.ok(smallest.heldBytes >= 64 * 1_048_576)
+})
+
+test('connections beyond the limit are refused, and one that closes makes room', () => {
+  const { limiter, reports } = setUp()
+  const connections = [1, 2, 3].map(() => new TestConnection())
+  for (const connection of connections) {
+    assert.ok(limiter.admitConnection())
+    limiter.connectionOpened(connection)
+  }
+  assert.not(limiter.admitConnection())
+  assert.is(limiter.shed.connection, 1)
+  limiter.connectionClosed(connections[0] as TestConnection)
+  assert.ok(limiter.admitConnection())
+  assert.equal(reports, ['connection'])
+})
+
+// Guards against idle connections that keep ordinary callers out.
+test('at the limit the oldest connection without a request is closed for a new one', () => {
+  const { clock, limiter } = setUp()
+  const connections = [1, 2, 3].map(() => new TestConnection())
+  for (const connection of connections) limiter.connectionOpened(connection)
+  limiter.requestBegun(connections[0] as TestConnection)
+  clock.advance(600)
+  assert.ok(limiter.admitConnection())
+  assert.equal(connections.map(({ isClosed }) => isClosed), [false, true, false])
+  assert.is(limiter.shed.silent_connection, 1)
+})
+
+test('a connection waits while as many requests as allowed are in work, and reads on when one ends', async () => {
+  const { limiter } = setUp(3, 20)
+  const [busy, waiting] = [new TestConnection(), new TestConnection()]
+  for (let count = 0; count < 20; count += 1) limiter.requestBegun(busy)
+  assert.ok(limiter.mustWait(waiting, false))
+  assert.is(limiter.waitingConnections, 1)
+  await settled()
+  assert.is(waiting.reads, 0)
+  limiter.requestEnded()
+  await settled()
+  assert.is(waiting.reads, 1)
+  assert.not(limiter.mustWait(waiting, false))
+})
+
+// Guards against input that waits for memory which only the requests in it can free.
+test('some requests are read whatever is held', () => {
+  const { limiter } = setUp(100, 100)
+  limiter.hold(2 * BUDGET_BYTES)
+  let read = 0
+  for (; !limiter.mustWait(new TestConnection(), false); read += 1) limiter.requestBegun(new TestConnection())
+  assert.is(read, 16)
+})
+
+// Guards against a connection that waits for ever as memory became free without a request that ended.
+test('a connection that waits for memory is told to read on once there is some', async () => {
+  let share = 0.99
+  const { clock, limiter } = setUp(3, 100, () => share)
+  const connection = new TestConnection()
+  for (let count = 0; count < 16; count += 1) limiter.requestBegun(new TestConnection())
+  assert.ok(limiter.mustWait(connection, false))
+  clock.advance(200)
+  await settled()
+  assert.is(connection.reads, 0)
+  share = 0.1
+  clock.advance(200)
+  await settled()
+  assert.is(connection.reads, 1)
+})
+
+test('a connection with requests in work waits while one without may still read its first', () => {
+  const { limiter } = setUp()
+  limiter.hold(BUDGET_BYTES * 0.85)
+  assert.ok(limiter.mustWait(new TestConnection(), true))
+  assert.not(limiter.mustWait(new TestConnection(), false))
+})
+
+// Guards against bodies that stopped halfway and keep out others.
+test('a body is refused without memory for it, unless another one has stalled', () => {
+  const { clock, limiter } = setUp()
+  const dropped: string[] = []
+  const body = (name: string): { dropStalled: () => void } => ({
+    dropStalled: () => {
+      dropped.push(name)
+      limiter.hold(-BUDGET_BYTES)
+    }
+  })
+  assert.ok(limiter.takeBody(body('stalled'), BUDGET_BYTES))
+  assert.not(limiter.takeBody(body('second'), 1))
+  assert.equal(dropped, [])
+  clock.advance(STALLED_MILLISECONDS)
+  assert.ok(limiter.takeBody(body('third'), 1))
+  assert.equal(dropped, ['stalled'])
+  assert.equal([limiter.shed.body, limiter.shed.stalled_body], [1, 1])
+})
+
+// Guards against a log that grows with each refused connection.
+test('at most one line a second is logged', () => {
+  const { clock, limiter, reports } = setUp(0)
+  for (let count = 0; count < 100; count += 1) limiter.admitConnection()
+  assert.is(reports.length, 1)
+  clock.advance(1_000)
+  limiter.admitConnection()
+  assert.is(reports.length, 2)
+  assert.is(limiter.shed.connection, 101)
+})
+
+test.run()
--- a/packages/entry/src/upstream-access.ts
+++ b/packages/entry/src/upstream-access.ts
@@ -12,6 +12,10 @@
 export interface UpstreamAccessOptions {
   readonly clock: Clock
   readonly logger: Logger
+  /** Connections to all upstreams together. */
+  readonly maximumConnections: number
+  /** Connections that are relayed for other entries. */
+  readonly maximumRelayed: number
   /** Opens connections over this VM's own network; by default TCP connections. */
   readonly connector?: Connector
   /** Whether an upstream announced this IP:PORT. */
@@ -43,9 +47,15 @@
       relays: () => this.relays,
       timeoutMilliseconds: CONNECT_TIMEOUT_MILLISECONDS
     })
-    this.connections = UpstreamConnections.create(clock, {}, this.connector)
+    this.connections = UpstreamConnections.create(clock, { maximumInTotal: options.maximumConnections }, this.connector)
     this.relay = ConnectionRelay.create({
-      clock, logger, connector: this.directConnector(RELAY_CONNECT_TIMEOUT_MILLISECONDS), isUpstream, isUnwanted, isReaching: () => !this.isCutOff
+      clock,
+      logger,
+      connector: this.directConnector(RELAY_CONNECT_TIMEOUT_MILLISECONDS),
+      isUpstream,
+      isUnwanted,
+      isReaching: () => !this.isCutOff,
+      maximumConnections: options.maximumRelayed
     })
   }
 
--- a/packages/request/src/caller-exchange.ts
+++ b/packages/request/src/caller-exchange.ts
@@ -18,6 +18,10 @@
    */
   readonly signal: AbortSignal
   readonly answer: CallerResponse
+  /** Asked for each part of the body before it is buffered; false if the body must be refused for lack of memory. */
+  takeBody? (bytes: number): boolean
+  /** Called once no more of the body is buffered. */
+  bodyTaken? (): void
   /** Sends `100 Continue` to a caller that expects it. */
   sendContinue (): void
 }
--- a/packages/request/src/request-body.ts
+++ b/packages/request/src/request-body.ts
@@ -14,6 +14,8 @@
 }
 
 export const DEFAULT_BODY_LIMITS: BodyLimits = { maximumBytes: 64 * 1024 * 1024, replayBytes: 65_536 }
+/** When a caller whose body was refused for lack of memory may send it again. */
+const BODY_RETRY_MILLISECONDS = 1_000
 
 /** A request body: either buffered completely, or a buffered start followed by a stream that can be read once. */
 export class RequestBody {
@@ -25,6 +27,7 @@
     if ((exchange.bodyBytes ?? 0) > limits.maximumBytes) return Err(Refusal.create('body_too_large'))
     exchange.sendContinue()
     const head = await readHead(exchange, bufferBytes)
+    exchange.bodyTaken?.()
     if (head.isErr()) return head
     const buffered = Buffer.concat(head.value.chunks)
     if (buffered.length > limits.maximumBytes) return Err(Refusal.create('body_too_large'))
@@ -101,6 +104,7 @@
     while (bytes <= bufferBytes) {
       const chunk = source.read() as Buffer | null
       if (chunk !== null) {
+        if (exchange.takeBody?.(chunk.length) === false) return Err(Refusal.create('overloaded', 'no memory for the body', BODY_RETRY_MILLISECONDS))
         chunks.push(chunk)
         bytes += chunk.length
       } else if (source.readableEnded) {
--- a/packages/request/src/upstream-connections.ts
+++ b/packages/request/src/upstream-connections.ts
@@ -10,6 +10,8 @@
 export interface ConnectionSettings {
   readonly connectTimeoutMilliseconds: number
   readonly maximumPerUpstream: number
+  /** Connections to all upstreams together, so that descriptors are left for everything else. */
+  readonly maximumInTotal: number
   readonly idleMilliseconds: number
   readonly maximumAnswerHeaderBytes: number
 }
@@ -17,6 +19,7 @@
 export const DEFAULT_CONNECTION_SETTINGS: ConnectionSettings = {
   connectTimeoutMilliseconds: 500,
   maximumPerUpstream: 64,
+  maximumInTotal: 1_536,
   idleMilliseconds: 4000,
   maximumAnswerHeaderBytes: 32_768
 }
@@ -134,6 +137,7 @@
 export class UpstreamConnections {
   private readonly pools = new Map<string, AddressPool>()
   private readonly all = new Set<UpstreamConnection>()
+  private opening = 0
 
   private constructor (private readonly clock: Clock, private readonly settings: ConnectionSettings, private readonly connector: Connector) {}
 
@@ -149,6 +153,7 @@
     const idle = this.takeIdle(pool, question.maximumIdleMilliseconds)
     if (idle !== undefined) return Ok(idle)
     const maximum = Math.min(this.settings.maximumPerUpstream, question.maximumOpen?.() ?? Infinity)
+    if (this.all.size + this.opening >= this.settings.maximumInTotal) return Err(ConnectFailure.create('too_many_connections', 'too many connections to upstreams'))
     if (pool.open >= maximum) return Err(ConnectFailure.create('too_many_connections', 'too many connections to this upstream'))
     return await this.open(question, pool)
   }
@@ -214,7 +219,9 @@
 
   private async open (question: ConnectionOptions, pool: AddressPool): Promise<Result<UpstreamConnection, ConnectFailure>> {
     pool.open += 1
+    this.opening += 1
     const opened = await this.connector.connect(question.address, question.signal)
+    this.opening -= 1
     if (opened.isErr()) {
       this.countClosed(question.address, pool)
       return opened
--- /dev/null
+++ b/packages/runtime/src/client-limiter.ts
@@ -0,0 +1,242 @@
+/** Limits over all connections of a server: connections, requests in work, and what is held for them. */
+import type { Clock } from './clock.ts'
+import type { MemoryBudget } from './memory-budget.ts'
+import { MemoryUse } from './memory-budget.ts'
+
+/** Counted for each connection: the sockets, parsers and listeners of Node.js take about this much. */
+export const CONNECTION_BYTES = 8_192
+/** Counted for each request in work, without its body and its response: the head in several forms, and its timers and signals. */
+export const REQUEST_BYTES = 32_768
+/** Requests in work that are allowed whatever is held. */
+const MINIMUM_REQUESTS = 16
+/** A connection without a whole request that is older than this is closed for a new one at the limit. */
+const YOUNG_MILLISECONDS = 500
+const LOG_INTERVAL_MILLISECONDS = 1_000
+/** Memory that is freed by a garbage collection is not announced, so connections that wait are looked at again after this time. */
+const WAITING_CHECK_MILLISECONDS = 100
+
+/** A body that has not grown for this long is given up when another one needs its memory. */
+const STALLED_BODY_MILLISECONDS = 1_000
+
+/** What was refused or had to wait. */
+export const ShedKind = { Connection: 'connection', SilentConnection: 'silent_connection', ReadAhead: 'read_ahead', Body: 'body', StalledBody: 'stalled_body' } as const
+export type ShedKind = typeof ShedKind[keyof typeof ShedKind]
+
+/** Dependencies of a `ClientLimiter`. */
+export interface ClientLimiterOptions {
+  readonly clock: Clock
+  readonly maximumConnections: number
+  /** Requests in work on all connections together. */
+  readonly maximumRequests: number
+  readonly budget: MemoryBudget
+  /** Called at most once a second while something is refused or has to wait. */
+  readonly report?: (state: LimiterState) => void
+}
+
+/** Totals for the log: what is held now, and how often each thing happened since the start. */
+export interface LimiterState extends Readonly<Record<ShedKind, number>> {
+  readonly kind: ShedKind
+  readonly connections: number
+  readonly requests: number
+  readonly waitingConnections: number
+  readonly heldBytes: number
+  readonly limitBytes: number
+}
+
+/** A request whose body is being buffered. */
+export interface BufferingRequest {
+  /** Closes the connection of a caller that sends nothing more of the body. */
+  dropStalled (): void
+}
+
+/** A connection that waits until it may read on, or that can be closed for another. */
+export interface LimitedConnection {
+  /** Reads on as far as the limits allow. */
+  readOn (): void
+  closeSilent (): void
+}
+
+export class ClientLimiter {
+  readonly budget: MemoryBudget
+  /** Number of times that something was refused or had to wait. */
+  readonly shed: Record<ShedKind, number> = { connection: 0, silent_connection: 0, read_ahead: 0, body: 0, stalled_body: 0 }
+  private open = 0
+  private inWork = 0
+  private readonly waiting = new Set<LimitedConnection>()
+  /** Connections that have not sent a whole request head, oldest first, with the time of their start. */
+  private readonly silent = new Map<LimitedConnection, number>()
+  /** Requests whose body is being buffered, with the time of the last part; the one that has stalled longest first. */
+  private readonly bodies = new Map<BufferingRequest, number>()
+  private loggedAt = -Infinity
+  private isWaking = false
+  private isCheckScheduled = false
+
+  private constructor (private readonly options: ClientLimiterOptions) {
+    this.budget = options.budget
+  }
+
+  static create (options: ClientLimiterOptions): ClientLimiter {
+    return new ClientLimiter(options)
+  }
+
+  get connections (): number {
+    return this.open
+  }
+
+  get requests (): number {
+    return this.inWork
+  }
+
+  /** Number of connections whose next request waits for others. */
+  get waitingConnections (): number {
+    return this.waiting.size
+  }
+
+  /** Whether a new connection may be kept. At the limit, one that has sent no request for some time is closed for it. */
+  admitConnection (): boolean {
+    if (this.budget.allows(MemoryUse.Connection) && this.open < this.options.maximumConnections) return true
+    if (this.closeSilentConnection()) return true
+    this.record(ShedKind.Connection)
+    return false
+  }
+
+  connectionOpened (connection: LimitedConnection): void {
+    this.open += 1
+    this.silent.set(connection, this.options.clock.monotonicMilliseconds())
+    this.budget.count(CONNECTION_BYTES)
+  }
+
+  connectionClosed (connection: LimitedConnection): void {
+    this.open -= 1
+    this.silent.delete(connection)
+    this.waiting.delete(connection)
+    this.budget.count(-CONNECTION_BYTES)
+    this.wake()
+  }
+
+  requestBegun (connection: LimitedConnection): void {
+    this.inWork += 1
+    this.silent.delete(connection)
+    this.budget.count(REQUEST_BYTES)
+  }
+
+  requestEnded (): void {
+    this.inWork -= 1
+    this.budget.count(-REQUEST_BYTES)
+    this.wake()
+  }
+
+  /**
+   * Whether a connection must wait with its next request. One with requests in work gives way before one without. A
+   * connection that has to wait is told to read on once others have finished.
+   */
+  mustWait (connection: LimitedConnection, isAhead: boolean): boolean {
+    if (this.mayRead(isAhead)) {
+      this.waiting.delete(connection)
+      return false
+    }
+    if (!this.waiting.has(connection)) this.record(ShedKind.ReadAhead)
+    this.waiting.add(connection)
+    this.scheduleCheck()
+    return true
+  }
+
+  /** Counts a part of a body that is buffered; false if the body must be refused. */
+  takeBody (request: BufferingRequest, bytes: number): boolean {
+    while (!this.budget.allows(MemoryUse.Body)) {
+      if (this.dropStalledBody()) continue
+      this.bodies.delete(request)
+      this.record(ShedKind.Body)
+      return false
+    }
+    this.bodies.delete(request)
+    this.bodies.set(request, this.options.clock.monotonicMilliseconds())
+    this.budget.count(bytes)
+    return true
+  }
+
+  /** The body is not buffered any further. What is held of it still counts. */
+  bodyEnded (request: BufferingRequest): void {
+    this.bodies.delete(request)
+  }
+
+  /** Whether input may be kept that waits behind other requests. */
+  get mayKeepInput (): boolean {
+    return this.budget.allows(MemoryUse.ReadAhead)
+  }
+
+  /** Counts bytes that are held for a caller from now on, or with a negative number no longer. */
+  hold (bytes: number): void {
+    this.budget.count(bytes)
+    if (bytes < 0) this.wake()
+  }
+
+  /** Lets connections read on, those that have waited longest first. */
+  private wake (): void {
+    if (this.isWaking || this.waiting.size === 0) return
+    this.isWaking = true
+    setImmediate(() => {
+      this.isWaking = false
+      for (const connection of [...this.waiting]) {
+        if (!this.mayRead(false)) return
+        this.waiting.delete(connection)
+        connection.readOn()
+      }
+    })
+  }
+
+  /** Some requests are read in any case, as only requests that end free the memory of input that waits. */
+  private mayRead (isAhead: boolean): boolean {
+    if (!isAhead && this.inWork < MINIMUM_REQUESTS) return true
+    return this.inWork < this.options.maximumRequests && this.budget.allows(isAhead ? MemoryUse.ReadAhead : MemoryUse.Body)
+  }
+
+  private scheduleCheck (): void {
+    if (this.isCheckScheduled) return
+    this.isCheckScheduled = true
+    this.options.clock.schedule(WAITING_CHECK_MILLISECONDS, () => {
+      this.isCheckScheduled = false
+      if (this.waiting.size === 0) return
+      this.wake()
+      this.scheduleCheck()
+    })
+  }
+
+  private closeSilentConnection (): boolean {
+    const [oldest] = this.silent
+    if (oldest === undefined) return false
+    const [connection, startedAt] = oldest
+    if (this.options.clock.monotonicMilliseconds() - startedAt < YOUNG_MILLISECONDS) return false
+    this.record(ShedKind.SilentConnection)
+    this.silent.delete(connection)
+    connection.closeSilent()
+    return true
+  }
+
+  private dropStalledBody (): boolean {
+    const [oldest] = this.bodies
+    if (oldest === undefined) return false
+    const [request, grewAt] = oldest
+    if (this.options.clock.monotonicMilliseconds() - grewAt < STALLED_BODY_MILLISECONDS) return false
+    this.bodies.delete(request)
+    this.record(ShedKind.StalledBody)
+    request.dropStalled()
+    return true
+  }
+
+  private record (kind: ShedKind): void {
+    this.shed[kind] += 1
+    const now = this.options.clock.monotonicMilliseconds()
+    if (now - this.loggedAt < LOG_INTERVAL_MILLISECONDS) return
+    this.loggedAt = now
+    this.options.report?.({
+      kind,
+      connections: this.open,
+      requests: this.inWork,
+      waitingConnections: this.waiting.size,
+      heldBytes: this.budget.heldBytes,
+      limitBytes: this.budget.limitBytes,
+      ...this.shed
+    })
+  }
+}
--- /dev/null
+++ b/packages/runtime/src/process-capacity.ts
@@ -0,0 +1,55 @@
+/** How much of a process's descriptors and memory its clients may use. */
+
+/** What a process may use, as its settings state it. */
+export interface ProcessLimits {
+  readonly descriptors: number
+  readonly megabytes: number
+}
+
+/** The smallest machines of the deployments, for settings that state no limits. */
+export const DEFAULT_PROCESS_LIMITS: ProcessLimits = { descriptors: 4_096, megabytes: 250 }
+
+/** Descriptors of callers' connections, of requests in work, and of connections to upstreams. The rest is for the control VMs, relays, logs and files. */
+const CALLER_SHARE = 0.25
+const REQUEST_SHARE = 0.3
+const UPSTREAM_SHARE = 0.375
+/** A relayed connection takes two. */
+const RELAYED_SHARE = 0.1
+/** A control process connects to few others, and hundreds of upstreams announce themselves to it. */
+const CONTROL_CALLER_SHARE = 0.5
+/** Resident memory of a program without clients: 75 MB at rest, 112 MB for a moment when the first request compiles the HTTP client. */
+const PROGRAM_MEGABYTES = 110
+/** Share of the rest for what is counted. The counts are estimates, and garbage takes memory until it is collected. */
+const COUNTED_SHARE = 0.5
+const MINIMUM_COUNTED_BYTES = 8_388_608
+const MEGABYTE = 1_048_576
+
+/** Limits that follow from the descriptors and memory of an entry. */
+export interface EntryCapacity {
+  readonly callerConnections: number
+  /** Requests in work, each of which may hold a connection to an upstream. */
+  readonly requests: number
+  readonly upstreamConnections: number
+  readonly relayedConnections: number
+  readonly heldBytes: number
+}
+
+/** Limits of an entry. */
+export function entryCapacity ({ descriptors, megabytes }: ProcessLimits): EntryCapacity {
+  return {
+    callerConnections: Math.floor(descriptors * CALLER_SHARE),
+    requests: Math.floor(descriptors * REQUEST_SHARE),
+    upstreamConnections: Math.floor(descriptors * UPSTREAM_SHARE),
+    relayedConnections: Math.floor(descriptors * RELAYED_SHARE),
+    heldBytes: countedBytes(megabytes)
+  }
+}
+
+/** Limits of a control process: connections of callers, and bytes that are held for them. */
+export function controlCapacity ({ descriptors, megabytes }: ProcessLimits): Pick<EntryCapacity, 'callerConnections' | 'heldBytes'> {
+  return { callerConnections: Math.floor(descriptors * CONTROL_CALLER_SHARE), heldBytes: countedBytes(megabytes) }
+}
+
+function countedBytes (megabytes: number): number {
+  return Math.max(MINIMUM_COUNTED_BYTES, (megabytes - PROGRAM_MEGABYTES) * MEGABYTE * COUNTED_SHARE)
+}
--- a/packages/telemetry/src/metrics-server.ts
+++ b/packages/telemetry/src/metrics-server.ts
@@ -6,6 +6,8 @@
 import type { Metrics } from './metrics.ts'
 
 const METRICS_PATH = '/metrics'
+/** Connections of the programs that scrape. */
+const MAXIMUM_CONNECTIONS = 16
 
 /** Serves `/metrics` on an `IP:PORT`. If the port cannot be bound, logs the error and leaves the process running without metrics. */
 export function serveMetrics (address: string, metrics: Metrics, logger: Logger): Server {
@@ -21,6 +23,7 @@
       response.writeHead(500).end()
     })
   })
+  server.maxConnections = MAXIMUM_CONNECTIONS
   const { host, port } = splitAddress(address)
   server.on('error', (error) => logger.error('metrics server failed', { address, reason: describeError(error) }))
   server.listen(port, host)
