--- a/packages/entry/src/caller-connection.ts
+++ b/packages/entry/src/caller-connection.ts
@@ -39,13 +39,13 @@
 
   private constructor (private readonly socket: Socket, private readonly options: CallerConnectionOptions) {
     const { limiter } = options
-    limiter.connectionOpened(this)
     this.input = PacedInput.attach(socket, {
       isHeld: () => this.isHeld(),
       isInBody: () => this.isInBody,
       mayKeep: () => limiter.mayKeepInput,
       onKept: (change) => limiter.hold(change)
     })
+    limiter.connectionOpened(this)
     socket.once('close', () => {
       this.cancelAll()
       limiter.connectionClosed(this)
@@ -93,6 +93,10 @@
     this.input.feed()
   }
 
+  suspend (): void {
+    if (this.exchanges.length === 0) this.input.suspend()
+  }
+
   /** Closes a connection on which no request has arrived. */
   closeSilent (): void {
     this.socket.destroy()
--- a/packages/runtime/src/client-limiter.ts
+++ b/packages/runtime/src/client-limiter.ts
@@ -14,6 +14,8 @@
 const LOG_INTERVAL_MILLISECONDS = 1_000
 /** Memory that is freed by a garbage collection is not announced, so connections that wait are looked at again after this time. */
 const WAITING_CHECK_MILLISECONDS = 100
+/** Connections that read on at once. What each of them reads is known only afterwards. */
+const WAKE_BATCH = 16
 
 /** A body that has not grown for this long is given up when another one needs its memory. */
 const STALLED_BODY_MILLISECONDS = 1_000
@@ -53,6 +55,8 @@
 export interface LimitedConnection {
   /** Reads on as far as the limits allow. */
   readOn (): void
+  /** Reads nothing until it is told to read on, if no request of it is in work. */
+  suspend (): void
   closeSilent (): void
 }
 
@@ -60,7 +64,9 @@
   readonly budget: MemoryBudget
   /** Number of times that something was refused or had to wait. */
   readonly shed: Record<ShedKind, number> = { connection: 0, silent_connection: 0, read_ahead: 0, body: 0, stalled_body: 0 }
-  private open = 0
+  private readonly open = new Set<LimitedConnection>()
+  /** Whether connections without requests do not read, as memory is short. */
+  private isTight = false
   private inWork = 0
   private readonly waiting = new Set<LimitedConnection>()
   /** Connections that have not sent a whole request head, oldest first, with the time of their start. */
@@ -80,7 +86,7 @@
   }
 
   get connections (): number {
-    return this.open
+    return this.open.size
   }
 
   get requests (): number {
@@ -94,20 +100,21 @@
 
   /** Whether a new connection may be kept. At the limit, one that has sent no request for some time is closed for it. */
   admitConnection (): boolean {
-    if (this.budget.allows(MemoryUse.Connection) && this.open < this.options.maximumConnections) return true
+    if (this.budget.allows(MemoryUse.Connection) && this.open.size < this.options.maximumConnections) return true
     if (this.closeSilentConnection()) return true
     this.record(ShedKind.Connection)
     return false
   }
 
   connectionOpened (connection: LimitedConnection): void {
-    this.open += 1
+    this.open.add(connection)
     this.silent.set(connection, this.options.clock.monotonicMilliseconds())
     this.budget.count(CONNECTION_BYTES)
+    if (this.isTight) this.suspend(connection)
   }
 
   connectionClosed (connection: LimitedConnection): void {
-    this.open -= 1
+    this.open.delete(connection)
     this.silent.delete(connection)
     this.waiting.delete(connection)
     this.budget.count(-CONNECTION_BYTES)
@@ -118,6 +125,7 @@
     this.inWork += 1
     this.silent.delete(connection)
     this.budget.count(REQUEST_BYTES)
+    this.checkTightness()
   }
 
   requestEnded (): void {
@@ -152,6 +160,7 @@
     this.bodies.delete(request)
     this.bodies.set(request, this.options.clock.monotonicMilliseconds())
     this.budget.count(bytes)
+    this.checkTightness()
     return true
   }
 
@@ -169,6 +178,7 @@
   hold (bytes: number): void {
     this.budget.count(bytes)
     if (bytes < 0) this.wake()
+    else this.checkTightness()
   }
 
   /** Lets connections read on, those that have waited longest first. */
@@ -177,7 +187,8 @@
     this.isWaking = true
     setImmediate(() => {
       this.isWaking = false
-      for (const connection of [...this.waiting]) {
+      if (this.budget.allows(MemoryUse.ReadAhead)) this.isTight = false
+      for (const connection of [...this.waiting].slice(0, this.isTight ? WAKE_BATCH : Infinity)) {
         if (!this.mayRead(false)) return
         this.waiting.delete(connection)
         connection.readOn()
@@ -185,6 +196,22 @@
     })
   }
 
+  /**
+   * Each connection reads up to 64 kB before it can be told to wait. So once memory is short, those without requests in work
+   * stop reading beforehand.
+   */
+  private checkTightness (): void {
+    if (this.isTight || this.budget.allows(MemoryUse.ReadAhead)) return
+    this.isTight = true
+    for (const connection of this.open) this.suspend(connection)
+  }
+
+  private suspend (connection: LimitedConnection): void {
+    connection.suspend()
+    this.waiting.add(connection)
+    this.scheduleCheck()
+  }
+
   /** Some requests are read in any case, as only requests that end free the memory of input that waits. */
   private mayRead (isAhead: boolean): boolean {
     if (!isAhead && this.inWork < MINIMUM_REQUESTS) return true
@@ -231,7 +258,7 @@
     this.loggedAt = now
     this.options.report?.({
       kind,
-      connections: this.open,
+      connections: this.open.size,
       requests: this.inWork,
       waitingConnections: this.waiting.size,
       heldBytes: this.budget.heldBytes,
--- a/packages/runtime/src/paced-input.ts
+++ b/packages/runtime/src/paced-input.ts
@@ -16,6 +16,7 @@
 /** Input that is kept for a connection whose next request must wait. With more, nothing is read from the connection. */
 export const MAXIMUM_KEPT_BYTES = 65_536
 
+const SWITCH_EVENTS = ['pause', 'resume'] as const
 const END_OF_HEAD = '\r\n\r\n'
 /** Longest piece. It limits how much of a head that is too large is parsed at once. */
 const MAXIMUM_PIECE_BYTES = 4_096
@@ -33,6 +34,8 @@
   private keptBytes = 0
   /** Whether this object stopped reading, as enough is kept. */
   private isFull = false
+  /** Whether nothing is read although nothing is kept. */
+  private isSuspended = false
   private isFeeding = false
   private isStopped = false
 
@@ -51,9 +54,13 @@
   /** Call once the HTTP server listens to the connection. */
   static attach (socket: Socket, options: PacedInputOptions): PacedInput {
     const parsers = socket.listeners('data') as ((chunk: Buffer) => void)[]
+    const switches = SWITCH_EVENTS.flatMap((event) => socket.listeners(event).map((listener) => [event, listener as () => void] as const))
     // Makes Node.js pass on what arrives, in place of parsing it where it is received.
     socket.removeAllListeners('data')
-    return new PacedInput(socket, (chunk) => { for (const parser of parsers) parser.call(socket, chunk) }, options)
+    // With the first listener to data Node.js gives up its own listeners that stop reading at a pause. Without them one more chunk is read.
+    const input = new PacedInput(socket, (chunk) => { for (const parser of parsers) parser.call(socket, chunk) }, options)
+    for (const [event, listener] of switches) if (!socket.listeners(event).includes(listener)) socket.prependListener(event, listener)
+    return input
   }
 
   /** Whether input is kept that may hold further requests. */
@@ -64,6 +71,12 @@
   /** Parses what is kept, as far as requests may be read. */
   feed (): void {
     if (this.isFeeding || this.isStopped) return
+    if (this.isSuspended) {
+      if (this.options.isHeld()) return
+      this.isSuspended = false
+      this.socket.resume()
+      return
+    }
     this.isFeeding = true
     try {
       while (this.mayFeed()) this.parse(this.takePiece())
@@ -73,6 +86,13 @@
     this.adjustReading()
   }
 
+  /** Reads nothing until `feed` is called and the next request may be read. Does nothing if input is kept, or a body is being read. */
+  suspend (): void {
+    if (this.isStopped || this.isSuspended || this.keptBytes > 0 || this.socket.isPaused() || this.options.isInBody()) return
+    this.isSuspended = true
+    this.socket.pause()
+  }
+
   /** Discards what is kept and what arrives from now on. */
   stop (): void {
     this.isStopped = true
--- a/packages/runtime/src/process-capacity.ts
+++ b/packages/runtime/src/process-capacity.ts
@@ -21,6 +21,12 @@
 const PROGRAM_MEGABYTES = 110
 /** Share of the rest for what is counted. The counts are estimates, and garbage takes memory until it is collected. */
 const COUNTED_SHARE = 0.5
+/**
+ * What a request may take whose large response is not read: 64 kB each in the connection to the upstream, in the response until
+ * it is passed on, and in the connection to the caller.
+ */
+const UNREAD_REQUEST_BYTES = 196_608
+const MINIMUM_REQUESTS = 32
 const MINIMUM_COUNTED_BYTES = 8_388_608
 const MEGABYTE = 1_048_576
 
@@ -38,7 +44,7 @@
 export function entryCapacity ({ descriptors, megabytes }: ProcessLimits): EntryCapacity {
   return {
     callerConnections: Math.floor(descriptors * CALLER_SHARE),
-    requests: Math.floor(descriptors * REQUEST_SHARE),
+    requests: Math.max(MINIMUM_REQUESTS, Math.floor(Math.min(descriptors * REQUEST_SHARE, (megabytes - PROGRAM_MEGABYTES) * MEGABYTE / UNREAD_REQUEST_BYTES))),
     upstreamConnections: Math.floor(descriptors * UPSTREAM_SHARE),
     relayedConnections: Math.floor(descriptors * RELAYED_SHARE),
     heldBytes: countedBytes(megabytes)
