--- a/packages/entry/src/caller-connection.ts
+++ b/packages/entry/src/caller-connection.ts
@@ -42,6 +42,9 @@
     this.input = PacedInput.attach(socket, {
       isHeld: () => this.isHeld(),
       isInBody: () => this.isInBody,
+      // Only the last request can be in its body, so those before it end and make room.
+      isBodyHeld: () => this.exchanges.length > 1 && this.isLimited(),
+      bodyBytes: () => this.exchanges.at(-1)?.bodyBytes,
       mayKeep: () => limiter.mayKeepInput,
       onKept: (change) => limiter.hold(change)
     })
@@ -135,7 +138,7 @@
     this.finishIfIdle()
     this.endIfBrokenOff()
     // Node.js reports that a response was sent before it reads on.
-    setImmediate(() => this.readOn())
+    if (this.input.isKeeping) setImmediate(() => this.readOn())
   }
 
   private release (exchange: NodeExchange): void {
@@ -149,10 +152,13 @@
 
   /** Whether the next request may not be read yet. Where the connection closes in front of it, it never is. */
   private isHeld (): boolean {
-    if (this.isClosing) return true
+    return this.isClosing || this.isLimited()
+  }
+
+  private isLimited (): boolean {
     const { exchanges, options: { limits, limiter } } = this
     const { maximumPipelinedRequests, maximumUnsentBytes } = limits()
-    if (exchanges.length >= maximumPipelinedRequests) return true
+    if (exchanges.length >= maximumPipelinedRequests + (this.isInBody ? 1 : 0)) return true
     if (exchanges.reduce((sum, { answer }) => sum + answer.unsentBytes, 0) >= maximumUnsentBytes) return true
     return limiter.mustWait(this, exchanges.length > 0)
   }
--- a/packages/entry/src/caller-node-exchange.ts
+++ b/packages/entry/src/caller-node-exchange.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import type { BufferingRequest, ClientLimiter } from '@hickoryspoke/runtime/client-limiter'
+import type { ClientLimiter } from '@hickoryspoke/runtime/client-limiter'
 import type { Clock } from '@hickoryspoke/runtime/clock'
+import type { StallingRequest } from '@hickoryspoke/runtime/stall-list'
 import type { CallerResponse, CallerExchange } from '@hickoryspoke/request/caller-exchange'
 import { AttemptFailure } from '@hickoryspoke/request/attempt-failure'
 import type { Refusal } from '@hickoryspoke/request/refusal'
@@ -21,7 +22,7 @@
 }
 
 /** Request and response of a caller on the HTTP server of Node.js. */
-export class NodeExchange implements CallerExchange, BufferingRequest {
+export class NodeExchange implements CallerExchange, StallingRequest {
   private readonly controller = new AbortController()
   /** Whether the rest of the request cannot be read, nor anything behind it. */
   private isBroken = false
@@ -39,6 +40,7 @@
       unreadTimeoutMilliseconds: options.limits.unreadAnswerTimeoutMilliseconds,
       signal: this.controller.signal,
       hold: (bytes) => options.limiter.hold(bytes),
+      awaitsReader: (isAwaited) => isAwaited ? options.limiter.awaitReader(this) : options.limiter.readerReady(this),
       ended: () => this.discardBody(),
       closesConnection: () => this.isBroken || options.closesConnection(this) || (!this.isRead && request.headers.expect !== undefined)
     })
@@ -118,6 +120,10 @@
     this.controller.abort(AttemptFailure.create('caller_gone'))
   }
 
+  awaitBody (): void {
+    if (!this.isReleased) this.options.limiter.awaitBody(this)
+  }
+
   /** Counts bytes of the body that are buffered to be sent again; false if there is no memory for them. */
   takeBody (bytes: number): boolean {
     if (this.isReleased) return true
@@ -139,6 +145,7 @@
   release (): void {
     if (this.isReleased) return
     this.isReleased = true
+    this.options.limiter.readerReady(this)
     this.bodyTaken()
     this.options.limiter.hold(-this.bufferedBytes)
     this.answer.release()
@@ -164,6 +171,8 @@
   readonly signal: AbortSignal
   /** Called with each change of the number of bytes that wait to be sent. */
   readonly hold: (change: number) => void
+  /** Called when the response can be sent on only once its caller has read more, and when it can be or has ended. */
+  readonly awaitsReader: (isAwaited: boolean) => void
   /** Called when the response is complete, although it may not have been sent yet. */
   readonly ended: () => void
   /** Called when the response headers are sent: whether the connection is closed after the response. */
@@ -232,9 +241,12 @@
       task()
       return
     }
+    // A response behind another one waits for its turn, not for its caller.
+    if (response.socket !== null) this.options.awaitsReader(true)
     const timer = clock.schedule(unreadTimeoutMilliseconds, () => this.abort())
     const finish = (): void => {
       timer.cancel()
+      this.options.awaitsReader(false)
       response.off('drain', finish).off('close', finish)
       signal.removeEventListener('abort', finish)
       task()
--- a/packages/entry/src/tests/caller-limits.test.ts
+++ b/packages/entry/src/tests/caller-limits.test.ts
@@ -1,5 +1,5 @@
 /** The limits of callers on the server of an entry, without processes. */
-import { createConnection, type Socket } from 'node:net'
+import { createConnection, createServer, type AddressInfo, type Socket } from 'node:net'
 import { ClientLimiter } from '@hickoryspoke/runtime/client-limiter'
 import { SystemClock } from '@hickoryspoke/runtime/clock'
 import { MemoryBudget } from '@hickoryspoke/runtime/memory-budget'
@@ -10,9 +10,14 @@
 
 const PIPELINED = 16
 const SENT_AHEAD = 200
+const BODIES_SENT_AHEAD = 60
 const ROUTES = [{ path: '/ledger', timeout_milliseconds: 9_000, idempotent: true }]
 /** More than Node.js hands to its parser at once. */
 const LONG_PIPELINE = 5_000
+const UPLOAD_BYTES = 60_000_000
+const PART = Buffer.alloc(100_000, 'x')
+/** More than the operating system buffers on both ways. */
+const MAXIMUM_SYSTEM_BUFFER_BYTES = 30_000_000
 
 interface Scene {
   readonly fixture: CallerFixture
@@ -72,6 +77,46 @@
   assert.equal([limiter.requests, limiter.budget.heldBytes], [0, 0])
 }))
 
+const put = (path: string, headers: string, body: string): string => `PUT ${path} HTTP/1.1\r\nHost: entry\r\n${AUTHORIZED}${headers}\r\n${body}`
+const WITH_LENGTH = (path: string): string => put(path, 'Content-Length: 8\r\n', '\r\n\r\nbody')
+const IN_CHUNKS = (path: string): string => put(path, 'Transfer-Encoding: chunked\r\n', '8\r\n\r\n\r\nbody\r\n0\r\n\r\n')
+
+// Guards against requests that are not limited as each is read together with the body of the one before it.
+for (const [what, text, most, stepBytes] of [
+  ['with a length', WITH_LENGTH, PIPELINED, Infinity],
+  ['with a length that arrive in small parts', WITH_LENGTH, PIPELINED, 7],
+  ['in chunks', IN_CHUNKS, PIPELINED + 3, Infinity],
+  ['in chunks that arrive in small parts', IN_CHUNKS, PIPELINED + 3, 11]
+] as const) {
+  test(`requests with bodies ${what} are limited and answered in their order`, () => withHeld(async ({ fixture, upstream, held, limiter }) => {
+    const { socket, received } = connectTo(fixture)
+    socket.setNoDelay(true)
+    const all = paths(BODIES_SENT_AHEAD).map(text).join('')
+    const isSent = (async () => {
+      for (let sent = 0; sent < all.length; sent += stepBytes) {
+        socket.write(all.slice(sent, Math.min(all.length, sent + stepBytes)))
+        await new Promise((resolve) => setImmediate(resolve))
+      }
+    })()
+    await until(() => held.length >= PIPELINED)
+    await isSent
+    await pause(100)
+    const inWork = limiter.requests
+    assert.ok(inWork >= PIPELINED && inWork <= most, `${inWork} requests are in work`)
+    while (upstream.requests.length < BODIES_SENT_AHEAD || held.length > 0) {
+      await until(() => held.length > 0)
+      const next = held.shift()
+      next?.socket.write(okResponse(next.path))
+    }
+    await until(() => received().split('HTTP/1.1 200 OK').length > BODIES_SENT_AHEAD)
+    assert.equal([...received().matchAll(/\r\n\r\n(\/ledger\/\d+)/g)].map((match) => match[1]), paths(BODIES_SENT_AHEAD))
+    assert.ok(upstream.requests.every((request) => request.endsWith('\r\n\r\nbody') || request.includes('\r\n\r\nbody\r\n0\r\n')))
+    socket.destroy()
+    await until(() => limiter.connections === 0)
+    assert.equal([limiter.requests, limiter.budget.heldBytes], [0, 0])
+  }))
+}
+
 // Guards against requests that run although their caller left before they were read.
 test('the end of a connection is noticed while requests wait on it, and they never run', () => withHeld(async ({ fixture, upstream, limiter }) => {
   for (const leave of [(socket: Socket) => socket.resetAndDestroy(), (socket: Socket) => socket.end()]) {
@@ -160,4 +205,60 @@
   second.socket.destroy()
 }, 50_000_000, {}, 2))
 
+// Guards against an upload that is held in memory for an upstream that reads slowly, and against a second sending of it.
+test('an upload to an upstream that reads nothing stops being read, and is not repeated', async () => {
+  const connections: Socket[] = []
+  const slow = createServer({ pauseOnConnect: true }, (socket) => connections.push(socket.on('error', () => {})))
+  await new Promise<void>((resolve) => slow.listen(0, '127.0.0.1', resolve))
+  const { port } = slow.address() as AddressInfo
+  await withHeld(async ({ fixture, limiter }) => {
+    const { socket, received } = connectTo(fixture)
+    socket.write(`PUT /ledger/1 HTTP/1.1\r\nHost: entry\r\n${AUTHORIZED}Content-Length: ${UPLOAD_BYTES}\r\n\r\n`)
+    for (let sent = 0; sent < UPLOAD_BYTES; sent += PART.length) socket.write(PART)
+    await until(() => connections.length === 1)
+    let before = -1
+    while (before !== socket.bytesWritten - socket.writableLength) {
+      before = socket.bytesWritten - socket.writableLength
+      await pause(300)
+    }
+    assert.ok(before < MAXIMUM_SYSTEM_BUFFER_BYTES, `${before} bytes were taken`)
+    assert.ok(limiter.budget.heldBytes < 400_000, `${limiter.budget.heldBytes} bytes are held`)
+    connections[0]?.resetAndDestroy()
+    await until(() => statusOf(received()) !== 0)
+    assert.is(statusOf(received()), 502)
+    assert.is(connections.length, 1)
+    socket.destroy()
+  }, 50_000_000, { addresses: [`127.0.0.1:${port}`] })
+  await new Promise((resolve) => slow.close(resolve))
+})
+
+// Guards against a large response that is held in memory for a caller that reads slowly.
+test('a large response is taken from its upstream only as fast as its caller reads', async () => {
+  let taken = 0
+  const large = await RawUpstream.create((socket) => {
+    socket.write(`HTTP/1.1 200 OK\r\nContent-Length: ${UPLOAD_BYTES}\r\n\r\n`)
+    for (let sent = 0; sent < UPLOAD_BYTES; sent += PART.length) socket.write(PART, () => { taken += PART.length })
+  })
+  await withHeld(async ({ fixture, limiter }) => {
+    const socket = createConnection(fixture.port, '127.0.0.1')
+    socket.pause()
+    socket.write(get('/ledger/1'))
+    await until(() => limiter.budget.heldBytes > 65_536)
+    let before = -1
+    while (before !== taken) {
+      before = taken
+      await pause(300)
+    }
+    assert.ok(taken < MAXIMUM_SYSTEM_BUFFER_BYTES, `${taken} bytes were taken`)
+    assert.ok(limiter.budget.heldBytes < 400_000, `${limiter.budget.heldBytes} bytes are held`)
+    let bytes = 0
+    socket.on('data', (chunk) => { bytes += chunk.length })
+    socket.resume()
+    await until(() => bytes > UPLOAD_BYTES, 20_000)
+    await until(() => limiter.requests === 0)
+    socket.destroy()
+  }, 50_000_000, { addresses: [large.address] })
+  await large.close()
+})
+
 test.run()
--- a/packages/entry/src/tests/client-limiter.test.ts
+++ b/packages/entry/src/tests/client-limiter.test.ts
@@ -1,6 +1,6 @@
 import { ClientLimiter, type LimitedConnection } from '@hickoryspoke/runtime/client-limiter'
 import { MemoryBudget, MemoryUse } from '@hickoryspoke/runtime/memory-budget'
-import { controlCapacity, entryCapacity } from '@hickoryspoke/runtime/process-capacity'
+import { controlCapacity, DEFAULT_PROCESS_LIMITS, entryCapacity } from '@hickoryspoke/runtime/process-capacity'
 import { FakeClock } from '@hickoryspoke/testing/fake-clock'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
@@ -80,6 +80,7 @@
   const smallest = entryCapacity({ descriptors: 4_100, megabytes: 250 })
   assert.ok(smallest.callerConnections >= 20 * 10 && smallest.requests >= 700)
   assert.ok(smallest.heldBytes >= 64 * 1_048_576)
+  assert.ok(controlCapacity(DEFAULT_PROCESS_LIMITS).heldBytes * 0.9 > 33_554_432, 'the largest document is accepted')
 })
 
 test('connections beyond the limit are refused, and one that closes makes room', () => {
@@ -183,9 +184,45 @@
   assert.not(limiter.takeBody(body('second'), 1))
   assert.equal(dropped, [])
   clock.advance(STALLED_MILLISECONDS)
-  assert.ok(limiter.takeBody(body('third'), 1))
+  const third = body('third')
+  assert.ok(limiter.takeBody(third, 1))
   assert.equal(dropped, ['stalled'])
-  assert.equal([limiter.shed.body, limiter.shed.stalled_body], [1, 1])
+  limiter.hold(BUDGET_BYTES)
+  clock.advance(STALLED_MILLISECONDS)
+  assert.not(limiter.takeBody(third, 1), 'a body does not give way to itself')
+  assert.equal(dropped, ['stalled'])
+  assert.equal([limiter.shed.body, limiter.shed.stalled_body], [2, 1])
+})
+
+// Guards against requests that stopped halfway, or whose responses are not read, and that hold all places.
+test('stalled requests give way to connections that wait for a place', async () => {
+  const { clock, limiter } = setUp(100, 20)
+  const dropped: string[] = []
+  const request = (name: string): { dropStalled: () => void } => ({
+    dropStalled: () => {
+      dropped.push(name)
+      limiter.requestEnded()
+    }
+  })
+  for (let count = 0; count < 20; count += 1) limiter.requestBegun(new TestConnection())
+  const read = request('read on')
+  limiter.awaitBody(request('body'))
+  limiter.awaitReader(request('reader'))
+  limiter.awaitReader(read)
+  limiter.readerReady(read)
+  clock.advance(6_000)
+  await settled()
+  assert.equal(dropped, [], 'nothing is dropped while nobody waits')
+  const [first, second] = [new TestConnection(), new TestConnection()]
+  assert.ok(limiter.mustWait(first, false))
+  clock.advance(100)
+  await settled()
+  assert.equal([dropped, first.reads], [['body'], 1])
+  limiter.requestBegun(first)
+  assert.ok(limiter.mustWait(second, false))
+  clock.advance(100)
+  await settled()
+  assert.equal([dropped, second.reads], [['body', 'reader'], 1])
 })
 
 // Guards against a log that grows with each refused connection.
--- a/packages/request/src/caller-exchange.ts
+++ b/packages/request/src/caller-exchange.ts
@@ -18,6 +18,8 @@
    */
   readonly signal: AbortSignal
   readonly answer: CallerResponse
+  /** Called when the body is awaited, before any of it is buffered. */
+  awaitBody? (): void
   /** Asked for each part of the body before it is buffered; false if the body must be refused for lack of memory. */
   takeBody? (bytes: number): boolean
   /** Called once no more of the body is buffered. */
--- a/packages/request/src/request-body.ts
+++ b/packages/request/src/request-body.ts
@@ -26,6 +26,7 @@
     if (exchange.bodyBytes === 0) return Ok(new RequestBody(Buffer.alloc(0), undefined))
     if ((exchange.bodyBytes ?? 0) > limits.maximumBytes) return Err(Refusal.create('body_too_large'))
     exchange.sendContinue()
+    exchange.awaitBody?.()
     const head = await readHead(exchange, bufferBytes)
     exchange.bodyTaken?.()
     if (head.isErr()) return head
--- a/packages/runtime/src/client-limiter.ts
+++ b/packages/runtime/src/client-limiter.ts
@@ -1,7 +1,7 @@
 /** Limits over all connections of a server: connections, requests in work, and what is held for them. */
 import type { Clock } from './clock.ts'
-import type { MemoryBudget } from './memory-budget.ts'
-import { MemoryUse } from './memory-budget.ts'
+import { MemoryUse, type MemoryBudget } from './memory-budget.ts'
+import { StallList, type StallingRequest } from './stall-list.ts'
 
 /** Counted for each connection: the sockets, parsers and listeners of Node.js take about this much. */
 export const CONNECTION_BYTES = 8_192
@@ -17,11 +17,13 @@
 /** Connections that read on at once. What each of them reads is known only afterwards. */
 const WAKE_BATCH = 16
 
-/** A body that has not grown for this long is given up when another one needs its memory. */
+/** A body that has not grown for this long is given up when others need its memory or its place. */
 const STALLED_BODY_MILLISECONDS = 1_000
+/** A response of which nothing has been read for this long is given up when others need its place. */
+const STALLED_READER_MILLISECONDS = 5_000
 
 /** What was refused or had to wait. */
-export const ShedKind = { Connection: 'connection', SilentConnection: 'silent_connection', ReadAhead: 'read_ahead', Body: 'body', StalledBody: 'stalled_body' } as const
+export const ShedKind = { Connection: 'connection', SilentConnection: 'silent_connection', ReadAhead: 'read_ahead', Body: 'body', StalledBody: 'stalled_body', StalledReader: 'stalled_reader' } as const
 export type ShedKind = typeof ShedKind[keyof typeof ShedKind]
 
 /** Dependencies of a `ClientLimiter`. */
@@ -45,12 +47,6 @@
   readonly limitBytes: number
 }
 
-/** A request whose body is being buffered. */
-export interface BufferingRequest {
-  /** Closes the connection of a caller that sends nothing more of the body. */
-  dropStalled (): void
-}
-
 /** A connection that waits until it may read on, or that can be closed for another. */
 export interface LimitedConnection {
   /** Reads on as far as the limits allow. */
@@ -63,7 +59,7 @@
 export class ClientLimiter {
   readonly budget: MemoryBudget
   /** Number of times that something was refused or had to wait. */
-  readonly shed: Record<ShedKind, number> = { connection: 0, silent_connection: 0, read_ahead: 0, body: 0, stalled_body: 0 }
+  readonly shed: Record<ShedKind, number> = { connection: 0, silent_connection: 0, read_ahead: 0, body: 0, stalled_body: 0, stalled_reader: 0 }
   private readonly open = new Set<LimitedConnection>()
   /** Whether connections without requests do not read, as memory is short. */
   private isTight = false
@@ -71,14 +67,18 @@
   private readonly waiting = new Set<LimitedConnection>()
   /** Connections that have not sent a whole request head, oldest first, with the time of their start. */
   private readonly silent = new Map<LimitedConnection, number>()
-  /** Requests whose body is being buffered, with the time of the last part; the one that has stalled longest first. */
-  private readonly bodies = new Map<BufferingRequest, number>()
+  /** Requests whose body is awaited. */
+  private readonly bodies: StallList
+  /** Requests whose response is not read. */
+  private readonly readers: StallList
   private loggedAt = -Infinity
   private isWaking = false
   private isCheckScheduled = false
 
   private constructor (private readonly options: ClientLimiterOptions) {
     this.budget = options.budget
+    this.bodies = StallList.create(options.clock, STALLED_BODY_MILLISECONDS)
+    this.readers = StallList.create(options.clock, STALLED_READER_MILLISECONDS)
   }
 
   static create (options: ClientLimiterOptions): ClientLimiter {
@@ -150,23 +150,36 @@
   }
 
   /** Counts a part of a body that is buffered; false if the body must be refused. */
-  takeBody (request: BufferingRequest, bytes: number): boolean {
+  takeBody (request: StallingRequest, bytes: number): boolean {
+    this.bodies.remove(request)
     while (!this.budget.allows(MemoryUse.Body)) {
       if (this.dropStalledBody()) continue
-      this.bodies.delete(request)
       this.record(ShedKind.Body)
       return false
     }
-    this.bodies.delete(request)
-    this.bodies.set(request, this.options.clock.monotonicMilliseconds())
+    this.bodies.record(request)
     this.budget.count(bytes)
     this.checkTightness()
     return true
   }
 
-  /** The body is not buffered any further. What is held of it still counts. */
-  bodyEnded (request: BufferingRequest): void {
-    this.bodies.delete(request)
+  /** Records that a body is awaited from now on, or has grown, without counting it. */
+  awaitBody (request: StallingRequest): void {
+    this.bodies.record(request)
+  }
+
+  /** The body is not awaited any further. What is held of it still counts. */
+  bodyEnded (request: StallingRequest): void {
+    this.bodies.remove(request)
+  }
+
+  /** Records that a response can be sent on only once its client has read more. */
+  awaitReader (request: StallingRequest): void {
+    this.readers.record(request)
+  }
+
+  readerReady (request: StallingRequest): void {
+    this.readers.remove(request)
   }
 
   /** Whether input may be kept that waits behind other requests. */
@@ -224,6 +237,8 @@
     this.options.clock.schedule(WAITING_CHECK_MILLISECONDS, () => {
       this.isCheckScheduled = false
       if (this.waiting.size === 0) return
+      // Clients that make no progress must not keep out the others.
+      for (let left = WAKE_BATCH; left > 0 && !this.mayRead(false); left -= 1) if (!this.dropStalledBody() && !this.dropStalledReader()) break
       this.wake()
       this.scheduleCheck()
     })
@@ -241,13 +256,14 @@
   }
 
   private dropStalledBody (): boolean {
-    const [oldest] = this.bodies
-    if (oldest === undefined) return false
-    const [request, grewAt] = oldest
-    if (this.options.clock.monotonicMilliseconds() - grewAt < STALLED_BODY_MILLISECONDS) return false
-    this.bodies.delete(request)
+    if (!this.bodies.dropOldest()) return false
     this.record(ShedKind.StalledBody)
-    request.dropStalled()
+    return true
+  }
+
+  private dropStalledReader (): boolean {
+    if (!this.readers.dropOldest()) return false
+    this.record(ShedKind.StalledReader)
     return true
   }
 
--- a/packages/runtime/src/paced-input.ts
+++ b/packages/runtime/src/paced-input.ts
@@ -7,6 +7,10 @@
   readonly isHeld: () => boolean
   /** Whether the body of the last request is still being read. */
   readonly isInBody: () => boolean
+  /** Whether the rest of that body must wait, since other requests have to end first. */
+  readonly isBodyHeld: () => boolean
+  /** Length of the body of the last request; undefined for a body in chunks. */
+  readonly bodyBytes: () => number | undefined
   /** Whether there is memory to keep input that waits. Without it, reading stops as soon as something waits. */
   readonly mayKeep: () => boolean
   /** Called with each change of the number of bytes that are kept. */
@@ -18,12 +22,15 @@
 
 const SWITCH_EVENTS = ['pause', 'resume'] as const
 const END_OF_HEAD = '\r\n\r\n'
-/** Longest piece. It limits how much of a head that is too large is parsed at once. */
-const MAXIMUM_PIECE_BYTES = 4_096
-/** Shortest piece of a body, which may contain what looks like the end of a head at every few bytes. */
-const MINIMUM_BODY_PIECE_BYTES = 512
+/**
+ * Shortest piece of a body in chunks, which may contain what looks like its end at every few bytes. With the end of such a body
+ * at most 3 requests are read at once.
+ */
+const MINIMUM_CHUNKED_BYTES = 64
 /** No request is shorter than this. */
 const MINIMUM_HEAD_BYTES = 14
+/** Bytes of the end of a head that may precede its last one. */
+const TAIL_BYTES = END_OF_HEAD.length - 1
 
 /**
  * Node.js parses everything that arrives at once and creates a request for each head in it, before it can stop reading.
@@ -32,6 +39,10 @@
 export class PacedInput {
   private readonly pieces: Buffer[] = []
   private keptBytes = 0
+  /** The last bytes of a head whose end has not been parsed. */
+  private headTail: Buffer | undefined
+  /** What is left of the body of the last request; undefined if that is not known. */
+  private bodyLeft: number | undefined
   /** Whether this object stopped reading, as enough is kept. */
   private isFull = false
   /** Whether nothing is read although nothing is kept. */
@@ -79,7 +90,7 @@
     }
     this.isFeeding = true
     try {
-      while (this.mayFeed()) this.parse(this.takePiece())
+      while (this.mayFeed()) this.parsePiece()
     } finally {
       this.isFeeding = false
     }
@@ -110,24 +121,40 @@
   /** While Node.js has paused the connection, its parser takes nothing. */
   private mayFeed (): boolean {
     if (this.isStopped || this.keptBytes === 0 || this.socket.destroyed || this.socket.isPaused()) return false
-    return this.options.isInBody() || !this.options.isHeld()
+    return this.mayGoOn()
   }
 
-  private takePiece (): Buffer {
+  /** Parses what is kept up to the end of a head, or of a body, or as far as neither ends. */
+  private parsePiece (): void {
     const [first = Buffer.alloc(0)] = this.pieces
-    const shortest = this.options.isInBody() ? MINIMUM_BODY_PIECE_BYTES : MINIMUM_HEAD_BYTES
-    const found = first.indexOf(END_OF_HEAD, shortest)
-    const length = Math.min(first.length, MAXIMUM_PIECE_BYTES, found === -1 ? Infinity : found + END_OF_HEAD.length)
-    if (length === first.length) this.pieces.shift()
-    else this.pieces[0] = first.subarray(length)
-    this.count(-length)
-    return length === first.length ? first : first.subarray(0, length)
+    const isInBody = this.options.isInBody()
+    const end = isInBody ? this.bodyEnd(first) : this.headEnd(first)
+    const piece = end === undefined || end >= first.length ? first : first.subarray(0, end)
+    if (piece === first) this.pieces.shift()
+    else this.pieces[0] = first.subarray(piece.length)
+    this.count(-piece.length)
+    if (!isInBody) this.headTail = end === undefined ? lastBytes(this.headTail, piece) : undefined
+    else if (this.bodyLeft !== undefined) this.bodyLeft -= piece.length
+    this.parse(piece)
+    if (!isInBody) this.bodyLeft = end === undefined ? undefined : this.options.bodyBytes()
+  }
+
+  /** Where the head ends that starts in a chunk, or continues in it; undefined if it does not end in it. */
+  private headEnd (chunk: Buffer): number | undefined {
+    if (this.headTail === undefined) return endOf(chunk.indexOf(END_OF_HEAD, MINIMUM_HEAD_BYTES))
+    const straddling = endOf(Buffer.concat([this.headTail, chunk.subarray(0, TAIL_BYTES)]).indexOf(END_OF_HEAD))
+    return straddling === undefined ? endOf(chunk.indexOf(END_OF_HEAD)) : straddling - this.headTail.length
+  }
+
+  private bodyEnd (chunk: Buffer): number | undefined {
+    if (this.bodyLeft !== undefined && this.bodyLeft > 0) return this.bodyLeft
+    return endOf(chunk.indexOf(END_OF_HEAD, MINIMUM_CHUNKED_BYTES))
   }
 
   private adjustReading (): void {
     if (this.isStopped || this.socket.destroyed) return
     const isEnough = this.keptBytes >= (this.options.mayKeep() ? MAXIMUM_KEPT_BYTES : 1)
-    if (this.isFull && (!isEnough || !this.options.isHeld())) {
+    if (this.isFull && (!isEnough || this.mayGoOn())) {
       this.isFull = false
       // Emits `resume`, upon which what is kept is parsed.
       this.socket.resume()
@@ -137,9 +164,21 @@
     }
   }
 
+  private mayGoOn (): boolean {
+    return this.options.isInBody() ? !this.options.isBodyHeld() : !this.options.isHeld()
+  }
+
   private count (change: number): void {
     if (change === 0) return
     this.keptBytes += change
     this.options.onKept(change)
   }
 }
+
+function endOf (index: number): number | undefined {
+  return index === -1 ? undefined : index + END_OF_HEAD.length
+}
+
+function lastBytes (before: Buffer | undefined, piece: Buffer): Buffer {
+  return Buffer.from(Buffer.concat([before ?? Buffer.alloc(0), piece.subarray(-TAIL_BYTES)]).subarray(-TAIL_BYTES))
+}
--- a/packages/runtime/src/process-capacity.ts
+++ b/packages/runtime/src/process-capacity.ts
@@ -27,6 +27,8 @@
  */
 const UNREAD_REQUEST_BYTES = 196_608
 const MINIMUM_REQUESTS = 32
+/** A document is copied, decoded and kept beside the one in force while it is handled, so less is left for those that arrive. */
+const CONTROL_COUNTED_SHARE = 0.35
 const MINIMUM_COUNTED_BYTES = 8_388_608
 const MEGABYTE = 1_048_576
 
@@ -47,15 +49,15 @@
     requests: Math.max(MINIMUM_REQUESTS, Math.floor(Math.min(descriptors * REQUEST_SHARE, (megabytes - PROGRAM_MEGABYTES) * MEGABYTE / UNREAD_REQUEST_BYTES))),
     upstreamConnections: Math.floor(descriptors * UPSTREAM_SHARE),
     relayedConnections: Math.floor(descriptors * RELAYED_SHARE),
-    heldBytes: countedBytes(megabytes)
+    heldBytes: countedBytes(megabytes, COUNTED_SHARE)
   }
 }
 
 /** Limits of a control process: connections of callers, and bytes that are held for them. */
 export function controlCapacity ({ descriptors, megabytes }: ProcessLimits): Pick<EntryCapacity, 'callerConnections' | 'heldBytes'> {
-  return { callerConnections: Math.floor(descriptors * CONTROL_CALLER_SHARE), heldBytes: countedBytes(megabytes) }
+  return { callerConnections: Math.floor(descriptors * CONTROL_CALLER_SHARE), heldBytes: countedBytes(megabytes, CONTROL_COUNTED_SHARE) }
 }
 
-function countedBytes (megabytes: number): number {
-  return Math.max(MINIMUM_COUNTED_BYTES, (megabytes - PROGRAM_MEGABYTES) * MEGABYTE * COUNTED_SHARE)
+function countedBytes (megabytes: number, share: number): number {
+  return Math.max(MINIMUM_COUNTED_BYTES, (megabytes - PROGRAM_MEGABYTES) * MEGABYTE * share)
 }
