--- a/packages/dispatch/src/tests/expected-cost.test.ts
+++ b/packages/dispatch/src/tests/expected-cost.test.ts
@@ -4,6 +4,7 @@
 import { FakeClock } from '@hickoryspoke/testing/fake-clock'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
+import { DEFAULT_DISPATCH_POLICY } from '../dispatch-policy.ts'
 import { PoolDispatcher } from '../pool-dispatcher.ts'
 import { lateSlackOf, slackOf } from '../request-slack.ts'
 import { UpstreamLimits } from '../upstream-limits.ts'
@@ -19,7 +20,7 @@
 /** A pool of upstreams with two slots each, which all have taken requests of the given age; it has learned costs of 100 ms. */
 function createPool (expectedCost: boolean, upstreams: number, ageMilliseconds: number) {
   const clock = FakeClock.create()
-  const pool = PoolDispatcher.create(clock, UpstreamLimits.create(clock), 0, () => ({ expectedCost, fairAdmission: false }))
+  const pool = PoolDispatcher.create(clock, UpstreamLimits.create(clock), 0, () => ({ ...DEFAULT_DISPATCH_POLICY, expectedCost }))
   const names = Array.from({ length: upstreams }, (_, index) => `i-${index}`)
   names.forEach((instance, index) => pool.update({
     announced: announcement({ instance, address: `10.0.0.1:${8_000 + index}` }), warmupEndsAt: 0, heardAt: 0
--- a/packages/dispatch/src/tests/expected-finish.test.ts
+++ b/packages/dispatch/src/tests/expected-finish.test.ts
@@ -1,6 +1,7 @@
 import { FakeClock } from '@hickoryspoke/testing/fake-clock'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
+import { DEFAULT_DISPATCH_POLICY } from '../dispatch-policy.ts'
 import { ExpectedFinish } from '../expected-finish.ts'
 import { PoolCosts } from '../pool-costs.ts'
 import { PoolOutlook } from '../pool-outlook.ts'
@@ -27,7 +28,7 @@
   const clock = FakeClock.create()
   const limits = UpstreamLimits.create(clock)
   const registry = UpstreamRegistry.create(clock)
-  const costs = PoolCosts.create(() => ({ expectedCost: true, fairAdmission: false }))
+  const costs = PoolCosts.create(() => ({ ...DEFAULT_DISPATCH_POLICY, expectedCost: true }))
   const create = (instance: string, zone: string, factor: number): Candidate => {
     registry.announce(announcement({ instance, zone, slots: SLOTS, address: `10.0.0.${registry.all().length + 1}:80` }))
     const upstream = registry.find(instance)
--- a/packages/entry/src/upstream-access.ts
+++ b/packages/entry/src/upstream-access.ts
@@ -13,6 +13,10 @@
 export interface UpstreamAccessOptions {
   readonly clock: Clock
   readonly logger: Logger
+  /** Connections to all upstreams together. */
+  readonly maximumConnections: number
+  /** Connections that are relayed for other entries. */
+  readonly maximumRelayed: number
   /** Opens connections over this VM's own network; by default TCP connections. */
   readonly connector?: Connector
   /** Whether connections are kept for as long as upstreams state; not by default. */
@@ -48,9 +52,16 @@
       relays: () => this.relays,
       timeoutMilliseconds: CONNECT_TIMEOUT_MILLISECONDS
     })
-    this.connections = UpstreamConnections.create(clock, options.reuseConnections === true ? KEPT_CONNECTION_SETTINGS : {}, this.connector)
+    const keeping = options.reuseConnections === true ? KEPT_CONNECTION_SETTINGS : {}
+    this.connections = UpstreamConnections.create(clock, { ...keeping, maximumInTotal: options.maximumConnections }, this.connector)
     this.relay = ConnectionRelay.create({
-      clock, logger, connector: this.directConnector(RELAY_CONNECT_TIMEOUT_MILLISECONDS), isUpstream, isUnwanted, isReaching: () => !this.isCutOff
+      clock,
+      logger,
+      connector: this.directConnector(RELAY_CONNECT_TIMEOUT_MILLISECONDS),
+      isUpstream,
+      isUnwanted,
+      isReaching: () => !this.isCutOff,
+      maximumConnections: options.maximumRelayed
     })
   }
 
--- /dev/null
+++ b/packages/runtime/src/paced-input.ts
@@ -0,0 +1,184 @@
+/** Gives the input of an HTTP connection to its parser in pieces, so that reading can stop between two requests. */
+import type { Socket } from 'node:net'
+
+/** What a `PacedInput` asks of the owner of its connection. */
+export interface PacedInputOptions {
+  /** Whether no further request may be read now. */
+  readonly isHeld: () => boolean
+  /** Whether the body of the last request is still being read. */
+  readonly isInBody: () => boolean
+  /** Whether the rest of that body must wait, since other requests have to end first. */
+  readonly isBodyHeld: () => boolean
+  /** Length of the body of the last request; undefined for a body in chunks. */
+  readonly bodyBytes: () => number | undefined
+  /** Whether there is memory to keep input that waits. Without it, reading stops as soon as something waits. */
+  readonly mayKeep: () => boolean
+  /** Called with each change of the number of bytes that are kept. */
+  readonly onKept: (change: number) => void
+}
+
+/** Input that is kept for a connection whose next request must wait. With more, nothing is read from the connection. */
+export const MAXIMUM_KEPT_BYTES = 65_536
+
+const SWITCH_EVENTS = ['pause', 'resume'] as const
+const END_OF_HEAD = '\r\n\r\n'
+/**
+ * Shortest piece of a body in chunks, which may contain what looks like its end at every few bytes. With the end of such a body
+ * at most 3 requests are read at once.
+ */
+const MINIMUM_CHUNKED_BYTES = 64
+/** No request is shorter than this. */
+const MINIMUM_HEAD_BYTES = 14
+/** Bytes of the end of a head that may precede its last one. */
+const TAIL_BYTES = END_OF_HEAD.length - 1
+
+/**
+ * Node.js parses everything that arrives at once and creates a request for each head in it, before it can stop reading.
+ * The end of a connection is noticed only while it is read, so up to `MAXIMUM_KEPT_BYTES` are read although they wait.
+ */
+export class PacedInput {
+  private readonly pieces: Buffer[] = []
+  private keptBytes = 0
+  /** The last bytes of a head whose end has not been parsed. */
+  private headTail: Buffer | undefined
+  /** What is left of the body of the last request; undefined if that is not known. */
+  private bodyLeft: number | undefined
+  /** Whether this object stopped reading, as enough is kept. */
+  private isFull = false
+  /** Whether nothing is read although nothing is kept. */
+  private isSuspended = false
+  private isFeeding = false
+  private isStopped = false
+
+  private constructor (
+    private readonly socket: Socket,
+    private readonly parse: (chunk: Buffer) => void,
+    private readonly options: PacedInputOptions
+  ) {
+    socket.on('data', (chunk: Buffer) => this.receive(chunk))
+    socket.on('resume', () => this.feed())
+    socket.once('close', () => this.stop())
+    // What waits was sent by a caller that takes no responses any more.
+    socket.once('end', () => this.stop())
+  }
+
+  /** Call once the HTTP server listens to the connection. */
+  static attach (socket: Socket, options: PacedInputOptions): PacedInput {
+    const parsers = socket.listeners('data') as ((chunk: Buffer) => void)[]
+    const switches = SWITCH_EVENTS.flatMap((event) => socket.listeners(event).map((listener) => [event, listener as () => void] as const))
+    // Makes Node.js pass on what arrives, in place of parsing it where it is received.
+    socket.removeAllListeners('data')
+    // With the first listener to data Node.js gives up its own listeners that stop reading at a pause. Without them one more chunk is read.
+    const input = new PacedInput(socket, (chunk) => { for (const parser of parsers) parser.call(socket, chunk) }, options)
+    for (const [event, listener] of switches) if (!socket.listeners(event).includes(listener)) socket.prependListener(event, listener)
+    return input
+  }
+
+  /** Whether input is kept that may hold further requests. */
+  get isKeeping (): boolean {
+    return this.keptBytes > 0
+  }
+
+  /** Parses what is kept, as far as requests may be read. */
+  feed (): void {
+    if (this.isFeeding || this.isStopped) return
+    if (this.isSuspended) {
+      if (this.options.isHeld()) return
+      this.isSuspended = false
+      this.socket.resume()
+      return
+    }
+    this.isFeeding = true
+    try {
+      while (this.mayFeed()) this.parsePiece()
+    } finally {
+      this.isFeeding = false
+    }
+    this.adjustReading()
+  }
+
+  /** Reads nothing until `feed` is called and the next request may be read. Does nothing if input is kept, or a body is being read. */
+  suspend (): void {
+    if (this.isStopped || this.isSuspended || this.keptBytes > 0 || this.socket.isPaused() || this.options.isInBody()) return
+    this.isSuspended = true
+    this.socket.pause()
+  }
+
+  /** Discards what is kept and what arrives from now on. */
+  stop (): void {
+    this.isStopped = true
+    this.pieces.length = 0
+    this.count(-this.keptBytes)
+  }
+
+  private receive (chunk: Buffer): void {
+    if (this.isStopped) return
+    this.pieces.push(chunk)
+    this.count(chunk.length)
+    this.feed()
+  }
+
+  /** While Node.js has paused the connection, its parser takes nothing. */
+  private mayFeed (): boolean {
+    if (this.isStopped || this.keptBytes === 0 || this.socket.destroyed || this.socket.isPaused()) return false
+    return this.mayGoOn()
+  }
+
+  /** Parses what is kept up to the end of a head, or of a body, or as far as neither ends. */
+  private parsePiece (): void {
+    const [first = Buffer.alloc(0)] = this.pieces
+    const isInBody = this.options.isInBody()
+    const end = isInBody ? this.bodyEnd(first) : this.headEnd(first)
+    const piece = end === undefined || end >= first.length ? first : first.subarray(0, end)
+    if (piece === first) this.pieces.shift()
+    else this.pieces[0] = first.subarray(piece.length)
+    this.count(-piece.length)
+    if (!isInBody) this.headTail = end === undefined ? lastBytes(this.headTail, piece) : undefined
+    else if (this.bodyLeft !== undefined) this.bodyLeft -= piece.length
+    this.parse(piece)
+    if (!isInBody) this.bodyLeft = end === undefined ? undefined : this.options.bodyBytes()
+  }
+
+  /** Where the head ends that starts in a chunk, or continues in it; undefined if it does not end in it. */
+  private headEnd (chunk: Buffer): number | undefined {
+    if (this.headTail === undefined) return endOf(chunk.indexOf(END_OF_HEAD, MINIMUM_HEAD_BYTES))
+    const straddling = endOf(Buffer.concat([this.headTail, chunk.subarray(0, TAIL_BYTES)]).indexOf(END_OF_HEAD))
+    return straddling === undefined ? endOf(chunk.indexOf(END_OF_HEAD)) : straddling - this.headTail.length
+  }
+
+  private bodyEnd (chunk: Buffer): number | undefined {
+    if (this.bodyLeft !== undefined && this.bodyLeft > 0) return this.bodyLeft
+    return endOf(chunk.indexOf(END_OF_HEAD, MINIMUM_CHUNKED_BYTES))
+  }
+
+  private adjustReading (): void {
+    if (this.isStopped || this.socket.destroyed) return
+    const isEnough = this.keptBytes >= (this.options.mayKeep() ? MAXIMUM_KEPT_BYTES : 1)
+    if (this.isFull && (!isEnough || this.mayGoOn())) {
+      this.isFull = false
+      // Emits `resume`, upon which what is kept is parsed.
+      this.socket.resume()
+    } else if (!this.isFull && isEnough && !this.socket.isPaused()) {
+      this.isFull = true
+      this.socket.pause()
+    }
+  }
+
+  private mayGoOn (): boolean {
+    return this.options.isInBody() ? !this.options.isBodyHeld() : !this.options.isHeld()
+  }
+
+  private count (change: number): void {
+    if (change === 0) return
+    this.keptBytes += change
+    this.options.onKept(change)
+  }
+}
+
+function endOf (index: number): number | undefined {
+  return index === -1 ? undefined : index + END_OF_HEAD.length
+}
+
+function lastBytes (before: Buffer | undefined, piece: Buffer): Buffer {
+  return Buffer.from(Buffer.concat([before ?? Buffer.alloc(0), piece.subarray(-TAIL_BYTES)]).subarray(-TAIL_BYTES))
+}
