--- a/packages/entry/src/caller-connection.ts
+++ b/packages/entry/src/caller-connection.ts
@@ -35,6 +35,8 @@
   /** Whether nothing more is sent on the connection. */
   private isEnded = false
   private isLingering = false
+  /** Whether the limits of this connection alone were reached when they were last asked for. */
+  private wasFull = false
   private readonly input: PacedInput
 
   private constructor (private readonly socket: Socket, private readonly options: CallerConnectionOptions) {
@@ -158,9 +160,11 @@
   private isLimited (): boolean {
     const { exchanges, options: { limits, limiter } } = this
     const { maximumPipelinedRequests, maximumUnsentBytes } = limits()
-    if (exchanges.length >= maximumPipelinedRequests + (this.isInBody ? 1 : 0)) return true
-    if (exchanges.reduce((sum, { answer }) => sum + answer.unsentBytes, 0) >= maximumUnsentBytes) return true
-    return limiter.mustWait(this, exchanges.length > 0)
+    const isFull = exchanges.length >= maximumPipelinedRequests + (this.isInBody ? 1 : 0) ||
+      exchanges.reduce((sum, { answer }) => sum + answer.unsentBytes, 0) >= maximumUnsentBytes
+    if (isFull && !this.wasFull) limiter.pipelineHeld()
+    this.wasFull = isFull
+    return isFull || limiter.mustWait(this, exchanges.length > 0)
   }
 
   private finishIfIdle (): void {
--- a/packages/entry/src/tests/caller-limits.test.ts
+++ b/packages/entry/src/tests/caller-limits.test.ts
@@ -71,6 +71,7 @@
   }
   await until(() => received().split('HTTP/1.1 200 OK').length > SENT_AHEAD)
   assert.is(most, PIPELINED)
+  assert.ok(limiter.shed.pipeline > 0)
   assert.equal([...received().matchAll(/\r\n\r\n(\/ledger\/\d+)/g)].map((match) => match[1]), paths(SENT_AHEAD))
   socket.destroy()
   await until(() => limiter.connections === 0)
--- a/packages/runtime/src/client-limiter.ts
+++ b/packages/runtime/src/client-limiter.ts
@@ -23,7 +23,7 @@
 const STALLED_READER_MILLISECONDS = 5_000
 
 /** What was refused or had to wait. */
-export const ShedKind = { Connection: 'connection', SilentConnection: 'silent_connection', ReadAhead: 'read_ahead', Body: 'body', StalledBody: 'stalled_body', StalledReader: 'stalled_reader' } as const
+export const ShedKind = { Connection: 'connection', SilentConnection: 'silent_connection', ReadAhead: 'read_ahead', Pipeline: 'pipeline', Body: 'body', StalledBody: 'stalled_body', StalledReader: 'stalled_reader' } as const
 export type ShedKind = typeof ShedKind[keyof typeof ShedKind]
 
 /** Dependencies of a `ClientLimiter`. */
@@ -59,7 +59,7 @@
 export class ClientLimiter {
   readonly budget: MemoryBudget
   /** Number of times that something was refused or had to wait. */
-  readonly shed: Record<ShedKind, number> = { connection: 0, silent_connection: 0, read_ahead: 0, body: 0, stalled_body: 0, stalled_reader: 0 }
+  readonly shed: Record<ShedKind, number> = { connection: 0, silent_connection: 0, read_ahead: 0, pipeline: 0, body: 0, stalled_body: 0, stalled_reader: 0 }
   private readonly open = new Set<LimitedConnection>()
   /** Whether connections without requests do not read, as memory is short. */
   private isTight = false
@@ -149,6 +149,11 @@
     return true
   }
 
+  /** Records that a connection begins to wait because of its own requests. */
+  pipelineHeld (): void {
+    this.record(ShedKind.Pipeline)
+  }
+
   /** Counts a part of a body that is buffered; false if the body must be refused. */
   takeBody (request: StallingRequest, bytes: number): boolean {
     this.bodies.remove(request)
