--- a/packages/dispatch/src/dispatch-policy.ts
+++ b/packages/dispatch/src/dispatch-policy.ts
@@ -33,3 +33,8 @@
     reuseConnections: first.reuseConnections || second.reuseConnections
   }
 }
+
+/** The policy while processor time is short: the plain choice of an upstream costs less of it. */
+export function withoutExpectedCost (policy: DispatchPolicy): DispatchPolicy {
+  return policy.expectedCost ? { ...policy, expectedCost: false } : policy
+}
--- a/packages/dispatch/src/dispatch-service.ts
+++ b/packages/dispatch/src/dispatch-service.ts
@@ -20,6 +20,7 @@
 import type { DeliveryProgress } from './news-delivery.ts'
 import { NumberConfirmations } from './number-confirmations.ts'
 import { PlacementInbox } from './placement-inbox.ts'
+import { QuestionDelay } from './question-delay.ts'
 import { RelayDirectory } from './relay-directory.ts'
 import type { RegisteredUpstream } from './upstream-registry.ts'
 
@@ -40,6 +41,7 @@
   private readonly load: MessageLoad
   private readonly numbers: NumberConfirmations
   private readonly inbox: PlacementInbox
+  private readonly delay: QuestionDelay
   private readonly attaching: AttachQueue
   private leading: LeaderState | undefined
 
@@ -55,11 +57,13 @@
       answering: (session) => this.leading?.news.confirmView(session.connection.entry),
       unanswered: (questions) => options.logger.warn('leadership not confirmed', { questions })
     })
+    this.delay = QuestionDelay.create(options.clock)
     this.inbox = PlacementInbox.create({
       clock: options.clock,
       listener: {
         question: (session, question) => this.load.measure('question', () => this.leading?.dispatcher.ask(session.connection, question)),
         end: (session, end) => this.load.measure('end', () => this.leading?.dispatcher.end(session.connection, end)),
+        waited: (milliseconds) => this.delay.record(milliseconds),
         expired: (session, question) => this.load.measure('expired', () => this.leading?.dispatcher.denyOverdue(session.connection, question))
       }
     })
@@ -153,7 +157,7 @@
 
   private startDispatcher (): void {
     const { logger, registry } = this.options
-    this.leading = LeaderState.create(this.options, this.history, () => this.sessions.all())
+    this.leading = LeaderState.create(this.options, this.history, this.delay, () => this.sessions.all())
     const { dispatcher } = this.leading
     this.handover.handOverTo(dispatcher)
     logger.info('dispatcher began', { suspected: dispatcher.suspicions().length, limited: dispatcher.statedLimits().length, upstreams: registry.present().length, configuration: this.history.newest?.number ?? 0 })
--- a/packages/dispatch/src/leader-state.ts
+++ b/packages/dispatch/src/leader-state.ts
@@ -2,10 +2,11 @@
 import type { ClientSession } from './client-session.ts'
 import type { ConfigurationHistory } from './configuration-history.ts'
 import { CustomerRateLimiter } from './customer-rate-limiter.ts'
-import { DEFAULT_DISPATCH_POLICY } from './dispatch-policy.ts'
+import { DEFAULT_DISPATCH_POLICY, withoutExpectedCost, type DispatchPolicy } from './dispatch-policy.ts'
 import type { DispatchServiceOptions } from './dispatch-service-options.ts'
 import { Dispatcher } from './dispatcher.ts'
 import { NewsDelivery } from './news-delivery.ts'
+import type { QuestionDelay } from './question-delay.ts'
 import { UpstreamBroadcast } from './upstream-broadcast.ts'
 import { ZoneBroadcast } from './zone-broadcast.ts'
 import { ZoneEvacuations } from './zone-evacuations.ts'
@@ -23,14 +24,17 @@
   ) {}
 
   /** Begins a leadership. `sessions` returns the clients that are attached. */
-  static create (options: DispatchServiceOptions, history: ConfigurationHistory, sessions: () => Iterable<ClientSession>): LeaderState {
+  static create (
+    options: DispatchServiceOptions, history: ConfigurationHistory, delay: Pick<QuestionDelay, 'isShort'>, sessions: () => Iterable<ClientSession>
+  ): LeaderState {
     const { clock, logger, registry, budget, overage, floorShare, newsLimitMilliseconds, policy = DEFAULT_DISPATCH_POLICY } = options
     const { zones = ZoneEvacuations.create(clock, registry), zoneLimitMilliseconds = 0 } = options
     const isFirst = options.startsWithFullBursts()
     const rates = isFirst ? CustomerRateLimiter.createWithFullBursts() : CustomerRateLimiter.createAfterPredecessor(overage)
     rates.setLimits((name) => history.rateLimitOf(name))
     registry.refresh()
-    const dispatcher = Dispatcher.create({ clock, logger, registry, rates, budget, floorShare, zones, policy: () => history.policy(policy) })
+    const inForce = (): DispatchPolicy => delay.isShort ? withoutExpectedCost(history.policy(policy)) : history.policy(policy)
+    const dispatcher = Dispatcher.create({ clock, logger, registry, rates, budget, floorShare, zones, policy: inForce })
     const news = NewsDelivery.create(clock, newsLimitMilliseconds, !isFirst, (revision, entries) => {
       logger.info('views presumed expired', { revision, entries })
     })
--- a/packages/dispatch/src/placement-inbox.ts
+++ b/packages/dispatch/src/placement-inbox.ts
@@ -13,6 +13,8 @@
   end (session: ClientSession, end: PlacementEnd): void
   /** The question waited longer than its limit. */
   expired (session: ClientSession, question: PlacementQuestion): void
+  /** A question is about to be handled after it waited for this time. */
+  waited? (milliseconds: number): void
 }
 
 /** Dependencies of a `PlacementInbox`. */
@@ -122,6 +124,7 @@
       const now = clock.monotonicMilliseconds()
       if (now >= until) return
       this.questions.delete(key)
+      listener.waited?.(now - receivedAt)
       if (now - receivedAt > MAXIMUM_WAIT_MILLISECONDS) listener.expired(session, question)
       else listener.question(session, question)
     }
--- a/packages/dispatch/src/tests/dispatch-policy.test.ts
+++ b/packages/dispatch/src/tests/dispatch-policy.test.ts
@@ -2,7 +2,7 @@
 import type { ServingConfiguration, ServingRoute } from '@hickoryspoke/configuration/serving-configuration'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
-import { combinePolicies, DEFAULT_DISPATCH_POLICY, policyOf } from '../dispatch-policy.ts'
+import { combinePolicies, DEFAULT_DISPATCH_POLICY, policyOf, withoutExpectedCost } from '../dispatch-policy.ts'
 
 const ROUTE: ServingRoute = {
   name: 'upload',
@@ -36,4 +36,10 @@
   assert.equal(combinePolicies(settings, DEFAULT_DISPATCH_POLICY), settings)
 })
 
+test('without expected cost, the other decisions are made as before', () => {
+  const policy = { expectedCost: true, fairAdmission: true, reuseConnections: true }
+  assert.equal(withoutExpectedCost(policy), { ...policy, expectedCost: false })
+  assert.is(withoutExpectedCost(DEFAULT_DISPATCH_POLICY), DEFAULT_DISPATCH_POLICY)
+})
+
 test.run()
