Names and comments that stopped a new reader

Logs of evacuations name their start and their end, a refusal that reserves is named so, bounds of expected cost give their reasons, and the utilization from which upstreams are nearly full is defined once.

--- a/packages/control/src/control-api.ts
+++ b/packages/control/src/control-api.ts
@@ -104,7 +104,7 @@
     const reason = result.isErr() ? result.error.code : 'not_confirmed'
     const isDone = result.isOk() && result.value
     const milliseconds = Math.round(clock.monotonicMilliseconds() - receivedAt)
-    logger.info(isEvacuated ? 'zone evacuation called' : 'zone return called', { zone, milliseconds, outcome: isDone ? 'acknowledged' : reason })
+    logger.info(isEvacuated ? 'start of evacuation requested' : 'end of evacuation requested', { zone, milliseconds, outcome: isDone ? 'acknowledged' : reason })
     return isDone ? { kind: 'done', value: undefined } : { kind: 'unavailable', reason }
   }
 
--- a/packages/control/src/cost-report.ts
+++ b/packages/control/src/cost-report.ts
@@ -9,7 +9,7 @@
 export async function reportCosts (clock: Clock, logger: Logger, service: Pick<DispatchService, 'costs'>, signal: AbortSignal): Promise<void> {
   await repeatEvery(clock, REPORT_INTERVAL_MILLISECONDS, signal, () => {
     for (const { pool, routes, fastest, slowest } of service.costs()) {
-      logger.info('learned speeds of upstreams', { pool, fastestFactor: Number(fastest.toFixed(2)), slowestFactor: Number(slowest.toFixed(2)) })
+      logger.info('learned response times of upstreams', { pool, fastestTimeFactor: Number(fastest.toFixed(2)), slowestTimeFactor: Number(slowest.toFixed(2)) })
       for (const { route, meanMilliseconds, highMilliseconds, weight } of routes) {
         logger.info('learned cost of requests', {
           pool, route, meanMilliseconds: Math.round(meanMilliseconds), p95Milliseconds: Math.round(highMilliseconds), weight: Math.round(weight)
--- a/packages/control/src/zone-evacuation-log.ts
+++ b/packages/control/src/zone-evacuation-log.ts
@@ -74,6 +74,6 @@
   private apply (decision: ZoneDecision): void {
     if (!this.options.zones.apply(decision)) return
     const { zone, isEvacuated, revision } = decision
-    this.options.logger.info(isEvacuated ? 'zone evacuated' : 'zone taken back', { zone, revision })
+    this.options.logger.info(isEvacuated ? 'zone evacuation started' : 'zone evacuation ended', { zone, revision })
   }
 }
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -316,7 +316,7 @@
 
   /** `waited` is how long the request waited, in milliseconds. */
   private deny (connection: EntryConnection, question: PlacementQuestion, reason: DenialReason, retryAfter: number, waited = 0): void {
-    const retryAfterMilliseconds = Math.ceil(this.fair.returnMilliseconds(question, reason, waited, retryAfter))
+    const retryAfterMilliseconds = Math.ceil(this.fair.refuse(question, reason, waited, retryAfter))
     const value = { ticket: question.ticket, reason, retryAfterMilliseconds }
     const pool = this.pools.pool(question.pool)
     const now = this.options.clock.monotonicMilliseconds()
--- a/packages/dispatch/src/expected-finish.ts
+++ b/packages/dispatch/src/expected-finish.ts
@@ -23,20 +23,22 @@
 /** The same where its cost is estimated. */
 type EstimatedQuestion = FinishQuestion & { readonly estimate: CostEstimate, readonly outlook: PoolOutlook }
 
-// Costs are relative to the cost of a lost request, which is 1, as in `upstream-choice.ts`.
+// Costs are relative to the cost of a lost request, which is 1. Unlike those in `upstream-choice.ts`, they are weighed against the
+// expected loss by late answers, so the constants for the same matters differ.
 
-/** Part of a response's value that is lost where it comes after the target, and where it comes after the deadline as well. */
+/** A response after the target loses this part of its value. */
 const LATE_LOSS = 0.45
-const UNANSWERED_LOSS = 0.55
+/** A response after the deadline loses the rest as well. */
+const UNANSWERED_LOSS = 1 - LATE_LOSS
 /** Cost of the pool's mean time at an upstream: its slot is not free for others. It grows with the square of the share of the slots that are taken. */
 const TIME_COST = 0.1
 const BUSY_TIME_COST = 0.3
 /** Part of a nearly full upstream's slowdown by which each request that runs there takes longer as well. */
 const SHARED_SLOWDOWN = 0.5
 /** Bytes between zones are charged. Less than what a risk of 0.13 of a late answer costs. */
-const OTHER_ZONE_COST = 0.06
+const OTHER_ZONE_FINISH_COST = 0.06
 /** The fewer upstreams are in use, the fewer failures requests meet; not for upstreams that are nearly full. */
-const UTILIZATION_BONUS = 0.01
+const FINISH_UTILIZATION_BONUS = 0.01
 /** Gain of learning the speed of an upstream without recent responses. */
 const EXPLORATION_BONUS = 0.03
 /** An upstream without responses for this time is tried with a request that may be repeated. */
@@ -77,9 +79,9 @@
     const inFlight = standing.inFlight + 1
     const isNearlyFull = inFlight > PREFERRED_UTILIZATION * slots
     const usual = work.speed.factor(0, now)
-    const zoneCost = upstream.announced.zone === zone ? 0 : OTHER_ZONE_COST
+    const zoneCost = upstream.announced.zone === zone ? 0 : OTHER_ZONE_FINISH_COST
     const isUnknown = this.mayExplore && standing.inFlight === 0 && now - work.speed.answeredAt >= UNKNOWN_MILLISECONDS
-    const bonus = (isNearlyFull ? 0 : UTILIZATION_BONUS * inFlight / slots) + (isUnknown ? EXPLORATION_BONUS : 0)
+    const bonus = (isNearlyFull ? 0 : FINISH_UTILIZATION_BONUS * inFlight / slots) + (isUnknown ? EXPLORATION_BONUS : 0)
     const leastCost = this.timeCost * (usual - 1) + zoneCost - bonus
     if (leastCost >= limit) return leastCost
     const factor = isNearlyFull ? work.speed.factor(work.fullShare(inFlight, slots, this.meanMilliseconds, now), now) : usual
--- a/packages/dispatch/src/fair-admission.ts
+++ b/packages/dispatch/src/fair-admission.ts
@@ -70,8 +70,11 @@
     return this.admissionOf(pool).expectedLateWait(question, now)
   }
 
-  /** Milliseconds after which a caller is told to return; `usual` is what it is told without the policy. */
-  returnMilliseconds (question: PlacementQuestion, reason: DenialReason, waitedMilliseconds: number, usual: number): number {
+  /**
+   * Records a refusal and reserves room for the caller's return, if there is any. Returns the milliseconds after which the caller is
+   * told to return; `usual` is what it is told without the policy. Call it once for each refusal.
+   */
+  refuse (question: PlacementQuestion, reason: DenialReason, waitedMilliseconds: number, usual: number): number {
     if (!this.isOn) return usual
     const now = this.options.clock.monotonicMilliseconds()
     const at = this.reserve(question, reason, waitedMilliseconds, now)
--- a/packages/dispatch/src/leader-state.ts
+++ b/packages/dispatch/src/leader-state.ts
@@ -25,7 +25,7 @@
 
   /** Begins a leadership. `sessions` returns the clients that are attached. */
   static create (
-    options: DispatchServiceOptions, history: ConfigurationHistory, delay: Pick<QuestionDelay, 'isShort'>, sessions: () => Iterable<ClientSession>
+    options: DispatchServiceOptions, history: ConfigurationHistory, delay: Pick<QuestionDelay, 'wasDelayedLately'>, sessions: () => Iterable<ClientSession>
   ): LeaderState {
     const { clock, logger, registry, budget, overage, floorShare, newsLimitMilliseconds, policy = DEFAULT_DISPATCH_POLICY } = options
     const { zones = ZoneEvacuations.create(clock, registry), zoneLimitMilliseconds = 0 } = options
@@ -33,7 +33,8 @@
     const rates = isFirst ? CustomerRateLimiter.createWithFullBursts() : CustomerRateLimiter.createAfterPredecessor(overage)
     rates.setLimits((name) => history.rateLimitOf(name))
     registry.refresh()
-    const inForce = (): DispatchPolicy => delay.isShort ? withoutExpectedCost(history.policy(policy)) : history.policy(policy)
+    // A process that is short of processor time makes the cheaper choice.
+    const inForce = (): DispatchPolicy => delay.wasDelayedLately ? withoutExpectedCost(history.policy(policy)) : history.policy(policy)
     const dispatcher = Dispatcher.create({ clock, logger, registry, rates, budget, floorShare, zones, policy: inForce })
     const news = NewsDelivery.create(clock, newsLimitMilliseconds, !isFirst, (revision, entries) => {
       logger.info('views presumed expired', { revision, entries })
--- a/packages/dispatch/src/pool-admission.ts
+++ b/packages/dispatch/src/pool-admission.ts
@@ -51,16 +51,19 @@
     const lines = this.pool.line.fair
     const line = lines.onTime(priority)
     const depth = line.depthOf(customer, isReturning) + (isReturning ? 0 : this.returns.lengthOf(customer))
+    // Two estimates: the pool serves all that is before it in the order, and the customer's share serves the customer's own
+    // requests. The longer one counts, as requests of other customers that arrive later may still go before it.
     const inOrder = (lines.moreUrgent(priority) + line.ahead(depth) + 1) * slots.mean / slots.left
-    return Math.max(inOrder, (depth + 1) * slots.mean / slots.own)
+    const byOwnShare = (depth + 1) * slots.mean / slots.own
+    return Math.max(inOrder, byOwnShare)
   }
 
   /** Expected wait of a request that can only be answered late, behind all that wait with its priority or a more urgent one. */
   expectedLateWait ({ priority }: PlacementQuestion, now: number): number {
     const slots = this.pool.effectiveSlots(now)
     if (slots === 0) return 0
-    const below = Math.max(MINIMUM_SHARE * slots, slots - this.demand.moreUrgent(priority, now))
-    const left = Math.max(LATE_SHARE * below, below - this.demand.of(priority, now))
+    const leftForPriority = this.slotsLeftFor(priority, slots, now)
+    const left = Math.max(LATE_SHARE * leftForPriority, leftForPriority - this.demand.of(priority, now))
     return (this.pool.line.fair.upTo(priority) + 1) * this.pool.responseTimes.meanMilliseconds() / left
   }
 
@@ -86,11 +89,16 @@
     }, now)
   }
 
+  /** Slots that more urgent priorities leave. */
+  private slotsLeftFor (priority: number, slots: number, now: number): number {
+    return Math.max(MINIMUM_SHARE * slots, slots - this.demand.moreUrgent(priority, now))
+  }
+
   /** Undefined while the pool has no upstream that is known to work. */
   private slotsFor (priority: number, customer: string, now: number): AvailableSlots | undefined {
     const slots = this.pool.effectiveSlots(now)
     if (slots === 0) return undefined
-    const left = Math.max(MINIMUM_SHARE * slots, slots - this.demand.moreUrgent(priority, now))
+    const left = this.slotsLeftFor(priority, slots, now)
     const line = this.pool.line.fair.onTime(priority)
     const sharing = line.depthOf(customer, false) > 0 ? line.customers : line.customers + 1
     const others = this.demand.of(priority, now) - this.demand.ofCustomer(priority, customer, now)
--- a/packages/dispatch/src/pool-costs.ts
+++ b/packages/dispatch/src/pool-costs.ts
@@ -18,7 +18,7 @@
 export interface PoolCostSummary {
   readonly pool: string
   readonly routes: readonly RouteCostSummary[]
-  /** Response times relative to the expected ones of the fastest and the slowest upstream; 1 while none is known. */
+  /** Response time of the fastest and of the slowest upstream, divided by the expected one; 1 while no upstream is known. */
   readonly fastest: number
   readonly slowest: number
 }
@@ -94,6 +94,7 @@
   summary (pool: string, now: number): PoolCostSummary | undefined {
     if (!this.isEnabled) return undefined
     const factors = [...this.upstreams.values()].map(({ speed }) => speed.factor(0, now))
-    return { pool, routes: this.requests.summaries(now), fastest: Math.min(1, ...factors), slowest: Math.max(1, ...factors) }
+    const known = factors.length === 0 ? [1] : factors
+    return { pool, routes: this.requests.summaries(now), fastest: Math.min(...known), slowest: Math.max(...known) }
   }
 }
--- a/packages/dispatch/src/question-delay.ts
+++ b/packages/dispatch/src/question-delay.ts
@@ -1,13 +1,13 @@
 /**
- * Whether questions for upstreams wait for the process of the dispatcher. It answers bursts that take more processor time than
- * the control VM has: the choice by expected cost takes more time than the plain one, and would let questions expire.
+ * Whether the dispatcher's process is short of processor time, seen from how long questions wait before it handles them. In a
+ * burst, the choice by expected cost would take so much longer than the plain one that questions expire.
  */
 import type { Clock } from '@hickoryspoke/runtime/clock'
 
 /** A question that waited longer than this was delayed by others. */
 const DELAYED_MILLISECONDS = 30
-/** The process counts as short of processor time for this long after such a question, so that decisions do not alternate. */
-const SHORTAGE_MILLISECONDS = 1_000
+/** A delay counts for this long, so that the policy does not change with each question. */
+const DELAY_COUNTS_MILLISECONDS = 1_000
 
 /** Observes how long questions waited before they were handled. */
 export class QuestionDelay {
@@ -19,9 +19,9 @@
     return new QuestionDelay(clock)
   }
 
-  /** Whether a question was delayed lately. */
-  get isShort (): boolean {
-    return this.clock.monotonicMilliseconds() - this.delayedAt < SHORTAGE_MILLISECONDS
+  /** Whether a question was delayed within the last second. */
+  get wasDelayedLately (): boolean {
+    return this.clock.monotonicMilliseconds() - this.delayedAt < DELAY_COUNTS_MILLISECONDS
   }
 
   /** Records how long a question waited. */
--- a/packages/dispatch/src/return-time.ts
+++ b/packages/dispatch/src/return-time.ts
@@ -1,4 +1,4 @@
-/** Times that callers are told to return after, where no room is reserved for them. */
+/** Bounds of the times after which refused callers are told to return, and the times of those for whom no room is reserved. */
 
 /** Callers honour `Retry-After` up to this share of the time that they have left. */
 const HONOURED_SHARE = 1 / 3
--- a/packages/dispatch/src/upstream-choice.ts
+++ b/packages/dispatch/src/upstream-choice.ts
@@ -2,6 +2,7 @@
 import type { ExpectedFinish } from './expected-finish.ts'
 import { FAILING_SHARES } from './failure-estimate.ts'
 import { STANDING, type InstanceStanding } from './instance-standing.ts'
+import { PREFERRED_UTILIZATION } from './residual-work.ts'
 import type { RegisteredUpstream } from './upstream-registry.ts'
 import type { UpstreamWork } from './upstream-work.ts'
 
@@ -34,8 +35,7 @@
 // Costs are relative to the cost of a lost request, which is 1.
 
 const OTHER_ZONE_COST = 0.02
-/** Up to this utilization, busier upstreams are preferred: the fewer upstreams are in use, the fewer failures requests meet. */
-const PREFERRED_UTILIZATION = 0.75
+/** Up to the preferred utilization, busier upstreams are preferred: the fewer upstreams are in use, the fewer failures requests meet. */
 const UTILIZATION_BONUS = 0.03
 /** Above the preferred utilization, a fuller upstream costs more, since it answers later. */
 const NEARLY_FULL_COST = 0.05
--- a/packages/replication/src/zone-register.ts
+++ b/packages/replication/src/zone-register.ts
@@ -11,7 +11,10 @@
   readonly decidedAt: number
 }
 
-/** Upstreams cannot have names with a slash, so a version that knows no evacuations finds no upstream for such a departure. */
+/**
+ * Decisions are written as departures of an upstream with this prefix. Earlier versions, which run beside this one during an
+ * upgrade, keep departures in their logs and snapshots, but would lose a new kind of command. Names of upstreams have no slash.
+ */
 const RECORD_PREFIX = '/zone/'
 
 /** The newest decision on each zone on which there was any. */
@@ -56,7 +59,7 @@
   }
 }
 
-/** Writes a decision as the departure that stands for it in the log. */
+/** Writes a decision as a departure: `born` holds the revision, `sequence` the time of the decision. */
 export function toRecord ({ zone, isEvacuated, revision, decidedAt }: ZoneDecision): Departure {
   return { instance: `${RECORD_PREFIX}${zone}`, born: revision, sequence: decidedAt, gone: isEvacuated }
 }
