--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -132,8 +132,8 @@
 
   /** Denies a question that came in faster than questions can be handled. Only an earlier question for the request can have been charged. */
   denyOverdue (connection: EntryConnection, question: PlacementQuestion): void {
-    if (question.charged) this.refundAndDeny(connection, question, DenialReason.DENIAL_REASON_OVERLOADED, OVERLOAD_RETRY_AFTER_MILLISECONDS)
-    else this.deny(connection, question, DenialReason.DENIAL_REASON_OVERLOADED, OVERLOAD_RETRY_AFTER_MILLISECONDS)
+    if (question.charged && question.attempt === 0 && question.customer !== '') this.fair.refund(question, 0)
+    this.deny(connection, question, DenialReason.DENIAL_REASON_OVERLOADED, OVERLOAD_RETRY_AFTER_MILLISECONDS, 0, false)
   }
 
   /** Records how a placed request ended, or cancels one that waits. */
@@ -315,8 +315,8 @@
   }
 
   /** `waited` is how long the request waited, in milliseconds. */
-  private deny (connection: EntryConnection, question: PlacementQuestion, reason: DenialReason, retryAfter: number, waited = 0): void {
-    const retryAfterMilliseconds = Math.ceil(this.fair.refuse(question, reason, waited, retryAfter))
+  private deny (connection: EntryConnection, question: PlacementQuestion, reason: DenialReason, retryAfter: number, waited = 0, mayReserve = true): void {
+    const retryAfterMilliseconds = Math.ceil(this.fair.refuse(question, reason, waited, retryAfter, mayReserve))
     const value = { ticket: question.ticket, reason, retryAfterMilliseconds }
     const pool = this.pools.pool(question.pool)
     const now = this.options.clock.monotonicMilliseconds()
--- a/packages/dispatch/src/fair-admission.ts
+++ b/packages/dispatch/src/fair-admission.ts
@@ -72,15 +72,17 @@
 
   /**
    * Records a refusal and reserves room for the caller's return, if there is any. Returns the milliseconds after which the caller is
-   * told to return; `usual` is what it is told without the policy. Call it once for each refusal.
+   * told to return; `usual` is what it is told without the policy. Nothing is reserved where the dispatcher itself is overloaded, as
+   * its pool may have room. Call it once for each refusal.
    */
-  refuse (question: PlacementQuestion, reason: DenialReason, waitedMilliseconds: number, usual: number): number {
+  refuse (question: PlacementQuestion, reason: DenialReason, waitedMilliseconds: number, usual: number, mayReserve = true): number {
     if (!this.isOn) return usual
     const now = this.options.clock.monotonicMilliseconds()
-    const at = this.reserve(question, reason, waitedMilliseconds, now)
+    const at = mayReserve ? this.reserve(question, reason, waitedMilliseconds, now) : undefined
     this.report.countRefusal(question, reason, at !== undefined)
     if (at !== undefined) return at - now
     const patience = question.patienceMilliseconds - waitedMilliseconds
+    if (!mayReserve) return Math.max(usual, this.spread.any(patience))
     const isFull = reason === DenialReason.DENIAL_REASON_RATE || reason === DenialReason.DENIAL_REASON_OVERLOADED
     return isFull ? longestReturn(patience) : this.spread.any(patience)
   }
--- a/packages/entry/src/caller-connection.ts
+++ b/packages/entry/src/caller-connection.ts
@@ -45,7 +45,7 @@
       isHeld: () => this.isHeld(),
       isInBody: () => this.isInBody,
       // Only the last request can be in its body, so those before it end and make room.
-      isBodyHeld: () => this.exchanges.length > 1 && this.isLimited(),
+      isBodyHeld: () => this.isBodyHeld(),
       bodyBytes: () => this.exchanges.at(-1)?.bodyBytes,
       mayKeep: () => limiter.mayKeepInput,
       onKept: (change) => limiter.hold(change)
@@ -61,6 +61,13 @@
     socket.destroySoon = () => this.close()
   }
 
+  /** A body that is held back here is not one whose caller makes no progress, so its connection must not be dropped for that. */
+  private isBodyHeld (): boolean {
+    const isHeld = this.exchanges.length > 1 && this.isLimited()
+    if (isHeld) this.exchanges.at(-1)?.bodyTaken()
+    return isHeld
+  }
+
   static create (socket: Socket, options: CallerConnectionOptions): CallerConnection {
     return new CallerConnection(socket, options)
   }
--- a/packages/request/src/upstream-connections.ts
+++ b/packages/request/src/upstream-connections.ts
@@ -173,7 +173,9 @@
     const idle = this.takeIdle(pool, question)
     if (idle !== undefined) return Ok(idle)
     const maximum = Math.min(this.settings.maximumPerUpstream, question.maximumOpen?.() ?? Infinity)
-    if (this.all.size + this.opening >= this.settings.maximumInTotal) return Err(ConnectFailure.create('too_many_connections', 'too many connections to upstreams'))
+    if (this.all.size + this.opening >= this.settings.maximumInTotal && !this.closeIdle()) {
+      return Err(ConnectFailure.create('too_many_connections', 'too many connections to upstreams'))
+    }
     if (pool.open >= maximum) return Err(ConnectFailure.create('too_many_connections', 'too many connections to this upstream'))
     return await this.open(question, pool)
   }
@@ -213,6 +215,18 @@
     this.pools.clear()
   }
 
+  /** Closes an idle connection to make room for another one; false when there is none. It no longer counts, although its close arrives later. */
+  private closeIdle (): boolean {
+    for (const { idle } of this.pools.values()) {
+      const connection = idle.shift()
+      if (connection === undefined) continue
+      this.all.delete(connection)
+      connection.destroy()
+      return true
+    }
+    return false
+  }
+
   private poolOf (address: string): AddressPool {
     const existing = this.pools.get(address)
     if (existing !== undefined) return existing
--- a/packages/runtime/src/client-limiter.ts
+++ b/packages/runtime/src/client-limiter.ts
@@ -219,7 +219,11 @@
    * stop reading beforehand.
    */
   private checkTightness (): void {
-    if (this.isTight || this.budget.allows(MemoryUse.ReadAhead)) return
+    if (this.budget.allows(MemoryUse.ReadAhead)) {
+      this.isTight = false
+      return
+    }
+    if (this.isTight) return
     this.isTight = true
     for (const connection of this.open) this.suspend(connection)
   }
--- a/packages/runtime/src/paced-input.ts
+++ b/packages/runtime/src/paced-input.ts
@@ -158,7 +158,7 @@
       this.isFull = false
       // Emits `resume`, upon which what is kept is parsed.
       this.socket.resume()
-    } else if (!this.isFull && isEnough && !this.socket.isPaused()) {
+    } else if (isEnough && !this.socket.isPaused()) {
       this.isFull = true
       this.socket.pause()
     }
