--- a/packages/dispatch/src/question-delay.ts
+++ b/packages/dispatch/src/question-delay.ts
@@ -6,8 +6,8 @@
 
 /** A question that waited longer than this was delayed by others. */
 const DELAYED_MILLISECONDS = 30
-/** A delay counts for this long, so that the policy does not change with each question. */
-const DELAY_COUNTS_MILLISECONDS = 1_000
+/** A delay counts for this long. Bursts last for seconds, and each return to the dearer choice within one delays questions again. */
+const DELAY_COUNTS_MILLISECONDS = 10_000
 
 /** Observes how long questions waited before they were handled. */
 export class QuestionDelay {
@@ -19,7 +19,7 @@
     return new QuestionDelay(clock)
   }
 
-  /** Whether a question was delayed within the last second. */
+  /** Whether a question was delayed within the last seconds. */
   get wasDelayedLately (): boolean {
     return this.clock.monotonicMilliseconds() - this.delayedAt < DELAY_COUNTS_MILLISECONDS
   }
