The limiter of clients is set up in one place

The entry and the control address made the same limiter with the same log line; they differ in their capacity only. No change of behaviour. Tests of the limits, of calls and of the order on connections: 41 passed; types and linter clean.

--- a/packages/entry/src/caller-limits.ts
+++ b/packages/entry/src/caller-limits.ts
@@ -7,7 +7,18 @@
 
 /** Limits that follow from what the process may use; without a statement, those of the smallest machines. */
 export function createCallerLimiter (clock: Clock, limits: ProcessLimits = DEFAULT_PROCESS_LIMITS, logger?: Logger): ClientLimiter {
-  const { callerConnections, requests, heldBytes } = entryCapacity(limits)
+  return createClientLimiter(clock, entryCapacity(limits), logger)
+}
+
+/** What the clients of one server may use together. */
+export interface ClientCapacity {
+  readonly callerConnections: number
+  readonly requests: number
+  readonly heldBytes: number
+}
+
+/** Limits on the clients of one server, which log when they are reached. */
+export function createClientLimiter (clock: Clock, { callerConnections, requests, heldBytes }: ClientCapacity, logger?: Logger): ClientLimiter {
   return ClientLimiter.create({
     clock,
     maximumConnections: callerConnections,
