--- a/review/10/case.mjs
+++ b/review/10/case.mjs
@@ -1,8 +1,8 @@
 /** An operator whose first configuration has the version 0. */
 import { dirname } from 'node:path'
 import { fileURLToPath } from 'node:url'
-import { configuration, HAS_TROUBLE, route, runCase } from '../common-2/case.mjs'
-import { callControl, delay } from '../common-2/fleet.mjs'
+import { configuration, HAS_TROUBLE, route, runCase } from '../case-2.mjs'
+import { callControl, delay } from '../fleet-2.mjs'
 
 const FIRST_VERSION = HAS_TROUBLE ? 0 : 1
 const CONTACT_MILLISECONDS = 3_000
--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -2,9 +2,9 @@
 import { connect } from 'node:net'
 import { dirname } from 'node:path'
 import { fileURLToPath } from 'node:url'
-import { configuration, HAS_TROUBLE, route, runCase } from '../common-2/case.mjs'
-import { callControl } from '../common-2/fleet.mjs'
-import { digest, Instance } from '../common-2/instance.mjs'
+import { configuration, HAS_TROUBLE, route, runCase } from '../case-2.mjs'
+import { callControl } from '../fleet-2.mjs'
+import { digest, Instance } from '../instance-2.mjs'
 
 const KEY = 'key-of-the-curators-0001'
 const REQUESTS = 6
--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -1,9 +1,9 @@
 /** An entry that reaches no instance sends requests through another entry, which is killed while an answer without a length arrives. */
 import { dirname } from 'node:path'
 import { fileURLToPath } from 'node:url'
-import { configuration, HAS_TROUBLE, route, runCase } from '../common-2/case.mjs'
-import { call, callControl, delay } from '../common-2/fleet.mjs'
-import { answer, Instance, signature } from '../common-2/instance.mjs'
+import { configuration, HAS_TROUBLE, route, runCase } from '../case-2.mjs'
+import { call, callControl, delay } from '../fleet-2.mjs'
+import { answer, Instance, signature } from '../instance-2.mjs'
 
 const SLOW_REQUESTS = 8
 const ANSWER_BYTES = 4_000
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,6 +3,6 @@
 # Node.js 20 without dependencies, which need no build, so this checks only that each can be read.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-for file in review/common-2/*.mjs review/{6,7,8,9,10}/*.mjs; do
+for file in review/*-2.mjs review/{6,7,8,9,10}/*.mjs; do
   if [ -f "$file" ]; then node --check "$file"; fi
 done
--- a/review/common-2/case.mjs
+++ b/review/case-2.mjs
@@ -1,7 +1,7 @@
 /** Runs a case within its time, writes its record and ends everything that it started. */
 import { rmSync, appendFileSync } from 'node:fs'
 import { join } from 'node:path'
-import { Fleet } from './fleet.mjs'
+import { Fleet } from './fleet-2.mjs'
 
 const LIMIT_MILLISECONDS = 110_000
 
--- a/review/common-2/fleet.mjs
+++ b/review/fleet-2.mjs
@@ -7,7 +7,7 @@
 import { dirname, join } from 'node:path'
 import { fileURLToPath } from 'node:url'
 
-export const ROOT = join(dirname(fileURLToPath(import.meta.url)), '..', '..')
+export const ROOT = join(dirname(fileURLToPath(import.meta.url)), '..')
 const METRICS_PORT = 19_464
 const ZONES = 3
 const READY_MILLISECONDS = 40_000
--- a/review/common-2/instance.mjs
+++ b/review/instance-2.mjs
@@ -1,7 +1,7 @@
 /** A sound instance of the users' pages: announces itself, runs what is meant for it, and records what it ran. */
 import { createHash } from 'node:crypto'
 import { createServer } from 'node:http'
-import { callControl, delay } from './fleet.mjs'
+import { callControl, delay } from './fleet-2.mjs'
 
 const HEARTBEAT_MILLISECONDS = 1_500
 
