A relay says that its upstream has ended; the end of its connection does not

Cause: a relay passed on bytes and resets. The kernel closes the connections of a process that ends in order, so the end of a relayed connection meant either that the upstream had ended or that the relay had, and upstream-exchange took it for the former.

Fix: relay and entry agree on frames in the CONNECT exchange. An empty frame says that the upstream ended in order; only a living relay can send it, so it does not matter how the relay ends. What arrived before is still read, so an answer that is complete by its length stays so. A relay of the version before does not agree, and an answer without a length through it fails at its head; entries of the version before get the bytes as they are.

--- a/packages/entry/src/connection-relay.ts
+++ b/packages/entry/src/connection-relay.ts
@@ -1,9 +1,10 @@
 /** Connects other entries, which have lost their own links, to upstreams. */
 import { createServer, type IncomingMessage, type Server } from 'node:http'
 import type { Socket } from 'node:net'
-import type { Duplex } from 'node:stream'
+import type { Duplex, Writable } from 'node:stream'
 import { endedByReset, type Connector } from '@hickoryspoke/request/connector'
 import { UPSTREAM_UNREACHABLE_STATUS } from '@hickoryspoke/request/relay-client'
+import { RELAY_FRAMES_HEADER, RELAY_FRAMES_VERSION, RelayFrameEncoder } from '@hickoryspoke/request/relay-frames'
 import { splitAddress } from '@hickoryspoke/runtime/address'
 import { sleep, type Clock } from '@hickoryspoke/runtime/clock'
 import { describeError } from '@hickoryspoke/runtime/failure'
@@ -38,7 +39,7 @@
   private constructor (private readonly options: ConnectionRelayOptions) {
     this.server = createServer((_, response) => { response.writeHead(404).end() })
     if (options.maximumConnections !== undefined) this.server.maxConnections = options.maximumConnections
-    this.server.on('connect', (request: IncomingMessage, socket: Duplex) => { void this.accept(request.url ?? '', socket as Socket) })
+    this.server.on('connect', (request: IncomingMessage, socket: Duplex) => { void this.accept(request, socket as Socket) })
   }
 
   static create (options: ConnectionRelayOptions): ConnectionRelay {
@@ -87,7 +88,7 @@
     return this.options.isUnwanted(address) ? UPSTREAM_UNREACHABLE_STATUS : undefined
   }
 
-  private async accept (address: string, socket: Socket): Promise<void> {
+  private async accept ({ url: address = '', headers }: IncomingMessage, socket: Socket): Promise<void> {
     socket.on('error', () => {})
     const refusal = this.refusalOf(address)
     if (refusal !== undefined) return refuse(socket, refusal)
@@ -110,8 +111,9 @@
     }
     this.relayed.add(socket)
     socket.once('close', () => this.relayed.delete(socket))
-    socket.write('HTTP/1.1 200 Connection Established\r\n\r\n')
-    join(socket, opened.value.socket)
+    const isFramed = headers[RELAY_FRAMES_HEADER] === RELAY_FRAMES_VERSION
+    socket.write(`HTTP/1.1 200 Connection Established\r\n${isFramed ? `${RELAY_FRAMES_HEADER}: ${RELAY_FRAMES_VERSION}\r\n` : ''}\r\n`)
+    join(socket, opened.value.socket, isFramed ? framedOutput(socket) : socket)
   }
 }
 
@@ -119,21 +121,28 @@
   socket.end(`HTTP/1.1 ${status} Not relayed\r\nContent-Length: 0\r\nConnection: close\r\n\r\n`)
 }
 
+/** Writes to the other entry in frames, the last of which says that the upstream ended in order. */
+function framedOutput (entry: Socket): Writable {
+  const encoder = RelayFrameEncoder.create()
+  encoder.pipe(entry)
+  return encoder
+}
+
 /**
  * Passes bytes on in both directions, and a reset of the upstream too, so that a response that was cut off is not taken
- * for a complete one. Once the upstream has closed in order, the rest of the request is read and discarded, so that the
- * response reaches the other entry and its close is seen.
+ * for a complete one. Once the upstream has closed in order, `output` to the other entry is ended, and the rest of the request
+ * is read and discarded, so that the response reaches the other entry and its close is seen.
  */
-function join (entry: Socket, upstream: Socket): void {
+function join (entry: Socket, upstream: Socket, output: Writable): void {
   let isUpstreamEnded = false
   entry.pipe(upstream, { end: false })
-  upstream.pipe(entry, { end: false })
+  upstream.pipe(output, { end: false })
   upstream.on('end', () => {
     isUpstreamEnded = true
     if (endedByReset(upstream)) return entry.resetAndDestroy()
     entry.unpipe(upstream)
     entry.resume()
-    return entry.end()
+    return output.end()
   })
   upstream.on('error', () => { if (!isUpstreamEnded) entry.resetAndDestroy() })
   upstream.on('close', () => { if (!isUpstreamEnded) entry.resetAndDestroy() })
--- a/packages/entry/src/tests/connection-relay.test.ts
+++ b/packages/entry/src/tests/connection-relay.test.ts
@@ -1,6 +1,7 @@
 import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net'
 import { once } from 'node:events'
-import { ConnectFailure, DirectConnector, type Connector } from '@hickoryspoke/request/connector'
+import type { Duplex } from 'node:stream'
+import { ConnectFailure, DirectConnector, type Connector, type OpenConnection } from '@hickoryspoke/request/connector'
 import { connectThroughRelay } from '@hickoryspoke/request/relay-client'
 import { UpstreamConnections } from '@hickoryspoke/request/upstream-connections'
 import { exchange } from '@hickoryspoke/request/upstream-exchange'
@@ -63,6 +64,11 @@
   while (!isMet()) await sleep(clock, POLL_MILLISECONDS)
 }
 
+/** What carries requests and responses of a connection. */
+function streamOf ({ relayed, socket }: OpenConnection): Duplex {
+  return relayed ?? socket
+}
+
 /** Number of relayed connections that do not end. */
 async function connectionsLeft (relay: ConnectionRelay): Promise<number> {
   const until = clock.monotonicMilliseconds() + CONNECT_TIMEOUT_MILLISECONDS
@@ -104,9 +110,10 @@
 test('an upstream learns through a relay that its caller has left', async () => {
   await withRelay(() => {}, async ({ address, upstream, relay }) => {
     const opened = (await connectThroughRelay(address, upstream.address, neverAborted)).unwrap()
-    opened.socket.write('GET / HTTP/1.1\r\nHost: a\r\n\r\n')
+    const stream = streamOf(opened)
+    stream.write('GET / HTTP/1.1\r\nHost: a\r\n\r\n')
     await waitUntil(() => upstream.requests.length === 1)
-    opened.socket.destroy()
+    stream.destroy()
     await waitUntil(() => upstream.closedConnections === 1)
     await waitUntil(() => relay.connections === 0)
   })
@@ -179,8 +186,8 @@
 const READING_PAUSE_MILLISECONDS = 200
 
 /** Opens a connection through the relay and sends a body until the other side ends. The upstream's script runs after the head. */
-async function sendWithoutEnd ({ address, upstream }: Fixture): Promise<Socket> {
-  const { socket } = (await connectThroughRelay(address, upstream.address, neverAborted)).unwrap()
+async function sendWithoutEnd ({ address, upstream }: Fixture): Promise<Duplex> {
+  const socket = streamOf((await connectThroughRelay(address, upstream.address, neverAborted)).unwrap())
   socket.on('error', () => {})
   socket.write('POST / HTTP/1.1\r\nHost: a\r\n\r\n')
   let isEnded = false
@@ -195,7 +202,7 @@
 }
 
 /** Reads all bytes of a connection after a pause, in which the operating system's buffers fill up. */
-async function readAfterPause (socket: Socket): Promise<string> {
+async function readAfterPause (socket: Duplex): Promise<string> {
   await sleep(clock, READING_PAUSE_MILLISECONDS)
   let text = ''
   socket.on('data', (chunk: Buffer) => { text += chunk.toString('latin1') })
@@ -267,7 +274,7 @@
 // Guards against a part of a response that looks complete, as it ends with its connection, and a relay that ends closes that in order (MIXED).
 test('a relay that ends resets the connections that are still open', async () => {
   await withRelay((socket) => socket.write('HTTP/1.1 200 OK\r\n\r\npart of'), async ({ address, upstream, relay }) => {
-    const { socket } = (await connectThroughRelay(address, upstream.address, neverAborted)).unwrap()
+    const socket = streamOf((await connectThroughRelay(address, upstream.address, neverAborted)).unwrap())
     let received = ''
     let code: string | undefined
     socket.on('data', (chunk) => { received += String(chunk) })
--- a/packages/request/src/connector.ts
+++ b/packages/request/src/connector.ts
@@ -4,6 +4,7 @@
 import type { Clock } from '@hickoryspoke/runtime/clock'
 import { Failure } from '@hickoryspoke/runtime/failure'
 import { Err, Ok, type Result } from 'ts-results-es'
+import type { RelayedStream } from './relayed-stream.ts'
 
 /** Why a connection could not be made. */
 export type ConnectFailureCode =
@@ -26,11 +27,14 @@
   }
 }
 
-/** A TCP connection to an upstream. */
+/** A connection to an upstream. */
 export interface OpenConnection {
+  /** The TCP connection, to the upstream or to the relay. */
   readonly socket: Socket
   /** IP:PORT of the entry through which it goes; empty if it goes over this VM's own network. */
   readonly relay: string
+  /** What carries requests and responses, where a relay tells how the upstream ends; by default the socket. */
+  readonly relayed?: RelayedStream
 }
 
 /** Result of an attempt to connect. */
--- a/packages/request/src/response-progress.ts
+++ b/packages/request/src/response-progress.ts
@@ -1,5 +1,5 @@
 /** Limits how much an upstream may send without its response getting further. */
-import type { Socket } from 'node:net'
+import type { Readable } from 'node:stream'
 
 /** Largest head, and what is read from the socket in advance. */
 const MAXIMUM_BYTES_WITHOUT_PROGRESS = 262_144
@@ -8,27 +8,30 @@
 export class ResponseProgress {
   private bytesAtProgress: number
 
-  private constructor (private readonly socket: Socket, private readonly onExceeded: () => void) {
-    this.bytesAtProgress = socket.bytesRead
-    socket.on('readable', this.check)
+  private constructor (private readonly stream: Readable, private readonly bytesRead: () => number, private readonly onExceeded: () => void) {
+    this.bytesAtProgress = bytesRead()
+    stream.on('readable', this.check)
   }
 
-  /** Calls back once if more bytes arrive than a response needs between its head and the next part of its body. */
-  static watch (socket: Socket, onExceeded: () => void): ResponseProgress {
-    return new ResponseProgress(socket, onExceeded)
+  /**
+   * Calls back once if more bytes arrive than a response needs between its head and the next part of its body. `bytesRead` tells how
+   * many have arrived so far on the connection that `stream` reads.
+   */
+  static watch (stream: Readable, bytesRead: () => number, onExceeded: () => void): ResponseProgress {
+    return new ResponseProgress(stream, bytesRead, onExceeded)
   }
 
   /** Notes that the head or a part of the body arrived. */
   record (): void {
-    this.bytesAtProgress = this.socket.bytesRead
+    this.bytesAtProgress = this.bytesRead()
   }
 
   end (): void {
-    this.socket.off('readable', this.check)
+    this.stream.off('readable', this.check)
   }
 
   private readonly check = (): void => {
-    if (this.socket.bytesRead - this.bytesAtProgress <= MAXIMUM_BYTES_WITHOUT_PROGRESS) return
+    if (this.bytesRead() - this.bytesAtProgress <= MAXIMUM_BYTES_WITHOUT_PROGRESS) return
     this.end()
     this.onExceeded()
   }
--- a/packages/request/src/upstream-connections.ts
+++ b/packages/request/src/upstream-connections.ts
@@ -1,9 +1,11 @@
 import type { Socket } from 'node:net'
+import type { Duplex } from 'node:stream'
 import type { Clock } from '@hickoryspoke/runtime/clock'
 import { Failure } from '@hickoryspoke/runtime/failure'
 import { Err, Ok, type Result } from 'ts-results-es'
 import { ConnectFailure, DirectConnector, endedByReset, type Connector, type OpenConnection } from './connector.ts'
 import type { KeepingSettings } from './kept-connections.ts'
+import type { RelayedStream } from './relayed-stream.ts'
 import { ResponseProgress } from './response-progress.ts'
 import { Client } from './undici-client.ts'
 
@@ -72,29 +74,46 @@
   /** Called at the end of the upstream's side, before undici learns of it. */
   beforeEnd: () => void = () => {}
   private hasSocketError = false
-
-  private constructor (readonly address: string, readonly relay: string, readonly client: Client, private readonly socket: Socket) {
-    socket.on('error', (error: NodeJS.ErrnoException) => {
+  readonly relay: string
+  private readonly socket: Socket
+  private readonly relayed: RelayedStream | undefined
+  /** What carries requests and responses. */
+  private readonly stream: Duplex
+
+  private constructor (readonly address: string, readonly client: Client, { socket, relay, relayed }: OpenConnection) {
+    this.relay = relay
+    this.socket = socket
+    this.relayed = relayed
+    this.stream = relayed ?? socket
+    this.stream.on('error', (error: NodeJS.ErrnoException) => {
       this.hasSocketError = true
       // undici takes a connection reset for a possible end of the response, and its parser must not be paused then.
       if (error.code === RESET_ERROR_CODE) error.code = HANDLED_RESET_CODE
     })
-    socket.on('end', () => this.beforeEnd())
+    this.stream.on('end', () => this.beforeEnd())
+  }
+
+  /** Whether the end of the connection tells whether the upstream has ended. A relay of an earlier version does not pass that on. */
+  get tellsUpstreamEnd (): boolean {
+    return this.relay === '' || this.relayed !== undefined
   }
 
-  /** Whether the connection was reset rather than closed in order. Read this only once, at the end of a response. */
-  get wasReset (): boolean {
-    return this.hasSocketError || endedByReset(this.socket)
+  /** Whether the upstream itself closed the connection in order. Read this only once, at the end of a response. */
+  get endedInOrder (): boolean {
+    if (this.hasSocketError || !this.tellsUpstreamEnd) return false
+    return this.relayed?.hasUpstreamEnded ?? !endedByReset(this.socket)
   }
 
-  /** `relay` is the entry through which it goes; empty if it goes over this VM's own network. */
-  static create (address: string, { socket, relay }: OpenConnection, settings: ConnectionSettings): UpstreamConnection {
+  /** Sends the requests to the upstream at `address` over an open connection. */
+  static create (address: string, opened: OpenConnection, settings: ConnectionSettings): UpstreamConnection {
+    // The client uses only what any stream has.
+    const stream = (opened.relayed ?? opened.socket) as Socket
     let isSocketUsed = false
     const client = new Client(`http://${address}`, {
       connect: (_, callback) => {
         const isFirst = !isSocketUsed
         isSocketUsed = true
-        queueMicrotask(() => isFirst ? callback(null, socket) : callback(ConnectionGone.create(), null))
+        queueMicrotask(() => isFirst ? callback(null, stream) : callback(ConnectionGone.create(), null))
       },
       pipelining: 1,
       headersTimeout: 0,
@@ -104,16 +123,21 @@
       ...(settings.keeping === undefined ? {} : { keepAliveTimeoutThreshold: settings.keeping.marginMilliseconds }),
       maxHeaderSize: settings.maximumAnswerHeaderBytes
     })
-    return new UpstreamConnection(address, relay, client, socket)
+    return new UpstreamConnection(address, client, opened)
   }
 
   get isOpen (): boolean {
-    return !this.socket.destroyed && this.socket.writable && !this.client.destroyed
+    return !this.stream.destroyed && this.stream.writable && !this.client.destroyed
   }
 
   /** Watches the response to a request; calls back if too much arrives without the response getting further. */
   watchProgress (onExceeded: () => void): ResponseProgress {
-    return ResponseProgress.watch(this.socket, onExceeded)
+    return ResponseProgress.watch(this.stream, () => this.socket.bytesRead, onExceeded)
+  }
+
+  /** Calls back once the connection is closed and everything that had arrived was read. */
+  onClosed (task: () => void): void {
+    this.stream.once('close', task)
   }
 
   /** Bytes read from the socket so far. */
@@ -128,9 +152,9 @@
 
   /** Closes the connection immediately. A request in progress on it fails. */
   destroy (): void {
-    if (!this.socket.destroyed) this.isClosedLocally = true
+    if (!this.stream.destroyed) this.isClosedLocally = true
     // Without an error, undici takes the close for a possible end of the response, and its parser must not be paused then.
-    this.socket.destroy(ConnectionClosed.create())
+    this.stream.destroy(ConnectionClosed.create())
     this.client.destroy().catch(() => {})
   }
 }
@@ -280,7 +304,7 @@
     const connection = UpstreamConnection.create(question.address, opened.value, this.settings)
     connection.openedAtMilliseconds = this.clock.monotonicMilliseconds()
     this.all.add(connection)
-    opened.value.socket.once('close', () => {
+    connection.onClosed(() => {
       this.all.delete(connection)
       if (!connection.isClosedLocally) pool.lost.push(this.clock.monotonicMilliseconds())
       if (pool.lost.length > MAXIMUM_REMEMBERED_LOSSES) pool.lost.shift()
--- a/packages/request/src/upstream-exchange.ts
+++ b/packages/request/src/upstream-exchange.ts
@@ -132,7 +132,7 @@
     this.connection.statedKeepAliveMilliseconds = statedKeepAliveMilliseconds(headers)
     if (this.connections.keepsAsStated && (this.request.maximumIdleMilliseconds === 0 || status >= FIRST_SERVER_ERROR)) this.keepsConnection = false
     this.answer = UpstreamResponse.create(this.clock, status, headers, framing, this.control(controller))
-    const refusal = failureOfHead(status, headers, framing, this.request.acceptsCloseDelimited === true)
+    const refusal = failureOfHead(status, headers, framing, this.acceptsCloseDelimited)
     if (status > LAST_STATUS) controller.abort(AttemptFailure.create('malformed_answer', `${status} is not an HTTP status`))
     else if (refusal === undefined) this.resolveHead(Ok(this.answer))
     else this.refuse(controller, refusal, framing)
@@ -145,7 +145,7 @@
 
   onResponseEnd (controller: Dispatcher.DispatchController): void {
     this.stopWatching()
-    if (this.endedByReset()) this.answer?.fail(AttemptFailure.create('truncated_answer', 'the connection was reset before the response ended'))
+    if (this.isCutOff()) this.answer?.fail(AttemptFailure.create('truncated_answer', 'the connection ended before the upstream had ended the response'))
     this.answer?.complete(decodeHeaders((controller.rawTrailers ?? []) as Buffer[]))
     // Whoever receives the response may still find that its connection must not be used again.
     setImmediate(() => this.connections.release(this.connection, this.keepsConnection))
@@ -171,9 +171,14 @@
     this.connection.beforeEnd = () => {}
   }
 
-  /** undici takes a connection reset for the regular end of a response without a Content-Length or chunks. */
-  private endedByReset (): boolean {
-    return this.answer?.framing.kind === FRAMINGS.untilClose && this.connection.wasReset
+  /** The end of a connection that does not tell how its upstream ended leaves open whether such a response is complete. */
+  private get acceptsCloseDelimited (): boolean {
+    return this.request.acceptsCloseDelimited === true && this.connection.tellsUpstreamEnd
+  }
+
+  /** undici takes any end of the connection for the regular end of a response without a Content-Length or chunks. */
+  private isCutOff (): boolean {
+    return this.answer?.framing.kind === FRAMINGS.untilClose && !this.connection.endedInOrder
   }
 
   private readonly onAbort = (): void => {
