No configuration and configuration 0 are told apart

Fix: HeldNumber is a number or undefined, with one comparison; messages leave the field out for none, which is what the version before writes for it. Entries of that version take base 0 for a whole configuration, so no difference from 0 is sent.

Tests that wrote 0 for none say undefined; what they check is the same.

--- a/packages/bench/src/tests/acknowledged-news.test.ts
+++ b/packages/bench/src/tests/acknowledged-news.test.ts
@@ -23,7 +23,7 @@
   static async attach (address: string): Promise<SilentEntry> {
     const client = new DispatchClient(address, InnerCredentials.create({ kind: 'plain_text' }).forChannel())
     const entry = new SilentEntry(client, client.attend())
-    const hello = { name: 'silent', zone: 'zone-a', mirror: false, configurationNumber: 0, running: [], upstreamDigest: '', limits: [], relay: '', admitted: [], fleetShare: 0 }
+    const hello = { name: 'silent', zone: 'zone-a', mirror: false, configurationNumber: undefined, running: [], upstreamDigest: '', limits: [], relay: '', admitted: [], fleetShare: 0 }
     entry.call.write({ body: { $case: 'hello', value: hello } })
     await waitFor(() => entry.received.some((body) => body.$case === 'leader' && body.value.serving) ? true : undefined)
     return entry
--- a/packages/control/src/control-api.ts
+++ b/packages/control/src/control-api.ts
@@ -3,6 +3,7 @@
 import type { PublishedDocument } from '@hickoryspoke/replication/published-document'
 import type { Clock } from '@hickoryspoke/runtime/clock'
 import { InvalidInput } from '@hickoryspoke/runtime/failure'
+import { isOlder } from '@hickoryspoke/runtime/held-number'
 import type { Logger } from '@hickoryspoke/telemetry/logger'
 import type { DispatchingControl } from './dispatching-control.ts'
 
@@ -48,7 +49,7 @@
     const redirection = this.redirectUnlessLeader<undefined>()
     if (redirection !== undefined) return redirection
     if (this.isForming()) return { kind: 'unavailable', reason: 'the control VMs are still forming' }
-    if (document.number <= (control.held?.number ?? 0)) return await this.confirmDocument(document.number)
+    if (!isOlder(control.held?.number, document.number)) return await this.confirmDocument(document.number)
     const receivedAt = clock.monotonicMilliseconds()
     const published = await control.publish(document)
     logger.info('document proposed', {
--- a/packages/control/src/dispatching-control-metrics.ts
+++ b/packages/control/src/dispatching-control-metrics.ts
@@ -10,7 +10,7 @@
 export function createControlMetrics (replica: Replica, state: PublishedDocumentState, service: DispatchService, zones: ZoneEvacuations): Metrics {
   const metrics = Metrics.create()
   metrics.gauge('hickoryspoke_leader', '1 on the leader', [], (gauge) => gauge.set(replica.role() === REPLICA_ROLE.Leader ? 1 : 0))
-  metrics.gauge('hickoryspoke_document_number', 'number of the document held', [], (gauge) => gauge.set(state.document?.number ?? 0))
+  metrics.gauge('hickoryspoke_document_number', 'number of the document held, NaN for none', [], (gauge) => gauge.set(state.document?.number ?? NaN))
   metrics.gauge('hickoryspoke_log_index', 'index of the log', ['kind'], (gauge) => {
     const status = replica.status()
     gauge.set({ kind: 'last' }, status.lastIndex)
--- a/packages/control/src/dispatching-control.ts
+++ b/packages/control/src/dispatching-control.ts
@@ -3,14 +3,15 @@
 import { ColdUpstreams } from '@hickoryspoke/dispatch/cold-upstreams'
 import { LeaderConnection } from '@hickoryspoke/dispatch/leader-connection'
 import { DispatchService } from '@hickoryspoke/dispatch/dispatch-service'
+import type { ConfirmedNumber } from '@hickoryspoke/dispatch/number-confirmations'
 import { UpstreamRegistry } from '@hickoryspoke/dispatch/upstream-registry'
 import { ZoneEvacuations } from '@hickoryspoke/dispatch/zone-evacuations'
 import { DispatchMessage, DispatchService as DispatchDefinition, EntryMessage } from '@hickoryspoke/protocol/generated/dispatch'
 import { FramedConnection } from '@hickoryspoke/protocol/framed-connection'
 import { InnerListener } from '@hickoryspoke/protocol/inner-listener'
-import { ControlState } from '@hickoryspoke/replication/control-state'
+import { ControlState, encodeDocumentCommand } from '@hickoryspoke/replication/control-state'
 import { GrpcReplicaNetwork } from '@hickoryspoke/replication/grpc-replica-network'
-import { encodeDocument, type PublishedDocument } from '@hickoryspoke/replication/published-document'
+import type { PublishedDocument } from '@hickoryspoke/replication/published-document'
 import { Replica } from '@hickoryspoke/replication/replica'
 import type { ReplicationFailure } from '@hickoryspoke/replication/replication-failure'
 import { REPLICA_SERVER_OPTIONS } from '@hickoryspoke/replication/replica-link'
@@ -97,7 +98,7 @@
       clock,
       random,
       logger,
-      held: () => 0,
+      held: () => undefined,
       running: () => [],
       knownUpstreams: () => this.registry.encodedAnnouncements(),
       upstreamDigest: () => this.registry.digest(),
@@ -186,7 +187,7 @@
 
   /** Publishes a document; resolves once it, or one with a higher number, is committed. */
   async publish (document: PublishedDocument): Promise<Result<void, ReplicationFailure>> {
-    const answer = await this.replica.propose(encodeDocument(document))
+    const answer = await this.replica.propose(encodeDocumentCommand(document))
     return answer.map(() => undefined)
   }
 
@@ -259,10 +260,10 @@
     for (const { announced } of expired) this.options.logger.info('silent upstream taken out', { upstream: announced.instance, pool: announced.pool })
   }
 
-  /** Number of the newest document, 0 for none; undefined when leadership cannot be confirmed. */
-  private async confirmNumber (): Promise<number | undefined> {
+  /** The newest document's number; undefined when leadership cannot be confirmed. */
+  private async confirmNumber (): Promise<ConfirmedNumber | undefined> {
     const barrier = await this.replica.readBarrier()
-    return barrier.isErr() ? undefined : this.held?.number ?? 0
+    return barrier.isErr() ? undefined : { number: this.held?.number }
   }
 
   /** Publishes in a microtask, so that of several documents applied together, as at a start, only the last is published. */
--- a/packages/dispatch/src/active-configuration.ts
+++ b/packages/dispatch/src/active-configuration.ts
@@ -2,6 +2,7 @@
 import { applyServingDifference, decodeServingConfiguration, UpdateUnusable } from '@hickoryspoke/configuration/serving-codec'
 import type { ServingConfiguration } from '@hickoryspoke/configuration/serving-configuration'
 import type { Clock } from '@hickoryspoke/runtime/clock'
+import { isOlder, newerOf, type HeldNumber } from '@hickoryspoke/runtime/held-number'
 import { Err, Ok, type Result } from 'ts-results-es'
 import type { ConfigurationUpdate } from './configuration-history.ts'
 
@@ -16,7 +17,7 @@
 /** Holds the newest configuration received, and tracks when its number was last confirmed. */
 export class ActiveConfiguration {
   private held: ServingConfiguration | undefined
-  private highestKnownNumber = 0
+  private highestKnownNumber: HeldNumber
   private confirmedAt: ClockReading | undefined
   private readonly questionTimes = new Map<number, ClockReading>()
   private readonly listeners = new Set<(configuration: ServingConfiguration) => void>()
@@ -37,9 +38,9 @@
     return this.held
   }
 
-  /** Number of that configuration; 0 before the first. */
-  get number (): number {
-    return this.held?.number ?? 0
+  /** Number of that configuration; undefined before the first. */
+  get number (): HeldNumber {
+    return this.held?.number
   }
 
   onChange (listener: (configuration: ServingConfiguration) => void): void {
@@ -48,7 +49,7 @@
 
   /** Applies a whole configuration or a difference. Returns false for an update that is not newer, and ignores it. */
   applyUpdate (update: ConfigurationUpdate): Result<boolean, UpdateUnusable> {
-    if (update.number <= this.number) return Ok(false)
+    if (!isOlder(this.number, update.number)) return Ok(false)
     const decoded = this.decode(update)
     return decoded.map((configuration) => {
       this.held = configuration
@@ -58,8 +59,8 @@
   }
 
   private decode ({ baseNumber, content }: ConfigurationUpdate): Result<ServingConfiguration, UpdateUnusable> {
-    if (baseNumber === 0) return decodeServingConfiguration(content)
-    if (this.held?.number !== baseNumber) return Err(UpdateUnusable.create(`the difference is based on configuration ${baseNumber}, but ${this.number} is held`))
+    if (baseNumber === undefined) return decodeServingConfiguration(content)
+    if (this.held?.number !== baseNumber) return Err(UpdateUnusable.create(`the difference is based on configuration ${baseNumber}, but ${this.number ?? 'none'} is held`))
     return applyServingDifference(this.held, content)
   }
 
@@ -69,12 +70,12 @@
     if (this.questionTimes.size > MAXIMUM_PENDING_QUESTIONS) this.questionTimes.delete(this.questionTimes.keys().next().value as number)
   }
 
-  /** The leader answered that the newest configuration had this number at some moment after the question was sent. */
-  confirm (question: number, number: number): void {
+  /** The leader answered that the newest configuration had this number, or that there was none, at some moment after the question was sent. */
+  confirm (question: number, number: HeldNumber): void {
     const askedAt = this.questionTimes.get(question)
     this.questionTimes.delete(question)
-    this.highestKnownNumber = Math.max(this.highestKnownNumber, number)
-    if (askedAt !== undefined && number <= this.number) this.confirmedAt = askedAt
+    this.highestKnownNumber = newerOf(this.highestKnownNumber, number)
+    if (askedAt !== undefined && !isOlder(this.number, number)) this.confirmedAt = askedAt
   }
 
   /**
@@ -82,7 +83,7 @@
    * the monotonic clock stops while a machine is suspended, and the wall clock may be stepped back.
    */
   isFresh (): boolean {
-    return this.ageMilliseconds() <= this.validityMilliseconds && this.highestKnownNumber <= this.number
+    return this.ageMilliseconds() <= this.validityMilliseconds && !isOlder(this.number, this.highestKnownNumber)
   }
 
   /** Milliseconds since the last confirmation, by the clock that advanced further. */
--- a/packages/dispatch/src/client-session.ts
+++ b/packages/dispatch/src/client-session.ts
@@ -2,6 +2,7 @@
 import type { ServerDuplexStream } from '@grpc/grpc-js'
 import type { FramedConnection } from '@hickoryspoke/protocol/framed-connection'
 import type { DispatchMessage, EntryMessage } from '@hickoryspoke/protocol/generated/dispatch'
+import type { HeldNumber } from '@hickoryspoke/runtime/held-number'
 import type { EntryConnection } from './entry-connection.ts'
 
 /** The server's side of a gRPC stream. */
@@ -20,7 +21,8 @@
   readonly relay: string
   /** Whether it said that it does so now. */
   isRelaying: boolean
-  heldNumber: number
+  /** Number of the configuration that the client holds, or was sent last. */
+  heldNumber: HeldNumber
   /** When its last message arrived, in monotonic milliseconds. */
   heardAt: number
   /** Digest of the upstreams that the client knew before it was sent any; undefined once its view may have changed since. */
--- a/packages/dispatch/src/configuration-history.ts
+++ b/packages/dispatch/src/configuration-history.ts
@@ -2,6 +2,7 @@
 import { encodeServingDifference, encodeServingConfiguration } from '@hickoryspoke/configuration/serving-codec'
 import type { ServingConfiguration } from '@hickoryspoke/configuration/serving-configuration'
 import type { ServingUpdate } from '@hickoryspoke/protocol/generated/dispatch'
+import { isOlder, type HeldNumber } from '@hickoryspoke/runtime/held-number'
 import type { RateLimit } from './customer-rate-limiter.ts'
 import { combinePolicies, DEFAULT_DISPATCH_POLICY, policyOf, type DispatchPolicy } from './dispatch-policy.ts'
 
@@ -13,7 +14,7 @@
 /** Recent configurations, and cached updates from each to the newest. */
 export class ConfigurationHistory {
   private readonly recent: ServingConfiguration[] = []
-  private readonly cachedUpdates = new Map<number, ConfigurationUpdate>()
+  private readonly cachedUpdates = new Map<HeldNumber, ConfigurationUpdate>()
   /** Rate limits by customer, of the newest configuration. */
   private limits = new Map<string, RateLimit>()
   /** What the newest configuration asks of the dispatcher. */
@@ -29,7 +30,7 @@
 
   /** Adds a configuration; ignores one that is not newer. */
   add (configuration: ServingConfiguration): void {
-    if (configuration.number <= (this.newest?.number ?? 0)) return
+    if (!isOlder(this.newest?.number, configuration.number)) return
     this.recent.push(configuration)
     if (this.recent.length > KEPT_CONFIGURATIONS) this.recent.shift()
     this.cachedUpdates.clear()
@@ -47,12 +48,13 @@
     return this.limits.get(customer)
   }
 
-  /** Update from a held configuration number to the newest configuration; undefined when the held one is current. */
-  updateFrom (heldNumber: number): ConfigurationUpdate | undefined {
+  /** Update from the configuration that is held to the newest one; undefined when the held one is current. */
+  updateFrom (held: HeldNumber): ConfigurationUpdate | undefined {
     const newest = this.newest
-    if (newest === undefined || heldNumber >= newest.number) return undefined
-    const base = this.recent.find((configuration) => configuration.number === heldNumber)
-    const baseNumber = base?.number ?? 0
+    if (newest === undefined || !isOlder(held, newest.number)) return undefined
+    // Entries of earlier versions take a difference from number 0 for a whole configuration.
+    const base = this.recent.find(({ number }) => number === held && number !== 0)
+    const baseNumber = base?.number
     const known = this.cachedUpdates.get(baseNumber)
     if (known !== undefined) return known
     const content = base === undefined ? encodeServingConfiguration(newest) : encodeServingDifference(base, newest)
--- a/packages/dispatch/src/dispatch-service-options.ts
+++ b/packages/dispatch/src/dispatch-service-options.ts
@@ -4,6 +4,7 @@
 import type { OverageAllowance } from './customer-rate-limiter.ts'
 import type { DispatchPolicy } from './dispatch-policy.ts'
 import type { FleetRetryBudgetSettings } from './fleet-retry-budget.ts'
+import type { ConfirmedNumber } from './number-confirmations.ts'
 import type { UpstreamRegistry } from './upstream-registry.ts'
 import type { ZoneEvacuations } from './zone-evacuations.ts'
 
@@ -12,8 +13,8 @@
   isLeader (): boolean
   leaderAddress (): string
   controlAddresses (): readonly string[]
-  /** Number of the newest configuration, once leadership is confirmed; undefined when it cannot be confirmed. */
-  confirmNumber (): Promise<number | undefined>
+  /** The number of the newest configuration, once leadership is confirmed; undefined when it cannot be confirmed. */
+  confirmNumber (): Promise<ConfirmedNumber | undefined>
 }
 
 /** Dependencies and settings of a `DispatchService`. */
--- a/packages/dispatch/src/dispatch-service.ts
+++ b/packages/dispatch/src/dispatch-service.ts
@@ -18,7 +18,7 @@
 import { LeaderState } from './leader-state.ts'
 import { MessageLoad } from './message-load.ts'
 import type { DeliveryProgress } from './news-delivery.ts'
-import { NumberConfirmations } from './number-confirmations.ts'
+import { NumberConfirmations, type ConfirmedNumber } from './number-confirmations.ts'
 import { PlacementInbox } from './placement-inbox.ts'
 import { QuestionDelay } from './question-delay.ts'
 import { RelayDirectory } from './relay-directory.ts'
@@ -160,7 +160,7 @@
     this.leading = LeaderState.create(this.options, this.history, this.delay, () => this.sessions.all())
     const { dispatcher } = this.leading
     this.handover.handOverTo(dispatcher)
-    logger.info('dispatcher began', { suspected: dispatcher.suspicions().length, limited: dispatcher.statedLimits().length, upstreams: registry.present().length, configuration: this.history.newest?.number ?? 0 })
+    logger.info('dispatcher began', { suspected: dispatcher.suspicions().length, limited: dispatcher.statedLimits().length, upstreams: registry.present().length, configuration: this.history.newest?.number })
   }
 
   private stopDispatcher (): void {
@@ -283,12 +283,12 @@
     }
   }
 
-  private async confirmNumber (): Promise<number | undefined> {
+  private async confirmNumber (): Promise<ConfirmedNumber | undefined> {
     const { clock, control } = this.options
     const askedAt = clock.monotonicMilliseconds()
-    const number = await control.confirmNumber()
+    const confirmed = await control.confirmNumber()
     this.load.record('leadership', clock.monotonicMilliseconds() - askedAt)
-    return number
+    return confirmed
   }
 
   private sendConfiguration (session: ClientSession): void {
--- a/packages/dispatch/src/leader-connection-options.ts
+++ b/packages/dispatch/src/leader-connection-options.ts
@@ -4,6 +4,7 @@
 } from '@hickoryspoke/protocol/generated/dispatch'
 import type { InnerCredentials } from '@hickoryspoke/protocol/inner-credentials'
 import type { Clock } from '@hickoryspoke/runtime/clock'
+import type { HeldNumber } from '@hickoryspoke/runtime/held-number'
 import type { RandomSource } from '@hickoryspoke/runtime/random'
 import type { Logger } from '@hickoryspoke/telemetry/logger'
 import type { AdmissionReport } from './customer-rate-limiter.ts'
@@ -29,7 +30,7 @@
   lost (): void
   /** The leader is being asked for the newest configuration number. */
   questionSent (question: number): void
-  /** The leader answered with the number that was newest at some moment after the question was sent. */
+  /** The leader answered with the number that was newest, if there was any, at some moment after the question was sent. */
   confirmed (answer: NumberAnswer): void
 }
 
@@ -49,8 +50,8 @@
   readonly relay: string
   /** Whether it does so now. */
   readonly isRelaying: () => boolean
-  /** Number of the configuration held; 0 for none. */
-  readonly held: () => number
+  /** Number of the configuration held. */
+  readonly held: () => HeldNumber
   readonly running: () => RunningRequest[]
   readonly knownUpstreams: () => Buffer[]
   /** Digest of the known upstreams; empty for none. */
--- a/packages/dispatch/src/number-confirmations.ts
+++ b/packages/dispatch/src/number-confirmations.ts
@@ -1,13 +1,20 @@
 /** Answers entries that ask for the number of the configuration in force. One confirmation of leadership serves all questions that wait. */
 import { sleep, type Clock } from '@hickoryspoke/runtime/clock'
+import type { HeldNumber } from '@hickoryspoke/runtime/held-number'
 import type { ClientSession } from './client-session.ts'
 import type { RelayDirectory } from './relay-directory.ts'
 
+/** What a leader whose leadership was confirmed holds. */
+export interface ConfirmedNumber {
+  /** Number of the newest configuration; undefined while there is none. */
+  readonly number: HeldNumber
+}
+
 /** Dependencies of `NumberConfirmations`. */
 export interface NumberConfirmationsOptions {
   readonly clock: Clock
-  /** Number of the newest configuration, once leadership is confirmed; undefined when it cannot be confirmed. */
-  readonly confirmNumber: () => Promise<number | undefined>
+  /** The number of the newest configuration, once leadership is confirmed; undefined when it cannot be confirmed. */
+  readonly confirmNumber: () => Promise<ConfirmedNumber | undefined>
   /** Number of entries that are connected. */
   readonly entries: () => number
   /** Places of the entries by which they take turns, by name; absent where they need none. */
@@ -50,14 +57,14 @@
       await sleep(this.options.clock, COLLECT_MILLISECONDS)
       const pending = this.requests
       this.requests = []
-      const number = await this.options.confirmNumber()
-      if (number === undefined) this.options.unanswered(pending.length)
-      else this.answer(pending, number)
+      const confirmed = await this.options.confirmNumber()
+      if (confirmed === undefined) this.options.unanswered(pending.length)
+      else this.answer(pending, confirmed)
     }
     this.isRunning = false
   }
 
-  private answer (pending: readonly NumberRequest[], number: number): void {
+  private answer (pending: readonly NumberRequest[], { number }: ConfirmedNumber): void {
     const entries = this.options.entries()
     const available = this.options.relays.available()
     const positions = this.options.positions?.()
--- a/packages/dispatch/src/tests/active-configuration.test.ts
+++ b/packages/dispatch/src/tests/active-configuration.test.ts
@@ -18,8 +18,8 @@
 
 test('an update with an older number is ignored', () => {
   const { active } = createActiveConfiguration()
-  active.applyUpdate({ number: 5, baseNumber: 0, content: encodeServingConfiguration(configuration(5, ['a'])) })
-  assert.is(active.applyUpdate({ number: 4, baseNumber: 0, content: encodeServingConfiguration(configuration(4, ['b'])) }).unwrap(), false)
+  active.applyUpdate({ number: 5, baseNumber: undefined, content: encodeServingConfiguration(configuration(5, ['a'])) })
+  assert.is(active.applyUpdate({ number: 4, baseNumber: undefined, content: encodeServingConfiguration(configuration(4, ['b'])) }).unwrap(), false)
   assert.is(active.number, 5)
 })
 
@@ -27,7 +27,7 @@
   const { active } = createActiveConfiguration()
   const first = configuration(1, ['a', 'b'])
   const second = configuration(2, ['b', 'c'])
-  active.applyUpdate({ number: 1, baseNumber: 0, content: encodeServingConfiguration(first) })
+  active.applyUpdate({ number: 1, baseNumber: undefined, content: encodeServingConfiguration(first) })
   active.applyUpdate({ number: 2, baseNumber: 1, content: encodeServingDifference(first, second) })
   assert.equal(active.configuration, second)
 })
@@ -35,7 +35,7 @@
 test('a difference based on another configuration than the one held is rejected', () => {
   const { active } = createActiveConfiguration()
   const held = configuration(1, ['a', 'b'])
-  active.applyUpdate({ number: 1, baseNumber: 0, content: encodeServingConfiguration(held) })
+  active.applyUpdate({ number: 1, baseNumber: undefined, content: encodeServingConfiguration(held) })
   const content = encodeServingDifference(configuration(2, ['b']), configuration(3, ['c']))
   assert.is(active.applyUpdate({ number: 3, baseNumber: 2, content }).isErr(), true)
   assert.equal(active.configuration, held)
@@ -43,15 +43,15 @@
 
 test('content that cannot be decoded is rejected', () => {
   const { active } = createActiveConfiguration()
-  assert.is(active.applyUpdate({ number: 2, baseNumber: 0, content: Buffer.from('nonsense') }).isErr(), true)
-  assert.is(active.number, 0)
+  assert.is(active.applyUpdate({ number: 2, baseNumber: undefined, content: Buffer.from('nonsense') }).isErr(), true)
+  assert.is(active.number, undefined)
 })
 
 test('a confirmation is valid from the time of the question, not of the answer', () => {
   const { clock, active } = createActiveConfiguration()
   active.recordQuestion(1)
   clock.advance(2_000)
-  active.confirm(1, 0)
+  active.confirm(1, undefined)
   assert.is(active.isFresh(), true)
   clock.advance(1_500)
   assert.is(active.isFresh(), false)
@@ -62,7 +62,7 @@
   clock.advance(700)
   assert.is(active.staleMilliseconds(), 700)
   active.recordQuestion(1)
-  active.confirm(1, 0)
+  active.confirm(1, undefined)
   assert.is(active.staleMilliseconds(), 0)
   clock.advance(3_400)
   assert.is(active.staleMilliseconds(), 400)
@@ -71,7 +71,7 @@
 test('a newer number makes the held configuration stale until the newer one arrives', () => {
   const { active } = createActiveConfiguration()
   active.recordQuestion(1)
-  active.confirm(1, 0)
+  active.confirm(1, undefined)
   active.recordQuestion(2)
   active.confirm(2, 7)
   assert.is(active.isFresh(), false)
@@ -80,7 +80,7 @@
 test('a suspended machine is stale although its monotonic clock stood still', () => {
   const { clock, active } = createActiveConfiguration()
   active.recordQuestion(1)
-  active.confirm(1, 0)
+  active.confirm(1, undefined)
   clock.stepWall(10_000)
   assert.is(active.isFresh(), false)
 })
--- a/packages/dispatch/src/tests/fixture.ts
+++ b/packages/dispatch/src/tests/fixture.ts
@@ -110,7 +110,7 @@
   return DispatchService.create({
     clock,
     logger: silentLogger(),
-    control: { isLeader: () => true, leaderAddress: () => 'here', controlAddresses: () => [], confirmNumber: async () => 1 },
+    control: { isLeader: () => true, leaderAddress: () => 'here', controlAddresses: () => [], confirmNumber: async () => ({ number: 1 }) },
     registry,
     budget: { ratio: 0.2, slack: 10, windowMilliseconds: 10_000 },
     overage: { windowMilliseconds: 0, share: 0, requests: 0 },
@@ -122,6 +122,6 @@
 
 /** The hello of an entry that runs no request and holds nothing. */
 export function emptyHello (name: string): EntryMessage {
-  const held = { mirror: false, relay: '', running: [], configurationNumber: 0, upstreamDigest: '', limits: [], admitted: [], fleetShare: 0 }
+  const held = { mirror: false, relay: '', running: [], configurationNumber: undefined, upstreamDigest: '', limits: [], admitted: [], fleetShare: 0 }
   return { body: { $case: 'hello', value: { name, zone: 'zone-a', ...held } } }
 }
--- a/packages/dispatch/src/tests/leader-connection-fixture.ts
+++ b/packages/dispatch/src/tests/leader-connection-fixture.ts
@@ -40,7 +40,7 @@
     random: SeededRandom.create(1),
     logger: silentLogger(),
     listener: LISTENER,
-    held: () => 0,
+    held: () => undefined,
     running: () => [],
     knownUpstreams: () => [],
     upstreamDigest: () => '',
--- a/packages/dispatch/src/tests/number-confirmations.test.ts
+++ b/packages/dispatch/src/tests/number-confirmations.test.ts
@@ -20,7 +20,7 @@
     clock,
     confirmNumber: async () => {
       confirmations += 1
-      return 7
+      return { number: 7 }
     },
     entries: () => ENTRIES,
     relays: RelayDirectory.create(() => []),
@@ -43,7 +43,7 @@
   let isLeader = false
   const numbers = NumberConfirmations.create({
     clock,
-    confirmNumber: async () => isLeader ? 7 : undefined,
+    confirmNumber: async () => isLeader ? { number: 7 } : undefined,
     entries: () => 1,
     relays: RelayDirectory.create(() => []),
     answering: () => { answered += 1 },
--- a/packages/dispatch/src/tests/silent-session.test.ts
+++ b/packages/dispatch/src/tests/silent-session.test.ts
@@ -32,7 +32,7 @@
   const calls = ['lost', 'alive'].map((name) => {
     const call = new EntryCall()
     service.acceptStream(call as unknown as DispatchCall)
-    const hello = { name, zone: 'zone-a', mirror: false, configurationNumber: 0, running: [], upstreamDigest: '', limits: [], relay: '', admitted: [], fleetShare: 0 }
+    const hello = { name, zone: 'zone-a', mirror: false, configurationNumber: undefined, running: [], upstreamDigest: '', limits: [], relay: '', admitted: [], fleetShare: 0 }
     call.emit('data', { body: { $case: 'hello', value: hello } } satisfies EntryMessage)
     return call
   })
--- a/packages/entry/src/dispatched-entry-metrics.ts
+++ b/packages/entry/src/dispatched-entry-metrics.ts
@@ -45,7 +45,9 @@
     metrics.gauge('hickoryspoke_evacuated_zones', 'availability zones whose upstreams get no requests', [], (gauge) => {
       gauge.set(sources.evacuatedZones().length)
     })
-    metrics.gauge('hickoryspoke_configuration_number', 'number of the configuration held', [], (gauge) => gauge.set(sources.inForce.number))
+    metrics.gauge('hickoryspoke_configuration_number', 'number of the configuration held, NaN for none', [], (gauge) => {
+      gauge.set(sources.inForce.number ?? NaN)
+    })
     metrics.gauge('hickoryspoke_configuration_age_seconds', 'since the configuration was confirmed', [], (gauge) => {
       gauge.set(Math.min(MAXIMUM_AGE_SECONDS, sources.inForce.ageMilliseconds() / 1000))
     })
--- a/packages/replication/src/published-document.ts
+++ b/packages/replication/src/published-document.ts
@@ -1,4 +1,5 @@
 /** State machine for one published document. The highest number wins, and the content of a number never changes. */
+import { isOlder } from '@hickoryspoke/runtime/held-number'
 import type { StateMachine } from './replicated-log.ts'
 
 /** A document as its sender wrote it, with its number. */
@@ -29,13 +30,16 @@
     this.listeners.add(listener)
   }
 
-  /** Ignores a document whose number is not higher than the current one. */
   apply (_index: number, command: Uint8Array): Uint8Array {
-    const candidate = decodeDocument(command)
-    if (candidate.number > (this.held?.number ?? 0)) this.setDocument(candidate)
+    this.add(decodeDocument(command))
     return EMPTY
   }
 
+  /** Ignores a document whose number is not higher than the current one. */
+  add (candidate: PublishedDocument): void {
+    if (isOlder(this.held?.number, candidate.number)) this.setDocument(candidate)
+  }
+
   snapshot (): Uint8Array {
     return this.held === undefined ? EMPTY : encodeDocument(this.held)
   }
@@ -50,7 +54,7 @@
   }
 }
 
-/** Encodes the command that publishes a document. */
+/** Encodes a document as a command and as a snapshot that hold nothing else. */
 export function encodeDocument (document: PublishedDocument): Buffer {
   const head = Buffer.alloc(NUMBER_BYTES)
   head.writeBigUInt64BE(BigInt(document.number))
--- a/packages/replication/src/tests/control-state.test.ts
+++ b/packages/replication/src/tests/control-state.test.ts
@@ -1,7 +1,7 @@
 import { Departure, DepartureList } from '@hickoryspoke/protocol/generated/dispatch'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
-import { ControlState, encodeDepartureCommand, encodeZoneCommand } from '../control-state.ts'
+import { ControlState, encodeDepartureCommand, encodeDocumentCommand, encodeZoneCommand } from '../control-state.ts'
 import { DepartureRegister } from '../departure-register.ts'
 import { encodeDocument, PublishedDocumentState } from '../published-document.ts'
 import type { ZoneDecision } from '../zone-register.ts'
@@ -83,6 +83,56 @@
   assert.equal(restored.zones.all(), [])
 })
 
+const FIRST_CONTENT = Buffer.from('{"version":0}\u00e9')
+const FIRST = encodeDocumentCommand({ number: 0, content: FIRST_CONTENT })
+
+// Guards against a document of number 0 that is acknowledged and not kept, as that number stands for something else in the log (CONFIG, LOST).
+test('a document of number 0 is kept, also in a snapshot, beside departures and decisions on zones', () => {
+  const state = ControlState.create()
+  const heard: number[] = []
+  state.documents.onChange(() => heard.push(state.documents.document?.number ?? NaN))
+  state.apply(1, FIRST)
+  assert.equal(state.documents.document, { number: 0, content: FIRST_CONTENT })
+  assert.equal(state.departures.all(), [])
+  for (const command of [undefined, encodeDepartureCommand(departure('a')), encodeZoneCommand(decision('north', 1, true))]) {
+    if (command !== undefined) state.apply(2, command)
+    const restored = ControlState.create()
+    restored.restore(state.snapshot())
+    assert.equal(restored.documents.document, { number: 0, content: FIRST_CONTENT })
+    assert.equal(restored.departures.all(), state.departures.all())
+    assert.equal(restored.zones.all(), state.zones.all())
+  }
+  assert.equal(heard, [0])
+})
+
+test('a document of number 0 is not replaced by another of that number, and a late one does not replace a later number', () => {
+  const state = ControlState.create()
+  state.apply(1, FIRST)
+  state.apply(2, encodeDocumentCommand({ number: 0, content: Buffer.from('other') }))
+  assert.equal(state.documents.document?.content, FIRST_CONTENT)
+  state.apply(3, DOCUMENT)
+  state.apply(4, FIRST)
+  assert.is(state.documents.document?.number, 3)
+  const restored = ControlState.create()
+  restored.restore(state.snapshot())
+  assert.is(restored.documents.document?.number, 3)
+})
+
+// Guards against control VMs of an older version that fail during an upgrade, or lose what was acknowledged.
+test('a version that does not know documents of number 0 keeps one in its snapshots, also beside a later document', () => {
+  const older = DepartureRegister.create()
+  older.add(Departure.decode(FIRST.subarray(NUMBER_BYTES)))
+  const departures = DepartureList.encode({ departures: older.all() }).finish()
+  const length = Buffer.alloc(4)
+  length.writeUInt32BE(departures.length)
+  for (const [rest, expected] of [[Buffer.alloc(0), FIRST_CONTENT.toString()], [DOCUMENT, 'three']] as const) {
+    const newer = ControlState.create()
+    newer.restore(Buffer.concat([Buffer.alloc(NUMBER_BYTES), length, departures, rest]))
+    assert.is(newer.documents.document?.content.toString(), expected)
+    assert.equal(newer.departures.all(), [])
+  }
+})
+
 test('listeners hear of decisions from commands and from snapshots', () => {
   const heard: ZoneDecision[] = []
   const state = ControlState.create()
