A head is taken whole or refused, whatever its number of headers

Cause: maxHeadersCount. Node.js does not refuse a head with more headers, it leaves the rest out, so entries acted on a part of a head. Without a setting the same happens behind 1,000 headers, at the control address as well; a head of 16 KiB holds over 3,000.

Fix: servers that read headers take all of them. What bounds a head is its bytes, counted as header lines, as Node.js counts only names and values.

--- a/packages/entry/src/caller-connection.ts
+++ b/packages/entry/src/caller-connection.ts
@@ -5,6 +5,7 @@
 import type { Clock } from '@hickoryspoke/runtime/clock'
 import { closeLingering } from '@hickoryspoke/runtime/lingering-close'
 import { PacedInput } from '@hickoryspoke/runtime/paced-input'
+import { extraHeadBytes } from '@hickoryspoke/runtime/request-head'
 import type { NodeExchange } from './caller-node-exchange.ts'
 import { writeRefusal } from './caller-raw-refusal.ts'
 import type { CallerLimits } from './caller-settings.ts'
@@ -90,7 +91,7 @@
 
   add (exchange: NodeExchange): void {
     this.exchanges.push(exchange)
-    this.options.limiter.requestBegun(this)
+    this.options.limiter.requestBegun(this, extraHeadBytes(exchange.headers))
     exchange.onSent(() => this.remove(exchange))
     exchange.onBrokenOff(() => this.endIfBrokenOff())
   }
@@ -152,7 +153,7 @@
 
   private release (exchange: NodeExchange): void {
     exchange.release()
-    this.options.limiter.requestEnded()
+    this.options.limiter.requestEnded(extraHeadBytes(exchange.headers))
   }
 
   private get isInBody (): boolean {
--- a/packages/entry/src/caller-request-check.ts
+++ b/packages/entry/src/caller-request-check.ts
@@ -1,13 +1,15 @@
 import type { IncomingMessage } from 'node:http'
 import { headerCount, headerValue } from '@hickoryspoke/request/header-filter'
 import { Refusal } from '@hickoryspoke/request/refusal'
+import { headerLineBytes } from '@hickoryspoke/runtime/request-head'
 
 const HOST_PATTERN = /^(?:[A-Za-z0-9](?:[A-Za-z0-9._-]{0,252})|\[[0-9A-Fa-f:.]{2,45}\])(?::\d{1,5})?$/
 const UNSUPPORTED_METHODS: ReadonlySet<string> = new Set(['TRACE', 'CONNECT'])
 
 /** Validates a request head more strictly than the parser of Node.js. Returns undefined if the request is valid. */
-export function checkRequestHead (request: IncomingMessage): Refusal | undefined {
+export function checkRequestHead (request: IncomingMessage, maximumHeaderBytes: number): Refusal | undefined {
   const headers = request.rawHeaders
+  if (headerLineBytes(headers) > maximumHeaderBytes) return Refusal.create('headers_too_large')
   if (request.httpVersion !== '1.1') return Refusal.create('http_version_not_supported')
   if (UNSUPPORTED_METHODS.has(request.method ?? '')) return Refusal.create('method_not_supported')
   if (headerCount(headers, 'host') !== 1) return Refusal.create('bad_request', 'exactly one Host header is needed')
--- a/packages/entry/src/caller-server.ts
+++ b/packages/entry/src/caller-server.ts
@@ -5,6 +5,7 @@
 import type { Clock } from '@hickoryspoke/runtime/clock'
 import { sleep } from '@hickoryspoke/runtime/clock'
 import { Failure } from '@hickoryspoke/runtime/failure'
+import { EVERY_HEADER } from '@hickoryspoke/runtime/request-head'
 import { relayRefusal } from '@hickoryspoke/request/response-relay'
 import { Refusal, type RefusalCode } from '@hickoryspoke/request/refusal'
 import type { CallerExchange } from '@hickoryspoke/request/caller-exchange'
@@ -80,7 +81,7 @@
     this.limiter = options.limiter ?? createCallerLimiter(options.clock)
     this.limits = { ...DEFAULT_CALLER_LIMITS, ...options.limits }
     this.server = createNodeServer(this.limits, options.tls)
-    this.server.maxHeadersCount = this.limits.maximumHeaderCount
+    this.server.maxHeadersCount = EVERY_HEADER
     const application = polka({ server: this.server as Server })
     application.use((request, response) => { this.serve(request, response as unknown as ServerResponse, false) })
     this.server.on('request', application.handler as (request: IncomingMessage, response: ServerResponse) => void)
@@ -184,7 +185,7 @@
   }
 
   private serve (request: IncomingMessage, response: ServerResponse, expectsContinue: boolean): void {
-    const refusal = checkRequestHead(request)
+    const refusal = checkRequestHead(request, this.limits.maximumHeaderBytes)
     if (refusal !== undefined) {
       this.refuse(request, response, refusal)
       return
--- a/packages/entry/src/caller-settings.ts
+++ b/packages/entry/src/caller-settings.ts
@@ -1,7 +1,6 @@
 /** Limits of the caller server of an entry. */
 export interface CallerLimits {
   readonly maximumHeaderBytes: number
-  readonly maximumHeaderCount: number
   /** From the start of the connection, or the end of the idle time after the last response, to the end of the headers. */
   readonly headersTimeoutMilliseconds: number
   /** From the first to the last byte of a request. */
@@ -19,7 +18,6 @@
 
 export const DEFAULT_CALLER_LIMITS: CallerLimits = {
   maximumHeaderBytes: 16_384,
-  maximumHeaderCount: 100,
   headersTimeoutMilliseconds: 10_000,
   requestTimeoutMilliseconds: 60_000,
   idleTimeoutMilliseconds: 15_000,
--- a/packages/entry/src/connection-relay.ts
+++ b/packages/entry/src/connection-relay.ts
@@ -8,6 +8,7 @@
 import { splitAddress } from '@hickoryspoke/runtime/address'
 import { sleep, type Clock } from '@hickoryspoke/runtime/clock'
 import { describeError } from '@hickoryspoke/runtime/failure'
+import { EVERY_HEADER } from '@hickoryspoke/runtime/request-head'
 import type { Logger } from '@hickoryspoke/telemetry/logger'
 
 /** Dependencies of a `ConnectionRelay`. */
@@ -38,6 +39,7 @@
 
   private constructor (private readonly options: ConnectionRelayOptions) {
     this.server = createServer((_, response) => { response.writeHead(404).end() })
+    this.server.maxHeadersCount = EVERY_HEADER
     if (options.maximumConnections !== undefined) this.server.maxConnections = options.maximumConnections
     this.server.on('connect', (request: IncomingMessage, socket: Duplex) => { void this.accept(request, socket as Socket) })
   }
--- a/packages/entry/src/inner-server.ts
+++ b/packages/entry/src/inner-server.ts
@@ -3,6 +3,7 @@
 import type { Clock } from '@hickoryspoke/runtime/clock'
 import { DrainableServer } from '@hickoryspoke/runtime/drainable-server'
 import type { Failure } from '@hickoryspoke/runtime/failure'
+import { EVERY_HEADER } from '@hickoryspoke/runtime/request-head'
 import polka from 'polka'
 import type { Result } from 'ts-results-es'
 
@@ -55,6 +56,7 @@
     app.delete('/announce', (request, response) => { void handleAnnouncement(request, response, handlers.withdraw.bind(handlers)) })
     const server = createServer((request, response) => { app.handler(request as never, response) })
     const drainable = DrainableServer.create(server, clock)
+    server.maxHeadersCount = EVERY_HEADER
     server.requestTimeout = REQUEST_TIMEOUT_MILLISECONDS
     const separator = listen.lastIndexOf(':')
     const port = Number(listen.slice(separator + 1))
--- a/packages/runtime/src/client-limiter.ts
+++ b/packages/runtime/src/client-limiter.ts
@@ -5,7 +5,7 @@
 
 /** Counted for each connection: the sockets, parsers and listeners of Node.js take about this much. */
 export const CONNECTION_BYTES = 8_192
-/** Counted for each request in work, without its body and its response: the head in several forms, and its timers and signals. */
+/** Counted for each request in work, without its body and its response: a usual head in several forms, and its timers and signals. */
 export const REQUEST_BYTES = 32_768
 /** Requests in work that are allowed whatever is held. */
 const MINIMUM_REQUESTS = 16
@@ -121,16 +121,18 @@
     this.wake()
   }
 
-  requestBegun (connection: LimitedConnection): void {
+  /** `extraBytes` is what its head takes beyond that of a usual request. */
+  requestBegun (connection: LimitedConnection, extraBytes = 0): void {
     this.inWork += 1
     this.silent.delete(connection)
-    this.budget.count(REQUEST_BYTES)
+    this.budget.count(REQUEST_BYTES + extraBytes)
     this.checkTightness()
   }
 
-  requestEnded (): void {
+  /** `extraBytes` as when it began. */
+  requestEnded (extraBytes = 0): void {
     this.inWork -= 1
-    this.budget.count(-REQUEST_BYTES)
+    this.budget.count(-REQUEST_BYTES - extraBytes)
     this.wake()
   }
 
