An offer of another protocol is ignored, and stops no answer before it

Cause: at `upgrade` and `connect` Node.js takes its listeners off the connection, that for `drain` among them, also while an earlier answer is being sent, which then waits for it until its limit.

For CONNECT, and all input that cannot be read on, a connection puts the listeners to `drain` back.

--- a/packages/entry/src/caller-connection.ts
+++ b/packages/entry/src/caller-connection.ts
@@ -39,9 +39,12 @@
   /** Whether the limits of this connection alone were reached when they were last asked for. */
   private wasFull = false
   private readonly input: PacedInput
+  /** Listeners of Node.js that let responses go on once the caller has read more. It takes them off when it gives a connection up. */
+  private readonly drainListeners: readonly (() => void)[]
 
   private constructor (private readonly socket: Socket, private readonly options: CallerConnectionOptions) {
     const { limiter } = options
+    this.drainListeners = socket.listeners('drain') as (() => void)[]
     this.input = PacedInput.attach(socket, {
       isHeld: () => this.isHeld(),
       isInBody: () => this.isInBody,
@@ -86,7 +89,7 @@
     if (this.isEnded || this.refusal !== undefined || this.exchanges.some(({ answer }) => answer.isBrokenOff)) return true
     const last = this.exchanges.at(-1)
     if (last === undefined) return false
-    return last.answer.closesConnection || (this.options.isDraining() && !last.answer.isHeadSent)
+    return last.isLast || last.answer.closesConnection || (this.options.isDraining() && !last.answer.isHeadSent)
   }
 
   add (exchange: NodeExchange): void {
@@ -118,6 +121,7 @@
   /** Handles input that cannot be read on: aborts the request that it is part of, and answers it behind all others. */
   fail (refusal: Refusal): void {
     if (this.isEnded) return
+    this.keepDraining()
     const last = this.exchanges.at(-1)
     if (last?.isRead === false) {
       last.abortBody(refusal)
@@ -132,6 +136,12 @@
     this.finishIfIdle()
   }
 
+  /** Lets the responses before the input that cannot be read be sent to their end. */
+  private keepDraining (): void {
+    const present = this.socket.listeners('drain')
+    for (const listener of this.drainListeners) if (!present.includes(listener)) this.socket.on('drain', listener)
+  }
+
   /** Closes the connection as soon as all requests on it are answered. */
   closeWhenIdle (): void {
     this.closesWhenIdle = true
--- a/packages/entry/src/caller-node-exchange.ts
+++ b/packages/entry/src/caller-node-exchange.ts
@@ -17,6 +17,8 @@
   readonly limiter: ClientLimiter
   /** The caller sent `Expect: 100-continue` and waits for `100 Continue` before it sends its body. */
   readonly expectsContinue: boolean
+  /** Whether nothing is read behind the request, so that its response closes the connection. */
+  readonly isLast: boolean
   /** Called when the response headers are sent: whether the connection is closed after the response. */
   readonly closesConnection: (exchange: NodeExchange) => boolean
 }
@@ -42,7 +44,7 @@
       hold: (bytes) => options.limiter.hold(bytes),
       awaitsReader: (isAwaited) => isAwaited ? options.limiter.awaitReader(this) : options.limiter.readerReady(this),
       ended: () => this.discardBody(),
-      closesConnection: () => this.isBroken || options.closesConnection(this) || (!this.isRead && request.headers.expect !== undefined)
+      closesConnection: () => this.isBroken || options.isLast || options.closesConnection(this) || (!this.isRead && request.headers.expect !== undefined)
     })
     response.on('error', () => {})
     request.on('error', () => {})
@@ -82,6 +84,11 @@
     return this.controller.signal
   }
 
+  /** Whether nothing is read behind the request. */
+  get isLast (): boolean {
+    return this.options.isLast
+  }
+
   /** Whether the request has been read to its end. */
   get isRead (): boolean {
     return this.request.complete
--- a/packages/entry/src/caller-server.ts
+++ b/packages/entry/src/caller-server.ts
@@ -16,7 +16,7 @@
 import { CallerConnection } from './caller-connection.ts'
 import { createCallerLimiter } from './caller-limits.ts'
 import { NO_REQUEST_ID } from './caller-raw-refusal.ts'
-import { checkRequestHead } from './caller-request-check.ts'
+import { checkRequestHead, endsInput } from './caller-request-check.ts'
 import { DEFAULT_CALLER_LIMITS, type CallerLimits, type CallerTls } from './caller-settings.ts'
 
 /** The caller server could not listen on its address. */
@@ -89,7 +89,7 @@
     this.server.on('checkExpectation', (request: IncomingMessage, response: ServerResponse) => {
       this.refuse(request, response, Refusal.create('expectation_failed'))
     })
-    this.server.on('upgrade', (_, socket) => this.connectionOf(socket as Socket).fail(Refusal.create('upgrade_not_supported')))
+    // Without a listener to `upgrade`, Node.js passes on requests that offer another protocol like all others.
     this.server.on('connect', (_, socket) => this.connectionOf(socket as Socket).fail(Refusal.create('tunnel_not_supported')))
     this.server.on(options.tls === undefined ? 'connection' : 'secureConnection', (socket: Socket) => this.admit(socket))
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => this.handleClientError(error, socket as Socket))
@@ -190,7 +190,7 @@
       this.refuse(request, response, refusal)
       return
     }
-    const exchange = this.accept(request, response, expectsContinue, false)
+    const exchange = this.accept(request, response, expectsContinue, endsInput(request))
     if (exchange !== undefined) this.options.runner.run(exchange).catch(() => exchange.answer.abort())
   }
 
@@ -199,8 +199,8 @@
     if (exchange !== undefined) relayRefusal(exchange, refusal, NO_REQUEST_ID)
   }
 
-  /** Adds a request to its connection; undefined if the connection closes in front of it. `closes` tells whether it closes behind it in any case. */
-  private accept (request: IncomingMessage, response: ServerResponse, expectsContinue: boolean, closes: boolean): NodeExchange | undefined {
+  /** Adds a request to its connection; undefined if the connection closes in front of it. `isLast` tells whether nothing is read behind it. */
+  private accept (request: IncomingMessage, response: ServerResponse, expectsContinue: boolean, isLast: boolean): NodeExchange | undefined {
     const connection = this.connectionOf(request.socket)
     if (connection.isClosing) {
       request.resume()
@@ -211,7 +211,8 @@
       limits: this.limits,
       limiter: this.limiter,
       expectsContinue,
-      closesConnection: (begun) => closes || connection.closesBehind(begun)
+      isLast,
+      closesConnection: (begun) => connection.closesBehind(begun)
     })
     connection.add(exchange)
     return exchange
