Connections take turns in reading requests

Cause: reading stops while as many requests as allowed are in work. One that is refused at once is not in work any more when the next is read, as `finish` and `resume` come in the same turn of the event loop, so one turn handled all that was kept of all connections, some 1,300 requests of each.

Between turns everything else gets its chance, so a later caller waits for one request of each connection before it. What is in work is bounded as before.

--- a/packages/entry/src/caller-connection.ts
+++ b/packages/entry/src/caller-connection.ts
@@ -46,6 +46,7 @@
     const { limiter } = options
     this.drainListeners = socket.listeners('drain') as (() => void)[]
     this.input = PacedInput.attach(socket, {
+      turns: limiter.turns,
       isHeld: () => this.isHeld(),
       isInBody: () => this.isInBody,
       // Only the last request can be in its body, so those before it end and make room.
--- a/packages/runtime/src/client-limiter.ts
+++ b/packages/runtime/src/client-limiter.ts
@@ -1,6 +1,7 @@
 /** Limits over all connections of a server: connections, requests in work, and what is held for them. */
 import type { Clock } from './clock.ts'
 import { MemoryUse, type MemoryBudget } from './memory-budget.ts'
+import { ReadTurns } from './read-turns.ts'
 import { StallList, type StallingRequest } from './stall-list.ts'
 
 /** Counted for each connection: the sockets, parsers and listeners of Node.js take about this much. */
@@ -58,6 +59,8 @@
 
 export class ClientLimiter {
   readonly budget: MemoryBudget
+  /** The turns in which the connections read requests. */
+  readonly turns = ReadTurns.create()
   /** Number of times that something was refused or had to wait. */
   readonly shed: Record<ShedKind, number> = { connection: 0, silent_connection: 0, read_ahead: 0, pipeline: 0, body: 0, stalled_body: 0, stalled_reader: 0 }
   private readonly open = new Set<LimitedConnection>()
--- a/packages/runtime/src/paced-input.ts
+++ b/packages/runtime/src/paced-input.ts
@@ -1,8 +1,11 @@
 /** Gives the input of an HTTP connection to its parser in pieces, so that reading can stop between two requests. */
 import type { Socket } from 'node:net'
+import type { ReadTurns, WaitingInput } from './read-turns.ts'
 
 /** What a `PacedInput` asks of the owner of its connection. */
 export interface PacedInputOptions {
+  /** Shares the turns of the event loop with the other connections of the server. */
+  readonly turns: ReadTurns
   /** Whether no further request may be read now. */
   readonly isHeld: () => boolean
   /** Whether the body of the last request is still being read. */
@@ -36,7 +39,7 @@
  * Node.js parses everything that arrives at once and creates a request for each head in it, before it can stop reading.
  * The end of a connection is noticed only while it is read, so up to `MAXIMUM_KEPT_BYTES` are read although they wait.
  */
-export class PacedInput {
+export class PacedInput implements WaitingInput {
   private readonly pieces: Buffer[] = []
   private keptBytes = 0
   /** The last bytes of a head whose end has not been parsed. */
@@ -90,13 +93,17 @@
     }
     this.isFeeding = true
     try {
-      while (this.mayFeed()) this.parsePiece()
+      while (this.mayFeed() && this.parsePiece()) { /* Each piece decides whether the next one may be parsed. */ }
     } finally {
       this.isFeeding = false
     }
     this.adjustReading()
   }
 
+  takeTurn (): void {
+    this.feed()
+  }
+
   /** Reads nothing until `feed` is called and the next request may be read. Does nothing if input is kept, or a body is being read. */
   suspend (): void {
     if (this.isStopped || this.isSuspended || this.keptBytes > 0 || this.socket.isPaused() || this.options.isInBody()) return
@@ -107,6 +114,7 @@
   /** Discards what is kept and what arrives from now on. */
   stop (): void {
     this.isStopped = true
+    this.options.turns.leave(this)
     this.pieces.length = 0
     this.count(-this.keptBytes)
   }
@@ -124,11 +132,15 @@
     return this.mayGoOn()
   }
 
-  /** Parses what is kept up to the end of a head, or of a body, or as far as neither ends. */
-  private parsePiece (): void {
+  /**
+   * Parses what is kept up to the end of a head, or of a body, or as far as neither ends. Returns false, and parses nothing, if a head
+   * ends in it and it is another connection's turn.
+   */
+  private parsePiece (): boolean {
     const [first = Buffer.alloc(0)] = this.pieces
     const isInBody = this.options.isInBody()
     const end = isInBody ? this.bodyEnd(first) : this.headEnd(first)
+    if (!isInBody && end !== undefined && !this.options.turns.take(this, end)) return false
     const piece = end === undefined || end >= first.length ? first : first.subarray(0, end)
     if (piece === first) this.pieces.shift()
     else this.pieces[0] = first.subarray(piece.length)
@@ -137,6 +149,7 @@
     else if (this.bodyLeft !== undefined) this.bodyLeft -= piece.length
     this.parse(piece)
     if (!isInBody) this.bodyLeft = end === undefined ? undefined : this.options.bodyBytes()
+    return true
   }
 
   /** Where the head ends that starts in a chunk, or continues in it; undefined if it does not end in it. */
