Announcements of no known pool do not take out upstreams of a known one

Cause: the registry orders announcements by start alone, whatever their pool.

Fix: the leader refuses them (unknown_pool), and an upstream of a known pool takes its address from an owner of none. Others are taken as before, as a configuration may come after the upstreams of its services. useWarmupLimits is usePools now, since it takes over more than limits.

--- a/packages/control/src/control-api.ts
+++ b/packages/control/src/control-api.ts
@@ -75,6 +75,9 @@
     if (!control.isLeader && control.announcements.accept(announced)) return { kind: 'done', value: undefined }
     const redirection = this.redirectUnlessLeader<undefined>()
     if (redirection !== undefined) return redirection
+    if (control.registry.isForeign(announced)) {
+      return { kind: 'refused', error: InvalidInput.create([{ code: 'unknown_pool', path: ['pool'], message: 'would replace an upstream of another pool' }]) }
+    }
     this.recordAnnouncement(announced)
     return announced.draining ? await this.confirmDeparture(announced.instance) : { kind: 'done', value: undefined }
   }
--- a/packages/control/src/tests/announcement-relay.test.ts
+++ b/packages/control/src/tests/announcement-relay.test.ts
@@ -66,7 +66,7 @@
 
 /** Lets the pool of the upstream limit the use of cold ones. */
 function limitWarmup ({ registry }: ReturnType<typeof createRelay>): void {
-  registry.useWarmupLimits([{ name: 'ledger', healthPath: '/', maximumConnections: 0, warmup: { milliseconds: 8_000, requestsPerSecond: 5.8 } }])
+  registry.usePools([{ name: 'ledger', healthPath: '/', maximumConnections: 0, warmup: { milliseconds: 8_000, requestsPerSecond: 5.8 } }])
 }
 
 // Guards against an upstream that became cold and gets too many requests, as the leader learns of it with the next report only.
--- a/packages/dispatch/src/dispatch-service.ts
+++ b/packages/dispatch/src/dispatch-service.ts
@@ -142,7 +142,7 @@
   /** Sends a new configuration to the entries. */
   publish (configuration: ServingConfiguration): void {
     this.history.add(configuration)
-    if (this.history.newest === configuration) this.options.registry.useWarmupLimits(configuration.pools)
+    if (this.history.newest === configuration) this.options.registry.usePools(configuration.pools)
     if (this.leading !== undefined) this.leading.configurationRevision = this.leading.news.add()
     for (const session of this.sessions.all()) this.sendConfiguration(session)
   }
--- a/packages/dispatch/src/tests/cold-news.test.ts
+++ b/packages/dispatch/src/tests/cold-news.test.ts
@@ -139,7 +139,7 @@
   registry.announce(COLD)
   registry.encodedAnnouncements()
   clock.advance(3_000)
-  registry.useWarmupLimits(createWarmupPools())
+  registry.usePools(createWarmupPools())
   assert.equal(registry.encodedAnnouncements().map((element) => AnnouncedUpstream.decode(element).warmupMilliseconds), [WARMUP_MILLISECONDS - 3_000])
 })
 
--- a/packages/dispatch/src/tests/cold-upstreams.test.ts
+++ b/packages/dispatch/src/tests/cold-upstreams.test.ts
@@ -239,12 +239,12 @@
 
 const BECOMES_COLD: Record<string, (registry: UpstreamRegistry) => void> = {
   'an announcement says so': (registry) => {
-    registry.useWarmupLimits([warmupPool(RATE)])
+    registry.usePools([warmupPool(RATE)])
     registry.announce({ ...COLD, sequence: 2 })
   },
   'a configuration limits its pool': (registry) => {
     registry.announce({ ...COLD, sequence: 2 })
-    registry.useWarmupLimits([warmupPool(RATE)])
+    registry.usePools([warmupPool(RATE)])
   }
 }
 
@@ -253,7 +253,7 @@
   test(`an upstream in use is limited from the moment at which ${name}`, () => {
     const clock = FakeClock.create()
     const registry = createWarmupRegistry(clock, RATE, ALLOWANCE)
-    registry.useWarmupLimits([])
+    registry.usePools([])
     const { dispatcher } = createDispatcher([{ ...COLD, slots: 100, warmupMilliseconds: 0 }], 1_000, 0, { clock, registry })
     const entry = recordingEntry('one')
     let placed = 0
--- a/packages/dispatch/src/tests/fixture.ts
+++ b/packages/dispatch/src/tests/fixture.ts
@@ -101,7 +101,7 @@
 /** A registry whose pool has a warm-up limit. */
 export function createWarmupRegistry (clock: Clock, requestsPerSecond: number, allowance: WarmupAllowance): UpstreamRegistry {
   const registry = UpstreamRegistry.create(clock, silentLogger(), ColdUpstreams.create(allowance))
-  registry.useWarmupLimits([warmupPool(requestsPerSecond)])
+  registry.usePools([warmupPool(requestsPerSecond)])
   return registry
 }
 
--- a/packages/dispatch/src/tests/upstream-registry.test.ts
+++ b/packages/dispatch/src/tests/upstream-registry.test.ts
@@ -29,6 +29,33 @@
   assert.equal(present(registry), [])
 })
 
+const KNOWN_POOLS = [{ name: 'ledger', healthPath: '/', maximumConnections: 10 }]
+
+// Guards against announcements of another writer, with a service that the configuration does not name, that take out sound upstreams.
+test('an announcement of no known pool is foreign if it has the name or the address of an upstream of a known one', () => {
+  const registry = UpstreamRegistry.create(FakeClock.create())
+  const foreign = { pool: 'unknown', born: 9_000, sequence: 9 }
+  registry.announce(announcement({ instance: 'a', address: '10.0.0.1:80' }))
+  assert.not.ok(registry.isForeign(announcement({ ...foreign, instance: 'a', address: '10.0.0.1:80' })), 'before the first configuration')
+  registry.usePools(KNOWN_POOLS)
+  assert.ok(registry.isForeign(announcement({ ...foreign, instance: 'a', address: '10.0.0.9:80' })))
+  assert.ok(registry.isForeign(announcement({ ...foreign, instance: 'b', address: '10.0.0.1:80' })))
+  assert.ok(registry.isForeign(announcement({ ...foreign, instance: 'a', address: '10.0.0.9:80', draining: true })))
+  assert.not.ok(registry.isForeign(announcement({ ...foreign, instance: 'b', address: '10.0.0.2:80' })))
+  assert.not.ok(registry.isForeign(announcement({ instance: 'b', address: '10.0.0.1:80', born: 9_000 })))
+  registry.leave('a', undefined)
+  assert.not.ok(registry.isForeign(announcement({ ...foreign, instance: 'b', address: '10.0.0.1:80' })))
+})
+
+test('an upstream of a known pool takes its address from a later start of no known pool', () => {
+  const registry = UpstreamRegistry.create(FakeClock.create())
+  registry.usePools(KNOWN_POOLS)
+  registry.announce(announcement({ instance: 'odd', pool: 'unknown', address: '10.0.0.1:80', born: 9_000 }))
+  assert.ok(registry.announce(announcement({ instance: 'a', address: '10.0.0.1:80' })))
+  assert.equal(present(registry), ['a'])
+  assert.is(registry.instanceAt('10.0.0.1:80'), 'a')
+})
+
 // Guards against an upstream that is in use again after it left, as several of its announcements were delayed (DRAIN).
 test('no announcement of a start that has left brings the instance back, and a later start does', () => {
   const registry = UpstreamRegistry.create(FakeClock.create())
--- a/packages/dispatch/src/upstream-registry.ts
+++ b/packages/dispatch/src/upstream-registry.ts
@@ -31,6 +31,8 @@
   private readonly byInstance = new Map<string, RegisteredUpstream>()
   private readonly byAddress = new Map<string, string>()
   private readonly listeners = new Set<RegistryListener>()
+  /** Pools of the configuration; undefined before the first. */
+  private poolNames: ReadonlySet<string> | undefined
   private cachedDigest: string | undefined
   private cachedList: Buffer[] | undefined
   /** Until when the cached list says of cold upstreams what is right. */
@@ -80,8 +82,9 @@
     return encodeAnnounced(upstreams.map((held) => this.cold.asOf(held, now)))
   }
 
-  /** Takes over the warm-up limits of a configuration. */
-  useWarmupLimits (pools: readonly ServingPool[]): void {
+  /** Takes over the pools of a configuration and their warm-up limits. */
+  usePools (pools: readonly ServingPool[]): void {
+    this.poolNames = new Set(pools.map(({ name }) => name))
     this.cold.usePools(pools)
     this.cachedUntil = -Infinity
   }
@@ -132,6 +135,16 @@
     return !known.gone && !differs(known, announced) && isNewer(announced, known)
   }
 
+  /**
+   * Whether an announcement of no known pool would take out an upstream of a known one, since it has its name or its address. It
+   * comes from another writer, and names no upstream to use.
+   */
+  isForeign ({ instance, pool, address }: AnnouncedUpstream): boolean {
+    if (this.isKnownPool(pool)) return false
+    const replaced = [this.find(instance), this.find(this.instanceAt(address))]
+    return replaced.some((held) => held !== undefined && !held.announced.gone && this.isKnownPool(held.announced.pool))
+  }
+
   /** Applies an announcement; false when its values cannot be right, or a newer one is known for the instance or its address. */
   announce (announced: AnnouncedUpstream): boolean {
     const changed = new Map<string, RegisteredUpstream>()
@@ -256,11 +269,20 @@
     return checked.isOk()
   }
 
-  /** Assigns the address to the instance that started last, and marks an earlier owner as left; false when a later one owns it. */
+  /** Whether the configuration has the pool; before the first one, any may be. */
+  private isKnownPool (pool: string): boolean {
+    return this.poolNames === undefined || this.poolNames.has(pool)
+  }
+
+  /**
+   * Assigns the address to the instance that started last, and marks an earlier owner as left; false when a later one owns it. An owner of
+   * no known pool gives way.
+   */
   private claimAddress (announced: AnnouncedUpstream, changed: Map<string, RegisteredUpstream>): boolean {
     const owner = this.byInstance.get(this.byAddress.get(announced.address) ?? '')
     if (owner !== undefined && owner.announced.instance !== announced.instance && !owner.announced.gone) {
-      if (owner.announced.born > announced.born) return false
+      const isForeignOwner = this.isKnownPool(announced.pool) && !this.isKnownPool(owner.announced.pool)
+      if (owner.announced.born > announced.born && !isForeignOwner) return false
       changed.set(owner.announced.instance, this.store({ ...owner.announced, gone: true }))
     }
     this.byAddress.set(announced.address, announced.instance)
--- a/packages/entry/src/dispatched-entry.ts
+++ b/packages/entry/src/dispatched-entry.ts
@@ -274,7 +274,7 @@
 
   private applyConfiguration (configuration: ServingConfiguration): void {
     this.table = ServingTable.create(configuration)
-    this.registry.useWarmupLimits(configuration.pools)
+    this.registry.usePools(configuration.pools)
     const { bounds } = configuration
     this.callers.updateLimits({
       maximumHeaderBytes: bounds.maximumHeaderBytes,
