--- a/packages/entry/src/caller-request-check.ts
+++ b/packages/entry/src/caller-request-check.ts
@@ -4,6 +4,8 @@
 import { headerLineBytes } from '@hickoryspoke/runtime/request-head'
 
 const HOST_PATTERN = /^(?:[A-Za-z0-9](?:[A-Za-z0-9._-]{0,252})|\[[0-9A-Fa-f:.]{2,45}\])(?::\d{1,5})?$/
+/** The parser also lets through control characters in front of a space, with which a request cannot be sent on. */
+const TARGET_PATTERN = /^[\x21-\xff]+$/
 /** Protocols whose callers cannot use a response without the change. An offer of any other may be ignored. */
 const UNSUPPORTED_PROTOCOLS: ReadonlySet<string> = new Set(['websocket'])
 const UNSUPPORTED_METHODS: ReadonlySet<string> = new Set(['TRACE', 'CONNECT'])
@@ -15,6 +17,7 @@
   if (request.httpVersion !== '1.1') return Refusal.create('http_version_not_supported')
   if (UNSUPPORTED_METHODS.has(request.method ?? '')) return Refusal.create('method_not_supported')
   if (offeredProtocols(headers).some((name) => UNSUPPORTED_PROTOCOLS.has(name))) return Refusal.create('upgrade_not_supported')
+  if (!TARGET_PATTERN.test(request.url ?? '')) return Refusal.create('bad_target', 'the request target has a character that is not allowed')
   if (headerCount(headers, 'host') !== 1) return Refusal.create('bad_request', 'exactly one Host header is needed')
   if (!HOST_PATTERN.test(request.headers.host ?? '')) return Refusal.create('bad_request', 'the Host header is not a host')
   if (headerCount(headers, 'content-length') > 1) return Refusal.create('bad_request', 'more than one Content-Length')
--- a/packages/entry/src/tests/caller-edge.test.ts
+++ b/packages/entry/src/tests/caller-edge.test.ts
@@ -40,6 +40,8 @@
   { name: 'an empty Host header', text: get(`Host: \r\n${AUTHORIZED}`), status: 400, code: 'bad_request' },
   { name: 'absolute form', text: head('GET http://evil/ledger', HOST + AUTHORIZED + CLOSE), status: 400, code: 'bad_target' },
   { name: 'asterisk form', text: head('OPTIONS *', HOST + AUTHORIZED + CLOSE), status: 400, code: 'bad_target' },
+  { name: 'a tab in the path', text: head('GET /ledger\t1', HOST + AUTHORIZED + CLOSE), status: 400, code: 'bad_target' },
+  { name: 'a form feed in the query', text: head('GET /ledger?a=\f', HOST + AUTHORIZED + CLOSE), status: 400, code: 'bad_target' },
   { name: 'an escaped slash', text: head('GET /public%2f..%2fledger', HOST + CLOSE), status: 400, code: 'bad_target' },
   { name: 'dot segments out of an open route', text: head('GET /public/../ledger', HOST + CLOSE), status: 401, code: 'unauthorized' },
   { name: 'escaped dot segments out of an open route', text: head('GET /public/%2e%2e/ledger', HOST + CLOSE), status: 401, code: 'unauthorized' },
--- a/packages/entry/src/tests/dispatched-fixture.ts
+++ b/packages/entry/src/tests/dispatched-fixture.ts
@@ -77,7 +77,7 @@
   placementClient.connected()
   const inForce = ActiveConfiguration.create(clock, 60_000)
   inForce.recordQuestion(1)
-  inForce.confirm(1, 0)
+  inForce.confirm(1, undefined)
   const table = ServingTable.create({ ...CONFIGURATION, routes: [{ ...ROUTE, ...options }, SLOW_ROUTE] })
   const connections = UpstreamConnections.create(clock, options.keepsConnections === true ? KEPT_CONNECTION_SETTINGS : {})
   const runOptions = { clock, random, dialect: DIALECT, connections, placementClient, inForce, table: () => table, mayRelayThrough: () => true, ...run }
--- a/packages/request/src/header-filter.ts
+++ b/packages/request/src/header-filter.ts
@@ -41,7 +41,7 @@
 export function upstreamRequestHeaders (headers: RawHeaders, key: string | undefined, isKey: (text: string) => boolean): Result<string[], Refusal> {
   const connectionHeaders = headersNamedInConnection(headers)
   for (const name of connectionHeaders) {
-    if (END_TO_END_HEADERS.has(name) || name.startsWith(OWN_PREFIX)) return Err(Refusal.create('bad_connection_header'))
+    if (isEndToEnd(name) || name.startsWith(OWN_PREFIX)) return Err(Refusal.create('bad_connection_header'))
   }
   const kept: string[] = []
   for (let index = 0; index < headers.length; index += 2) {
@@ -83,7 +83,13 @@
   return text.replace(/%([0-9A-Fa-f]{2})/g, (_, digits: string) => String.fromCharCode(Number.parseInt(digits, 16)))
 }
 
-function headersNamedInConnection (headers: RawHeaders): ReadonlySet<string> {
+/** Whether a header, by its name in lower case, is meant for all recipients, whatever a Connection header says. */
+export function isEndToEnd (name: string): boolean {
+  return END_TO_END_HEADERS.has(name)
+}
+
+/** Names in lower case that all Connection headers list, but for `close` and `keep-alive`. */
+export function headersNamedInConnection (headers: RawHeaders): ReadonlySet<string> {
   const named = new Set<string>()
   for (let index = 0; index < headers.length; index += 2) {
     if ((headers[index] as string).toLowerCase() !== 'connection') continue
