Only requests that end at once are held back

What callers saw: nothing yet; the form of put requests that are sent ahead into work one in a turn, so that 6 or 7 in place of 16 were in work (caller-limits.test.ts, seen in the first run of all tests), and needed a change in connection-order.test.ts.

Cause: each connection read one request in a turn, also if the request stayed in work, which other limits bound.

Fix: of the requests read in a turn 16 may end in it; only then do connections wait, and those that waited read one request each in their turn.

--- a/packages/entry/src/caller-connection.ts
+++ b/packages/entry/src/caller-connection.ts
@@ -1,7 +1,7 @@
 /** The requests of one caller's connection, which are answered in the order in which they were read. */
 import type { Socket } from 'node:net'
 import type { Refusal } from '@hickoryspoke/request/refusal'
-import type { ClientLimiter, LimitedConnection } from '@hickoryspoke/runtime/client-limiter'
+import type { ClientLimiter, LimitedConnection, RequestInWork } from '@hickoryspoke/runtime/client-limiter'
 import type { Clock } from '@hickoryspoke/runtime/clock'
 import { closeLingering } from '@hickoryspoke/runtime/lingering-close'
 import { PacedInput } from '@hickoryspoke/runtime/paced-input'
@@ -26,6 +26,7 @@
 export class CallerConnection implements LimitedConnection {
   /** Requests without a complete response, in the order in which they were read. */
   private readonly exchanges: NodeExchange[] = []
+  private readonly inWork = new WeakMap<NodeExchange, RequestInWork>()
   /** Answer to input that is not a request, sent behind all responses. */
   private refusal: Refusal | undefined
   private closesWhenIdle = false
@@ -95,7 +96,7 @@
 
   add (exchange: NodeExchange): void {
     this.exchanges.push(exchange)
-    this.options.limiter.requestBegun(this, extraHeadBytes(exchange.headers))
+    this.inWork.set(exchange, this.options.limiter.requestBegun(this, extraHeadBytes(exchange.headers)))
     exchange.onSent(() => this.remove(exchange))
     exchange.onBrokenOff(() => this.endIfBrokenOff())
   }
@@ -164,7 +165,8 @@
 
   private release (exchange: NodeExchange): void {
     exchange.release()
-    this.options.limiter.requestEnded(extraHeadBytes(exchange.headers))
+    const counted = this.inWork.get(exchange)
+    if (counted !== undefined) this.options.limiter.requestEnded(counted)
   }
 
   private get isInBody (): boolean {
--- a/packages/entry/src/tests/client-limiter.test.ts
+++ b/packages/entry/src/tests/client-limiter.test.ts
@@ -1,4 +1,4 @@
-import { ClientLimiter, type LimitedConnection } from '@hickoryspoke/runtime/client-limiter'
+import { ClientLimiter, type LimitedConnection, type RequestInWork } from '@hickoryspoke/runtime/client-limiter'
 import { MemoryBudget, MemoryUse } from '@hickoryspoke/runtime/memory-budget'
 import { controlCapacity, DEFAULT_PROCESS_LIMITS, entryCapacity } from '@hickoryspoke/runtime/process-capacity'
 import { FakeClock } from '@hickoryspoke/testing/fake-clock'
@@ -112,12 +112,12 @@
 test('a connection waits while as many requests as allowed are in work, and reads on when one ends', async () => {
   const { limiter } = setUp(3, 20)
   const [busy, waiting] = [new TestConnection(), new TestConnection()]
-  for (let count = 0; count < 20; count += 1) limiter.requestBegun(busy)
+  const inWork = Array.from({ length: 20 }, () => limiter.requestBegun(busy))
   assert.ok(limiter.mustWait(waiting, false))
   assert.is(limiter.waitingConnections, 1)
   await settled()
   assert.is(waiting.reads, 0)
-  limiter.requestEnded()
+  limiter.requestEnded(inWork[0] as RequestInWork)
   await settled()
   assert.is(waiting.reads, 1)
   assert.not(limiter.mustWait(waiting, false))
@@ -201,10 +201,10 @@
   const request = (name: string): { dropStalled: () => void } => ({
     dropStalled: () => {
       dropped.push(name)
-      limiter.requestEnded()
+      limiter.requestEnded(inWork.pop() as RequestInWork)
     }
   })
-  for (let count = 0; count < 20; count += 1) limiter.requestBegun(new TestConnection())
+  const inWork = Array.from({ length: 20 }, () => limiter.requestBegun(new TestConnection()))
   const read = request('read on')
   limiter.awaitBody(request('body'))
   limiter.awaitReader(request('reader'))
--- a/packages/entry/src/tests/connection-order.test.ts
+++ b/packages/entry/src/tests/connection-order.test.ts
@@ -108,17 +108,13 @@
 // Guards against a stop that counts a response as sent once it is buffered, and cuts off what a slow caller has not read (LOST).
 test('a stop waits until the responses of a slow caller have left the process', async () => {
   const body = 'x'.repeat(BUFFERED_BODY_BYTES)
-  // Answered once all requests have been read, as reading stops while responses wait to be sent.
-  const reached: Socket[] = []
-  const upstreams = await Promise.all(Array.from({ length: 3 }, async () => await RawUpstream.create((socket) => { reached.push(socket) })))
+  const upstreams = await Promise.all(Array.from({ length: 3 }, async () => await RawUpstream.create((socket) => socket.write(okResponse(body)))))
   const routes = [{ path: '/ledger', timeout_milliseconds: 9_000, idempotent: true }]
   const limits = { maximumPipelinedRequests: PIPELINED_REQUESTS, maximumUnsentBytes: Infinity }
   const fixture = await CallerFixture.create({ addresses: upstreams.map(({ address }) => address), routes, limits })
   const socket = createConnection(fixture.port, '127.0.0.1')
   socket.pause()
   socket.write(get('/ledger/1').repeat(PIPELINED_REQUESTS))
-  await until(() => reached.length + fixture.records.length === PIPELINED_REQUESTS)
-  for (const upstream of reached) upstream.write(okResponse(body))
   await until(() => fixture.records.length === PIPELINED_REQUESTS)
   const drained = fixture.server.drain(DRAIN)
   await new Promise((resolve) => setTimeout(resolve, 200))
--- a/packages/runtime/src/client-limiter.ts
+++ b/packages/runtime/src/client-limiter.ts
@@ -57,6 +57,13 @@
   closeSilent (): void
 }
 
+/** What counts for one request in work. */
+export interface RequestInWork {
+  readonly bytes: number
+  /** The turn of the event loop in which it was read. */
+  readonly turn: number
+}
+
 export class ClientLimiter {
   readonly budget: MemoryBudget
   /** The turns in which the connections read requests. */
@@ -124,18 +131,20 @@
     this.wake()
   }
 
-  /** `extraBytes` is what its head takes beyond that of a usual request. */
-  requestBegun (connection: LimitedConnection, extraBytes = 0): void {
+  /** `extraBytes` is what its head takes beyond that of a usual request. Returns what counts for the request until it has ended. */
+  requestBegun (connection: LimitedConnection, extraBytes = 0): RequestInWork {
     this.inWork += 1
     this.silent.delete(connection)
-    this.budget.count(REQUEST_BYTES + extraBytes)
+    const bytes = REQUEST_BYTES + extraBytes
+    this.budget.count(bytes)
     this.checkTightness()
+    return { bytes, turn: this.turns.requestBegun() }
   }
 
-  /** `extraBytes` as when it began. */
-  requestEnded (extraBytes = 0): void {
+  requestEnded ({ bytes, turn }: RequestInWork): void {
     this.inWork -= 1
-    this.budget.count(-REQUEST_BYTES - extraBytes)
+    this.budget.count(-bytes)
+    this.turns.requestEnded(turn)
     this.wake()
   }
 
--- a/packages/runtime/src/paced-input.ts
+++ b/packages/runtime/src/paced-input.ts
@@ -140,7 +140,7 @@
     const [first = Buffer.alloc(0)] = this.pieces
     const isInBody = this.options.isInBody()
     const end = isInBody ? this.bodyEnd(first) : this.headEnd(first)
-    if (!isInBody && end !== undefined && !this.options.turns.take(this, end)) return false
+    if (!isInBody && end !== undefined && !this.options.turns.take(this)) return false
     const piece = end === undefined || end >= first.length ? first : first.subarray(0, end)
     if (piece === first) this.pieces.shift()
     else this.pieces[0] = first.subarray(piece.length)
--- a/packages/runtime/src/read-turns.ts
+++ b/packages/runtime/src/read-turns.ts
@@ -6,21 +6,21 @@
   takeTurn (): void
 }
 
-/** Requests that are read in one turn, each from another connection. */
+/** Requests of one turn that may end in it before all further ones wait, and connections that are called in the next turn. */
 const MAXIMUM_REQUESTS = 16
-/** Bytes of request heads in one turn, since large heads take longer. One head is read in any case. */
-const MAXIMUM_HEAD_BYTES = 65_536
 
 /**
- * A request that is refused at once has ended before the event loop turns, so no limit on requests in work stops a connection
- * that has sent thousands ahead. Therefore each connection reads one request in a turn, and those that wait take turns in the
- * order in which they began to wait.
+ * A request that is refused at once has ended before the event loop turns, so no limit on requests in work stops connections
+ * that have sent thousands ahead. Therefore only some requests may end in the turn in which they were read. After that connections
+ * wait, and those that wait read one request each, in the order in which they began to wait.
  */
 export class ReadTurns {
-  /** Connections that have read a request in this turn. */
-  private readonly served = new Set<WaitingInput>()
+  private turn = 0
+  private endedAtOnce = 0
   private readonly waiting = new Set<WaitingInput>()
-  private headBytes = 0
+  /** Connections that were called in this turn and have not read a request, and those that have. */
+  private readonly called = new Set<WaitingInput>()
+  private readonly served = new Set<WaitingInput>()
   private isScheduled = false
 
   private constructor () {}
@@ -34,16 +34,27 @@
     return this.waiting.size
   }
 
-  /** Whether a connection may read a request now whose head ends with this many bytes. If not, it is called when it may ask again. */
-  take (input: WaitingInput, bytes: number): boolean {
+  /** Records that a request was read; returns the number of the turn. */
+  requestBegun (): number {
     this.schedule()
-    if (this.served.has(input) || this.isOver(bytes)) {
+    return this.turn
+  }
+
+  /** Records that a request has ended that was read in this turn. */
+  requestEnded (begunInTurn: number): void {
+    if (begunInTurn === this.turn) this.endedAtOnce += 1
+  }
+
+  /** Whether a connection may read a request now. If not, it is called when it may ask again. */
+  take (input: WaitingInput): boolean {
+    const isOver = this.endedAtOnce >= MAXIMUM_REQUESTS && !this.called.has(input)
+    if (isOver || this.served.has(input)) {
       this.waiting.add(input)
+      this.schedule()
       return false
     }
+    if (this.called.delete(input)) this.served.add(input)
     this.waiting.delete(input)
-    this.served.add(input)
-    this.headBytes += bytes
     return true
   }
 
@@ -52,11 +63,6 @@
     this.waiting.delete(input)
   }
 
-  private isOver (bytes: number): boolean {
-    if (this.served.size === 0) return false
-    return this.served.size >= MAXIMUM_REQUESTS || this.headBytes + bytes > MAXIMUM_HEAD_BYTES
-  }
-
   private schedule (): void {
     if (this.isScheduled) return
     this.isScheduled = true
@@ -65,10 +71,13 @@
 
   private beginTurn (): void {
     this.isScheduled = false
+    this.turn += 1
+    this.endedAtOnce = 0
+    this.called.clear()
     this.served.clear()
-    this.headBytes = 0
     for (const input of [...this.waiting].slice(0, MAXIMUM_REQUESTS)) {
       this.waiting.delete(input)
+      this.called.add(input)
       input.takeTurn()
     }
     if (this.waiting.size > 0) this.schedule()
