--- a/packages/control/src/departure-log.ts
+++ b/packages/control/src/departure-log.ts
@@ -1,5 +1,6 @@
 /** Keeps the departures of upstreams in the replicated log, and the registry of this process in step with it. */
-import { isLeaving, type UpstreamRegistry } from '@hickoryspoke/dispatch/upstream-registry'
+import { isLeaving } from '@hickoryspoke/dispatch/announcement-order'
+import type { UpstreamRegistry } from '@hickoryspoke/dispatch/upstream-registry'
 import { encodeDepartureCommand } from '@hickoryspoke/replication/control-state'
 import type { DepartureRegister } from '@hickoryspoke/replication/departure-register'
 import type { ReplicatedLog } from '@hickoryspoke/replication/replicated-log'
--- a/packages/dispatch/src/upstream-broadcast.ts
+++ b/packages/dispatch/src/upstream-broadcast.ts
@@ -4,7 +4,8 @@
 import type { ClientSession } from './client-session.ts'
 import { COLD_NEWS } from './cold-upstreams.ts'
 import type { NewsDelivery } from './news-delivery.ts'
-import { isLeaving, type RegisteredUpstream, type UpstreamRegistry } from './upstream-registry.ts'
+import { isLeaving } from './announcement-order.ts'
+import type { RegisteredUpstream, UpstreamRegistry } from './upstream-registry.ts'
 
 /** Departures beyond this number are forgotten, oldest first; they would be announced as news again. */
 const MAXIMUM_DEPARTURES = 10_000
--- a/packages/dispatch/src/upstream-registry.ts
+++ b/packages/dispatch/src/upstream-registry.ts
@@ -1,9 +1,9 @@
 /** Registry of announced upstreams. Start times and sequence numbers order announcements, so that late or repeated ones change nothing. */
-import { createHash } from 'node:crypto'
 import type { ServingPool } from '@hickoryspoke/configuration/serving-configuration'
 import type { AnnouncedUpstream, Departure } from '@hickoryspoke/protocol/generated/dispatch'
 import type { Clock } from '@hickoryspoke/runtime/clock'
 import { silentLogger, type Logger } from '@hickoryspoke/telemetry/logger'
+import { differs, digestOf, isLeaving, isNewer } from './announcement-order.ts'
 import { checkAnnounced, createTombstone, decodeAnnounced, encodeAnnounced } from './announced-upstream.ts'
 import { COLD_NEWS, ColdUpstreams, type ColdNews } from './cold-upstreams.ts'
 import { OddAnnouncementLog } from './odd-announcement-log.ts'
@@ -315,27 +315,3 @@
     for (const listener of this.listeners) listener(changed)
   }
 }
-
-/** Whether it said that it leaves, or has left. */
-export function isLeaving ({ draining, gone }: AnnouncedUpstream): boolean {
-  return draining || gone
-}
-
-function digestOf (announced: readonly AnnouncedUpstream[]): string {
-  if (announced.length === 0) return ''
-  const lines = announced.map(({ instance, pool, address, slots, draining, born }) => [instance, pool, address, slots, draining, born].join(' '))
-  return createHash('sha256').update(lines.sort().join('\n')).digest('base64')
-}
-
-function isNewer (candidate: AnnouncedUpstream, known: AnnouncedUpstream): boolean {
-  if (candidate.born !== known.born) return candidate.born > known.born
-  if (known.gone && !candidate.gone && candidate.draining) return false
-  // A process that takes a silent upstream out has no announcement of its own for that.
-  if (candidate.sequence === known.sequence) return candidate.gone && !known.gone
-  return candidate.sequence > known.sequence
-}
-
-function differs (left: AnnouncedUpstream, right: AnnouncedUpstream): boolean {
-  return left.born !== right.born || left.address !== right.address || left.draining !== right.draining || left.gone !== right.gone ||
-    left.slots !== right.slots || left.pool !== right.pool
-}
--- a/packages/entry/src/tests/connection-relay.test.ts
+++ b/packages/entry/src/tests/connection-relay.test.ts
@@ -1,4 +1,4 @@
-import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net'
+import { connect, type Socket } from 'node:net'
 import { once } from 'node:events'
 import type { Duplex } from 'node:stream'
 import { ConnectFailure, DirectConnector, type Connector, type OpenConnection } from '@hickoryspoke/request/connector'
@@ -12,6 +12,7 @@
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import { ConnectionRelay } from '../connection-relay.ts'
+import { freeAddress } from './relay-fixture.ts'
 
 const clock = SystemClock.create()
 const CONNECT_TIMEOUT_MILLISECONDS = 5_000
@@ -50,16 +51,6 @@
   await upstream.close()
 }
 
-async function freeAddress (): Promise<string> {
-  const server: Server = createServer()
-  server.listen(0, '127.0.0.1')
-  await once(server, 'listening')
-  const { port } = server.address() as AddressInfo
-  server.close()
-  await once(server, 'close')
-  return `127.0.0.1:${port}`
-}
-
 async function waitUntil (isMet: () => boolean): Promise<void> {
   while (!isMet()) await sleep(clock, POLL_MILLISECONDS)
 }
--- a/packages/request/src/upstream-exchange.ts
+++ b/packages/request/src/upstream-exchange.ts
@@ -8,7 +8,8 @@
 import { DROPPED_WITHIN_MILLISECONDS, statedKeepAliveMilliseconds } from './kept-connections.ts'
 import { responseFraming, FRAMINGS, type ResponseFraming } from './response-framing.ts'
 import type { ResponseProgress } from './response-progress.ts'
-import type { UpstreamConnection, UpstreamConnections } from './upstream-connections.ts'
+import type { UpstreamConnection } from './upstream-connection.ts'
+import type { UpstreamConnections } from './upstream-connections.ts'
 import { UpstreamResponse, type ResponseControl } from './upstream-response.ts'
 
 /** One request to an upstream. `path` includes the query. */
--- a/packages/runtime/src/client-limiter.ts
+++ b/packages/runtime/src/client-limiter.ts
@@ -1,5 +1,6 @@
 /** Limits over all connections of a server: connections, requests in work, and what is held for them. */
 import type { Clock } from './clock.ts'
+import { ShedKind, type LimiterState } from './limiter-state.ts'
 import { MemoryUse, type MemoryBudget } from './memory-budget.ts'
 import { ReadTurns } from './read-turns.ts'
 import { StallList, type StallingRequest } from './stall-list.ts'
@@ -23,10 +24,6 @@
 /** A response of which nothing has been read for this long is given up when others need its place. */
 const STALLED_READER_MILLISECONDS = 5_000
 
-/** What was refused or had to wait. */
-export const ShedKind = { Connection: 'connection', SilentConnection: 'silent_connection', ReadAhead: 'read_ahead', Pipeline: 'pipeline', Body: 'body', StalledBody: 'stalled_body', StalledReader: 'stalled_reader' } as const
-export type ShedKind = typeof ShedKind[keyof typeof ShedKind]
-
 /** Dependencies of a `ClientLimiter`. */
 export interface ClientLimiterOptions {
   readonly clock: Clock
@@ -38,16 +35,6 @@
   readonly report?: (state: LimiterState) => void
 }
 
-/** Totals for the log: what is held now, and how often each thing happened since the start. */
-export interface LimiterState extends Readonly<Record<ShedKind, number>> {
-  readonly kind: ShedKind
-  readonly connections: number
-  readonly requests: number
-  readonly waitingConnections: number
-  readonly heldBytes: number
-  readonly limitBytes: number
-}
-
 /** A connection that waits until it may read on, or that can be closed for another. */
 export interface LimitedConnection {
   /** Reads on as far as the limits allow. */
