A relay that closes does not reset connections that are being ended

What callers saw: nothing.

Cause: a connection whose end is being sent cannot be reset: Node.js reports an error, drops the socket and keeps its handle. Evidence: one TCP handle was left, of a socket that counted as destroyed.

Fix: such a connection is closed.

--- a/packages/entry/src/connection-relay.ts
+++ b/packages/entry/src/connection-relay.ts
@@ -78,7 +78,7 @@
 
   /** Ends all relayed connections with a reset, so that no response that is cut off looks complete. */
   close (): void {
-    for (const socket of this.relayed) socket.resetAndDestroy()
+    for (const socket of this.relayed) closeAtOnce(socket)
     this.server.close()
     this.server.closeAllConnections()
   }
@@ -119,6 +119,12 @@
   }
 }
 
+/** Resets a connection. One that is being ended in order cannot be reset: Node.js would report an error and keep its descriptor. */
+function closeAtOnce (socket: Socket): void {
+  if (socket.writableEnded && !socket.writableFinished) socket.destroy()
+  else socket.resetAndDestroy()
+}
+
 function refuse (socket: Duplex, status: number): void {
   socket.end(`HTTP/1.1 ${status} Not relayed\r\nContent-Length: 0\r\nConnection: close\r\n\r\n`)
 }
