--- a/packages/entry/src/caller-request-check.ts
+++ b/packages/entry/src/caller-request-check.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage } from 'node:http'
-import { headerCount, headerValue } from '@hickoryspoke/request/header-filter'
+import { headerCount, headersNamedInConnection, headerValue } from '@hickoryspoke/request/header-filter'
 import { Refusal } from '@hickoryspoke/request/refusal'
 import { headerLineBytes } from '@hickoryspoke/runtime/request-head'
 
@@ -30,8 +30,9 @@
   return hasBody && offeredProtocols(rawHeaders).length > 0
 }
 
-/** Protocols to which the caller offers to change, in lower case and without their versions. */
+/** Protocols to which the caller offers to change, in lower case and without their versions. Without a Connection header it is no offer. */
 function offeredProtocols (headers: readonly string[]): string[] {
+  if (!headersNamedInConnection(headers).has('upgrade')) return []
   return (headerValue(headers, 'upgrade') ?? '').split(',').map((offer) => (offer.split('/')[0] ?? '').trim().toLowerCase()).filter(Boolean)
 }
 
--- a/packages/entry/src/tests/offered-protocols.test.ts
+++ b/packages/entry/src/tests/offered-protocols.test.ts
@@ -72,6 +72,12 @@
   })
 })
 
+test('a request with an Upgrade header that no Connection header lists is served like any other', async () => {
+  await withFixture(okResponse('served'), async (fixture) => {
+    assert.equal(statuses(await exchangeRaw(fixture, request('GET', 'Upgrade: websocket\r\n') + request('GET', CLOSE))), [200, 200])
+  })
+})
+
 test('a request for WebSocket is refused, since its caller cannot use a response without the change', async () => {
   await withFixture(okResponse('served'), async (fixture, upstream) => {
     assert.is(codeOf(await exchangeRaw(fixture, request('GET', WEBSOCKET))), 'upgrade_not_supported')
