--- a/scripts/test.ts
+++ b/scripts/test.ts
@@ -3,7 +3,7 @@
  * Arguments are substrings of file names to run; without arguments, all files run.
  */
 import { spawn } from 'node:child_process'
-import { readdir } from 'node:fs/promises'
+import { readdir, readFile } from 'node:fs/promises'
 import { availableParallelism } from 'node:os'
 import { join } from 'node:path'
 
@@ -11,6 +11,10 @@
 const FILE_TIMEOUT_MILLISECONDS = 300_000
 const PARALLEL_FILES = Math.max(1, Math.min(5, Math.floor(availableParallelism() / 2)))
 
+/** A line of KNOWN-RED.txt names a test file whose failures are printed and not counted. */
+const KNOWN_RED_FILE = 'KNOWN-RED.txt'
+const KNOWN_RED_LINE = /^red test file: (\S+)$/gm
+
 interface FileOutcome {
   readonly passed: number
   readonly failed: number
@@ -29,13 +33,23 @@
   return [...output.matchAll(new RegExp(`^  ${label}:\\s+(\\d+)`, 'gm'))].reduce((sum, match) => sum + Number(match[1]), 0)
 }
 
+async function findKnownRed (): Promise<ReadonlySet<string>> {
+  const text = await readFile(KNOWN_RED_FILE, 'utf8')
+  return new Set([...text.matchAll(KNOWN_RED_LINE)].map((match) => match[1] as string))
+}
+
 function reportOutcome (file: string, output: string, exitCode: number | null): FileOutcome {
   const total = sumOfCounts(output, 'Total')
   const passed = sumOfCounts(output, 'Passed')
   const skipped = sumOfCounts(output, 'Skipped')
   const failed = total - passed - skipped
   const unaccounted = failed === 0 && (exitCode !== 0 || total === 0) ? 1 : 0
-  if (failed + unaccounted > 0) console.log(`FAILED ${file}\n${output}`)
+  const isRed = failed + unaccounted > 0
+  if (isRed && knownRed.has(file)) {
+    console.log(`KNOWN RED ${file} (${KNOWN_RED_FILE})\n${output}`)
+    return { passed, failed: 0, skipped: skipped + failed + unaccounted }
+  }
+  if (isRed) console.log(`FAILED ${file}\n${output}`)
   else console.log(`ok ${file} (${passed})`)
   return { passed, failed: failed + unaccounted, skipped }
 }
@@ -67,6 +81,7 @@
   return outcomes
 }
 
+const knownRed = await findKnownRed()
 const outcomes = await runAll(await findTestFiles(process.argv.slice(2)))
 const sum = (pick: (outcome: FileOutcome) => number): number => outcomes.reduce((total, outcome) => total + pick(outcome), 0)
 const failed = sum((outcome) => outcome.failed)
