--- a/review/stand-ins-3/fleet.mjs
+++ b/review/stand-ins-3/fleet.mjs
@@ -6,6 +6,7 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 
+const CONTRACTS = ['base', 'drain', 'config', 'cost', 'retry', 'recover', 'health', 'tenants', 'quota']
 const ZONES = ['north-a', 'north-b', 'north-c']
 
 export const sleep = (milliseconds) => new Promise((resolve) => setTimeout(resolve, milliseconds))
@@ -123,8 +124,9 @@
     this.version = 0
   }
 
-  static async start (journal, { fronts = 1, cores = 3 } = {}) {
+  static async start (journal, { fronts = 1, cores = 3, contracts = [], memory = 350 } = {}) {
     const fleet = new Fleet(journal)
+    Object.assign(fleet, { contracts, memory })
     try {
       await fleet.choosePlaces()
       for (let index = 0; index < cores; index += 1) fleet.cores.push(new Machine(fleet, 'core', index))
@@ -172,7 +174,7 @@
 [self.limits]
 cpu-share = ${isCore ? 0.405 : 0.54}
 cores = 1
-memory-mb = ${isCore ? 346 : 350}
+memory-mb = ${isCore ? 346 : this.memory}
 max-fds = ${isCore ? 4096 : 4100}
 link-mbps = 1000.0
 disk-mb = ${isCore ? 256 : 0}
@@ -191,7 +193,7 @@
 heartbeat = "1500ms"
 config-mode = "highest"
 [terms]
-contracts = ["base", "drain", "config", "cost", "retry", "recover", "health", "tenants", "quota"]
+contracts = ${JSON.stringify([...CONTRACTS, ...this.contracts])}
 [terms.fault-tolerance]
 machines = 1
 zones = 0
@@ -303,6 +305,7 @@
     await fleet?.stop()
     process.exit(code)
   }
+  process.once('uncaughtException', (thrown) => finish(`the case could not run: ${thrown.stack}`, 2))
   for (const signal of ['SIGTERM', 'SIGINT']) process.once(signal, () => finish(`the script got ${signal}`, 2))
   try {
     const result = await play({ journal, trouble, begin: async (options) => { fleet = await Fleet.start(journal, options); return fleet } })
--- a/review/stand-ins-3/instance.mjs
+++ b/review/stand-ins-3/instance.mjs
@@ -5,9 +5,9 @@
 let born = 0
 
 export class Instance {
-  constructor (fleet, { service, id, slots = 6, answer, work = 20, onRun = () => {} }) {
+  constructor (fleet, { service, id, slots = 6, answer, work = 20, onRun = () => {}, onRequest = () => {} }) {
     born = Math.max(born + 1, Date.now())
-    Object.assign(this, { fleet, service, id, slots, born, work, onRun, sequence: 0, state: 'ready', isStopped: false, running: 0, runs: [] })
+    Object.assign(this, { fleet, service, id, slots, born, work, onRun, onRequest, sequence: 0, state: 'ready', isStopped: false, running: 0, runs: [] })
     this.answer = answer ?? ((_, response) => { response.writeHead(200, { 'content-length': 2 }).end('ok') })
     this.server = createServer({ keepAliveTimeout: 10_000, requestTimeout: 0 }, (request, response) => this.receive(request, response))
     fleet.instances.push(this)
@@ -42,6 +42,7 @@
     response.setHeader('x-instance-id', this.id)
     if (request.url === '/health') return response.writeHead(200, { 'content-length': 0 }).end()
     if (id !== undefined) response.setHeader('x-attempt-id', id)
+    this.onRequest(request, response)
     const refuse = (status) => response.writeHead(status, { 'x-not-executed': '1', 'content-length': 0 }).end()
     const expected = request.headers['x-expect-instance']
     if (expected !== undefined && expected !== this.id) return refuse(421)
