--- a/review/13/case.mjs
+++ b/review/13/case.mjs
@@ -2,8 +2,8 @@
 import { Agent, request } from 'node:http'
 import { dirname } from 'node:path'
 import { fileURLToPath } from 'node:url'
-import { CannotRun, runCase, sleep } from '../stand-ins-3/fleet.mjs'
-import { configuration, Instance, route } from '../stand-ins-3/instance.mjs'
+import { CannotRun, runCase, sleep } from '../fleet-3.mjs'
+import { configuration, Instance, route } from '../instance-3.mjs'
 
 const CLIENTS = 16
 const PLAY_SECONDS = 25
--- a/review/stand-ins-3/instance.mjs
+++ b/review/instance-3.mjs
@@ -1,6 +1,6 @@
 /** A sound instance: announces itself, runs requests for as long as their path says, and records what it ran. */
 import { createServer } from 'node:http'
-import { sleep } from './fleet.mjs'
+import { sleep } from './fleet-3.mjs'
 
 let born = 0
 
