--- a/review/13/case.mjs
+++ b/review/13/case.mjs
@@ -24,10 +24,7 @@
   for (let index = 0; index < 4; index += 1) {
     const id = `i-${index}`
     const isFaulty = trouble && index === 0
-    const onRun = (attempt) => {
-      runs.set(attempt, { id, isFaulty })
-      journal.write(`${id} runs ${attempt}`)
-    }
+    const onRun = (attempt) => { runs.set(attempt, { id, isFaulty }) }
     await Instance.start(fleet, { service: 'despachos', id, work: 400, onRun, ...(isFaulty ? { answer: answerWithoutEnd } : {}) })
   }
   await fleet.untilReady()
@@ -48,6 +45,7 @@
     const agent = new Agent({ keepAlive: true, maxSockets: 1 })
     for (let number = 0; journal.now < end; number += 1) {
       const id = `c${client}n${number}`
+      journal.write(`${id} sent`)
       const result = await send(agent, front.ip, fleet.ports.front, id)
       journal.write(`${id}: ${result.end}${result.isKept ? ', on a kept connection' : ''}`)
       results.push({ id, ...result })
--- a/review/instance-3.mjs
+++ b/review/instance-3.mjs
@@ -43,13 +43,17 @@
     if (request.url === '/health') return response.writeHead(200, { 'content-length': 0 }).end()
     if (id !== undefined) response.setHeader('x-attempt-id', id)
     this.onRequest(request, response)
-    const refuse = (status) => response.writeHead(status, { 'x-not-executed': '1', 'content-length': 0 }).end()
+    const refuse = (status) => {
+      this.fleet.journal.write(`${this.id} refuses ${id ?? 'a request without identifier'}: ${status}`)
+      response.writeHead(status, { 'x-not-executed': '1', 'content-length': 0 }).end()
+    }
     const expected = request.headers['x-expect-instance']
     if (expected !== undefined && expected !== this.id) return refuse(421)
     if (id === undefined) return refuse(400)
     if (this.running >= this.slots) return refuse(503)
     this.running += 1
     this.runs.push(id)
+    this.fleet.journal.write(`${this.id} runs ${id}: ${request.method} ${request.url}`)
     this.onRun(id, request)
     request.resume()
     const timer = setTimeout(() => {
--- a/review/pipeline-3.mjs
+++ b/review/pipeline-3.mjs
@@ -9,7 +9,9 @@
 }
 
 export class Pipeline {
-  constructor (host, port) {
+  /** What is sent and answered is written to the journal. */
+  constructor (host, port, journal) {
+    this.journal = journal
     this.bytes = Buffer.alloc(0)
     this.answers = []
     this.isClosed = false
@@ -28,6 +30,7 @@
   }
 
   send (text) {
+    for (const [, line, id] of text.matchAll(/([A-Z]+ \S+) HTTP\/1\.1\r\n(?:.+\r\n)*?X-Attempt-Id: (\S+)/g)) this.journal.write(`${id} sent: ${line}`)
     this.socket.write(text)
   }
 
@@ -61,7 +64,9 @@
     if (this.bytes.length < end + 4 + length) return false
     const body = this.bytes.subarray(end + 4, end + 4 + length).toString('latin1')
     this.bytes = this.bytes.subarray(end + 4 + length)
-    if (status < 100 || status >= 200) this.answers.push({ status, head, body, closes: /\r\nconnection: close/i.test(head) })
+    const closes = /\r\nconnection: close/i.test(head)
+    if (status < 100 || status >= 200) this.answers.push({ status, head, body, closes })
+    this.journal.write(`answered, number ${this.answers.length} of its connection: ${status}${closes ? ', closing the connection' : ''}, ${JSON.stringify(body.slice(0, 100))}`)
     return true
   }
 }
