Bound what is read in front of the parser of a response that is paused

Seen: an entry held as much of a response in chunks as its upstream sent while the caller read slowly. Nothing counted it, and the memory of the process was used up by a few such responses. Cause: undici takes all bytes that its socket holds, and gives back what it has not parsed when it is paused. In between the socket is empty, so it reads up to 64 kB more. Each pause brought more than was parsed. Why it works: what was given back is taken in parts of at most the stream's own limit, so the stream always holds enough that it reads nothing more. A response that is not given back is read as before.

--- a/packages/request/src/upstream-connection.ts
+++ b/packages/request/src/upstream-connection.ts
@@ -73,6 +73,7 @@
     this.socket = socket
     this.relayed = relayed
     this.stream = relayed ?? socket
+    readInParts(this.stream)
     this.stream.on('error', (error: NodeJS.ErrnoException) => {
       this.hasSocketError = true
       // undici takes a connection reset for a possible end of the response, and its parser must not be paused then.
@@ -146,3 +147,23 @@
     this.client.destroy().catch(() => {})
   }
 }
+
+/**
+ * undici takes everything that its stream holds, and gives back what it has not parsed when it is paused. In between the stream holds nothing, so
+ * it reads more from the network, and what waits would grow with each pause. What was given back is therefore taken in parts that leave something.
+ */
+function readInParts (stream: Duplex): void {
+  const read = stream.read.bind(stream)
+  const unshift = stream.unshift.bind(stream)
+  let givenBackBytes = 0
+  stream.unshift = (chunk: Buffer) => {
+    givenBackBytes += chunk.length
+    unshift(chunk)
+  }
+  stream.read = (bytes) => {
+    if (bytes !== undefined || givenBackBytes === 0) return read(bytes)
+    const part = read(Math.min(givenBackBytes, stream.readableHighWaterMark)) as Buffer | null
+    givenBackBytes -= part?.length ?? 0
+    return part
+  }
+}
