--- a/packages/request/src/upstream-connections.ts
+++ b/packages/request/src/upstream-connections.ts
@@ -1,5 +1,6 @@
 /** The connections of an entry to upstreams, which are kept and used again. */
 import type { Clock } from '@hickoryspoke/runtime/clock'
+import { PieceTurns } from '@hickoryspoke/runtime/piece-turns'
 import { Err, Ok, type Result } from 'ts-results-es'
 import { ConnectFailure, DirectConnector, type Connector } from './connector.ts'
 import { DEFAULT_CONNECTION_SETTINGS, UpstreamConnection, type ConnectionSettings } from './upstream-connection.ts'
@@ -30,6 +31,8 @@
 
 /** Pools the connections of this entry by upstream. Connections are established before a request is assigned to them. */
 export class UpstreamConnections {
+  /** The turns in which the responses on these connections are read. */
+  readonly turns = PieceTurns.create()
   private readonly pools = new Map<string, AddressPool>()
   private readonly all = new Set<UpstreamConnection>()
   private opening = 0
--- a/packages/request/src/upstream-exchange.ts
+++ b/packages/request/src/upstream-exchange.ts
@@ -132,7 +132,7 @@
     if (/(^|,)\s*close\s*(,|$)/i.test(headerValue(headers, 'connection') ?? '')) this.keepsConnection = false
     this.connection.statedKeepAliveMilliseconds = statedKeepAliveMilliseconds(headers)
     if (this.connections.keepsAsStated && (this.request.maximumIdleMilliseconds === 0 || status >= FIRST_SERVER_ERROR)) this.keepsConnection = false
-    this.answer = UpstreamResponse.create(this.clock, status, headers, framing, this.control(controller))
+    this.answer = UpstreamResponse.create(this.clock, status, headers, framing, this.control(controller), this.connections.turns)
     const refusal = failureOfHead(status, headers, framing, this.acceptsCloseDelimited)
     if (status > LAST_STATUS) controller.abort(AttemptFailure.create('malformed_answer', `${status} is not an HTTP status`))
     else if (refusal === undefined) this.resolveHead(Ok(this.answer))
--- a/packages/request/src/upstream-response.ts
+++ b/packages/request/src/upstream-response.ts
@@ -1,4 +1,6 @@
 import type { Clock } from '@hickoryspoke/runtime/clock'
+import { JoinedChunks } from '@hickoryspoke/runtime/joined-chunks'
+import { PieceTurns, type PieceShare } from '@hickoryspoke/runtime/piece-turns'
 import { Err, Ok, type Result } from 'ts-results-es'
 import { AttemptFailure } from './attempt-failure.ts'
 import type { RawHeaders } from './header-filter.ts'
@@ -28,8 +30,12 @@
  * The response is complete only if its framing was complete.
  */
 export class UpstreamResponse {
-  private held: Buffer[] = []
-  private bufferedBytes = 0
+  private readonly held = JoinedChunks.create()
+  private readonly share: PieceShare
+  /** Whether nothing more may be held, or the sink takes nothing. */
+  private isBlocked = false
+  /** Whether others have their turn of the event loop first. */
+  private awaitsTurn = false
   private sink: BodySink | undefined
   private outcome: BodyResult | undefined
   private finish: ((outcome: BodyResult) => void) | undefined
@@ -52,31 +58,30 @@
     readonly status: number,
     readonly headers: RawHeaders,
     readonly framing: ResponseFraming,
-    private readonly control: ResponseControl
+    private readonly control: ResponseControl,
+    turns: PieceTurns
   ) {
+    this.share = turns.share(() => this.takeTurn())
     this.arrivedAt = clock.monotonicMilliseconds()
     this.lastProgressMilliseconds = this.arrivedAt
     this.bufferFull = new Promise((resolve) => { this.signalBufferFull = resolve })
     this.whole = new Promise((resolve) => { this.finish = resolve })
   }
 
-  static create (clock: Clock, status: number, headers: RawHeaders, framing: ResponseFraming, control: ResponseControl): UpstreamResponse {
-    return new UpstreamResponse(clock, status, headers, framing, control)
+  /** `turns` are those of all responses of the process; by default the response has its own. */
+  static create (
+    clock: Clock, status: number, headers: RawHeaders, framing: ResponseFraming, control: ResponseControl, turns = PieceTurns.create()
+  ): UpstreamResponse {
+    return new UpstreamResponse(clock, status, headers, framing, control, turns)
   }
 
   /** Takes a chunk of the body from the upstream. */
   receive (chunk: Buffer): void {
     this.lastProgressMilliseconds = this.clock.monotonicMilliseconds()
     this.receivedBytes += chunk.length
-    if (this.sink !== undefined) {
-      this.pass(chunk)
-      return
-    }
-    this.held.push(chunk)
-    this.bufferedBytes += chunk.length
-    if (this.bufferedBytes < PAUSE_THRESHOLD_BYTES) return
-    this.pause()
-    this.signalBufferFull()
+    if (this.sink === undefined) this.hold(chunk)
+    else if (!this.sink.write(chunk) && !this.isEnded && !this.isBlocked) this.waitFor(this.sink)
+    if (!this.share.take(1)) this.awaitTurn()
   }
 
   /** Marks the body as complete. */
@@ -122,18 +127,16 @@
   /** Streams the body into a sink with back-pressure. Resolves once the body is complete or has failed. */
   async pipeTo (sink: BodySink): Promise<BodyResult> {
     this.sink = sink
-    const waiting = this.held
-    this.held = []
     let ready = true
-    for (const chunk of waiting) ready = sink.write(chunk)
-    if (ready) this.resume()
+    for (const chunk of this.held.takeAll()) ready = sink.write(chunk)
+    if (ready) this.unblock()
     else this.waitFor(sink)
     return await this.whole
   }
 
   /** The buffered body. Only meaningful for a complete response that has not been piped. */
   bufferedBody (): Buffer {
-    return this.held.length === 1 ? this.held[0] as Buffer : Buffer.concat(this.held)
+    return this.held.joined()
   }
 
   /** Aborts the rest of the response. */
@@ -152,15 +155,36 @@
     this.abort(AttemptFailure.create('hedge_lost', 'the response is not used'))
   }
 
-  private pass (chunk: Buffer): void {
-    const sink = this.sink as BodySink
-    if (sink.write(chunk) || this.isEnded) return
-    this.waitFor(sink)
+  private hold (chunk: Buffer): void {
+    this.held.append(chunk)
+    if (this.held.bytes < PAUSE_THRESHOLD_BYTES) return
+    this.block()
+    this.signalBufferFull()
   }
 
   private waitFor (sink: BodySink): void {
+    this.block()
+    sink.whenReady(() => this.unblock())
+  }
+
+  private block (): void {
+    this.isBlocked = true
+    this.pause()
+  }
+
+  private unblock (): void {
+    this.isBlocked = false
+    this.resume()
+  }
+
+  private awaitTurn (): void {
+    this.awaitsTurn = true
     this.pause()
-    sink.whenReady(() => this.resume())
+  }
+
+  private takeTurn (): void {
+    this.awaitsTurn = false
+    this.resume()
   }
 
   private pause (): void {
@@ -169,6 +193,7 @@
   }
 
   private resume (): void {
+    if (this.isBlocked || this.awaitsTurn) return
     this.endPause()
     this.lastProgressMilliseconds = this.clock.monotonicMilliseconds()
     if (!this.isEnded) this.control.resume()
@@ -182,6 +207,7 @@
   private settle (outcome: BodyResult): void {
     if (this.outcome !== undefined) return
     this.endPause()
+    this.share.leave()
     this.outcome = outcome
     this.finish?.(outcome)
   }
