Join small pieces on connections that are relayed for another entry

What an upstream sends in small pieces is passed on by a relay as a frame each, and each frame's content became an object in the stream of the entry that asked for it. Cause: as for responses: buffers of streams are bounded in bytes, but each piece costs a Buffer and a queue entry. Evidence: relay-frames.test.ts, 20,000 frames of one byte that arrive together: one piece each was pushed before; now at most one for each read of the socket. Change: the relay passes bytes on in both directions with JoinedWriter, so what comes while the other side takes nothing is joined into one frame. RelayedStream pushes the contents of one read together. The frames are written by encodeFrame in place of a stream of their own; the tests of the frames check the same bytes.

--- a/packages/entry/src/connection-relay.ts
+++ b/packages/entry/src/connection-relay.ts
@@ -1,13 +1,14 @@
 /** Connects other entries, which have lost their own links, to upstreams. */
 import { createServer, type IncomingMessage, type Server } from 'node:http'
 import type { Socket } from 'node:net'
-import type { Duplex, Writable } from 'node:stream'
+import type { Duplex } from 'node:stream'
 import { endedByReset, type Connector } from '@hickoryspoke/request/connector'
 import { UPSTREAM_UNREACHABLE_STATUS } from '@hickoryspoke/request/relay-client'
-import { RELAY_FRAMES_HEADER, RELAY_FRAMES_VERSION, RelayFrameEncoder } from '@hickoryspoke/request/relay-frames'
+import { encodeFrame, END_FRAME, RELAY_FRAMES_HEADER, RELAY_FRAMES_VERSION } from '@hickoryspoke/request/relay-frames'
 import { splitAddress } from '@hickoryspoke/runtime/address'
 import { sleep, type Clock } from '@hickoryspoke/runtime/clock'
 import { describeError } from '@hickoryspoke/runtime/failure'
+import { JoinedWriter, type JoinedOutput } from '@hickoryspoke/runtime/joined-writer'
 import { EVERY_HEADER } from '@hickoryspoke/runtime/request-head'
 import type { Logger } from '@hickoryspoke/telemetry/logger'
 
@@ -115,7 +116,7 @@
     socket.once('close', () => this.relayed.delete(socket))
     const isFramed = headers[RELAY_FRAMES_HEADER] === RELAY_FRAMES_VERSION
     socket.write(`HTTP/1.1 200 Connection Established\r\n${isFramed ? `${RELAY_FRAMES_HEADER}: ${RELAY_FRAMES_VERSION}\r\n` : ''}\r\n`)
-    join(socket, opened.value.socket, isFramed ? framedOutput(socket) : socket)
+    join(socket, opened.value.socket, isFramed)
   }
 }
 
@@ -129,28 +130,63 @@
   socket.end(`HTTP/1.1 ${status} Not relayed\r\nContent-Length: 0\r\nConnection: close\r\n\r\n`)
 }
 
-/** Writes to the other entry in frames, the last of which says that the upstream ended in order. */
-function framedOutput (entry: Socket): Writable {
-  const encoder = RelayFrameEncoder.create()
-  encoder.pipe(entry)
-  return encoder
+/** Writes to the other entry in frames. */
+function framedOutput (entry: Socket): JoinedOutput {
+  return {
+    get writableNeedDrain () { return entry.writableNeedDrain },
+    get writableHighWaterMark () { return entry.writableHighWaterMark },
+    get destroyed () { return entry.destroyed },
+    write: (chunk, written) => {
+      const [length, piece] = encodeFrame(chunk)
+      entry.cork()
+      entry.write(length)
+      const isReady = entry.write(piece, written)
+      entry.uncork()
+      return isReady
+    }
+  }
+}
+
+/** One direction of a relayed connection. */
+interface Passage {
+  /** Passes on everything that was read. */
+  readonly flush: () => void
+  /** What is read from now on is discarded. */
+  readonly discard: () => void
+}
+
+/** Passes on what is read from `source` as fast as `destination` takes it; small pieces that wait are joined. */
+function passOn (source: Socket, destination: Socket, output: JoinedOutput = destination): Passage {
+  const readOn = (): void => { if (!writer.needsDrain) source.resume() }
+  const writer = JoinedWriter.create(output, readOn)
+  const forward = (chunk: Buffer): void => { if (!writer.write(chunk)) source.pause() }
+  destination.on('drain', readOn)
+  source.on('data', forward)
+  return {
+    flush: () => writer.flush(),
+    discard: () => {
+      source.off('data', forward)
+      writer.discard()
+      source.resume()
+    }
+  }
 }
 
 /**
  * Passes bytes on in both directions, and a reset of the upstream too, so that a response that was cut off is not taken
- * for a complete one. Once the upstream has closed in order, `output` to the other entry is ended, and the rest of the request
+ * for a complete one. Once the upstream has closed in order, the other entry is told so, and the rest of the request
  * is read and discarded, so that the response reaches the other entry and its close is seen.
  */
-function join (entry: Socket, upstream: Socket, output: Writable): void {
+function join (entry: Socket, upstream: Socket, isFramed: boolean): void {
   let isUpstreamEnded = false
-  entry.pipe(upstream, { end: false })
-  upstream.pipe(output, { end: false })
+  const requests = passOn(entry, upstream)
+  const responses = passOn(upstream, entry, isFramed ? framedOutput(entry) : entry)
   upstream.on('end', () => {
     isUpstreamEnded = true
     if (endedByReset(upstream)) return entry.resetAndDestroy()
-    entry.unpipe(upstream)
-    entry.resume()
-    return output.end()
+    requests.discard()
+    responses.flush()
+    return isFramed ? entry.end(END_FRAME) : entry.end()
   })
   upstream.on('error', () => { if (!isUpstreamEnded) entry.resetAndDestroy() })
   upstream.on('close', () => { if (!isUpstreamEnded) entry.resetAndDestroy() })
--- a/packages/request/src/relay-frames.ts
+++ b/packages/request/src/relay-frames.ts
@@ -3,7 +3,6 @@
  * length 0 says that the upstream itself has ended its side in order. The operating system closes the connections of a process that
  * ends in order too, so without that frame the end of the connection says nothing of the upstream.
  */
-import { Transform, type TransformCallback } from 'node:stream'
 import { Failure } from '@hickoryspoke/runtime/failure'
 import { Err, Ok, type Result } from 'ts-results-es'
 
@@ -15,7 +14,8 @@
 const LENGTH_BYTES = 4
 /** A relay passes on what it reads at once, which is far less. */
 const MAXIMUM_FRAME_BYTES = 16_777_216
-const END_FRAME = Buffer.alloc(LENGTH_BYTES)
+/** The frame that says that the upstream ended in order. */
+export const END_FRAME = Buffer.alloc(LENGTH_BYTES)
 
 /** What was received is not a sequence of frames. */
 export class MalformedFrame extends Failure {
@@ -26,22 +26,11 @@
   }
 }
 
-/** Writes each chunk as a frame, and the end of its input as the frame that says so. */
-export class RelayFrameEncoder extends Transform {
-  static create (): RelayFrameEncoder {
-    return new RelayFrameEncoder()
-  }
-
-  override _transform (chunk: Buffer, _: BufferEncoding, done: TransformCallback): void {
-    const length = Buffer.alloc(LENGTH_BYTES)
-    length.writeUInt32BE(chunk.length)
-    this.push(length)
-    done(null, chunk)
-  }
-
-  override _flush (done: TransformCallback): void {
-    done(null, END_FRAME)
-  }
+/** The parts of the frame of a piece, which must not be empty. */
+export function encodeFrame (piece: Buffer): readonly [length: Buffer, piece: Buffer] {
+  const length = Buffer.alloc(LENGTH_BYTES)
+  length.writeUInt32BE(piece.length)
+  return [length, piece]
 }
 
 /** Reads frames that arrive in pieces of any size. */
--- a/packages/request/src/relayed-stream.ts
+++ b/packages/request/src/relayed-stream.ts
@@ -3,6 +3,8 @@
 import { Duplex } from 'node:stream'
 import { RelayFrameDecoder } from './relay-frames.ts'
 
+const EMPTY = Buffer.alloc(0)
+
 type Done = (error?: Error | null) => void
 
 /** Writes go to the relay as they are. What is read are the contents of the relay's frames. */
@@ -60,9 +62,9 @@
       this.destroy(contents.error)
       return
     }
-    // Each content must be pushed, also those behind one for which the reader is not ready.
-    const isReady = contents.value.map((content) => this.push(content)).every(Boolean)
-    if (!isReady) this.socket.pause()
+    const [first = EMPTY] = contents.value
+    const content = contents.value.length > 1 ? Buffer.concat(contents.value) : first
+    if (content.length > 0 && !this.push(content)) this.socket.pause()
     if (this.decoder.isEnded) this.endInput()
   }
 
--- a/packages/request/src/tests/relay-frames.test.ts
+++ b/packages/request/src/tests/relay-frames.test.ts
@@ -1,20 +1,18 @@
-import { buffer } from 'node:stream/consumers'
+import { createServer, connect, type AddressInfo } from 'node:net'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
-import { RelayFrameDecoder, RelayFrameEncoder } from '../relay-frames.ts'
+import { RelayedStream } from '../relayed-stream.ts'
+import { encodeFrame, END_FRAME, RelayFrameDecoder } from '../relay-frames.ts'
 
 const PIECES = ['a', 'bc', 'x'.repeat(1_000)] as const
 
-async function encode (pieces: readonly string[]): Promise<Buffer> {
-  const encoder = RelayFrameEncoder.create()
-  for (const piece of pieces) encoder.write(piece)
-  encoder.end()
-  return await buffer(encoder)
+function encode (pieces: readonly string[]): Buffer {
+  return Buffer.concat([...pieces.flatMap((piece) => encodeFrame(Buffer.from(piece))), END_FRAME])
 }
 
 for (const size of [1, 3, 4, 5, 7, 10_000]) {
-  test(`frames that arrive in pieces of ${size} bytes are read, and their end is known only once all have arrived`, async () => {
-    const frames = await encode(PIECES)
+  test(`frames that arrive in pieces of ${size} bytes are read, and their end is known only once all have arrived`, () => {
+    const frames = encode(PIECES)
     const decoder = RelayFrameDecoder.create()
     const contents: Buffer[] = []
     for (let begin = 0; begin < frames.length; begin += size) {
@@ -33,4 +31,20 @@
   assert.is(decoder.decode(Buffer.from('HTTP/1.1 200 OK\r\n')).unwrapErr().code, 'malformed_frame')
 })
 
+const SMALL_FRAMES = 20_000
+
+// Guards against an entry that holds the content of each small frame as an object of its own.
+test('the contents of small frames that arrive together are read in few pieces', async () => {
+  const frames = encode(Array.from({ length: SMALL_FRAMES }, (_, index) => String(index % 10)))
+  const server = createServer((socket) => socket.end(frames))
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+  const stream = RelayedStream.create(connect((server.address() as AddressInfo).port, '127.0.0.1'))
+  const pieces: Buffer[] = []
+  for await (const piece of stream) pieces.push(piece as Buffer)
+  server.close()
+  assert.is(Buffer.concat(pieces).toString(), Array.from({ length: SMALL_FRAMES }, (_, index) => index % 10).join(''))
+  assert.ok(stream.hasUpstreamEnded)
+  assert.ok(pieces.length <= SMALL_FRAMES / 20, `${pieces.length} pieces`)
+})
+
 test.run()
