Hold and schedule uploads in small pieces by what they cost

Seen: 24 callers that upload bodies in chunks of one byte kept an entry from answering others for over a second each time, and 3 of 4 new connections got nothing in twelve seconds. Node.js creates a Buffer for each chunk and keeps it until it is read; a read of the socket of 64 kB has up to 11,000 of them. Bodies that are buffered to be sent again, input that waits and the stream of a long upload held each piece as well. Evidence: small-chunks.test.ts of entry on: an upload of 60,000 chunks was read in 7 turns of the event loop. Change: JoinedRequest, the class of requests of both servers, joins what nobody has read; PacedInput parses bodies in chunks in parts of 4,096 bytes and shares the turns by the pieces found (PieceTurns); JoinedChunks holds the rest. Why it works: a turn has a bounded number of pieces whoever sends them. A piece that comes alone is readable in the same turn. Nothing is read ahead of the upstream's connection in the stream of a long upload, so its source joins.

--- a/packages/entry/src/caller-connection.ts
+++ b/packages/entry/src/caller-connection.ts
@@ -53,6 +53,8 @@
       // Only the last request can be in its body, so those before it end and make room.
       isBodyHeld: () => this.isBodyHeld(),
       bodyBytes: () => this.exchanges.at(-1)?.bodyBytes,
+      bodyPieces: () => (this.exchanges.at(-1) ?? this.lastAnswered)?.bodyPieces ?? 0,
+      pieceTurns: limiter.pieceTurns,
       mayKeep: () => limiter.mayKeepInput,
       onKept: (change) => limiter.hold(change)
     })
--- a/packages/entry/src/caller-node-exchange.ts
+++ b/packages/entry/src/caller-node-exchange.ts
@@ -1,6 +1,7 @@
-import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { ServerResponse } from 'node:http'
 import type { ClientLimiter } from '@hickoryspoke/runtime/client-limiter'
 import type { Clock } from '@hickoryspoke/runtime/clock'
+import type { JoinedRequest } from '@hickoryspoke/runtime/joined-request'
 import type { StallingRequest } from '@hickoryspoke/runtime/stall-list'
 import type { CallerExchange } from '@hickoryspoke/request/caller-exchange'
 import { AttemptFailure } from '@hickoryspoke/request/attempt-failure'
@@ -34,7 +35,7 @@
   readonly answer: NodeAnswer
 
   private constructor (
-    private readonly request: IncomingMessage,
+    private readonly request: JoinedRequest,
     private readonly response: ServerResponse,
     private readonly options: NodeExchangeOptions
   ) {
@@ -51,7 +52,7 @@
     request.on('error', () => {})
   }
 
-  static create (request: IncomingMessage, response: ServerResponse, options: NodeExchangeOptions): NodeExchange {
+  static create (request: JoinedRequest, response: ServerResponse, options: NodeExchangeOptions): NodeExchange {
     return new NodeExchange(request, response, options)
   }
 
@@ -71,7 +72,7 @@
     return this.request.rawHeaders
   }
 
-  get body (): IncomingMessage {
+  get body (): JoinedRequest {
     return this.request
   }
 
@@ -81,6 +82,11 @@
     return this.request.headers['transfer-encoding'] === undefined ? 0 : undefined
   }
 
+  /** Number of pieces in which the body has come so far. */
+  get bodyPieces (): number {
+    return this.request.pieces
+  }
+
   get signal (): AbortSignal {
     return this.controller.signal
   }
--- a/packages/entry/src/caller-server.ts
+++ b/packages/entry/src/caller-server.ts
@@ -1,10 +1,11 @@
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import { createServer, type Server, type ServerResponse } from 'node:http'
 import { createServer as createTlsServer, type Server as TlsServer } from 'node:https'
 import { Server as NetServer, type AddressInfo, type Socket } from 'node:net'
 import type { ClientLimiter } from '@hickoryspoke/runtime/client-limiter'
 import type { Clock } from '@hickoryspoke/runtime/clock'
 import { sleep } from '@hickoryspoke/runtime/clock'
 import { Failure } from '@hickoryspoke/runtime/failure'
+import { JoinedRequest } from '@hickoryspoke/runtime/joined-request'
 import { EVERY_HEADER } from '@hickoryspoke/runtime/request-head'
 import { relayRefusal } from '@hickoryspoke/request/response-relay'
 import { Refusal, type RefusalCode } from '@hickoryspoke/request/refusal'
@@ -12,10 +13,10 @@
 import type { DrainReport } from '@hickoryspoke/request/request-lifecycle'
 import polka from 'polka'
 import { Err, Ok, type Result } from 'ts-results-es'
-import { NodeExchange } from './caller-node-exchange.ts'
 import { CallerConnection } from './caller-connection.ts'
 import { createCallerLimiter } from './caller-limits.ts'
 import { NO_REQUEST_ID } from './caller-raw-refusal.ts'
+import { NodeExchange } from './caller-node-exchange.ts'
 import { checkRequestHead, endsInput } from './caller-request-check.ts'
 import { DEFAULT_CALLER_LIMITS, type CallerLimits, type CallerTls } from './caller-settings.ts'
 
@@ -69,9 +70,11 @@
 /** Time in which what has arrived is read. */
 const READ_MILLISECONDS = 10
 
+type CallerNodeServer = Server<typeof JoinedRequest> | TlsServer<typeof JoinedRequest>
+
 /** HTTP or HTTPS server for callers. */
 export class CallerServer {
-  private readonly server: Server | TlsServer
+  private readonly server: CallerNodeServer
   private readonly connections = new Map<Socket, CallerConnection>()
   private limits: CallerLimits
   private readonly limiter: ClientLimiter
@@ -82,11 +85,11 @@
     this.limits = { ...DEFAULT_CALLER_LIMITS, ...options.limits }
     this.server = createNodeServer(this.limits, options.tls)
     this.server.maxHeadersCount = EVERY_HEADER
-    const application = polka({ server: this.server as Server })
-    application.use((request, response) => { this.serve(request, response as unknown as ServerResponse, false) })
-    this.server.on('request', application.handler as (request: IncomingMessage, response: ServerResponse) => void)
-    this.server.on('checkContinue', (request: IncomingMessage, response: ServerResponse) => { this.serve(request, response, true) })
-    this.server.on('checkExpectation', (request: IncomingMessage, response: ServerResponse) => {
+    const application = polka({ server: this.server as unknown as Server })
+    application.use((request, response) => { this.serve(request as unknown as JoinedRequest, response as unknown as ServerResponse, false) })
+    this.server.on('request', application.handler as unknown as (request: JoinedRequest, response: ServerResponse) => void)
+    this.server.on('checkContinue', (request: JoinedRequest, response: ServerResponse) => { this.serve(request, response, true) })
+    this.server.on('checkExpectation', (request: JoinedRequest, response: ServerResponse) => {
       this.refuse(request, response, Refusal.create('expectation_failed'))
     })
     // Without a listener to `upgrade`, Node.js passes on requests that offer another protocol like all others.
@@ -184,7 +187,7 @@
     return connection
   }
 
-  private serve (request: IncomingMessage, response: ServerResponse, expectsContinue: boolean): void {
+  private serve (request: JoinedRequest, response: ServerResponse, expectsContinue: boolean): void {
     const refusal = checkRequestHead(request, this.limits.maximumHeaderBytes)
     if (refusal !== undefined) {
       this.refuse(request, response, refusal)
@@ -194,13 +197,13 @@
     if (exchange !== undefined) this.options.runner.run(exchange).catch(() => exchange.answer.abort())
   }
 
-  private refuse (request: IncomingMessage, response: ServerResponse, refusal: Refusal): void {
+  private refuse (request: JoinedRequest, response: ServerResponse, refusal: Refusal): void {
     const exchange = this.accept(request, response, false, true)
     if (exchange !== undefined) relayRefusal(exchange, refusal, NO_REQUEST_ID)
   }
 
   /** Adds a request to its connection; undefined if the connection closes in front of it. `isLast` tells whether nothing is read behind it. */
-  private accept (request: IncomingMessage, response: ServerResponse, expectsContinue: boolean, isLast: boolean): NodeExchange | undefined {
+  private accept (request: JoinedRequest, response: ServerResponse, expectsContinue: boolean, isLast: boolean): NodeExchange | undefined {
     const connection = this.connectionOf(request.socket)
     if (connection.isClosing) {
       request.resume()
@@ -228,7 +231,7 @@
   }
 }
 
-function createNodeServer (limits: CallerLimits, tls: CallerTls | undefined): Server | TlsServer {
+function createNodeServer (limits: CallerLimits, tls: CallerTls | undefined): CallerNodeServer {
   const options = {
     maxHeaderSize: limits.maximumHeaderBytes,
     headersTimeout: limits.headersTimeoutMilliseconds,
@@ -236,6 +239,7 @@
     keepAliveTimeout: limits.idleTimeoutMilliseconds,
     connectionsCheckingInterval: limits.timeoutCheckMilliseconds,
     requireHostHeader: false,
+    IncomingMessage: JoinedRequest,
     noDelay: true
   }
   if (tls === undefined) return createServer(options)
--- a/packages/entry/src/tests/small-chunks.test.ts
+++ b/packages/entry/src/tests/small-chunks.test.ts
@@ -6,8 +6,13 @@
 import { AUTHORIZED, CallerFixture, until } from './caller-fixture.ts'
 
 const CHUNKS = 60_000
+/** Longer than what is buffered to be sent again. */
+const UPLOAD_CHUNKS = 100_000
 /** One in twenty. */
 const MAXIMUM_PASSED_ON = CHUNKS / 20
+const MAXIMUM_UPLOAD_PASSED_ON = UPLOAD_CHUNKS / 20
+/** Pieces that one connection hands on in a turn of the event loop. */
+const PIECES_PER_TURN = 512
 const ROUTES = [{ path: '/ledger', timeout_milliseconds: 20_000, idempotent: true }]
 const CHUNKED_HEAD = 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
 
@@ -61,6 +66,7 @@
 }
 
 const get = (path: string): string => `GET ${path} HTTP/1.1\r\nHost: entry\r\n${AUTHORIZED}\r\n`
+const post = (path: string): string => `POST ${path} HTTP/1.1\r\nHost: entry\r\n${AUTHORIZED}Transfer-Encoding: chunked\r\n\r\n`
 
 // Guards against an entry that holds and writes each small chunk of a response by itself (LOST: out of memory).
 test('a response whose small chunks arrive together is passed on whole, in few chunks', async () => {
@@ -105,4 +111,58 @@
   })
 })
 
+test('small chunks of a long upload that come one by one are passed on one by one', async () => {
+  let sent = ''
+  const script: UpstreamScript = () => {}
+  await withCaller(script, async ({ socket, upstream }) => {
+    socket.write(post('/ledger/1'))
+    socket.write(`${(UPLOAD_CHUNKS).toString(16)}\r\n${'x'.repeat(UPLOAD_CHUNKS)}\r\n`)
+    await until(() => upstream.sockets.size === 1)
+    const [upstreamSocket] = upstream.sockets
+    upstreamSocket?.on('data', (chunk) => { sent = (sent + chunk.toString('latin1')).slice(-100) })
+    for (let index = 0; index < 10; index += 1) {
+      socket.write(`1\r\n${letter(index)}\r\n`)
+      await until(() => new RegExp(`1\r\n${letter(index)}(\r\n)?$`).test(sent))
+    }
+  })
+})
+
+// Guards against an upload whose small chunks are held, and sent on, one by one.
+test('an upload whose small chunks arrive together is passed on whole, in few chunks', async () => {
+  await withCaller((socket) => socket.write(okResponse('ok')), async ({ socket, upstream, received }) => {
+    socket.write(`${post('/ledger/1')}${oneByteChunks(UPLOAD_CHUNKS)}0\r\n\r\n`)
+    await until(() => received().endsWith('ok'), 20_000)
+    const { body, chunks } = bodyOf(upstream.requests[0] ?? '') as Decoded
+    assert.ok(body === textOf(UPLOAD_CHUNKS), 'the body is whole and in order')
+    assert.ok(chunks <= MAXIMUM_UPLOAD_PASSED_ON, `${chunks} chunks`)
+  })
+})
+
+test('requests behind an upload in small chunks are read as requests', async () => {
+  await withCaller((socket, request) => socket.write(okResponse(request.split(' ')[1] ?? '')), async ({ socket, received }) => {
+    const upload = `${oneByteChunks(5_000)}0\r\n\r\n`
+    socket.write([1, 2, 3, 4, 5, 6].map((number) => `${post(`/ledger/${number}`)}${upload}`).join('') + get('/ledger/last'))
+    await until(() => received().endsWith('/ledger/last'), 20_000)
+    assert.equal([...received().matchAll(/\/ledger\/(last|\d)/g)].map((match) => match[1]), ['1', '2', '3', '4', '5', '6', 'last'])
+  })
+})
+
+// Guards against an upload in very many pieces that is handled in few turns of the event loop, while nobody else is answered.
+test('an upload in very many small chunks leaves turns of the event loop to others', async () => {
+  let turns = 0
+  let isOver = false
+  const count = (): void => {
+    turns += 1
+    if (!isOver) setImmediate(count)
+  }
+  await withCaller((socket) => socket.write(okResponse('ok')), async ({ socket, received }) => {
+    socket.write(`${post('/ledger/1')}${oneByteChunks(CHUNKS)}0\r\n\r\n`)
+    await new Promise((resolve) => socket.once('connect', resolve))
+    setImmediate(count)
+    await new Promise<void>((resolve) => socket.on('data', () => { if (received().endsWith('ok')) resolve() }))
+    isOver = true
+  })
+  assert.ok(turns >= CHUNKS / PIECES_PER_TURN / 2, `${turns} turns`)
+})
+
 test.run()
--- a/packages/request/src/request-body.ts
+++ b/packages/request/src/request-body.ts
@@ -1,5 +1,6 @@
 import { createHash } from 'node:crypto'
 import { Readable } from 'node:stream'
+import { JoinedChunks } from '@hickoryspoke/runtime/joined-chunks'
 import { Err, Ok, type Result } from 'ts-results-es'
 import { AttemptFailure } from './attempt-failure.ts'
 import type { CallerExchange } from './caller-exchange.ts'
@@ -35,7 +36,7 @@
     const head = await readHead(exchange, bufferBytes)
     exchange.bodyTaken?.()
     if (head.isErr()) return head
-    const buffered = Buffer.concat(head.value.chunks)
+    const { buffered } = head.value
     if (buffered.length > limits.maximumBytes) return Err(Refusal.create('body_too_large'))
     if (head.value.ended) return Ok(new RequestBody(buffered, undefined, buffered.length))
     return Ok(new RequestBody(buffered, StreamedBody.create(exchange, buffered, limits.maximumBytes), exchange.bodyBytes))
@@ -69,7 +70,8 @@
   readonly stream: Readable
 
   private constructor (exchange: CallerExchange, head: Buffer, private readonly maximumBytes: number) {
-    this.stream = Readable.from(this.streamChunks(exchange.body, head), { objectMode: false })
+    // Nothing is read ahead of the upstream's connection, as the source joins small pieces and this stream would not.
+    this.stream = Readable.from(this.streamChunks(exchange.body, head), { objectMode: false, highWaterMark: 1 })
     this.stream.on('error', () => {})
     const abort = (): void => { this.stream.destroy(AttemptFailure.create('request_broken')) }
     exchange.signal.addEventListener('abort', abort, { once: true })
@@ -98,28 +100,26 @@
 }
 
 interface BodyHead {
-  readonly chunks: Buffer[]
+  readonly buffered: Buffer
   readonly ended: boolean
 }
 
 async function readHead (exchange: CallerExchange, bufferBytes: number): Promise<Result<BodyHead, Refusal>> {
   const source = exchange.body
-  const chunks: Buffer[] = []
-  let bytes = 0
+  const held = JoinedChunks.create()
   try {
-    while (bytes <= bufferBytes) {
+    while (held.bytes <= bufferBytes) {
       const chunk = source.read() as Buffer | null
       if (chunk !== null) {
         if (exchange.takeBody?.(chunk.length) === false) return Err(Refusal.create('overloaded', 'no memory for the body', BODY_RETRY_MILLISECONDS))
-        chunks.push(chunk)
-        bytes += chunk.length
+        held.append(chunk)
       } else if (source.readableEnded) {
-        return Ok({ chunks, ended: true })
+        return Ok({ buffered: held.joined(), ended: true })
       } else {
         await waitForData(source, exchange.signal)
       }
     }
-    return Ok({ chunks, ended: false })
+    return Ok({ buffered: held.joined(), ended: false })
   } catch {
     return Err(exchange.signal.reason instanceof Refusal ? exchange.signal.reason : Refusal.create('caller_gone'))
   }
--- a/packages/runtime/src/client-limiter.ts
+++ b/packages/runtime/src/client-limiter.ts
@@ -2,6 +2,7 @@
 import type { Clock } from './clock.ts'
 import { ShedKind, type LimiterState } from './limiter-state.ts'
 import { MemoryUse, type MemoryBudget } from './memory-budget.ts'
+import { PieceTurns } from './piece-turns.ts'
 import { ReadTurns } from './read-turns.ts'
 import { StallList, type StallingRequest } from './stall-list.ts'
 
@@ -55,6 +56,8 @@
   readonly budget: MemoryBudget
   /** The turns in which the connections read requests. */
   readonly turns = ReadTurns.create()
+  /** The turns in which they read bodies that come in many pieces. */
+  readonly pieceTurns = PieceTurns.create()
   /** Number of times that something was refused or had to wait. */
   readonly shed: Record<ShedKind, number> = { connection: 0, silent_connection: 0, read_ahead: 0, pipeline: 0, body: 0, stalled_body: 0, stalled_reader: 0 }
   private readonly open = new Set<LimitedConnection>()
--- a/packages/runtime/src/paced-input.ts
+++ b/packages/runtime/src/paced-input.ts
@@ -1,5 +1,7 @@
 /** Gives the input of an HTTP connection to its parser in pieces, so that reading can stop between two requests. */
 import type { Socket } from 'node:net'
+import { JoinedChunks } from './joined-chunks.ts'
+import type { PieceShare, PieceTurns } from './piece-turns.ts'
 import type { ReadTurns, WaitingInput } from './read-turns.ts'
 
 /** What a `PacedInput` asks of the owner of its connection. */
@@ -14,6 +16,10 @@
   readonly isBodyHeld: () => boolean
   /** Length of the body of the last request; undefined for a body in chunks. */
   readonly bodyBytes: () => number | undefined
+  /** Number of pieces of that body that the parser has found so far. */
+  readonly bodyPieces: () => number
+  /** Shares the turns among connections whose bodies have many pieces. */
+  readonly pieceTurns: PieceTurns
   /** Whether there is memory to keep input that waits. Without it, reading stops as soon as something waits. */
   readonly mayKeep: () => boolean
   /** Called with each change of the number of bytes that are kept. */
@@ -23,6 +29,7 @@
 /** Input that is kept for a connection whose next request must wait. With more, nothing is read from the connection. */
 export const MAXIMUM_KEPT_BYTES = 65_536
 
+const EMPTY = Buffer.alloc(0)
 const SWITCH_EVENTS = ['pause', 'resume'] as const
 const END_OF_HEAD = '\r\n\r\n'
 /**
@@ -30,6 +37,8 @@
  * at most 3 requests are read at once.
  */
 const MINIMUM_CHUNKED_BYTES = 64
+/** Longest piece of a body in chunks. How many chunks it holds is known only once it has been parsed. */
+const MAXIMUM_CHUNKED_BYTES = 4_096
 /** No request is shorter than this. */
 const MINIMUM_HEAD_BYTES = 14
 /** Bytes of the end of a head that may precede its last one. */
@@ -40,8 +49,10 @@
  * The end of a connection is noticed only while it is read, so up to `MAXIMUM_KEPT_BYTES` are read although they wait.
  */
 export class PacedInput implements WaitingInput {
-  private readonly pieces: Buffer[] = []
-  private keptBytes = 0
+  private readonly kept = JoinedChunks.create()
+  private readonly share: PieceShare
+  /** Whether others have their turn before more of a body is parsed. */
+  private awaitsTurn = false
   /** The last bytes of a head whose end has not been parsed. */
   private headTail: Buffer | undefined
   /** What is left of the body of the last request; undefined if that is not known. */
@@ -58,6 +69,7 @@
     private readonly parse: (chunk: Buffer) => void,
     private readonly options: PacedInputOptions
   ) {
+    this.share = options.pieceTurns.share(() => this.takePieceTurn())
     socket.on('data', (chunk: Buffer) => this.receive(chunk))
     socket.on('resume', () => this.feed())
     socket.once('close', () => this.stop())
@@ -79,7 +91,7 @@
 
   /** Whether input is kept that may hold further requests. */
   get isKeeping (): boolean {
-    return this.keptBytes > 0
+    return this.kept.bytes > 0
   }
 
   /** Parses what is kept, as far as requests may be read. */
@@ -106,7 +118,7 @@
 
   /** Reads nothing until `feed` is called and the next request may be read. Does nothing if input is kept, or a body is being read. */
   suspend (): void {
-    if (this.isStopped || this.isSuspended || this.keptBytes > 0 || this.socket.isPaused() || this.options.isInBody()) return
+    if (this.isStopped || this.isSuspended || this.kept.bytes > 0 || this.socket.isPaused() || this.options.isInBody()) return
     this.isSuspended = true
     this.socket.pause()
   }
@@ -115,20 +127,22 @@
   stop (): void {
     this.isStopped = true
     this.options.turns.leave(this)
-    this.pieces.length = 0
-    this.count(-this.keptBytes)
+    this.share.leave()
+    const { bytes } = this.kept
+    this.kept.takeAll()
+    this.reportKept(-bytes)
   }
 
   private receive (chunk: Buffer): void {
     if (this.isStopped) return
-    this.pieces.push(chunk)
-    this.count(chunk.length)
+    this.kept.append(chunk)
+    this.reportKept(chunk.length)
     this.feed()
   }
 
   /** While Node.js has paused the connection, its parser takes nothing. */
   private mayFeed (): boolean {
-    if (this.isStopped || this.keptBytes === 0 || this.socket.destroyed || this.socket.isPaused()) return false
+    if (this.isStopped || this.kept.bytes === 0 || this.socket.destroyed || this.socket.isPaused()) return false
     return this.mayGoOn()
   }
 
@@ -137,18 +151,19 @@
    * ends in it and it is another connection's turn.
    */
   private parsePiece (): boolean {
-    const [first = Buffer.alloc(0)] = this.pieces
+    const { first = EMPTY } = this.kept
     const isInBody = this.options.isInBody()
+    const piecesBefore = isInBody ? this.options.bodyPieces() : 0
     const end = isInBody ? this.bodyEnd(first) : this.headEnd(first)
     if (!isInBody && end !== undefined && !this.options.turns.take(this)) return false
     const piece = end === undefined || end >= first.length ? first : first.subarray(0, end)
-    if (piece === first) this.pieces.shift()
-    else this.pieces[0] = first.subarray(piece.length)
-    this.count(-piece.length)
+    this.kept.dropFirst(piece.length)
+    this.reportKept(-piece.length)
     if (!isInBody) this.headTail = end === undefined ? lastBytes(this.headTail, piece) : undefined
     else if (this.bodyLeft !== undefined) this.bodyLeft -= piece.length
     this.parse(piece)
     if (!isInBody) this.bodyLeft = end === undefined ? undefined : this.options.bodyBytes()
+    else this.awaitsTurn = !this.share.take(Math.max(0, this.options.bodyPieces() - piecesBefore))
     return true
   }
 
@@ -159,14 +174,14 @@
     return straddling === undefined ? endOf(chunk.indexOf(END_OF_HEAD)) : straddling - this.headTail.length
   }
 
-  private bodyEnd (chunk: Buffer): number | undefined {
+  private bodyEnd (chunk: Buffer): number {
     if (this.bodyLeft !== undefined && this.bodyLeft > 0) return this.bodyLeft
-    return endOf(chunk.indexOf(END_OF_HEAD, MINIMUM_CHUNKED_BYTES))
+    return Math.min(endOf(chunk.indexOf(END_OF_HEAD, MINIMUM_CHUNKED_BYTES)) ?? chunk.length, MAXIMUM_CHUNKED_BYTES)
   }
 
   private adjustReading (): void {
     if (this.isStopped || this.socket.destroyed) return
-    const isEnough = this.keptBytes >= (this.options.mayKeep() ? MAXIMUM_KEPT_BYTES : 1)
+    const isEnough = this.kept.bytes >= (this.options.mayKeep() ? MAXIMUM_KEPT_BYTES : 1)
     if (this.isFull && (!isEnough || this.mayGoOn())) {
       this.isFull = false
       // Emits `resume`, upon which what is kept is parsed.
@@ -178,13 +193,17 @@
   }
 
   private mayGoOn (): boolean {
+    if (this.awaitsTurn) return false
     return this.options.isInBody() ? !this.options.isBodyHeld() : !this.options.isHeld()
   }
 
-  private count (change: number): void {
-    if (change === 0) return
-    this.keptBytes += change
-    this.options.onKept(change)
+  private takePieceTurn (): void {
+    this.awaitsTurn = false
+    this.feed()
+  }
+
+  private reportKept (change: number): void {
+    if (change !== 0) this.options.onKept(change)
   }
 }
 
