Give one code for all targets with characters that are not allowed

Seen: a caller got bad_target or bad_request for the same target, depending on the patch version of Node.js of the entry: 20.20.2 refuses a tab or a form feed itself, 20.19 passed them on to the entry's own check. Change: what the parser refuses as a URL is bad_target, on all versions.

--- a/packages/entry/src/caller-server.ts
+++ b/packages/entry/src/caller-server.ts
@@ -61,7 +61,9 @@
   readonly finishMilliseconds: number
 }
 
+/** Which characters of a target the parser itself refuses depends on the version of Node.js; the caller is told the same for all. */
 const REFUSAL_BY_PARSER_ERROR: Readonly<Record<string, RefusalCode>> = {
+  HPE_INVALID_URL: 'bad_target',
   HPE_HEADER_OVERFLOW: 'headers_too_large',
   ERR_HTTP_REQUEST_TIMEOUT: 'request_timeout'
 }
