--- a/packages/entry/src/tests/dispatched-fixture.ts
+++ b/packages/entry/src/tests/dispatched-fixture.ts
@@ -17,12 +17,14 @@
 import { Logger, LogLevel } from '@hickoryspoke/telemetry/logger'
 import { CallerServer } from '../caller-server.ts'
 
-const DIALECT: Dialect = {
-  readCaller: () => ({ requestId: '', key: undefined, patienceMilliseconds: undefined }),
+/** Callers give each request the identifier that `identify` returns for its number. */
+const createDialect = (identify: (number: number) => string): Dialect => ({
+  readCaller: () => ({ requestId: identify(nextNumber++), key: undefined, patienceMilliseconds: undefined }),
   upstreamHeaders: () => [],
   readAnswer: () => ({ notRun: false, misdirected: false, genuine: true, load: undefined, statedLimit: undefined, notice: undefined }),
   responseHeaders: callerResponseHeaders
-}
+})
+let nextNumber = 0
 const ROUTE = {
   name: 'all',
   host: '127.0.0.1',
@@ -54,6 +56,8 @@
   readonly maximumAttempts?: number
   /** Whether connections are kept for as long as upstreams state. */
   readonly keepsConnections?: boolean
+  /** Identifier of each request, which has a number of its own; by default each has another one. */
+  readonly identify?: (number: number) => string
 }
 
 /** Options of the runner of an entry. */
@@ -80,7 +84,8 @@
   inForce.confirm(1, undefined)
   const table = ServingTable.create({ ...CONFIGURATION, routes: [{ ...ROUTE, ...options }, SLOW_ROUTE] })
   const connections = UpstreamConnections.create(clock, options.keepsConnections === true ? KEPT_CONNECTION_SETTINGS : {})
-  const runOptions = { clock, random, dialect: DIALECT, connections, placementClient, inForce, table: () => table, mayRelayThrough: () => true, ...run }
+  const dialect = createDialect(options.identify ?? String)
+  const runOptions = { clock, random, dialect, connections, placementClient, inForce, table: () => table, mayRelayThrough: () => true, ...run }
   const outcomes: DispatchedOutcome[] = []
   const lines: string[] = []
   const logger = Logger.create('entry', LogLevel.Info, (line) => lines.push(line))
--- a/packages/entry/src/tests/kept-connections.test.ts
+++ b/packages/entry/src/tests/kept-connections.test.ts
@@ -85,6 +85,21 @@
   'where the upstream closes the connection': [`${KEPT}Connection: close\r\n`, REPEATABLE]
 }
 
+// Guards against a second copy of an earlier response that is taken for the one to a request which cannot tell its own (MIXED).
+for (const [name, identify, connections] of [
+  ['have no identifier', () => '', 4],
+  ['have identifiers of their own', (number: number) => `of-its-own-${number}`, 1],
+  ['all have the same identifier', () => 'the-same', 4],
+  ['have an identifier only now and then', (number: number) => number % 2 === 0 ? '' : `now-and-then-${number}`, 3]
+] as const) {
+  test(`requests that ${name} use ${connections} connections`, async () => {
+    await withEntry([answer(KEPT)], { ...REPEATABLE, identify }, async ({ ask, upstreams }) => {
+      for (let request = 0; request < 4; request += 1) assert.is(await ask(), 200)
+      assert.is(upstreams[0]?.connections, connections)
+    })
+  })
+}
+
 // Guards against earlier deployments that reuse connections, and against requests that are lost on a connection which the upstream has dropped.
 for (const [name, [headers, options]] of Object.entries(NEW_EACH_TIME)) {
   test(`each request ${name} has a new connection`, async () => {
--- a/packages/request/src/dialect.ts
+++ b/packages/request/src/dialect.ts
@@ -39,7 +39,11 @@
   readCaller (headers: RawHeaders): CallerMetadata
   /** Returns the headers for the upstream: the caller's without credentials and hop-by-hop headers, plus the metadata. */
   upstreamHeaders (headers: RawHeaders, facts: UpstreamMetadata): string[]
-  readAnswer (status: number, headers: RawHeaders, caller: CallerMetadata): ResponseMetadata
+  /**
+   * Reads a response to the request of `caller`. `isKept` tells whether its connection carried earlier requests, of one of which it may be
+   * a second copy.
+   */
+  readAnswer (status: number, headers: RawHeaders, caller: CallerMetadata, isKept: boolean): ResponseMetadata
   /** Returns the headers of an upstream's response that are passed on to the caller. */
   responseHeaders (headers: RawHeaders): string[]
 }
--- a/packages/request/src/dispatched-attempt.ts
+++ b/packages/request/src/dispatched-attempt.ts
@@ -53,6 +53,8 @@
   private response: UpstreamResponse | undefined
   /** IP:PORT of the entry through which the request was sent; empty if it was sent directly. */
   relay = ''
+  /** Whether the connection carried earlier requests. */
+  private isKept = false
 
   private constructor (
     private readonly options: DispatchedAttemptOptions,
@@ -72,10 +74,18 @@
   /** Sends the request. Resolves with a response that can be relayed, or with the reason for which there is none. */
   async run (ticket: number, signal: AbortSignal): Promise<AttemptResult> {
     const { clock, connections, dialect } = this.options
-    const head = await exchange(clock, connections, { ...this.request, address: this.placed.address, onConnected: (relay) => { this.relay = relay } }, signal)
+    const head = await exchange(clock, connections, {
+      ...this.request,
+      address: this.placed.address,
+      requestId: this.caller.requestId,
+      onConnected: (relay, isKept) => {
+        this.relay = relay
+        this.isKept = isKept
+      }
+    }, signal)
     if (head.isErr()) return this.failed(ticket, head.error)
     const answer = head.value
-    const metadata = dialect.readAnswer(answer.status, answer.headers, this.caller)
+    const metadata = dialect.readAnswer(answer.status, answer.headers, this.caller, this.isKept)
     this.metadata = metadata
     this.response = answer
     if (metadata.notice !== undefined) this.options.placementClient.recordNotice(this.placed.instance, metadata.notice)
--- a/packages/request/src/upstream-connection.ts
+++ b/packages/request/src/upstream-connection.ts
@@ -2,6 +2,7 @@
 import type { Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
 import { Failure } from '@hickoryspoke/runtime/failure'
+import { hashName } from '@hickoryspoke/runtime/hashing'
 import { endedByReset, type OpenConnection } from './connector.ts'
 import type { KeepingSettings } from './kept-connections.ts'
 import type { RelayedStream } from './relayed-stream.ts'
@@ -46,6 +47,9 @@
   }
 }
 
+/** Requests that one connection carries, where they have identifiers. */
+const MAXIMUM_CARRIED = 1_024
+const UNIDENTIFIED = hashName('')
 const RESET_ERROR_CODE = 'ECONNRESET'
 const HANDLED_RESET_CODE = 'connection_reset'
 
@@ -61,6 +65,8 @@
   isClosedLocally = false
   /** Called at the end of the upstream's side, before undici learns of it. */
   beforeEnd: () => void = () => {}
+  /** Hashes of the identifiers of the requests that it carried. */
+  private readonly carried = new Set<number>()
   private hasSocketError = false
   readonly relay: string
   private readonly socket: Socket
@@ -119,6 +125,24 @@
     return !this.stream.destroyed && this.stream.writable && !this.client.destroyed
   }
 
+  /** Records a request that is sent on the connection. */
+  carry (requestId: string | undefined): void {
+    if (requestId !== undefined) this.carried.add(hashName(requestId))
+  }
+
+  /**
+   * Whether a second copy of an earlier response on this connection could be taken for the one to this request: if the request has no identifier,
+   * or that of an earlier one.
+   */
+  mayConfuse (requestId: string | undefined): boolean {
+    return requestId === '' || (requestId !== undefined && this.carried.has(hashName(requestId)))
+  }
+
+  /** Whether it has carried as many requests as it remembers, or one whose response has no identifier. */
+  get isWornOut (): boolean {
+    return this.carried.size >= MAXIMUM_CARRIED || this.carried.has(UNIDENTIFIED)
+  }
+
   /** Watches the response to a request; calls back if too much arrives without the response getting further. */
   watchProgress (onExceeded: () => void): ResponseProgress {
     return ResponseProgress.watch(this.stream, () => this.socket.bytesRead, onExceeded)
--- a/packages/request/src/upstream-connections.ts
+++ b/packages/request/src/upstream-connections.ts
@@ -10,7 +10,9 @@
   readonly address: string
   readonly maximumIdleMilliseconds: number
   /** Maximum number of connections to the upstream; evaluated only before opening another one. */
-  readonly maximumOpen?: () => number
+  readonly maximumOpen?: (() => number) | undefined
+  /** Identifier of the request; see `UpstreamRequest`. */
+  readonly requestId?: string | undefined
   /** Whether the connection may go through the entry at this IP:PORT; through any by default. */
   readonly mayRelayThrough?: (relay: string) => boolean
   readonly signal: AbortSignal
@@ -54,7 +56,10 @@
   async acquire (question: ConnectionOptions): Promise<Result<UpstreamConnection, ConnectFailure>> {
     const pool = this.poolOf(question.address)
     const idle = this.takeIdle(pool, question)
-    if (idle !== undefined) return Ok(idle)
+    if (idle !== undefined) {
+      idle.carry(question.requestId)
+      return Ok(idle)
+    }
     const maximum = Math.min(this.settings.maximumPerUpstream, question.maximumOpen?.() ?? Infinity)
     if (this.all.size + this.opening >= this.settings.maximumInTotal && !this.closeIdle()) {
       return Err(ConnectFailure.create('too_many_connections', 'too many connections to upstreams'))
@@ -65,7 +70,7 @@
 
   /** Returns a connection to the pool after its request, or closes it if it is not reusable. */
   release (connection: UpstreamConnection, reusable: boolean): void {
-    if (!reusable || !connection.isOpen || this.isOutdated(connection) || !this.mayKeep(connection)) {
+    if (!reusable || !connection.isOpen || connection.isWornOut || this.isOutdated(connection) || !this.mayKeep(connection)) {
       connection.destroy()
       return
     }
@@ -118,12 +123,13 @@
     return created
   }
 
-  private takeIdle (pool: AddressPool, { maximumIdleMilliseconds, mayRelayThrough }: ConnectionOptions): UpstreamConnection | undefined {
+  private takeIdle (pool: AddressPool, { maximumIdleMilliseconds, requestId, mayRelayThrough }: ConnectionOptions): UpstreamConnection | undefined {
     const oldest = this.clock.monotonicMilliseconds() - maximumIdleMilliseconds
     for (let index = pool.idle.length - 1; index >= 0; index -= 1) {
       const connection = pool.idle[index] as UpstreamConnection
       if (connection.idleSinceMilliseconds < oldest) return undefined
       if (connection.relay !== '' && mayRelayThrough?.(connection.relay) === false) continue
+      if (connection.mayConfuse(requestId)) continue
       pool.idle.splice(index, 1)
       if (connection.isOpen && !this.isOutdated(connection) && !this.isKeptTooLong(connection)) {
         connection.isReused = true
@@ -161,6 +167,7 @@
       return opened
     }
     const connection = UpstreamConnection.create(question.address, opened.value, this.settings)
+    connection.carry(question.requestId)
     connection.openedAtMilliseconds = this.clock.monotonicMilliseconds()
     this.all.add(connection)
     connection.onClosed(() => {
--- a/packages/request/src/upstream-exchange.ts
+++ b/packages/request/src/upstream-exchange.ts
@@ -22,14 +22,16 @@
   /** Maximum idle time of a connection that may be reused. */
   readonly maximumIdleMilliseconds: number
   readonly maximumOpen?: () => number
+  /** Identifier by which the response can be told from those to other requests; undefined if responses have none, empty if this request has none. */
+  readonly requestId?: string
   /** Whether a response may be delimited by the close of its connection. It is complete only if the close was orderly. */
   readonly acceptsCloseDelimited?: boolean
   /** Whether the request may go through the entry at this IP:PORT; through any by default. */
   readonly mayRelayThrough?: (relay: string) => boolean
   /** Asked once there is a connection, as that may take long: whether the request may still be sent there. */
   readonly mayStillSend?: () => boolean
-  /** Called once there is a connection, with the entry that relays it; empty for none. */
-  readonly onConnected?: (relay: string) => void
+  /** Called once there is a connection, with the entry that relays it, empty for none, and whether the connection carried earlier requests. */
+  readonly onConnected?: (relay: string, isKept: boolean) => void
 }
 
 type HeadResult = Result<UpstreamResponse, AttemptFailure>
@@ -62,10 +64,10 @@
   signal: AbortSignal
 ): Promise<HeadResult> {
   if (signal.aborted) return Err(AttemptFailure.create('aborted_before_sending'))
-  const { address, maximumIdleMilliseconds, maximumOpen, mayRelayThrough } = request
-  const connection = await connections.acquire({ address, maximumIdleMilliseconds, maximumOpen, mayRelayThrough, signal })
+  const { address, maximumIdleMilliseconds, maximumOpen, requestId, mayRelayThrough } = request
+  const connection = await connections.acquire({ address, maximumIdleMilliseconds, maximumOpen, requestId, mayRelayThrough, signal })
   if (connection.isErr()) return Err(AttemptFailure.create(FAILURE_CODE_BY_CONNECT_FAILURE[connection.error.code], connection.error.message))
-  request.onConnected?.(connection.value.relay)
+  request.onConnected?.(connection.value.relay, connection.value.isReused)
   if (signal.aborted) {
     connections.release(connection.value, true)
     return Err(AttemptFailure.create('aborted_before_sending'))
