--- a/packages/entry/src/caller-node-answer.ts
+++ b/packages/entry/src/caller-node-answer.ts
@@ -18,8 +18,12 @@
   readonly ended: () => void
   /** Called when the response headers are sent: whether the connection is closed after the response. */
   readonly closesConnection: () => boolean
+  /** How long the connection is kept for a further request. */
+  readonly idleMilliseconds: number
 }
 
+const CLOSE = ['Connection', 'close'] as const
+
 /** Response to a caller on the HTTP server of Node.js. */
 export class NodeAnswer implements CallerResponse {
   /** Whether the headers that were sent close the connection after the response. */
@@ -59,7 +63,8 @@
   writeHead (status: number, headers: readonly string[]): void {
     if (this.isOver || this.response.headersSent) return
     this.closesConnection = this.options.closesConnection()
-    this.response.writeHead(status, this.closesConnection ? [...headers, 'Connection', 'close'] : [...headers])
+    // Without a Connection header Node.js decides by itself, and closes in cases of which the connection's other requests would not know.
+    this.response.writeHead(status, [...headers, ...(this.closesConnection ? CLOSE : this.keepAlive)])
   }
 
   write (chunk: Buffer): boolean {
@@ -134,6 +139,10 @@
     if (change !== 0) this.options.hold(change)
   }
 
+  private get keepAlive (): string[] {
+    return ['Connection', 'keep-alive', 'Keep-Alive', `timeout=${Math.floor(this.options.idleMilliseconds / 1_000)}`]
+  }
+
   private get isOver (): boolean {
     return this.isBrokenOff || this.response.destroyed
   }
--- a/packages/entry/src/caller-node-exchange.ts
+++ b/packages/entry/src/caller-node-exchange.ts
@@ -39,6 +39,8 @@
     private readonly response: ServerResponse,
     private readonly options: NodeExchangeOptions
   ) {
+    // Otherwise the parser reads nothing behind the request.
+    const mayKeep = response.shouldKeepAlive
     this.answer = NodeAnswer.create(response, {
       clock: options.clock,
       unreadTimeoutMilliseconds: options.limits.unreadAnswerTimeoutMilliseconds,
@@ -46,7 +48,8 @@
       hold: (bytes) => options.limiter.hold(bytes),
       awaitsReader: (isAwaited) => isAwaited ? options.limiter.awaitReader(this) : options.limiter.readerReady(this),
       ended: () => this.discardBody(),
-      closesConnection: () => this.isBroken || options.isLast || options.closesConnection(this) || (!this.isRead && request.headers.expect !== undefined)
+      closesConnection: () => !mayKeep || this.isBroken || options.isLast || options.closesConnection(this) || this.leavesBodyOpen,
+      idleMilliseconds: options.limits.idleTimeoutMilliseconds
     })
     response.on('error', () => {})
     request.on('error', () => {})
@@ -169,6 +172,11 @@
     if (this.options.expectsContinue) this.answer.sendContinue()
   }
 
+  /** Whether nobody knows if the caller still sends its body, as it may have waited for `100 Continue`. */
+  private get leavesBodyOpen (): boolean {
+    return !this.isRead && this.bodyBytes !== 0 && this.request.headers.expect !== undefined
+  }
+
   /** Aborts the request because the rest of it is not valid HTTP. Nothing more can be read from the connection. */
   abortBody (refusal: Refusal): void {
     this.isBroken = true
