--- a/packages/entry/src/caller-connection.ts
+++ b/packages/entry/src/caller-connection.ts
@@ -161,6 +161,7 @@
     this.lastSentAt = this.options.clock.monotonicMilliseconds()
     this.finishIfIdle()
     this.endIfBrokenOff()
+    this.exchanges[0]?.takeTurn()
     // Node.js reports that a response was sent before it reads on.
     if (this.input.isKeeping) setImmediate(() => this.readOn())
   }
--- a/packages/entry/src/caller-node-answer.ts
+++ b/packages/entry/src/caller-node-answer.ts
@@ -56,8 +56,12 @@
     this.reportBrokenOff = task
   }
 
-  sendContinue (): void {
-    if (!this.isOver) this.response.writeContinue()
+  /** Sends `100 Continue`; false if the response has to wait for its turn. Node.js would write it between the head and the body then. */
+  sendContinue (): boolean {
+    if (this.isOver || this.response.headersSent) return true
+    if (this.response.socket === null) return false
+    this.response.writeContinue()
+    return true
   }
 
   writeHead (status: number, headers: readonly string[]): void {
--- a/packages/entry/src/caller-node-exchange.ts
+++ b/packages/entry/src/caller-node-exchange.ts
@@ -32,6 +32,8 @@
   private isBroken = false
   private bufferedBytes = 0
   private isReleased = false
+  /** Whether the caller waits for `100 Continue` until the responses in front of its own have been sent. */
+  private awaitsContinue = false
   readonly answer: NodeAnswer
 
   private constructor (
@@ -169,7 +171,12 @@
   }
 
   sendContinue (): void {
-    if (this.options.expectsContinue) this.answer.sendContinue()
+    if (this.options.expectsContinue) this.awaitsContinue = !this.answer.sendContinue()
+  }
+
+  /** Call once all responses in front of this one have been sent. A caller that has sent its body waits for nothing. */
+  takeTurn (): void {
+    if (this.awaitsContinue && !this.isRead) this.sendContinue()
   }
 
   /** Whether nobody knows if the caller still sends its body, as it may have waited for `100 Continue`. */
--- a/packages/entry/src/tests/expectations.test.ts
+++ b/packages/entry/src/tests/expectations.test.ts
@@ -9,6 +9,7 @@
 const ROUTES = [{ path: '/ledger', timeout_milliseconds: 9_000, idempotent: true }]
 const EXPECTATION = 'Expect: 100-continue\r\n'
 const BODY = 'Content-Length: 4\r\n\r\nlots'
+const CONTINUE = 'HTTP/1.1 100 Continue\r\n\r\n'
 
 const get = (path: string): string => `GET ${path} HTTP/1.1\r\nHost: entry\r\n${AUTHORIZED}\r\n`
 const post = (path: string, rest: string): string => `POST ${path} HTTP/1.1\r\nHost: entry\r\n${AUTHORIZED}${rest}`
@@ -121,4 +122,30 @@
   })
 })
 
+// Guards against 100 Continue inside the response to its request, where it is taken for a part of the body (MIXED).
+test('a request that expects 100 Continue and is answered before its turn gets its own whole response', async () => {
+  await withCaller(async ({ upstream, socket, received, release }) => {
+    socket.write(get('/ledger/slow') + post('/ledger/expecting', `${EXPECTATION}${BODY}`) + get('/ledger/last'))
+    await until(() => paths(upstream).includes('/ledger/last'))
+    await new Promise((resolve) => setTimeout(resolve, 100))
+    release()
+    await until(() => responsesIn(received()).filter(({ status }) => status === 200).length === 3)
+    assert.equal(responsesIn(received()).filter(({ status }) => status >= 200).map(({ body }) => body), ['/ledger/slow', '/ledger/expecting', '/ledger/last'])
+  })
+})
+
+test('a caller that waits for 100 Continue behind another request gets it in its turn', async () => {
+  await withCaller(async ({ upstream, socket, received, release }) => {
+    socket.write(get('/ledger/slow') + post('/ledger/waiting', `${EXPECTATION}Content-Length: 4\r\n\r\n`))
+    await until(() => paths(upstream).includes('/ledger/slow'))
+    await new Promise((resolve) => setTimeout(resolve, 100))
+    assert.is(received(), '')
+    release()
+    await until(() => received().endsWith(CONTINUE))
+    socket.write('lots')
+    await until(() => received().endsWith('/ledger/waiting'))
+    assert.equal(responsesIn(received()).map(({ status }) => status), [200, 100, 200])
+  })
+})
+
 test.run()
