--- a/packages/entry/src/caller-connection.ts
+++ b/packages/entry/src/caller-connection.ts
@@ -117,8 +117,11 @@
     if (this.exchanges.length === 0) this.input.suspend()
   }
 
-  /** Closes a connection on which no request has arrived. */
-  closeSilent (): void {
+  get isBetweenRequests (): boolean {
+    return this.input.isBetweenRequests
+  }
+
+  closeUnused (): void {
     this.socket.destroy()
   }
 
@@ -161,6 +164,7 @@
     this.lastSentAt = this.options.clock.monotonicMilliseconds()
     this.finishIfIdle()
     this.endIfBrokenOff()
+    if (this.exchanges.length === 0 && !this.isEnded) this.options.limiter.connectionIdle(this)
     this.exchanges[0]?.takeTurn()
     // Node.js reports that a response was sent before it reads on.
     if (this.input.isKeeping) setImmediate(() => this.readOn())
--- a/packages/entry/src/dispatched-entry.ts
+++ b/packages/entry/src/dispatched-entry.ts
@@ -1,4 +1,4 @@
-import { createServer, type Server } from 'node:http'
+import type { Server } from 'node:http'
 import type { ServingConfiguration } from '@hickoryspoke/configuration/serving-configuration'
 import { ActiveConfiguration } from '@hickoryspoke/dispatch/active-configuration'
 import { ColdUpstreams, type WarmupAllowance } from '@hickoryspoke/dispatch/cold-upstreams'
@@ -14,6 +14,7 @@
 import { DispatchedRunner } from '@hickoryspoke/request/dispatched-runner'
 import { ServingTable } from '@hickoryspoke/request/serving-table'
 import { splitAddress } from '@hickoryspoke/runtime/address'
+import type { ClientLimiter } from '@hickoryspoke/runtime/client-limiter'
 import type { Clock } from '@hickoryspoke/runtime/clock'
 import type { Failure } from '@hickoryspoke/runtime/failure'
 import { DEFAULT_PROCESS_LIMITS, entryCapacity, type ProcessLimits } from '@hickoryspoke/runtime/process-capacity'
@@ -28,6 +29,7 @@
 import { DispatchedEntryMetrics } from './dispatched-entry-metrics.ts'
 import { EntryLifecycle, EntryPhase } from './entry-lifecycle.ts'
 import { reportEntryLoad } from './entry-load-report.ts'
+import { createReadinessServer } from './readiness-server.ts'
 import { UpstreamAccess } from './upstream-access.ts'
 
 /** Settings of a `DispatchedEntry`. Addresses are IP:PORT. */
@@ -74,8 +76,6 @@
 const READY_WITHOUT_DISPATCHER_MILLISECONDS = 2_000
 /** How long callers are still served after the stop signal, so that the load balancer can notice that the entry is not ready. */
 const ANNOUNCE_MILLISECONDS = 2_600
-/** Connections of the load balancer's checks. */
-const MAXIMUM_READINESS_CONNECTIONS = 64
 /** Time reserved at the end of a stop for closing connections. */
 const CLOSE_RESERVE_MILLISECONDS = 500
 
@@ -92,6 +92,7 @@
   private readonly link: LeaderConnection
   private readonly upstreams: UpstreamAccess
   private readonly runner: DispatchedRunner
+  private readonly limiter: ClientLimiter
   private readonly callers: CallerServer
   private readonly readiness: Server
   private table: ServingTable | undefined
@@ -190,14 +191,10 @@
       evacuatedZones: () => this.zones.zones()
     })
     const { host, port } = splitAddress(settings.callers)
-    const limiter = createCallerLimiter(clock, limits, logger)
-    registerLimiterMetrics(this.entryMetrics.metrics, limiter)
-    this.callers = CallerServer.create({ clock, runner: this.runner, host, port, limiter })
-    this.readiness = createServer((request, response) => {
-      const ready = request.url === settings.readinessPath && this.isReady
-      response.writeHead(ready ? 200 : 503).end()
-    })
-    this.readiness.maxConnections = MAXIMUM_READINESS_CONNECTIONS
+    this.limiter = createCallerLimiter(clock, limits, logger)
+    registerLimiterMetrics(this.entryMetrics.metrics, this.limiter)
+    this.callers = CallerServer.create({ clock, runner: this.runner, host, port, limiter: this.limiter })
+    this.readiness = createReadinessServer(settings.readinessPath, () => this.isReady)
   }
 
   static async start (settings: DispatchedEntrySettings, options: DispatchedEntryOptions): Promise<Result<DispatchedEntry, Failure>> {
@@ -219,9 +216,9 @@
     return this.entryMetrics.metrics
   }
 
-  /** Whether the load balancer should send callers to this entry. */
+  /** Whether the load balancer should send callers here. */
   get isReady (): boolean {
-    if (this.lifecycle.phase !== EntryPhase.Serving || this.table === undefined) return false
+    if (this.lifecycle.phase !== EntryPhase.Serving || this.table === undefined || this.limiter.isFull()) return false
     return this.upstreams.isReaching && this.inForce.isFresh() && this.placementClient.withoutDispatcherMilliseconds < READY_WITHOUT_DISPATCHER_MILLISECONDS
   }
 
--- a/packages/entry/src/tests/caller-limits.test.ts
+++ b/packages/entry/src/tests/caller-limits.test.ts
@@ -11,6 +11,7 @@
 const PIPELINED = 16
 const SENT_AHEAD = 200
 const BODIES_SENT_AHEAD = 60
+const IDLE_CONNECTIONS = 5
 const ROUTES = [{ path: '/ledger', timeout_milliseconds: 9_000, idempotent: true }]
 /** More than Node.js hands to its parser at once. */
 const LONG_PIPELINE = 5_000
@@ -133,6 +134,26 @@
   }
 }))
 
+// Guards against idle connections that keep out all other clients, although each has been answered (RECOVER).
+test('a new client is answered while idle connections use up the limit', () => withHeld(async ({ fixture, held, limiter }) => {
+  const busy = connectTo(fixture)
+  busy.socket.write(get('/ledger/busy'))
+  await until(() => held.length === 1)
+  const idle = Array.from({ length: IDLE_CONNECTIONS }, () => connectTo(fixture))
+  for (const { socket } of idle) socket.write(get('/no-route'))
+  await until(() => idle.every(({ received }) => received().startsWith('HTTP/1.1 404')))
+  assert.is(limiter.connections, IDLE_CONNECTIONS + 1)
+  await pause(600)
+  const late = connectTo(fixture)
+  late.socket.write(get('/no-route'))
+  await until(() => late.received().startsWith('HTTP/1.1 404'))
+  await until(() => idle.filter(({ socket }) => socket.destroyed).length === 1)
+  assert.is(limiter.shed.idle_connection, 1)
+  held[0]?.socket.write(okResponse('busy'))
+  await until(() => busy.received().endsWith('busy'))
+  for (const { socket } of [busy, late, ...idle]) socket.destroy()
+}, 50_000_000, {}, IDLE_CONNECTIONS + 1))
+
 // Guards against input that is kept without bound, and against a reader that does not go on once it has stopped.
 test('a pipeline that is longer than what is kept is served to its end', () => withHeld(async ({ fixture, held, limiter }) => {
   const { socket, received } = connectTo(fixture)
--- a/packages/entry/src/tests/client-limiter.test.ts
+++ b/packages/entry/src/tests/client-limiter.test.ts
@@ -21,7 +21,9 @@
     this.isSuspended = true
   }
 
-  closeSilent (): void {
+  isBetweenRequests = true
+
+  closeUnused (): void {
     this.isClosed = true
   }
 }
@@ -124,6 +126,63 @@
   assert.is(limiter.shed.silent_connection, 1)
 })
 
+/** Connections each of which has sent one request, 100 ms after the one before, that was answered at once. */
+function openIdle ({ clock, limiter }: Setup, count: number): TestConnection[] {
+  return Array.from({ length: count }, () => {
+    const connection = new TestConnection()
+    limiter.connectionOpened(connection)
+    limiter.requestEnded(limiter.requestBegun(connection))
+    limiter.connectionIdle(connection)
+    clock.advance(100)
+    return connection
+  })
+}
+
+// Guards against connections that have sent one request, stay idle, and keep out all other clients (RECOVER).
+test('at the limit the connection that has been idle longest is closed for a new one', () => {
+  const scene = setUp()
+  const { clock, limiter } = scene
+  const connections = openIdle(scene, 3)
+  assert.not(limiter.admitConnection())
+  clock.advance(300)
+  limiter.requestBegun(connections[0] as TestConnection)
+  assert.ok(limiter.admitConnection())
+  assert.equal(connections.map(({ isClosed }) => isClosed), [false, true, false])
+  assert.is(limiter.shed.idle_connection, 1)
+})
+
+// Guards against a close that crosses a request which is on its way.
+test('an idle connection on which a request begins to arrive does not give way at first', () => {
+  const scene = setUp()
+  const { clock, limiter } = scene
+  const connections = openIdle(scene, 3)
+  for (const connection of connections.slice(0, 2)) connection.isBetweenRequests = false
+  clock.advance(1_000)
+  assert.ok(limiter.admitConnection())
+  assert.equal(connections.map(({ isClosed }) => isClosed), [false, false, true])
+  assert.not(limiter.admitConnection())
+  clock.advance(3_000)
+  assert.ok(limiter.admitConnection())
+  assert.equal(connections.map(({ isClosed }) => isClosed), [true, false, true])
+})
+
+// Guards against an entry that says it is ready and takes no new connection for seconds.
+test('a server whose connections are all in use is full after some time, and no longer once one can give way', () => {
+  const scene = setUp()
+  const { clock, limiter } = scene
+  const connections = openIdle(scene, 3)
+  const inWork = connections.map((connection) => limiter.requestBegun(connection))
+  assert.not(limiter.isFull())
+  clock.advance(900)
+  assert.not(limiter.isFull())
+  clock.advance(100)
+  assert.ok(limiter.isFull())
+  limiter.requestEnded(inWork[0] as RequestInWork)
+  limiter.connectionIdle(connections[0] as TestConnection)
+  clock.advance(500)
+  assert.not(limiter.isFull())
+})
+
 test('a connection waits while as many requests as allowed are in work, and reads on when one ends', async () => {
   const { limiter } = setUp(3, 20)
   const [busy, waiting] = [new TestConnection(), new TestConnection()]
--- a/packages/runtime/src/client-limiter.ts
+++ b/packages/runtime/src/client-limiter.ts
@@ -1,10 +1,12 @@
 /** Limits over all connections of a server: connections, requests in work, and what is held for them. */
 import type { Clock } from './clock.ts'
-import { ShedKind, type LimiterState } from './limiter-state.ts'
+import { ConnectionAdmission } from './connection-admission.ts'
+import { ShedKind, ShedLog, type LimiterState, type ShedCounts } from './limiter-state.ts'
 import { MemoryUse, type MemoryBudget } from './memory-budget.ts'
 import { PieceTurns } from './piece-turns.ts'
 import { ReadTurns } from './read-turns.ts'
 import { StallList, type StallingRequest } from './stall-list.ts'
+import type { ClosableConnection } from './unused-connections.ts'
 
 /** Counted for each connection: the sockets, parsers and listeners of Node.js take about this much. */
 export const CONNECTION_BYTES = 8_192
@@ -12,9 +14,6 @@
 export const REQUEST_BYTES = 32_768
 /** Requests in work that are allowed whatever is held. */
 const MINIMUM_REQUESTS = 16
-/** A connection without a whole request that is older than this is closed for a new one at the limit. */
-const YOUNG_MILLISECONDS = 500
-const LOG_INTERVAL_MILLISECONDS = 1_000
 /** Memory that is freed by a garbage collection is not announced, so connections that wait are looked at again after this time. */
 const WAITING_CHECK_MILLISECONDS = 100
 /** Connections that read on at once. What each of them reads is known only afterwards. */
@@ -37,12 +36,11 @@
 }
 
 /** A connection that waits until it may read on, or that can be closed for another. */
-export interface LimitedConnection {
+export interface LimitedConnection extends ClosableConnection {
   /** Reads on as far as the limits allow. */
   readOn (): void
   /** Reads nothing until it is told to read on, if no request of it is in work. */
   suspend (): void
-  closeSilent (): void
 }
 
 /** What counts for one request in work. */
@@ -58,25 +56,23 @@
   readonly turns = ReadTurns.create()
   /** The turns in which they read bodies that come in many pieces. */
   readonly pieceTurns = PieceTurns.create()
-  /** Number of times that something was refused or had to wait. */
-  readonly shed: Record<ShedKind, number> = { connection: 0, silent_connection: 0, read_ahead: 0, pipeline: 0, body: 0, stalled_body: 0, stalled_reader: 0 }
-  private readonly open = new Set<LimitedConnection>()
+  private readonly connectionAdmission: ConnectionAdmission<LimitedConnection>
   /** Whether connections without requests do not read, as memory is short. */
   private isTight = false
   private inWork = 0
   private readonly waiting = new Set<LimitedConnection>()
-  /** Connections that have not sent a whole request head, oldest first, with the time of their start. */
-  private readonly silent = new Map<LimitedConnection, number>()
   /** Requests whose body is awaited. */
   private readonly bodies: StallList
   /** Requests whose response is not read. */
   private readonly readers: StallList
-  private loggedAt = -Infinity
+  private readonly shedLog: ShedLog
   private isWaking = false
   private isCheckScheduled = false
 
   private constructor (private readonly options: ClientLimiterOptions) {
     this.budget = options.budget
+    this.shedLog = ShedLog.create(options.clock, (kind) => this.report(kind))
+    this.connectionAdmission = ConnectionAdmission.create({ ...options, shed: this.shedLog })
     this.bodies = StallList.create(options.clock, STALLED_BODY_MILLISECONDS)
     this.readers = StallList.create(options.clock, STALLED_READER_MILLISECONDS)
   }
@@ -85,8 +81,13 @@
     return new ClientLimiter(options)
   }
 
+  /** Number of times that something was refused or had to wait. */
+  get shed (): Readonly<ShedCounts> {
+    return this.shedLog.counts
+  }
+
   get connections (): number {
-    return this.open.size
+    return this.connectionAdmission.open.size
   }
 
   get requests (): number {
@@ -98,25 +99,30 @@
     return this.waiting.size
   }
 
-  /** Whether a new connection may be kept. At the limit, one that has sent no request for some time is closed for it. */
+  /** Whether a new connection may be kept. */
   admitConnection (): boolean {
-    if (this.budget.allows(MemoryUse.Connection) && this.open.size < this.options.maximumConnections) return true
-    if (this.closeSilentConnection()) return true
-    this.record(ShedKind.Connection)
-    return false
+    return this.connectionAdmission.admit()
+  }
+
+  /** Whether no new connection has been able to be kept for some time. Ask this regularly. */
+  isFull (): boolean {
+    return this.connectionAdmission.isFull()
+  }
+
+  /** All requests of a connection have been answered. */
+  connectionIdle (connection: LimitedConnection): void {
+    this.connectionAdmission.answered(connection)
   }
 
   connectionOpened (connection: LimitedConnection): void {
-    this.open.add(connection)
-    this.silent.set(connection, this.options.clock.monotonicMilliseconds())
+    this.connectionAdmission.opened(connection)
     this.budget.count(CONNECTION_BYTES)
     this.checkTightness()
     if (this.isTight) this.suspend(connection)
   }
 
   connectionClosed (connection: LimitedConnection): void {
-    this.open.delete(connection)
-    this.silent.delete(connection)
+    this.connectionAdmission.closed(connection)
     this.waiting.delete(connection)
     this.budget.count(-CONNECTION_BYTES)
     this.wake()
@@ -125,7 +131,7 @@
   /** `extraBytes` is what its head takes beyond that of a usual request. Returns what counts for the request until it has ended. */
   requestBegun (connection: LimitedConnection, extraBytes = 0): RequestInWork {
     this.inWork += 1
-    this.silent.delete(connection)
+    this.connectionAdmission.requestBegun(connection)
     const bytes = REQUEST_BYTES + extraBytes
     this.budget.count(bytes)
     this.checkTightness()
@@ -148,7 +154,7 @@
       this.waiting.delete(connection)
       return false
     }
-    if (!this.waiting.has(connection)) this.record(ShedKind.ReadAhead)
+    if (!this.waiting.has(connection)) this.shedLog.record(ShedKind.ReadAhead)
     this.waiting.add(connection)
     this.scheduleCheck()
     return true
@@ -156,7 +162,7 @@
 
   /** Records that a connection begins to wait because of its own requests. */
   pipelineHeld (): void {
-    this.record(ShedKind.Pipeline)
+    this.shedLog.record(ShedKind.Pipeline)
   }
 
   /** Counts a part of a body that is buffered; false if the body must be refused. */
@@ -164,7 +170,7 @@
     this.bodies.remove(request)
     while (!this.budget.allows(MemoryUse.Body)) {
       if (this.dropStalledBody()) continue
-      this.record(ShedKind.Body)
+      this.shedLog.record(ShedKind.Body)
       return false
     }
     this.bodies.record(request)
@@ -230,7 +236,7 @@
     }
     if (this.isTight) return
     this.isTight = true
-    for (const connection of this.open) this.suspend(connection)
+    for (const connection of this.connectionAdmission.open) this.suspend(connection)
   }
 
   private suspend (connection: LimitedConnection): void {
@@ -258,37 +264,22 @@
     })
   }
 
-  private closeSilentConnection (): boolean {
-    const [oldest] = this.silent
-    if (oldest === undefined) return false
-    const [connection, startedAt] = oldest
-    if (this.options.clock.monotonicMilliseconds() - startedAt < YOUNG_MILLISECONDS) return false
-    this.record(ShedKind.SilentConnection)
-    this.silent.delete(connection)
-    connection.closeSilent()
-    return true
-  }
-
   private dropStalledBody (): boolean {
     if (!this.bodies.dropOldest()) return false
-    this.record(ShedKind.StalledBody)
+    this.shedLog.record(ShedKind.StalledBody)
     return true
   }
 
   private dropStalledReader (): boolean {
     if (!this.readers.dropOldest()) return false
-    this.record(ShedKind.StalledReader)
+    this.shedLog.record(ShedKind.StalledReader)
     return true
   }
 
-  private record (kind: ShedKind): void {
-    this.shed[kind] += 1
-    const now = this.options.clock.monotonicMilliseconds()
-    if (now - this.loggedAt < LOG_INTERVAL_MILLISECONDS) return
-    this.loggedAt = now
+  private report (kind: ShedKind): void {
     this.options.report?.({
       kind,
-      connections: this.open.size,
+      connections: this.connectionAdmission.open.size,
       requests: this.inWork,
       waitingConnections: this.waiting.size,
       heldBytes: this.budget.heldBytes,
--- a/packages/runtime/src/paced-input.ts
+++ b/packages/runtime/src/paced-input.ts
@@ -94,6 +94,11 @@
     return this.kept.bytes > 0
   }
 
+  /** Whether nothing of a further request has arrived. */
+  get isBetweenRequests (): boolean {
+    return this.kept.bytes === 0 && this.headTail === undefined && !this.options.isInBody()
+  }
+
   /** Parses what is kept, as far as requests may be read. */
   feed (): void {
     if (this.isFeeding || this.isStopped) return
