One queue for connections that wait for a turn of the event loop

ReadTurns and PieceTurns had the same waiting set and schedule. Both use TurnQueue now; read-turns and piece-turns pass unchanged.

--- a/packages/entry/src/dispatched-entry.ts
+++ b/packages/entry/src/dispatched-entry.ts
@@ -159,12 +159,10 @@
       }
     })
     const { limits = DEFAULT_PROCESS_LIMITS } = settings
-    const capacity = entryCapacity(limits)
     this.upstreams = UpstreamAccess.create({
       clock,
       logger,
-      maximumConnections: capacity.upstreamConnections,
-      maximumRelayed: capacity.relayedConnections,
+      capacity: entryCapacity(limits),
       connector: options.connector,
       reuseConnections: settings.reuseConnections,
       isUpstream: (address) => this.registry.isPresent(address),
--- a/packages/entry/src/upstream-access.ts
+++ b/packages/entry/src/upstream-access.ts
@@ -6,6 +6,7 @@
 import { UpstreamConnections } from '@hickoryspoke/request/upstream-connections'
 import { LinkedConnector, UpstreamLinks } from '@hickoryspoke/request/upstream-links'
 import type { Clock } from '@hickoryspoke/runtime/clock'
+import type { EntryCapacity } from '@hickoryspoke/runtime/process-capacity'
 import type { Logger } from '@hickoryspoke/telemetry/logger'
 import { ConnectionRelay } from './connection-relay.ts'
 
@@ -13,10 +14,8 @@
 export interface UpstreamAccessOptions {
   readonly clock: Clock
   readonly logger: Logger
-  /** Connections to all upstreams together. */
-  readonly maximumConnections: number
-  /** Connections that are relayed for other entries. */
-  readonly maximumRelayed: number
+  /** Bounds the connections to all upstreams together, and those that are relayed for other entries. */
+  readonly capacity: EntryCapacity
   /** Opens connections over this VM's own network; by default TCP connections. */
   readonly connector?: Connector
   /** Whether connections are kept for as long as upstreams state; not by default. */
@@ -53,7 +52,7 @@
       timeoutMilliseconds: CONNECT_TIMEOUT_MILLISECONDS
     })
     const keeping = options.reuseConnections === true ? KEPT_CONNECTION_SETTINGS : {}
-    this.connections = UpstreamConnections.create(clock, { ...keeping, maximumInTotal: options.maximumConnections }, this.connector)
+    this.connections = UpstreamConnections.create(clock, { ...keeping, maximumInTotal: options.capacity.upstreamConnections }, this.connector)
     this.relay = ConnectionRelay.create({
       clock,
       logger,
@@ -61,7 +60,7 @@
       isUpstream,
       isUnwanted,
       isReaching: () => !this.isCutOff,
-      maximumConnections: options.maximumRelayed
+      maximumConnections: options.capacity.relayedConnections
     })
   }
 
--- a/packages/runtime/src/piece-turns.ts
+++ b/packages/runtime/src/piece-turns.ts
@@ -1,4 +1,5 @@
 /** Shares the turns of the event loop among connections whose bodies arrive in very many small pieces. */
+import { TurnQueue } from './turn-queue.ts'
 
 /** Pieces that one connection may hand on in a turn. */
 const PIECES_PER_TURN = 512
@@ -15,10 +16,11 @@
 export class PieceTurns {
   private turn = 0
   private pieces = 0
-  private readonly waiting = new Set<PieceShare>()
-  private isScheduled = false
+  private readonly queue: TurnQueue<PieceShare>
 
-  private constructor () {}
+  private constructor () {
+    this.queue = TurnQueue.create({ maximumCalls: READERS_PER_TURN, onTurn: () => this.beginTurn(), call: (share) => share.readOn() })
+  }
 
   static create (): PieceTurns {
     return new PieceTurns()
@@ -26,7 +28,7 @@
 
   /** Number of connections that wait. */
   get waitingConnections (): number {
-    return this.waiting.size
+    return this.queue.size
   }
 
   /** The share of one connection. `readOn` is called in a later turn after `take` has returned false. */
@@ -36,7 +38,7 @@
 
   /** Number of the current turn. */
   current (): number {
-    this.schedule()
+    this.queue.schedule()
     return this.turn
   }
 
@@ -47,29 +49,16 @@
   }
 
   wait (share: PieceShare): void {
-    this.waiting.add(share)
-    this.schedule()
+    this.queue.wait(share)
   }
 
   leave (share: PieceShare): void {
-    this.waiting.delete(share)
-  }
-
-  private schedule (): void {
-    if (this.isScheduled) return
-    this.isScheduled = true
-    setImmediate(() => this.beginTurn())
+    this.queue.leave(share)
   }
 
   private beginTurn (): void {
-    this.isScheduled = false
     this.turn += 1
     this.pieces = 0
-    for (const share of [...this.waiting].slice(0, READERS_PER_TURN)) {
-      this.waiting.delete(share)
-      share.readOn()
-    }
-    if (this.waiting.size > 0) this.schedule()
   }
 }
 
--- a/packages/runtime/src/read-turns.ts
+++ b/packages/runtime/src/read-turns.ts
@@ -1,4 +1,5 @@
 /** Shares the turns of the event loop among the connections of a server. */
+import { TurnQueue } from './turn-queue.ts'
 
 /** A connection whose next request is read in a later turn. */
 export interface WaitingInput {
@@ -17,13 +18,14 @@
 export class ReadTurns {
   private turn = 0
   private endedAtOnce = 0
-  private readonly waiting = new Set<WaitingInput>()
+  private readonly queue: TurnQueue<WaitingInput>
   /** Connections that were called in this turn and have not read a request, and those that have. */
   private readonly called = new Set<WaitingInput>()
   private readonly served = new Set<WaitingInput>()
-  private isScheduled = false
 
-  private constructor () {}
+  private constructor () {
+    this.queue = TurnQueue.create({ maximumCalls: MAXIMUM_REQUESTS, onTurn: () => this.beginTurn(), call: (input) => this.call(input) })
+  }
 
   static create (): ReadTurns {
     return new ReadTurns()
@@ -31,12 +33,12 @@
 
   /** Number of connections that wait. */
   get waitingConnections (): number {
-    return this.waiting.size
+    return this.queue.size
   }
 
   /** Records that a request was read; returns the number of the turn. */
   requestBegun (): number {
-    this.schedule()
+    this.queue.schedule()
     return this.turn
   }
 
@@ -49,37 +51,28 @@
   take (input: WaitingInput): boolean {
     const isOver = this.endedAtOnce >= MAXIMUM_REQUESTS && !this.called.has(input)
     if (isOver || this.served.has(input)) {
-      this.waiting.add(input)
-      this.schedule()
+      this.queue.wait(input)
       return false
     }
     if (this.called.delete(input)) this.served.add(input)
-    this.waiting.delete(input)
+    this.queue.leave(input)
     return true
   }
 
   /** The connection does not read any more. */
   leave (input: WaitingInput): void {
-    this.waiting.delete(input)
-  }
-
-  private schedule (): void {
-    if (this.isScheduled) return
-    this.isScheduled = true
-    setImmediate(() => this.beginTurn())
+    this.queue.leave(input)
   }
 
   private beginTurn (): void {
-    this.isScheduled = false
     this.turn += 1
     this.endedAtOnce = 0
     this.called.clear()
     this.served.clear()
-    for (const input of [...this.waiting].slice(0, MAXIMUM_REQUESTS)) {
-      this.waiting.delete(input)
-      this.called.add(input)
-      input.takeTurn()
-    }
-    if (this.waiting.size > 0) this.schedule()
+  }
+
+  private call (input: WaitingInput): void {
+    this.called.add(input)
+    input.takeTurn()
   }
 }
