--- a/packages/runtime/src/joined-request.ts
+++ b/packages/runtime/src/joined-request.ts
@@ -25,7 +25,7 @@
   }
 
   override _read (bytes: number): void {
-    this.flushIfRead()
+    this.flush()
     super._read(bytes)
   }
 
