Give a reader the pieces that came while it had not read

Cause: a stream that has asked for more does not ask again, so pieces that came while an earlier chunk was still buffered stayed with JoinedRequest until further input came. Why it works: once everything buffered has been read, what has come since then follows.

--- a/packages/runtime/src/joined-request.ts
+++ b/packages/runtime/src/joined-request.ts
@@ -24,6 +24,13 @@
     return this.readableLength + this.unread.bytes < this.readableHighWaterMark
   }
 
+  /** Once everything buffered has been read, the pieces that have come since then follow. */
+  override read (bytes?: number): unknown {
+    const chunk: unknown = super.read(bytes)
+    if (this.readableLength === 0) this.flush()
+    return chunk
+  }
+
   override _read (bytes: number): void {
     this.flush()
     super._read(bytes)
