--- a/packages/request/src/tests/endless-answers.test.ts
+++ b/packages/request/src/tests/endless-answers.test.ts
@@ -4,9 +4,8 @@
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import { AttemptFailure } from '../attempt-failure.ts'
-import { DirectConnector } from '../connector.ts'
-import { UpstreamConnections } from '../upstream-connections.ts'
 import { exchange } from '../upstream-exchange.ts'
+import { connectionsWithSockets } from './response-fixture.ts'
 
 /** Most bytes that may be read of a response without an end: what is held, and what one read of a socket brings. */
 const READ_LIMIT_BYTES = 1_048_576
@@ -37,15 +36,7 @@
 /** Sends one request and waits for its end, like an attempt does. Returns how it ended and how many bytes were read. */
 async function ask (address: string, method: string): Promise<{ code: string, bytesRead: number, isClosed: boolean }> {
   const clock = SystemClock.create()
-  const direct = DirectConnector.create(clock, 500)
-  const sockets: Socket[] = []
-  const connections = UpstreamConnections.create(clock, {}, {
-    connect: async (target, signal) => {
-      const opened = await direct.connect(target, signal)
-      if (opened.isOk()) sockets.push(opened.value.socket)
-      return opened
-    }
-  })
+  const { connections, sockets } = connectionsWithSockets(clock)
   const deadline = new AbortController()
   const timer = clock.schedule(GIVE_UP_MILLISECONDS, () => deadline.abort(AttemptFailure.create('deadline_over')))
   const request = { address, method, path: '/', headers: ['host', 'a'], body: null, maximumIdleMilliseconds: 0, acceptsCloseDelimited: true }
@@ -55,7 +46,7 @@
   const code = whole === undefined ? 'held' : whole.isOk() ? 'complete' : whole.error.code
   timer.cancel()
   await new Promise((resolve) => setTimeout(resolve, 100))
-  const [socket] = sockets as [Socket]
+  const socket = sockets[0] as Socket
   const seen = { code, bytesRead: socket.bytesRead, isClosed: socket.destroyed }
   deadline.abort(AttemptFailure.create('caller_gone'))
   connections.close()
--- a/packages/request/src/tests/response-fixture.ts
+++ b/packages/request/src/tests/response-fixture.ts
@@ -1,14 +1,13 @@
 import type { Socket } from 'node:net'
-import { SystemClock } from '@hickoryspoke/runtime/clock'
+import { SystemClock, type Clock } from '@hickoryspoke/runtime/clock'
 import { RawUpstream } from '@hickoryspoke/testing/raw-upstream'
 import { DirectConnector } from '../connector.ts'
 import { UpstreamConnections } from '../upstream-connections.ts'
 import { exchange } from '../upstream-exchange.ts'
 import type { UpstreamResponse } from '../upstream-response.ts'
 
-/** Requests a response whose body is sent as it stands, and uses it together with the socket of its connection. */
-export async function withChunkedResponse (encodedBody: string, use: (response: UpstreamResponse, socket: Socket) => Promise<void>): Promise<void> {
-  const clock = SystemClock.create()
+/** Connections to upstreams, and the sockets that they have opened. */
+export function connectionsWithSockets (clock: Clock): { readonly connections: UpstreamConnections, readonly sockets: readonly Socket[] } {
   const direct = DirectConnector.create(clock, 500)
   const sockets: Socket[] = []
   const connections = UpstreamConnections.create(clock, {}, {
@@ -18,6 +17,13 @@
       return opened
     }
   })
+  return { connections, sockets }
+}
+
+/** Requests a response whose body is sent as it stands, and uses it together with the socket of its connection. */
+export async function withChunkedResponse (encodedBody: string, use: (response: UpstreamResponse, socket: Socket) => Promise<void>): Promise<void> {
+  const clock = SystemClock.create()
+  const { connections, sockets } = connectionsWithSockets(clock)
   const upstream = await RawUpstream.create((socket) => socket.write(`HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n${encodedBody}`))
   const request = { address: upstream.address, method: 'GET', path: '/', headers: ['host', 'a'], body: null, maximumIdleMilliseconds: 0 }
   try {
